--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+PORT ?= 8080
+
+.PHONY: run test format bench
+
+run: $(VENV)/.run
+	$(VENV)/bin/hornbeampier dev --port $(PORT)
+
+test: $(VENV)/.test
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/python -m pytest
+
+format: $(VENV)/.test
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+bench: $(VENV)/.bench
+	$(VENV)/bin/python -m bench
+
+$(VENV)/.run: requirements/run.txt pyproject.toml
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements/run.txt -e .
+	touch $@
+
+$(VENV)/.test: $(VENV)/.run requirements/test.txt
+	$(VENV)/bin/pip install -q -r requirements/test.txt
+	touch $@
+
+$(VENV)/.bench: $(VENV)/.run requirements/bench.txt
+	$(VENV)/bin/pip install -q -r requirements/bench.txt
+	touch $@
--- /dev/null
+++ b/hornbeampier/application.py
@@ -0,0 +1,122 @@
+"""Ownership and life cycle: components start in order and stop in reverse."""
+
+from typing import Protocol
+
+import gevent
+import gevent.event
+import structlog
+
+STOP_TIMEOUT_MS = 30_000
+
+
+class Component(Protocol):
+    """A part of a process with a life cycle of its own."""
+
+    def start(self) -> None:
+        """Starts the component; raises if it cannot work."""
+        ...
+
+    def drain(self) -> None:
+        """Finishes the work in flight and accepts no more."""
+        ...
+
+    def stop(self) -> None:
+        """Releases every resource that the component holds."""
+        ...
+
+
+class BaseComponent:
+    """A component whose hooks do nothing; subclasses override some."""
+
+    def start(self) -> None:
+        """Does nothing."""
+
+    def drain(self) -> None:
+        """Does nothing."""
+
+    def stop(self) -> None:
+        """Does nothing."""
+
+
+class TaskComponent(BaseComponent):
+    """A component that owns one greenlet running `run`."""
+
+    def __init__(self):
+        self._task: gevent.Greenlet | None = None
+
+    def run(self) -> None:
+        """The body of the task; runs until it is killed."""
+        raise NotImplementedError
+
+    def start(self) -> None:
+        """Spawns the task."""
+        self._task = gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Kills the task and waits for its end."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+
+
+class Application:
+    """Owns the components of one process."""
+
+    def __init__(self, name: str):
+        self._log = structlog.get_logger(app=name)
+        self._components: list[Component] = []
+        self._started: list[Component] = []
+        self._stop_requested = gevent.event.Event()
+
+    def add(self, component: Component) -> None:
+        """Adds a component; it starts after those added before it."""
+        self._components.append(component)
+
+    def start(self) -> None:
+        """Starts all components in order, or stops those already started."""
+        try:
+            for component in self._components:
+                component.start()
+                self._started.append(component)
+        except BaseException as exc:
+            try:
+                self.stop()
+            except ExceptionGroup as group:
+                raise ExceptionGroup(
+                    "start failed, and so did the clean-up", [exc, group]
+                ) from exc
+            raise
+
+    def request_stop(self) -> None:
+        """Asks `run` to drain and return; safe in a signal handler."""
+        self._stop_requested.set()
+
+    def run(self) -> None:
+        """Starts, waits for a stop request, drains and stops."""
+        self.start()
+        self._stop_requested.wait()
+        self._log.info("drain_started")
+        self.drain()
+        self.stop()
+        self._log.info("stopped")
+
+    def drain(self) -> None:
+        """Drains components in reverse order of their start."""
+        self._call_reversed("drain")
+
+    def stop(self) -> None:
+        """Stops components in reverse order; raises all errors as a group."""
+        try:
+            self._call_reversed("stop")
+        finally:
+            self._started.clear()
+
+    def _call_reversed(self, hook: str) -> None:
+        failures = []
+        for component in reversed(self._started):
+            try:
+                getattr(component, hook)()
+            except Exception as exc:
+                failures.append(exc)
+        if failures:
+            raise ExceptionGroup(f"{hook} failed", failures)
--- /dev/null
+++ b/hornbeampier/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers: authentication, the chat interface and plain services."""
--- /dev/null
+++ b/hornbeampier/callers/answers.py
@@ -0,0 +1,114 @@
+"""The bodies and headers of answers to callers."""
+
+from collections.abc import Iterator
+import math
+
+import msgspec
+
+from hornbeampier import clock
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier import wsgi
+
+SSE_HEADERS = (
+    ("Content-Type", "text/event-stream"),
+    ("Cache-Control", "no-cache"),
+)
+DONE = b"data: [DONE]\n\n"
+OBJECT_CHAT = "chat.completion"
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """OpenAI's error object with the verdict added."""
+
+    message: str
+    type: str
+    code: str
+    verdict: str
+    param: str | None = None
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The body of every refusal."""
+
+    error: ErrorDetail
+
+
+class AnswerMessage(msgspec.Struct, frozen=True):
+    """The message of a whole answer."""
+
+    content: str
+    role: str = "assistant"
+
+
+class AnswerChoice(msgspec.Struct, frozen=True):
+    """The only choice of a whole answer."""
+
+    message: AnswerMessage
+    finish_reason: str
+    index: int = 0
+
+
+class ChatAnswer(msgspec.Struct, frozen=True):
+    """A whole answer in OpenAI's chat format."""
+
+    id: str
+    model: str
+    created: int
+    choices: tuple[AnswerChoice, ...]
+    object: str = OBJECT_CHAT
+
+
+def error_body(refusal: errors.RefusalError) -> ErrorBody:
+    """Returns the body that tells a caller of a refusal."""
+    kind = "server_error" if refusal.status >= 500 else "invalid_request_error"
+    if refusal.status == 429:
+        kind = "rate_limit_error"
+    return ErrorBody(
+        ErrorDetail(
+            refusal.message, kind, refusal.code.value, refusal.verdict.value
+        )
+    )
+
+
+def refusal_headers(refusal: errors.RefusalError) -> list[tuple[str, str]]:
+    """Returns `Retry-After` in whole seconds where the refusal has one."""
+    if refusal.retry_after_ms is None:
+        return []
+    seconds = math.ceil(refusal.retry_after_ms / clock.MS_PER_SECOND)
+    return [("Retry-After", str(max(1, seconds)))]
+
+
+def refuse(
+    start_response, request_id: str, refusal: errors.RefusalError
+) -> Iterator[bytes]:
+    """Answers with a refusal."""
+    body = msgspec.json.encode(error_body(refusal))
+    headers = [
+        wsgi.JSON_TYPE,
+        ("Content-Length", str(len(body))),
+        ("X-Request-Id", request_id),
+        *refusal_headers(refusal),
+    ]
+    start_response(wsgi.status_line(refusal.status), headers)
+    yield body
+
+
+def error_event(refusal: errors.RefusalError) -> bytes:
+    """Returns the event that ends a stream which is not whole."""
+    body = msgspec.json.encode(error_body(refusal))
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+def whole(
+    start_response, demand: models.Demand, answer: ChatAnswer
+) -> Iterator[bytes]:
+    """Answers with a whole chat answer."""
+    body = msgspec.json.encode(answer)
+    headers = [
+        wsgi.JSON_TYPE,
+        ("Content-Length", str(len(body))),
+        ("X-Request-Id", demand.request_id),
+    ]
+    start_response(wsgi.status_line(200), headers)
+    yield body
--- /dev/null
+++ b/hornbeampier/callers/chat.py
@@ -0,0 +1,111 @@
+"""Chat completions: streamed and whole answers."""
+
+from collections.abc import Iterator
+
+from hornbeampier import clock
+from hornbeampier import errors
+from hornbeampier import metrics
+from hornbeampier import models
+from hornbeampier import router
+from hornbeampier import wsgi
+from hornbeampier.callers import answers
+from hornbeampier.callers import connection
+from hornbeampier.callers import requests
+from hornbeampier.endpoints import engine
+
+
+class ChatHandler:
+    """Answers checked chat requests."""
+
+    def __init__(
+        self,
+        router: router.Router,
+        clock: clock.Clock,
+        metrics: metrics.Metrics,
+    ):
+        self._router = router
+        self._clock = clock
+        self._metrics = metrics
+
+    def handle(
+        self, req: requests.ChatRequest, environ, start_response
+    ) -> Iterator[bytes]:
+        """Yields the answer; the first event decides the HTTP status.
+
+        Raises:
+            errors.RefusalError: Nothing was answered yet.
+        """
+        progress = router.Progress()
+        events = self._router.run_chat(req.demand, req.body, progress)
+        outcome = models.Outcome.CANCELLED
+        try:
+            with connection.watch(environ[connection.SOCKET_KEY]):
+                if req.stream:
+                    yield from self._stream(req, events, start_response)
+                else:
+                    yield from self._whole(
+                        req, events, progress, start_response
+                    )
+            outcome = models.Outcome.SERVED
+        except errors.RefusalError:
+            outcome = models.Outcome.REFUSED
+            raise
+        finally:
+            events.close()
+            self._record_end(req, progress, outcome)
+
+    def _stream(
+        self,
+        req: requests.ChatRequest,
+        events: Iterator[engine.EngineEvent],
+        start_response,
+    ) -> Iterator[bytes]:
+        first = next(events)
+        headers = [
+            *answers.SSE_HEADERS,
+            ("X-Request-Id", req.demand.request_id),
+        ]
+        start_response(wsgi.status_line(200), headers)
+        yield first.line + b"\n\n"
+        for event in events:
+            yield event.line + b"\n\n"
+        yield answers.DONE
+
+    def _whole(
+        self,
+        req: requests.ChatRequest,
+        events: Iterator[engine.EngineEvent],
+        progress: router.Progress,
+        start_response,
+    ) -> Iterator[bytes]:
+        reason = "stop"
+        for event in events:
+            reason = event.finish_reason or reason
+        message = answers.AnswerMessage(progress.text)
+        answer = answers.ChatAnswer(
+            req.demand.request_id,
+            req.model,
+            int(self._clock.unix() / clock.MS_PER_SECOND),
+            (answers.AnswerChoice(message, reason),),
+        )
+        yield from answers.whole(start_response, req.demand, answer)
+
+    def _record_end(
+        self,
+        req: requests.ChatRequest,
+        progress: router.Progress,
+        outcome: models.Outcome,
+    ) -> None:
+        wanted = req.demand.request_class
+        end_ms = self._clock.now() - req.demand.arrival_ms
+        on_time = outcome is models.Outcome.SERVED
+        if progress.first_token_ms is not None:
+            first_ms = progress.first_token_ms - req.demand.arrival_ms
+            self._metrics.first_token.observe({"class": wanted.name}, first_ms)
+            if wanted.first_token_ms is not None:
+                on_time = on_time and first_ms <= wanted.first_token_ms
+        if wanted.complete_ms is not None:
+            on_time = on_time and end_ms <= wanted.complete_ms
+        self._metrics.record_end(wanted.name, outcome, on_time)
+        use = "useful" if outcome is models.Outcome.SERVED else "wasted"
+        self._metrics.tokens.add({"use": use}, len(progress.texts))
--- /dev/null
+++ b/hornbeampier/callers/requests.py
@@ -0,0 +1,155 @@
+"""Reading and checking what callers send."""
+
+import dataclasses
+import hashlib
+
+import gevent
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier.operators import schema
+
+CLASS_HEADER = "HTTP_X_REQUEST_CLASS"
+BEARER = "Bearer "
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH", "DELETE"})
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat; content may be text or a list of parts."""
+
+    role: str
+    content: str | list[dict] | None = None
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """The part of OpenAI's chat request that the router reads."""
+
+    model: str
+    messages: tuple[ChatMessage, ...]
+    stream: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatRequest:
+    """A checked chat request; `body` is what the engine receives."""
+
+    demand: models.Demand
+    model: str
+    stream: bool
+    body: bytes
+
+
+def authenticate(environ, cfg: schema.Configuration) -> schema.ClientAccount:
+    """Returns the account that the bearer key belongs to.
+
+    Raises:
+        errors.RefusalError: The key is missing or unknown.
+    """
+    header = environ.get("HTTP_AUTHORIZATION", "")
+    if header.startswith(BEARER):
+        key = header.removeprefix(BEARER).strip()
+        digest = hashlib.sha256(key.encode("latin-1")).hexdigest()
+        for account in cfg.accounts:
+            if digest in account.key_sha256:
+                return account
+    raise errors.RefusalError(
+        401,
+        errors.RefusalCode.UNAUTHENTICATED,
+        "send a valid key in 'Authorization: Bearer KEY'",
+    )
+
+
+def read_body(environ, max_bytes: int, timeout_ms: float) -> bytes:
+    """Reads the whole body within its limits of size and time.
+
+    Raises:
+        errors.RefusalError: The body is too large, too slow or cut short.
+    """
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > max_bytes:
+        raise _too_large(max_bytes)
+    stream = environ["wsgi.input"]
+    try:
+        with gevent.Timeout(timeout_ms / 1000.0, TimeoutError):
+            body = stream.read(max_bytes + 1)
+    except TimeoutError as exc:
+        raise errors.RefusalError(
+            408,
+            errors.RefusalCode.REQUEST_TIMEOUT,
+            f"the body did not arrive within {timeout_ms:g} ms",
+        ) from exc
+    except OSError as exc:
+        raise _bad_request(f"the body cannot be read: {exc}") from exc
+    if len(body) > max_bytes:
+        raise _too_large(max_bytes)
+    if len(body) < length:
+        raise _bad_request("the body ended before its Content-Length")
+    return body
+
+
+def choose_class(
+    environ, account: schema.ClientAccount, cfg: schema.Configuration
+) -> schema.RequestClass:
+    """Returns the class from the header or the account's default.
+
+    Raises:
+        errors.RefusalError: The class is unknown or not allowed.
+    """
+    name = environ.get(CLASS_HEADER, account.default_class)
+    found = cfg.find_class(name)
+    if found is None:
+        raise errors.RefusalError(
+            400,
+            errors.RefusalCode.UNKNOWN_CLASS,
+            f"unknown request class {name!r}; yours are: "
+            + ", ".join(account.classes),
+        )
+    if name not in account.classes:
+        raise errors.RefusalError(
+            403,
+            errors.RefusalCode.CLASS_NOT_ALLOWED,
+            f"the account may not use class {name!r}; yours are: "
+            + ", ".join(account.classes),
+        )
+    return found
+
+
+def parse_chat(raw: bytes, cfg: schema.Configuration) -> ChatBody:
+    """Checks a chat body.
+
+    Raises:
+        errors.RefusalError: The body is malformed or the model unknown.
+    """
+    try:
+        body = msgspec.json.decode(raw, type=ChatBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise _bad_request(f"the body is not a chat request: {exc}") from exc
+    if not body.messages:
+        raise _bad_request("messages: at least one is needed")
+    if body.model not in {m.name for m in cfg.models}:
+        raise errors.RefusalError(
+            404,
+            errors.RefusalCode.UNKNOWN_MODEL,
+            f"unknown model {body.model!r}",
+        )
+    return body
+
+
+def streamed_body(raw: bytes) -> bytes:
+    """Returns the body with `stream` set, as engines receive it."""
+    fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+    fields["stream"] = msgspec.Raw(b"true")
+    return msgspec.json.encode(fields)
+
+
+def _bad_request(message: str) -> errors.RefusalError:
+    return errors.RefusalError(400, errors.RefusalCode.BAD_REQUEST, message)
+
+
+def _too_large(max_bytes: int) -> errors.RefusalError:
+    return errors.RefusalError(
+        413,
+        errors.RefusalCode.BODY_TOO_LARGE,
+        f"the body is over {max_bytes} bytes",
+    )
--- /dev/null
+++ b/hornbeampier/clock.py
@@ -0,0 +1,64 @@
+"""The project's one clock type; every time and duration is in milliseconds."""
+
+import time
+from typing import Protocol
+
+import gevent
+
+MS_PER_SECOND = 1000.0
+
+
+class Clock(Protocol):
+    """A source of time that tests can replace."""
+
+    def now(self) -> float:
+        """Returns monotonic time in ms, for durations and deadlines."""
+        ...
+
+    def unix(self) -> float:
+        """Returns ms since the Unix epoch, for records that others read."""
+        ...
+
+    def sleep(self, duration_ms: float) -> None:
+        """Suspends the calling greenlet for `duration_ms`."""
+        ...
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def now(self) -> float:
+        """Returns monotonic time in ms."""
+        return time.monotonic() * MS_PER_SECOND
+
+    def unix(self) -> float:
+        """Returns ms since the Unix epoch."""
+        return time.time() * MS_PER_SECOND
+
+    def sleep(self, duration_ms: float) -> None:
+        """Suspends the calling greenlet for `duration_ms`."""
+        gevent.sleep(max(0.0, duration_ms) / MS_PER_SECOND)
+
+
+class ManualClock:
+    """A clock that moves only when a test advances it."""
+
+    def __init__(self, start_ms: float = 0.0):
+        self._now_ms = start_ms
+
+    def now(self) -> float:
+        """Returns the time that the test has set, in ms."""
+        return self._now_ms
+
+    def unix(self) -> float:
+        """Returns the same time as `now`."""
+        return self._now_ms
+
+    def sleep(self, duration_ms: float) -> None:
+        """Advances the clock and lets other greenlets run."""
+        self.advance(duration_ms)
+        gevent.sleep(0)
+
+    def advance(self, duration_ms: float) -> None:
+        """Moves the clock forward by `duration_ms`."""
+        self._now_ms += duration_ms
--- /dev/null
+++ b/hornbeampier/commands.py
@@ -0,0 +1,247 @@
+"""What the commands of the command line do."""
+
+from collections.abc import Callable
+import pathlib
+import signal
+
+import gevent
+
+import hornbeampier
+from hornbeampier import application
+from hornbeampier import daemon
+from hornbeampier import dev as dev_deployment
+from hornbeampier import environment
+from hornbeampier import errors
+from hornbeampier import logs
+from hornbeampier import settings as vm_settings
+from hornbeampier import status
+from hornbeampier import wsgi
+from hornbeampier.endpoints import batch
+from hornbeampier.endpoints import standin_engine as engine_standin
+from hornbeampier.endpoints import standin_service as service_standin
+from hornbeampier.operators import overview
+from hornbeampier.operators import publish as publishing
+from hornbeampier.operators import schema
+from hornbeampier.platform import log as platform_log
+from hornbeampier.platform import standin as platform_standin
+from hornbeampier.platform import vm_list as platform_vm_list
+
+CALL_TIMEOUT_MS = 2_000.0
+PUBLISH_STATUS = {
+    publishing.PublishOutcome.ACCEPTED: status.ExitStatus.OK,
+    publishing.PublishOutcome.REFUSED: status.ExitStatus.REFUSED,
+    publishing.PublishOutcome.NOT_PUBLISHED: status.ExitStatus.UNREACHABLE,
+    publishing.PublishOutcome.UNKNOWN: status.ExitStatus.OUTCOME_UNKNOWN,
+}
+
+
+def serve(
+    env: environment.Environment, path: pathlib.Path
+) -> status.ExitStatus:
+    """Runs one entry VM's daemon."""
+    try:
+        cfg = vm_settings.load(path)
+    except errors.InvalidFileError as exc:
+        return _report_problems(env, path, exc)
+    logs.configure(env.stderr, cfg.logs.level, cfg.logs.json_lines)
+    app = application.Application(cfg.vm)
+    vm = daemon.VmDaemon(env, cfg)
+    app.add(vm)
+    app.add(_Announcement(env, lambda: _describe_ports(cfg.vm, vm.ports)))
+    return _run(app)
+
+
+def dev(env: environment.Environment, port: int) -> status.ExitStatus:
+    """Runs the embedded deployment."""
+    logs.configure(env.stderr, json_lines=False)
+    app = application.Application("dev")
+    deployment = dev_deployment.DevDeployment(env, port)
+    app.add(deployment)
+    return _run(app)
+
+
+def check(
+    env: environment.Environment, files: list[pathlib.Path]
+) -> status.ExitStatus:
+    """Checks configuration files."""
+    result = status.ExitStatus.OK
+    for path in files:
+        try:
+            schema.parse(_read_text(path))
+        except errors.InvalidFileError as exc:
+            result = _report_problems(env, path, exc)
+            continue
+        print(f"{path}: ok", file=env.stdout)
+    return result
+
+
+def publish(
+    env: environment.Environment,
+    path: pathlib.Path,
+    log: str,
+    base: int | None,
+) -> status.ExitStatus:
+    """Publishes a configuration file."""
+    logs.configure(env.stderr, "error")
+    publisher = publishing.Publisher(_open_log(log), env)
+    try:
+        result = publisher.publish(_read_text(path), base)
+    except errors.InvalidFileError as exc:
+        return _report_problems(env, path, exc)
+    return _show_publish(env, result, log)
+
+
+def publish_status(
+    env: environment.Environment, publish_id: str, log: str
+) -> status.ExitStatus:
+    """Looks up an earlier publish."""
+    logs.configure(env.stderr, "error")
+    publisher = publishing.Publisher(_open_log(log), env)
+    return _show_publish(env, publisher.find(publish_id), log)
+
+
+def show_status(
+    env: environment.Environment, vm_list: str, as_json: bool
+) -> status.ExitStatus:
+    """Shows the reports of all VMs."""
+    host, port = _split_address(vm_list)
+    client = platform_vm_list.VmListClient(host, port, CALL_TIMEOUT_MS)
+    found = overview.collect(client.read())
+    text = overview.render_json(found) if as_json else overview.render(found)
+    print(text, file=env.stdout)
+    return status.ExitStatus.OK
+
+
+def show_version(env: environment.Environment) -> status.ExitStatus:
+    """Shows the program's version."""
+    print(hornbeampier.__version__, file=env.stdout)
+    return status.ExitStatus.OK
+
+
+def standin_platform(
+    env: environment.Environment, host: str, port: int
+) -> status.ExitStatus:
+    """Runs the platform's stand-in."""
+    platform = platform_standin.Platform(env.clock)
+    server = wsgi.HttpServer(host, port, platform_standin.PlatformApp(platform))
+    return _run_standin(env, "platform", server, server)
+
+
+def standin_engine(
+    env: environment.Environment,
+    name: str,
+    host: str,
+    port: int,
+    slots: int,
+    slowdown: float,
+    report_lag_ms: float,
+) -> status.ExitStatus:
+    """Runs a model engine's stand-in."""
+    model = batch.EngineModel(
+        slots=slots, slowdown=slowdown, report_lag_ms=report_lag_ms
+    )
+    standin = engine_standin.EngineStandin(name, host, port, model, env.clock)
+    return _run_standin(env, name, standin, standin.server)
+
+
+def standin_service(
+    env: environment.Environment, name: str, host: str, port: int, slots: int
+) -> status.ExitStatus:
+    """Runs a plain service's stand-in."""
+    standin = service_standin.ServiceStandin(name, host, port, slots)
+    return _run_standin(env, name, standin, standin.server)
+
+
+def _run(app: application.Application) -> status.ExitStatus:
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, app.request_stop)
+    app.run()
+    return status.ExitStatus.OK
+
+
+def _run_standin(
+    env: environment.Environment,
+    name: str,
+    component: application.Component,
+    server: wsgi.HttpServer,
+) -> status.ExitStatus:
+    logs.configure(env.stderr, "warning")
+    app = application.Application(name)
+    app.add(component)
+    app.add(_Announcement(env, lambda: f"{name} listens on port {server.port}"))
+    return _run(app)
+
+
+class _Announcement(application.BaseComponent):
+    """Prints one line once the components before it listen."""
+
+    def __init__(
+        self, env: environment.Environment, make_line: Callable[[], str]
+    ):
+        self._env = env
+        self._make_line = make_line
+
+    def start(self) -> None:
+        """Prints the line."""
+        print(self._make_line(), file=self._env.stdout, flush=True)
+
+
+def _describe_ports(vm: str, ports: daemon.Ports) -> str:
+    return (
+        f"{vm} listens on port {ports.callers} (callers), "
+        f"{ports.admin} (admin), {ports.hints} (hints), "
+        f"{ports.catch_up} (catch-up)"
+    )
+
+
+def _read_text(path: pathlib.Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.InvalidFileError((f"cannot be read: {exc}",)) from exc
+
+
+def _report_problems(
+    env: environment.Environment,
+    path: pathlib.Path,
+    exc: errors.InvalidFileError,
+) -> status.ExitStatus:
+    for problem in exc.problems:
+        env.log_error(f"{path}: {problem}")
+    return status.ExitStatus.INVALID_FILE
+
+
+def _open_log(address: str) -> platform_log.HttpLog:
+    host, port = _split_address(address)
+    return platform_log.HttpLog(host, port, CALL_TIMEOUT_MS)
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise errors.InvalidFileError((f"{address}: write HOST:PORT",))
+    return host, int(port)
+
+
+def _show_publish(
+    env: environment.Environment,
+    result: publishing.PublishResult,
+    log: str,
+) -> status.ExitStatus:
+    outcome = publishing.PublishOutcome
+    if result.outcome is outcome.ACCEPTED:
+        print(f"accepted: version {result.version}", file=env.stdout)
+    elif result.outcome is outcome.REFUSED:
+        env.log_error(
+            f"refused: {result.detail}: version {result.version} is in force",
+            "read that version and publish again on top of it",
+        )
+    elif result.outcome is outcome.NOT_PUBLISHED:
+        env.log_error(f"not published: {result.detail}", "try again")
+    else:
+        env.log_error(
+            "the outcome is unknown",
+            f"run '{env.program_name} publish-status {result.publish_id} "
+            f"--log {log}'",
+        )
+    return PUBLISH_STATUS[result.outcome]
--- /dev/null
+++ b/hornbeampier/daemon.py
@@ -0,0 +1,263 @@
+"""The entry VM's daemon: all components of one router process."""
+
+import dataclasses
+
+import gevent
+import structlog
+
+from hornbeampier import application
+from hornbeampier import environment
+from hornbeampier import metrics
+from hornbeampier import models
+from hornbeampier import router
+from hornbeampier import settings
+from hornbeampier import wsgi
+from hornbeampier.callers import connection
+from hornbeampier.callers import server
+from hornbeampier.endpoints import load
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import admin
+from hornbeampier.operators import follower
+from hornbeampier.operators import history
+from hornbeampier.operators import report
+from hornbeampier.platform import log as platform_log
+from hornbeampier.platform import vm_list
+from hornbeampier.policy import choice
+from hornbeampier.policy import scheduler
+from hornbeampier.vms import catch_up
+from hornbeampier.vms import hints
+from hornbeampier.vms import messages
+
+DRAIN_POLL_MS = 20.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Ports:
+    """The ports on which a VM listens."""
+
+    callers: int
+    admin: int
+    hints: int
+    catch_up: int
+
+
+class VmDaemon(application.BaseComponent):
+    """Builds and owns the components of one entry VM."""
+
+    def __init__(self, env: environment.Environment, cfg: settings.VmSettings):
+        self._env = env
+        self._settings = cfg
+        self._boot = env.rng.getrandbits(32)
+        self._log = structlog.get_logger(vm=cfg.vm)
+        self.app = application.Application(cfg.vm)
+        self.metrics = metrics.Metrics()
+        self._build_platform()
+        self._build_policy()
+        self._build_callers()
+        self._connect()
+        self._order_components()
+
+    def _build_platform(self) -> None:
+        platform = self._settings.platform
+        clk = self._env.clock
+        self._platform_log = platform_log.HttpLog(
+            platform.log_host, platform.log_port, platform.timeout_ms
+        )
+        self._vm_list = vm_list.VmListPoller(
+            vm_list.VmListClient(
+                platform.vm_list_host,
+                platform.vm_list_port,
+                platform.timeout_ms,
+            ),
+            clk,
+            platform.vm_list_interval_ms,
+        )
+        self._catch_up = catch_up.CatchUpClient(self._settings.vm, clk)
+        self._follower = follower.ConfigurationFollower(
+            self._platform_log, clk, self._catch_up
+        )
+        self._catch_up_server = catch_up.CatchUpServer(
+            self._settings.peers.host,
+            self._settings.peers.catch_up_port,
+            self._follower.history.snapshot,
+        )
+
+    def _build_policy(self) -> None:
+        clk = self._env.clock
+        peers = self._settings.peers
+        self._endpoints = registry.Registry(clk)
+        self._hints = hints.HintExchange(
+            self._settings.vm,
+            peers.host,
+            peers.hint_port,
+            clk,
+            self._make_hint,
+            self._on_hint,
+            peers.hint_interval_ms,
+        )
+        self._scheduler = scheduler.Scheduler(
+            self._endpoints,
+            choice.EndpointChooser(self._hints, self._env.rng),
+            clk,
+        )
+        self._load = load.LoadPoller(self._endpoints, clk, self._scheduler.pump)
+        self._router = router.Router(
+            self._scheduler, clk, lambda: self._follower.history.version
+        )
+
+    def _build_callers(self) -> None:
+        callers = self._settings.callers
+        self._caller_app = server.CallerApp(
+            self._env,
+            callers,
+            lambda: self._follower.accepted,
+            self._router,
+            self.metrics,
+        )
+        self.caller_server = wsgi.HttpServer(
+            callers.host,
+            callers.port,
+            self._caller_app,
+            callers.max_connections,
+            connection.CallerHandler,
+        )
+        self.admin_server = wsgi.HttpServer(
+            self._settings.admin.host,
+            self._settings.admin.port,
+            admin.AdminApp(self.metrics, self.make_report),
+        )
+
+    def _connect(self) -> None:
+        self._vm_list.subscribe(self._hints.apply_vm_list)
+        self._vm_list.subscribe(self._catch_up.apply_vm_list)
+        self._vm_list.subscribe(self._endpoints.apply_vm_list)
+        self._follower.subscribe(self._apply)
+
+    def _order_components(self) -> None:
+        self.app.add(self.admin_server)
+        self.app.add(self._vm_list)
+        self.app.add(self._catch_up_server)
+        self.app.add(self._hints)
+        self.app.add(self._load)
+        self.app.add(self._follower)
+        self.app.add(self.caller_server)
+        self.app.add(_Drain(self))
+
+    @property
+    def ports(self) -> Ports:
+        """The ports in use, known after `start`."""
+        return Ports(
+            self.caller_server.port,
+            self.admin_server.port,
+            self._hints.port,
+            self._catch_up_server.port,
+        )
+
+    def start(self) -> None:
+        """Starts all components."""
+        self.app.start()
+
+    def drain(self) -> None:
+        """Finishes all requests in flight."""
+        self.app.drain()
+
+    def stop(self) -> None:
+        """Stops all components."""
+        self.app.stop()
+
+    def finish_requests(self) -> None:
+        """Reports not ready, then waits until no request is open."""
+        drain = self._settings.drain
+        clk = self._env.clock
+        self._caller_app.not_ready = True
+        clk.sleep(drain.notice_ms)
+        self._caller_app.draining = True
+        end_ms = clk.now() + drain.timeout_ms
+        while self._caller_app.open_requests and clk.now() < end_ms:
+            clk.sleep(DRAIN_POLL_MS)
+        gevent.sleep(0)
+
+    def make_report(self) -> report.VmReport:
+        """Returns the report of this VM."""
+        waiting = self._scheduler.counts()
+        accepted = self._follower.accepted
+        names = [c.name for c in accepted.cfg.classes] if accepted else []
+        leaving = self._caller_app.not_ready
+        return report.VmReport(
+            vm=self._settings.vm,
+            availability_zone=self._settings.availability_zone,
+            ready=accepted is not None and not leaving,
+            draining=leaving,
+            version=self._follower.history.version,
+            open_requests=self._caller_app.open_requests,
+            endpoints=tuple(self._endpoint_rows()),
+            classes=tuple(self._class_row(n, waiting) for n in names),
+            useful_tokens=self.metrics.read_tokens("useful"),
+            wasted_tokens=self.metrics.read_tokens("wasted"),
+            hint_bytes=self._hints.sent_bytes,
+        )
+
+    def _endpoint_rows(self):
+        now_ms = self._env.clock.now()
+        for state in self._endpoints.all():
+            condition = "open"
+            if state.leaving:
+                condition = "leaving"
+            elif now_ms < state.ejected_until_ms:
+                condition = "ejected"
+            yield report.EndpointRow(
+                state.name, condition, state.in_flight, state.cfg.slots
+            )
+
+    def _class_row(self, name: str, waiting: dict[str, int]):
+        count = self.metrics.read_requests
+        return report.ClassRow(
+            name,
+            waiting.get(name, 0),
+            count(name, models.Outcome.SERVED),
+            self.metrics.read_on_time(name),
+            count(name, models.Outcome.REFUSED),
+            count(name, models.Outcome.CANCELLED),
+        )
+
+    def _apply(self, accepted: history.Accepted) -> None:
+        self._endpoints.apply(accepted.cfg)
+        self._scheduler.apply(accepted.cfg)
+
+    def _make_hint(self, sequence: int) -> messages.Hint:
+        accepted = self._follower.accepted
+        tiers = (
+            {c.name: c.tier for c in accepted.cfg.classes} if accepted else {}
+        )
+        waiting: dict[int, int] = {}
+        for name, count in self._scheduler.counts().items():
+            if count and name in tiers:
+                tier = tiers[name]
+                waiting[tier] = waiting.get(tier, 0) + count
+        return messages.Hint(
+            self._settings.vm,
+            self._boot,
+            sequence,
+            self._follower.history.version,
+            {s.name: s.in_flight for s in self._endpoints.all() if s.in_flight},
+            waiting,
+            tuple(s.name for s in self._endpoints.all() if s.leaving),
+        )
+
+    def _on_hint(self, hint: messages.Hint) -> None:
+        for name in hint.leaving:
+            state = self._endpoints.find(name)
+            if state is not None:
+                state.leaving = True
+        self._scheduler.pump()
+
+
+class _Drain(application.BaseComponent):
+    """The first step of a shutdown: the requests in flight."""
+
+    def __init__(self, daemon: VmDaemon):
+        self._daemon = daemon
+
+    def drain(self) -> None:
+        """Waits for the requests in flight."""
+        self._daemon.finish_requests()
--- /dev/null
+++ b/hornbeampier/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoints: model engines and plain services."""
--- /dev/null
+++ b/hornbeampier/endpoints/batch.py
@@ -0,0 +1,168 @@
+"""Stand-in model of an engine's continuous batching."""
+
+import collections
+import dataclasses
+import hashlib
+import heapq
+import itertools
+
+import gevent
+from gevent import event
+from gevent import queue
+import msgspec
+
+from hornbeampier import clock
+
+CACHED_PREFIXES = 64
+PREFIX_CHARS = 256
+
+
+class EngineModel(msgspec.Struct, frozen=True):
+    """The speed and limits of a stand-in engine; times in ms.
+
+    Attributes:
+        slots: Requests in one batch.
+        max_waiting: Accepted requests beyond the batch.
+        step_ms: Time of one decoding step with an empty batch.
+        step_per_request_ms: Added to a step for each request in the batch.
+        prefill_ms: Time to process a prompt that is not cached.
+        slowdown: Factor on all times; above 1 for a straggler.
+        report_lag_ms: Age of the load reports.
+    """
+
+    slots: int = 8
+    max_waiting: int = 64
+    step_ms: float = 10.0
+    step_per_request_ms: float = 1.0
+    prefill_ms: float = 40.0
+    slowdown: float = 1.0
+    report_lag_ms: float = 0.0
+
+
+@dataclasses.dataclass(order=True)
+class Sequence:
+    """One request inside the engine."""
+
+    priority: int
+    order: int
+    request_id: str = dataclasses.field(compare=False)
+    prompt: str = dataclasses.field(compare=False)
+    length: int = dataclasses.field(compare=False)
+    done: int = dataclasses.field(compare=False, default=0)
+    start: int = dataclasses.field(compare=False, default=0)
+    cancelled: bool = dataclasses.field(compare=False, default=False)
+    output: queue.Queue = dataclasses.field(
+        compare=False, default_factory=queue.Queue
+    )
+
+
+def token_text(prompt: str, index: int) -> str:
+    """Returns the text of a token, a function of the prompt and its index."""
+    digest = hashlib.blake2b(f"{index}:{prompt}".encode(), digest_size=3)
+    return digest.hexdigest() + " "
+
+
+class Batch:
+    """Runs sequences step by step, in order of priority."""
+
+    def __init__(self, model: EngineModel, clock: clock.Clock):
+        self.model = model
+        self._clock = clock
+        self._waiting: list[Sequence] = []
+        self._running: list[Sequence] = []
+        self._order = itertools.count()
+        self._work = event.Event()
+        self._prefixes: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.computed_tokens = 0
+        self.frozen = False
+
+    @property
+    def running(self) -> int:
+        """Requests in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests accepted but not yet in the batch."""
+        return len(self._waiting)
+
+    def submit(
+        self,
+        request_id: str,
+        prompt: str,
+        length: int,
+        priority: int,
+        start: int = 0,
+    ) -> Sequence | None:
+        """Accepts a request, or returns None when the engine is full."""
+        if len(self._waiting) >= self.model.max_waiting:
+            return None
+        sequence = Sequence(
+            priority,
+            next(self._order),
+            request_id,
+            prompt,
+            length,
+            done=start,
+            start=start,
+        )
+        heapq.heappush(self._waiting, sequence)
+        self._work.set()
+        return sequence
+
+    def cancel(self, sequence: Sequence) -> None:
+        """Takes a request out at the next step."""
+        sequence.cancelled = True
+
+    def run(self) -> None:
+        """Executes decoding steps until killed."""
+        while True:
+            if not self._running and not self._waiting:
+                self._work.clear()
+                self._work.wait()
+            self._step()
+
+    def _step(self) -> None:
+        delay_ms = self._admit()
+        batch = len(self._running)
+        delay_ms += self.model.step_ms + batch * self.model.step_per_request_ms
+        self._clock.sleep(delay_ms * self.model.slowdown)
+        while self.frozen:
+            gevent.sleep(0.05)
+        for sequence in self._running:
+            self._advance(sequence)
+        self._running = [
+            s for s in self._running if s.done < s.length and not s.cancelled
+        ]
+
+    def _advance(self, sequence: Sequence) -> None:
+        if sequence.cancelled:
+            return
+        text = token_text(sequence.prompt, sequence.done)
+        sequence.done += 1
+        self.computed_tokens += 1
+        sequence.output.put(text)
+        if sequence.done >= sequence.length:
+            sequence.output.put(None)
+
+    def _admit(self) -> float:
+        """Fills the batch and returns the time of its prefill in ms."""
+        delay_ms = 0.0
+        while self._waiting and len(self._running) < self.model.slots:
+            sequence = heapq.heappop(self._waiting)
+            if sequence.cancelled:
+                continue
+            self._running.append(sequence)
+            delay_ms += self._prefill(sequence)
+        return delay_ms
+
+    def _prefill(self, sequence: Sequence) -> float:
+        prefix = sequence.prompt[:PREFIX_CHARS]
+        cached = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > CACHED_PREFIXES:
+            self._prefixes.popitem(last=False)
+        return 0.0 if cached else self.model.prefill_ms
--- /dev/null
+++ b/hornbeampier/endpoints/messages.py
@@ -0,0 +1,42 @@
+"""Wire types of the endpoints."""
+
+import msgspec
+
+DONE_LINE = b"data: [DONE]"
+DATA_PREFIX = b"data: "
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """The text that a chunk adds."""
+
+    content: str = ""
+
+
+class ChunkChoice(msgspec.Struct, frozen=True):
+    """One choice of a chunk."""
+
+    delta: Delta = Delta()
+    finish_reason: str | None = None
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """One event of a streamed answer in OpenAI's chat format."""
+
+    id: str
+    choices: tuple[ChunkChoice, ...] = ()
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """An endpoint's own report of its load.
+
+    Attributes:
+        running: Requests in execution.
+        waiting: Requests accepted but not yet in execution.
+        slots: Requests that it can execute at the same time.
+        leaving: Whether it refuses new work.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    leaving: bool = False
--- /dev/null
+++ b/hornbeampier/endpoints/registry.py
@@ -0,0 +1,116 @@
+"""The endpoints that this VM knows, with what it knows of their load."""
+
+from collections.abc import Callable
+import dataclasses
+
+from hornbeampier import clock
+from hornbeampier import exchange
+from hornbeampier import models
+from hornbeampier.endpoints import messages
+from hornbeampier.operators import schema
+from hornbeampier.platform import records
+
+READ_TIMEOUT_MS = 30_000.0
+
+
+@dataclasses.dataclass
+class EndpointState:
+    """One endpoint and this VM's view of it.
+
+    Attributes:
+        in_flight: Requests that this VM has running there.
+        report: The endpoint's last load report.
+        reported_at_ms: When the report arrived, monotonic.
+        foreign: The report's requests that were not this VM's.
+        leaving: The VM list, a peer or the endpoint says it is leaving.
+        ejected_until_ms: No new work before this time, monotonic.
+    """
+
+    cfg: schema.Endpoint
+    peer: exchange.HttpPeer
+    in_flight: int = 0
+    report: messages.LoadReport | None = None
+    reported_at_ms: float = 0.0
+    foreign: int = 0
+    leaving: bool = False
+    ejected_until_ms: float = 0.0
+    failures: int = 0
+    token_gap_ms: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """The endpoint's name."""
+        return self.cfg.name
+
+    def serves(self, target: str) -> bool:
+        """Returns whether the endpoint can run requests for `target`."""
+        if self.cfg.kind is schema.EndpointKind.SERVICE:
+            name = target.removeprefix(models.SERVICE_PREFIX)
+            return name != target and name in self.cfg.serves
+        return target in self.cfg.serves
+
+
+class Registry:
+    """All endpoints of the configuration in force."""
+
+    def __init__(self, clock: clock.Clock):
+        self._clock = clock
+        self._states: dict[str, EndpointState] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change of the set of endpoints."""
+        self._listeners.append(listener)
+
+    def apply(self, cfg: schema.Configuration) -> None:
+        """Replaces the set; unchanged endpoints keep their state."""
+        former = self._states
+        self._states = {}
+        for endpoint in cfg.endpoints:
+            self._states[endpoint.name] = self._state_for(
+                endpoint, former.get(endpoint.name)
+            )
+        for listener in self._listeners:
+            listener()
+
+    def _state_for(
+        self, cfg: schema.Endpoint, former: EndpointState | None
+    ) -> EndpointState:
+        if former and (former.cfg.host, former.cfg.port) == (
+            cfg.host,
+            cfg.port,
+        ):
+            former.cfg = cfg
+            return former
+        peer = exchange.HttpPeer(cfg.host, cfg.port, READ_TIMEOUT_MS)
+        return EndpointState(cfg, peer)
+
+    def apply_vm_list(self, vms: tuple[records.ListedVm, ...]) -> None:
+        """Marks endpoints that the VM list shows as leaving."""
+        for vm in vms:
+            state = self._states.get(vm.name)
+            if state and vm.state is records.VmState.LEAVING:
+                state.leaving = True
+            elif state:
+                state.leaving = False
+
+    def all(self) -> list[EndpointState]:
+        """Returns all endpoints."""
+        return list(self._states.values())
+
+    def find(self, name: str) -> EndpointState | None:
+        """Returns the endpoint of that name."""
+        return self._states.get(name)
+
+    def serving(self, target: str) -> list[EndpointState]:
+        """Returns the endpoints that can run requests for `target`."""
+        return [s for s in self._states.values() if s.serves(target)]
+
+    def record_report(
+        self, state: EndpointState, report: messages.LoadReport
+    ) -> None:
+        """Stores a load report that has just arrived."""
+        state.report = report
+        state.reported_at_ms = self._clock.now()
+        total = report.running + report.waiting
+        state.foreign = max(0, total - state.in_flight)
--- /dev/null
+++ b/hornbeampier/endpoints/standin_service.py
@@ -0,0 +1,100 @@
+"""Stand-in of a plain service over HTTP; see docs/endpoints.md."""
+
+import gevent
+import msgspec
+
+from hornbeampier import application
+from hornbeampier import wsgi
+from hornbeampier.endpoints import messages
+
+
+class ServiceControl(msgspec.Struct):
+    """Faults that a test switches on.
+
+    Attributes:
+        leaving: Refuse new work with 503.
+        delay_ms: Time that each request takes.
+        lose_answers: How many coming requests run and lose their connection.
+        refuse_before_run: How many coming requests are dropped unrun.
+    """
+
+    leaving: bool = False
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+    refuse_before_run: int = 0
+
+
+class ServiceRun(msgspec.Struct):
+    """The service's own record of one execution."""
+
+    request_id: str
+    method: str
+    path: str
+    body: str
+
+
+class ServiceApp:
+    """The WSGI application of a stand-in service; it echoes requests."""
+
+    def __init__(self, name: str, slots: int):
+        self._name = name
+        self._slots = slots
+        self._running = 0
+        self.control = ServiceControl()
+        self.runs: list[ServiceRun] = []
+
+    def __call__(self, environ, start_response):
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        if path == "/load":
+            report = messages.LoadReport(
+                self._running, 0, self._slots, self.control.leaving
+            )
+            return wsgi.json_answer(start_response, 200, report)
+        if path == "/runs":
+            return wsgi.json_answer(start_response, 200, self.runs)
+        if path == "/control":
+            body = wsgi.read_body(environ)
+            self.control = msgspec.json.decode(body, type=ServiceControl)
+            return wsgi.json_answer(start_response, 200, {})
+        return self._run(environ, path, start_response)
+
+    def _run(self, environ, path, start_response):
+        if self.control.leaving:
+            return wsgi.json_answer(start_response, 503, {})
+        body = wsgi.read_body(environ).decode(errors="replace")
+        if self.control.refuse_before_run > 0:
+            self.control.refuse_before_run -= 1
+            raise ConnectionAbortedError("dropped before the run")
+        run = ServiceRun(
+            environ.get("HTTP_X_REQUEST_ID", ""),
+            environ["REQUEST_METHOD"],
+            path,
+            body,
+        )
+        self.runs.append(run)
+        self._running += 1
+        try:
+            gevent.sleep(self.control.delay_ms / 1000.0)
+        finally:
+            self._running -= 1
+        if self.control.lose_answers > 0:
+            self.control.lose_answers -= 1
+            raise ConnectionAbortedError("dropped after the run")
+        return wsgi.json_answer(start_response, 200, run)
+
+
+class ServiceStandin(application.BaseComponent):
+    """A stand-in service with its server."""
+
+    def __init__(self, name: str, host: str, port: int, slots: int = 16):
+        self.app = ServiceApp(name, slots)
+        self.server = wsgi.HttpServer(host, port, self.app)
+
+    def start(self) -> None:
+        """Starts the listener."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stops the listener."""
+        self.server.stop()
--- /dev/null
+++ b/hornbeampier/environment.py
@@ -0,0 +1,47 @@
+"""All contact of the program with the outside, in one object."""
+
+import dataclasses
+import os
+import pathlib
+import random
+import sys
+from typing import TextIO
+
+from hornbeampier import clock as clocks
+
+CONFIG_DIR_VARIABLE = "HORNBEAMPIER_CONFIG_DIR"
+ID_BITS = 96
+
+
+def _default_config_dir() -> pathlib.Path:
+    """Returns the directory in which commands look for default settings."""
+    chosen = os.environ.get(CONFIG_DIR_VARIABLE)
+    if chosen:
+        return pathlib.Path(chosen)
+    return pathlib.Path.home() / ".config" / "hornbeampier"
+
+
+@dataclasses.dataclass
+class Environment:
+    """Streams, clock, randomness and configuration directory of a program."""
+
+    stdin: TextIO = dataclasses.field(default_factory=lambda: sys.stdin)
+    stdout: TextIO = dataclasses.field(default_factory=lambda: sys.stdout)
+    stderr: TextIO = dataclasses.field(default_factory=lambda: sys.stderr)
+    clock: clocks.Clock = dataclasses.field(default_factory=clocks.SystemClock)
+    rng: random.Random = dataclasses.field(default_factory=random.SystemRandom)
+    config_dir: pathlib.Path = dataclasses.field(
+        default_factory=_default_config_dir
+    )
+    program_name: str = "hornbeampier"
+
+    def new_id(self, prefix: str) -> str:
+        """Returns an identifier that no other process generates."""
+        return f"{prefix}-{self.rng.getrandbits(ID_BITS):024x}"
+
+    def log_error(self, message: str, hint: str = "") -> None:
+        """Writes `program: error: message: what to do` to stderr."""
+        text = f"{self.program_name}: error: {message}"
+        if hint:
+            text += f": {hint}"
+        print(text, file=self.stderr)
--- /dev/null
+++ b/hornbeampier/exchange.py
@@ -0,0 +1,216 @@
+"""HTTP requests that are sent exactly once.
+
+The client library's own `request` repeats a request after some failures, so
+only its connection pool and response parser are used here.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+
+import gevent
+from geventhttpclient import connectionpool
+from geventhttpclient import response
+
+from hornbeampier import errors
+from hornbeampier import verdict
+
+DEFAULT_CONNECT_TIMEOUT_MS = 1_000.0
+DEFAULT_POOL_SIZE = 256
+MS_PER_SECOND = 1000.0
+BLOCK_BYTES = 16_384
+LINE_END = b"\n"
+# Errors of the socket, the parser and the library's own pool.
+TRANSPORT_ERRORS = (
+    OSError,
+    response.HTTPParseError,
+    response.HTTPConnectionClosed,
+    response.HTTPProtocolViolationError,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class OutgoingRequest:
+    """One HTTP request; `fresh` forbids an idle connection."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    fresh: bool = False
+
+
+class Exchange:
+    """An answer whose head has arrived and whose body may still arrive."""
+
+    def __init__(
+        self,
+        pool: connectionpool.ConnectionPool,
+        sock,
+        answer: response.HTTPSocketResponse,
+        keep: bool,
+    ):
+        self._pool = pool
+        self._sock = sock
+        self._answer = answer
+        self._keep = keep
+
+    @property
+    def status(self) -> int:
+        """The HTTP status code."""
+        return self._answer.status_code
+
+    def header(self, name: str) -> str | None:
+        """Returns the value of a header, or None."""
+        return self._answer.get(name)
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Returns all headers of the answer."""
+        return list(self._answer.items())
+
+    def read(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            errors.AttemptError: The connection failed before its end.
+        """
+        try:
+            return bytes(self._answer.read())
+        except TRANSPORT_ERRORS as exc:
+            raise _lost(exc) from exc
+
+    def lines(self) -> Iterator[bytes]:
+        """Yields the lines of the body as they arrive.
+
+        Raises:
+            errors.AttemptError: The connection failed before its end.
+        """
+        while True:
+            try:
+                line = self._answer.readline(LINE_END)
+            except TRANSPORT_ERRORS as exc:
+                raise _lost(exc) from exc
+            if not line:
+                return
+            yield bytes(line)
+
+    def blocks(self) -> Iterator[bytes]:
+        """Yields the body in blocks.
+
+        Raises:
+            errors.AttemptError: The connection failed before its end.
+        """
+        while True:
+            try:
+                block = self._answer.read(BLOCK_BYTES)
+            except TRANSPORT_ERRORS as exc:
+                raise _lost(exc) from exc
+            if not block:
+                return
+            yield bytes(block)
+
+    def close(self) -> None:
+        """Keeps a clean connection for reuse and closes any other."""
+        if self._sock is None:
+            return
+        sock, self._sock = self._sock, None
+        reusable = (
+            self._keep
+            and self._answer.message_complete
+            and self._answer.should_keep_alive()
+        )
+        if reusable:
+            self._pool.return_socket(sock)
+            return
+        self._pool.release_socket(sock)
+
+
+class HttpPeer:
+    """One HTTP server, with a pool of connections to it."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        read_timeout_ms: float,
+        connect_timeout_ms: float = DEFAULT_CONNECT_TIMEOUT_MS,
+        pool_size: int = DEFAULT_POOL_SIZE,
+    ):
+        self.host = host
+        self.port = port
+        self._read_timeout_ms = read_timeout_ms
+        self._connect_timeout_ms = connect_timeout_ms
+        self._pool = self._new_pool(pool_size)
+
+    def _new_pool(self, size: int) -> connectionpool.ConnectionPool:
+        return connectionpool.ConnectionPool(
+            self.host,
+            self.port,
+            self.host,
+            self.port,
+            size=size,
+            connection_timeout=self._connect_timeout_ms / MS_PER_SECOND,
+            network_timeout=self._read_timeout_ms / MS_PER_SECOND,
+        )
+
+    def send(self, req: OutgoingRequest) -> Exchange:
+        """Sends a request once and waits for the head of its answer.
+
+        Raises:
+            errors.AttemptError: With verdict `not_run` if no byte was written.
+        """
+        pool = self._new_pool(1) if req.fresh else self._pool
+        try:
+            sock = pool.get_socket()
+        except (OSError, gevent.Timeout) as exc:
+            raise errors.AttemptError(
+                f"cannot connect to {self.host}:{self.port}: {exc}",
+                verdict.Verdict.NOT_RUN,
+            ) from exc
+        try:
+            sock.sendall(self._encode(req))
+            answer = response.HTTPSocketResponse(
+                sock, block_size=BLOCK_BYTES, method=req.method
+            )
+        except TRANSPORT_ERRORS as exc:
+            pool.release_socket(sock)
+            raise _lost(exc) from exc
+        except BaseException:
+            pool.release_socket(sock)
+            raise
+        return Exchange(pool, sock, answer, keep=not req.fresh)
+
+    def call(self, req: OutgoingRequest) -> tuple[int, bytes]:
+        """Sends a request once and returns its status and whole body.
+
+        Raises:
+            errors.AttemptError: The exchange failed.
+        """
+        exchange = self.send(req)
+        try:
+            return exchange.status, exchange.read()
+        finally:
+            exchange.close()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+    def _encode(self, req: OutgoingRequest) -> bytes:
+        lines = [
+            f"{req.method} {req.path} HTTP/1.1",
+            f"Host: {self.host}:{self.port}",
+            f"Content-Length: {len(req.body)}",
+        ]
+        lines += [f"{name}: {value}" for name, value in req.headers]
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        return head.encode("latin-1") + req.body
+
+
+def _lost(exc: BaseException) -> errors.AttemptError:
+    """Returns the error for a connection lost after bytes were written."""
+    timed_out = isinstance(exc, TimeoutError)
+    return errors.AttemptError(
+        f"connection lost: {exc or type(exc).__name__}",
+        verdict.Verdict.MAY_HAVE_RUN,
+        crashed=not timed_out,
+    )
--- /dev/null
+++ b/hornbeampier/metrics.py
@@ -0,0 +1,80 @@
+"""Metrics of one VM, rendered for Prometheus."""
+
+import aioprometheus
+from aioprometheus import formats
+
+from hornbeampier import models
+
+MS_BUCKETS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
+
+
+class Metrics:
+    """The counters and histograms of one VM."""
+
+    def __init__(self):
+        self._registry = aioprometheus.Registry()
+        self.requests = self._register(
+            aioprometheus.Counter(
+                "hornbeampier_requests_total",
+                "Requests by class and outcome.",
+            )
+        )
+        self.refusals = self._register(
+            aioprometheus.Counter(
+                "hornbeampier_refusals_total", "Refusals by class and cause."
+            )
+        )
+        self.on_time = self._register(
+            aioprometheus.Counter(
+                "hornbeampier_on_time_total", "Requests served within target."
+            )
+        )
+        self.tokens = self._register(
+            aioprometheus.Counter(
+                "hornbeampier_tokens_total", "Tokens by use: useful or wasted."
+            )
+        )
+        self.first_token = self._register(
+            aioprometheus.Histogram(
+                "hornbeampier_first_token_ms",
+                "Time from arrival to the first token in ms.",
+                buckets=list(MS_BUCKETS),
+            )
+        )
+
+    def _register(self, collector):
+        self._registry.register(collector)
+        return collector
+
+    def record_end(
+        self, class_name: str, outcome: models.Outcome, on_time: bool
+    ) -> None:
+        """Counts the end of a request."""
+        labels = {"class": class_name, "outcome": outcome.value}
+        self.requests.inc(labels)
+        if on_time:
+            self.on_time.inc({"class": class_name})
+
+    def render(self) -> bytes:
+        """Returns the metrics in Prometheus' text format."""
+        return formats.text.TextFormatter().marshall(self._registry)
+
+    def read_requests(self, class_name: str, outcome: models.Outcome) -> int:
+        """Returns how many requests of a class ended with `outcome`."""
+        labels = {"class": class_name, "outcome": outcome.value}
+        return _read(self.requests, labels)
+
+    def read_on_time(self, class_name: str) -> int:
+        """Returns how many requests of a class met their target."""
+        return _read(self.on_time, {"class": class_name})
+
+    def read_tokens(self, use: str) -> int:
+        """Returns the number of tokens with that use."""
+        return _read(self.tokens, {"use": use})
+
+
+def _read(counter: aioprometheus.Counter, labels: dict[str, str]) -> int:
+    try:
+        return int(counter.get(labels))
+    except KeyError:
+        return 0
--- /dev/null
+++ b/hornbeampier/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators: configuration files, publishing and status."""
--- /dev/null
+++ b/hornbeampier/operators/admin.py
@@ -0,0 +1,42 @@
+"""The operators' HTTP interface of a VM: health, metrics and report."""
+
+from collections.abc import Callable
+
+from hornbeampier import metrics
+from hornbeampier import wsgi
+from hornbeampier.operators import report
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class AdminApp:
+    """The WSGI application on the listener apart from the callers'."""
+
+    def __init__(
+        self,
+        metrics: metrics.Metrics,
+        make_report: Callable[[], report.VmReport],
+    ):
+        self._metrics = metrics
+        self._make_report = make_report
+
+    def __call__(self, environ, start_response):
+        """Answers one request."""
+        path = environ["PATH_INFO"]
+        if path == "/healthz":
+            return wsgi.json_answer(start_response, 200, {"status": "ok"})
+        if path == "/readyz":
+            ready = self._make_report().ready
+            status = 200 if ready else 503
+            return wsgi.json_answer(start_response, status, {"ready": ready})
+        if path == "/metrics":
+            body = self._metrics.render()
+            headers = [
+                ("Content-Type", METRICS_TYPE),
+                ("Content-Length", str(len(body))),
+            ]
+            start_response("200 OK", headers)
+            return [body]
+        if path == "/report":
+            return wsgi.json_answer(start_response, 200, self._make_report())
+        return wsgi.json_answer(start_response, 404, {"error": "not found"})
--- /dev/null
+++ b/hornbeampier/operators/history.py
@@ -0,0 +1,161 @@
+"""Which published files are accepted: a fold over the configuration stream.
+
+Every VM folds the stream in order by one rule, so all of them accept the same
+files without talking. A publish record is accepted if and only if it names the
+accepted version as its base and its text passes the check. A snapshot record
+carries the state of the fold at an offset, so that a reader of a trimmed
+stream starts from it and folds the records that follow.
+"""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier.operators import schema
+from hornbeampier.platform import records
+
+STREAM = "configuration"
+NO_VERSION = -1
+
+
+class RecordKind(enum.StrEnum):
+    """What a record of the configuration stream means."""
+
+    PUBLISH = "publish"
+    SNAPSHOT = "snapshot"
+
+
+class ConfigurationRecord(msgspec.Struct, frozen=True):
+    """A record of the configuration stream.
+
+    Attributes:
+        kind: Publish or snapshot.
+        publish_id: Identifier that the publisher chose.
+        base: Publish: the version that the file replaces.
+        text: The file.
+        version: Snapshot: the accepted version.
+        through: Snapshot: the first offset that is not yet folded.
+    """
+
+    kind: RecordKind
+    publish_id: str
+    text: str
+    base: int = NO_VERSION
+    version: int = NO_VERSION
+    through: int = 0
+
+
+class Outcome(enum.StrEnum):
+    """What became of a publish record."""
+
+    ACCEPTED = "accepted"
+    STALE_BASE = "stale_base"
+    INVALID = "invalid"
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """An accepted file; its version is the offset of its publish record."""
+
+    version: int
+    publish_id: str
+    text: str
+    cfg: schema.Configuration
+
+
+@dataclasses.dataclass(frozen=True)
+class Judgement:
+    """The outcome of one publish record and the version that decided it."""
+
+    publish_id: str
+    outcome: Outcome
+    offset: int
+    accepted_version: int
+
+
+class History:
+    """The fold: the next offset to read and the accepted file."""
+
+    def __init__(self):
+        self.next = 0
+        self.accepted: Accepted | None = None
+
+    @property
+    def version(self) -> int:
+        """The accepted version, or `NO_VERSION`."""
+        return self.accepted.version if self.accepted else NO_VERSION
+
+    def fold(self, record: records.LogRecord) -> Judgement | None:
+        """Folds the record at offset `next`; returns a publish's outcome."""
+        self.next = record.offset + 1
+        entry = decode(record.data)
+        if entry is None or entry.kind is not RecordKind.PUBLISH:
+            return None
+        return self._judge(record.offset, entry)
+
+    def _judge(self, offset: int, entry: ConfigurationRecord) -> Judgement:
+        if entry.base != self.version:
+            return Judgement(
+                entry.publish_id, Outcome.STALE_BASE, offset, self.version
+            )
+        try:
+            cfg = schema.parse(entry.text)
+        except errors.InvalidFileError:
+            return Judgement(
+                entry.publish_id, Outcome.INVALID, offset, self.version
+            )
+        self.accepted = Accepted(offset, entry.publish_id, entry.text, cfg)
+        return Judgement(entry.publish_id, Outcome.ACCEPTED, offset, offset)
+
+    def snapshot(self) -> ConfigurationRecord | None:
+        """Returns the state as a record, or None before the first file."""
+        if self.accepted is None:
+            return None
+        return ConfigurationRecord(
+            kind=RecordKind.SNAPSHOT,
+            publish_id=self.accepted.publish_id,
+            text=self.accepted.text,
+            version=self.accepted.version,
+            through=self.next,
+        )
+
+    def adopt(self, snapshot: ConfigurationRecord) -> bool:
+        """Jumps to a snapshot that is ahead; returns whether it did."""
+        if snapshot.through <= self.next or snapshot.version < self.version:
+            return False
+        if snapshot.version != self.version:
+            try:
+                cfg = schema.parse(snapshot.text)
+            except errors.InvalidFileError:
+                return False
+            self.accepted = Accepted(
+                snapshot.version, snapshot.publish_id, snapshot.text, cfg
+            )
+        self.next = snapshot.through
+        return True
+
+
+def decode(data: str) -> ConfigurationRecord | None:
+    """Returns the record in `data`, or None if it is not one."""
+    try:
+        return msgspec.json.decode(data, type=ConfigurationRecord)
+    except msgspec.MsgspecError:
+        return None
+
+
+def find_snapshot(
+    stream: tuple[records.LogRecord, ...], first: int
+) -> ConfigurationRecord | None:
+    """Returns the newest snapshot from which no record is missing."""
+    best = None
+    for record in stream:
+        entry = decode(record.data)
+        if entry is None or entry.kind is not RecordKind.SNAPSHOT:
+            continue
+        if entry.through < first or entry.through > record.offset:
+            continue
+        if best is None or entry.through > best.through:
+            best = entry
+    return best
--- /dev/null
+++ b/hornbeampier/operators/overview.py
@@ -0,0 +1,136 @@
+"""The state of a whole deployment, gathered from the VMs' reports."""
+
+import gevent
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier import exchange
+from hornbeampier.operators import report
+from hornbeampier.platform import records
+
+REPORT_TIMEOUT_MS = 2_000.0
+
+
+class VmOverview(msgspec.Struct, frozen=True):
+    """One listed VM; `report` is None if it did not answer."""
+
+    name: str
+    state: records.VmState
+    report: report.VmReport | None
+
+
+class ClassOverview(msgspec.Struct, frozen=True):
+    """One class over all VMs; `attainment` is None before any request."""
+
+    name: str
+    waiting: int
+    served: int
+    refused: int
+    cancelled: int
+    attainment: float | None
+
+
+class Overview(msgspec.Struct, frozen=True):
+    """The state of a deployment."""
+
+    vms: tuple[VmOverview, ...]
+    classes: tuple[ClassOverview, ...]
+    useful_tokens: int
+    wasted_tokens: int
+
+
+def collect(vms: tuple[records.ListedVm, ...]) -> Overview:
+    """Reads the reports of all entry VMs at the same time."""
+    entries = [vm for vm in vms if vm.is_entry]
+    tasks = [gevent.spawn(_read, vm) for vm in entries]
+    gevent.joinall(tasks)
+    found = tuple(task.value for task in tasks)
+    reports = [row.report for row in found if row.report]
+    return Overview(
+        found,
+        tuple(_sum_classes(reports)),
+        sum(r.useful_tokens for r in reports),
+        sum(r.wasted_tokens for r in reports),
+    )
+
+
+def render_json(found: Overview) -> str:
+    """Returns the overview as JSON."""
+    return msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
+
+
+def render(found: Overview) -> str:
+    """Returns the overview as a table for people."""
+    lines = ["VM               STATE    READY  VERSION  OPEN"]
+    lines += [_vm_line(row) for row in found.vms]
+    lines += ["", "CLASS            WAITING  SERVED  REFUSED  ATTAINMENT"]
+    lines += [_class_line(row) for row in found.classes]
+    lines += ["", "ENDPOINT         STATES           IN FLIGHT"]
+    lines += list(_endpoint_lines(found))
+    lines += [
+        "",
+        f"useful tokens {found.useful_tokens}, "
+        f"wasted tokens {found.wasted_tokens}",
+    ]
+    return "\n".join(lines)
+
+
+def _read(vm: records.ListedVm) -> VmOverview:
+    peer = exchange.HttpPeer(vm.host, vm.admin_port, REPORT_TIMEOUT_MS)
+    try:
+        status, body = peer.call(exchange.OutgoingRequest("GET", "/report"))
+        found = msgspec.json.decode(body, type=report.VmReport)
+    except (errors.AttemptError, msgspec.MsgspecError):
+        return VmOverview(vm.name, vm.state, None)
+    finally:
+        peer.close()
+    return VmOverview(vm.name, vm.state, found if status == 200 else None)
+
+
+def _sum_classes(reports: list[report.VmReport]):
+    rows: dict[str, list[report.ClassRow]] = {}
+    for one in reports:
+        for row in one.classes:
+            rows.setdefault(row.name, []).append(row)
+    for name, same in rows.items():
+        served = sum(r.served for r in same)
+        refused = sum(r.refused for r in same)
+        on_time = sum(r.on_time for r in same)
+        offered = served + refused
+        yield ClassOverview(
+            name,
+            sum(r.waiting for r in same),
+            served,
+            refused,
+            sum(r.cancelled for r in same),
+            on_time / offered if offered else None,
+        )
+
+
+def _vm_line(row: VmOverview) -> str:
+    if row.report is None:
+        return f"{row.name:<16} {row.state:<8} no answer"
+    ready = "yes" if row.report.ready else "no"
+    return (
+        f"{row.name:<16} {row.state:<8} {ready:<6} "
+        f"{row.report.version:<8} {row.report.open_requests}"
+    )
+
+
+def _class_line(row: ClassOverview) -> str:
+    share = "-" if row.attainment is None else f"{row.attainment:.1%}"
+    return (
+        f"{row.name:<16} {row.waiting:<8} {row.served:<7} "
+        f"{row.refused:<8} {share}"
+    )
+
+
+def _endpoint_lines(found: Overview):
+    rows: dict[str, list[report.EndpointRow]] = {}
+    for vm in found.vms:
+        for row in vm.report.endpoints if vm.report else ():
+            rows.setdefault(row.name, []).append(row)
+    for name, same in rows.items():
+        states = "/".join(sorted({r.state for r in same}))
+        total = sum(r.in_flight for r in same)
+        yield f"{name:<16} {states:<16} {total}"
--- /dev/null
+++ b/hornbeampier/operators/schema.py
@@ -0,0 +1,217 @@
+"""The declarative configuration file and its checks."""
+
+import collections
+from collections.abc import Iterable
+import enum
+import re
+from typing import Annotated
+
+import pydantic
+
+from hornbeampier import toml
+
+Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$")]
+PositiveMs = Annotated[float, pydantic.Field(gt=0)]
+Fraction = Annotated[float, pydantic.Field(ge=0, le=1)]
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+Sha256Hex = Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
+ROUTE = re.compile(r"^(GET|HEAD|POST|PUT|PATCH|DELETE) /\S*$")
+MAX_TIERS = 16
+
+
+class _Table(pydantic.BaseModel):
+    """A table that rejects unknown keys and is immutable."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class RequestClass(_Table):
+    """A class of requests with its service level and tier.
+
+    Attributes:
+        tier: Rank of the class; 1 is the most urgent.
+        first_token_ms: Target from arrival to the first token.
+        between_tokens_ms: Target between two tokens, 95th percentile.
+        complete_ms: Target from arrival to the whole answer.
+        max_wait_ms: Longest time in the queue before a refusal.
+        min_share: Share of dispatched work kept for the class under load.
+    """
+
+    name: Name
+    tier: int = pydantic.Field(ge=1, le=MAX_TIERS)
+    first_token_ms: PositiveMs | None = None
+    between_tokens_ms: PositiveMs | None = None
+    complete_ms: PositiveMs | None = None
+    max_wait_ms: PositiveMs
+    min_share: Fraction = 0.0
+
+
+class Model(_Table):
+    """A model that callers may name."""
+
+    name: Name
+
+
+class Service(_Table):
+    """A plain service behind `/services/NAME/`.
+
+    Attributes:
+        request_class: The class of its requests.
+        non_idempotent: `METHOD /path` routes that must not be repeated; a
+            trailing `*` matches any rest of the path.
+        idempotent: POST and PATCH routes that may be repeated.
+    """
+
+    name: Name
+    request_class: Name
+    non_idempotent: tuple[str, ...] = ()
+    idempotent: tuple[str, ...] = ()
+    timeout_ms: PositiveMs = 30_000
+
+    @pydantic.field_validator("non_idempotent", "idempotent")
+    @classmethod
+    def _check_routes(cls, routes: tuple[str, ...]) -> tuple[str, ...]:
+        for route in routes:
+            if not ROUTE.match(route):
+                raise ValueError(
+                    f"{route!r} is not a route; write 'METHOD /path'"
+                )
+        return routes
+
+
+class EndpointKind(enum.StrEnum):
+    """What an endpoint runs."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Endpoint(_Table):
+    """A server that runs models or a plain service.
+
+    Attributes:
+        serves: Names of the models or of the service that it runs.
+        slots: Requests that it runs at the same time.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+    """
+
+    name: Name
+    kind: EndpointKind
+    serves: tuple[Name, ...] = pydantic.Field(min_length=1)
+    availability_zone: Name
+    host: str = pydantic.Field(min_length=1)
+    port: Port
+    slots: int = pydantic.Field(default=8, ge=1, le=4096)
+    checks_fencing: bool = False
+
+
+class ClientAccount(_Table):
+    """A caller's account; keys are kept as SHA-256 hashes only.
+
+    Attributes:
+        classes: Request classes that the account may use.
+        default_class: The class of a request that names none.
+        weight: Share of a class relative to other accounts.
+    """
+
+    name: Name
+    key_sha256: tuple[Sha256Hex, ...] = pydantic.Field(min_length=1)
+    classes: tuple[Name, ...] = pydantic.Field(min_length=1)
+    default_class: Name
+    weight: float = pydantic.Field(default=1.0, gt=0)
+
+    @pydantic.model_validator(mode="after")
+    def _check_default(self) -> "ClientAccount":
+        if self.default_class not in self.classes:
+            raise ValueError(
+                f"default_class {self.default_class!r} is not one of classes"
+            )
+        return self
+
+
+class Configuration(_Table):
+    """A whole configuration file."""
+
+    deployment: Name
+    classes: tuple[RequestClass, ...] = pydantic.Field(min_length=1)
+    models: tuple[Model, ...] = ()
+    services: tuple[Service, ...] = ()
+    endpoints: tuple[Endpoint, ...] = pydantic.Field(min_length=1)
+    accounts: tuple[ClientAccount, ...] = pydantic.Field(min_length=1)
+
+    @pydantic.model_validator(mode="after")
+    def _check_references(self) -> "Configuration":
+        problems = list(_find_problems(self))
+        if problems:
+            raise ValueError("; ".join(problems))
+        return self
+
+    def find_class(self, name: str) -> RequestClass | None:
+        """Returns the request class of that name."""
+        return next((c for c in self.classes if c.name == name), None)
+
+    def find_service(self, name: str) -> Service | None:
+        """Returns the plain service of that name."""
+        return next((s for s in self.services if s.name == name), None)
+
+
+def parse(text: str) -> Configuration:
+    """Parses and checks the text of a configuration file.
+
+    Raises:
+        errors.InvalidFileError: With every problem that was found.
+    """
+    return toml.parse(text, Configuration)
+
+
+def _find_problems(cfg: Configuration) -> Iterable[str]:
+    """Yields every reference that is broken and every name given twice."""
+    for key in ("classes", "models", "services", "endpoints", "accounts"):
+        counts = collections.Counter(row.name for row in getattr(cfg, key))
+        for name, count in counts.items():
+            if count > 1:
+                yield f"{key}: the name {name!r} is given {count} times"
+    classes = {c.name for c in cfg.classes}
+    for account in cfg.accounts:
+        for name in account.classes:
+            if name not in classes:
+                yield _unknown(f"accounts.{account.name}", name, classes)
+    for service in cfg.services:
+        if service.request_class not in classes:
+            yield _unknown(
+                f"services.{service.name}", service.request_class, classes
+            )
+    yield from _find_endpoint_problems(cfg)
+    total = sum(c.min_share for c in cfg.classes)
+    if total > 1:
+        yield f"classes: the min_share values add up to {total:g}, above 1"
+    yield from _find_key_problems(cfg)
+
+
+def _find_endpoint_problems(cfg: Configuration) -> Iterable[str]:
+    known = {
+        EndpointKind.ENGINE: {m.name for m in cfg.models},
+        EndpointKind.SERVICE: {s.name for s in cfg.services},
+    }
+    for endpoint in cfg.endpoints:
+        for name in endpoint.serves:
+            allowed = known[endpoint.kind]
+            if name not in allowed:
+                yield _unknown(f"endpoints.{endpoint.name}", name, allowed)
+
+
+def _find_key_problems(cfg: Configuration) -> Iterable[str]:
+    owners: dict[str, str] = {}
+    for account in cfg.accounts:
+        for digest in account.key_sha256:
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                yield (
+                    f"accounts.{account.name}.key_sha256: "
+                    f"the key also belongs to {owner!r}"
+                )
+
+
+def _unknown(where: str, name: str, allowed: set[str]) -> str:
+    choices = ", ".join(sorted(allowed)) or "none is defined"
+    return f"{where}: {name!r} is unknown; allowed: {choices}"
--- /dev/null
+++ b/hornbeampier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: its log service and its list of VMs."""
--- /dev/null
+++ b/hornbeampier/platform/log.py
@@ -0,0 +1,95 @@
+"""Client of the platform's append-only log service."""
+
+from typing import Protocol
+
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier import exchange
+from hornbeampier import verdict
+from hornbeampier.platform import records
+
+READ_LIMIT = 500
+
+
+class Log(Protocol):
+    """An append-only log of named streams."""
+
+    def append(self, stream: str, data: bytes) -> int:
+        """Appends a record and returns its offset.
+
+        Raises:
+            errors.AppendUnknownError: The record may have been appended.
+            errors.PlatformError: The record was not appended.
+        """
+        ...
+
+    def read(
+        self, stream: str, offset: int, wait_ms: float = 0
+    ) -> records.ReadAnswer:
+        """Reads records from `offset` on, waiting up to `wait_ms` for one.
+
+        Raises:
+            errors.OffsetForgottenError: The log no longer keeps `offset`.
+            errors.PlatformError: The log could not be read.
+        """
+        ...
+
+
+class HttpLog:
+    """The log service over HTTP; see docs/platform.md."""
+
+    def __init__(self, host: str, port: int, timeout_ms: float):
+        self._timeout_ms = timeout_ms
+        self._peer = exchange.HttpPeer(host, port, timeout_ms)
+        self._poller = exchange.HttpPeer(host, port, timeout_ms * 2)
+
+    def append(self, stream: str, data: bytes) -> int:
+        """Appends a record; see `Log.append`."""
+        req = exchange.OutgoingRequest(
+            "POST", f"/streams/{stream}/records", body=data
+        )
+        try:
+            status, body = self._peer.call(req)
+        except errors.AttemptError as exc:
+            if exc.verdict is verdict.Verdict.NOT_RUN:
+                raise errors.PlatformError(str(exc)) from exc
+            raise errors.AppendUnknownError(str(exc)) from exc
+        if status == 503:
+            raise errors.PlatformError("the log refused the append")
+        if status != 200:
+            raise errors.AppendUnknownError(f"the log answered {status}")
+        try:
+            return msgspec.json.decode(body, type=records.AppendAnswer).offset
+        except msgspec.MsgspecError as exc:
+            raise errors.AppendUnknownError("unreadable answer") from exc
+
+    def read(
+        self, stream: str, offset: int, wait_ms: float = 0
+    ) -> records.ReadAnswer:
+        """Reads records; see `Log.read`."""
+        wait_ms = min(wait_ms, self._timeout_ms)
+        path = (
+            f"/streams/{stream}/records?from={offset}"
+            f"&limit={READ_LIMIT}&wait_ms={int(wait_ms)}"
+        )
+        try:
+            status, body = self._poller.call(
+                exchange.OutgoingRequest("GET", path)
+            )
+        except errors.AttemptError as exc:
+            raise errors.PlatformError(str(exc)) from exc
+        if status not in (200, 410):
+            raise errors.PlatformError(f"the log answered {status}")
+        try:
+            answer = msgspec.json.decode(body, type=records.ReadAnswer)
+        except msgspec.MsgspecError as exc:
+            raise errors.PlatformError("unreadable answer") from exc
+        if status == 410:
+            raise errors.OffsetForgottenError(answer.first)
+        return answer
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._peer.close()
+        self._poller.close()
--- /dev/null
+++ b/hornbeampier/platform/standin.py
@@ -0,0 +1,191 @@
+"""Stand-in of the platform: the log service and the VM list over HTTP."""
+
+import dataclasses
+import re
+import urllib.parse
+
+from gevent import event
+import msgspec
+
+from hornbeampier import clock
+from hornbeampier import wsgi
+from hornbeampier.platform import records
+
+DEFAULT_RETENTION_MS = 7 * 24 * 3_600_000.0
+STREAM_PATH = re.compile(r"^/streams/([A-Za-z0-9_.-]+)/records$")
+VM_PATH = re.compile(r"^/vms/([A-Za-z0-9_.-]+)$")
+
+
+class Faults(msgspec.Struct):
+    """Faults that a test switches on.
+
+    Attributes:
+        log_down: The log refuses every call with 503.
+        vm_list_down: The VM list refuses every call with 503.
+        lose_append_answers: How many coming appends take effect and then
+            lose their connection.
+        hang_appends: How many coming appends never answer nor take effect.
+        vm_list_lag_ms: Age of the list that is served.
+    """
+
+    log_down: bool = False
+    vm_list_down: bool = False
+    lose_append_answers: int = 0
+    hang_appends: int = 0
+    vm_list_lag_ms: float = 0
+
+
+@dataclasses.dataclass
+class _Stream:
+    """The kept records of one stream."""
+
+    records: list[records.LogRecord]
+    next: int = 0
+    appended: event.Event = dataclasses.field(default_factory=event.Event)
+
+    @property
+    def first(self) -> int:
+        return self.records[0].offset if self.records else self.next
+
+
+class Platform:
+    """The state behind the stand-in's HTTP interface."""
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        retention_ms: float = DEFAULT_RETENTION_MS,
+    ):
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._streams: dict[str, _Stream] = {}
+        self._vms: dict[str, records.ListedVm] = {}
+        self._history: list[tuple[float, tuple[records.ListedVm, ...]]] = []
+        self.faults = Faults()
+
+    def append(self, name: str, data: str) -> int:
+        """Appends a record and returns its offset."""
+        stream = self._stream(name)
+        record = records.LogRecord(stream.next, self._clock.unix(), data)
+        stream.records.append(record)
+        stream.next += 1
+        stream.appended.set()
+        stream.appended.clear()
+        return record.offset
+
+    def read(
+        self, name: str, offset: int, limit: int, wait_ms: float
+    ) -> records.ReadAnswer:
+        """Reads up to `limit` records from `offset` on."""
+        stream = self._stream(name)
+        if offset >= stream.next and wait_ms > 0:
+            stream.appended.wait(wait_ms / clock.MS_PER_SECOND)
+        skip = max(0, offset - stream.first)
+        chosen = tuple(stream.records[skip : skip + limit])
+        after = chosen[-1].offset + 1 if chosen else max(offset, stream.first)
+        return records.ReadAnswer(stream.first, after, chosen)
+
+    def forget(self, name: str, before: int) -> None:
+        """Drops the records below the offset `before`."""
+        stream = self._stream(name)
+        stream.records = [r for r in stream.records if r.offset >= before]
+
+    def put_vm(self, vm: records.ListedVm) -> None:
+        """Adds a VM to the list or replaces it."""
+        self._vms[vm.name] = vm
+        self._remember()
+
+    def remove_vm(self, name: str) -> None:
+        """Takes a VM off the list."""
+        self._vms.pop(name, None)
+        self._remember()
+
+    def list_vms(self) -> tuple[records.ListedVm, ...]:
+        """Returns the list as it was `vm_list_lag_ms` ago."""
+        limit = self._clock.now() - self.faults.vm_list_lag_ms
+        known = [vms for at_ms, vms in self._history if at_ms <= limit]
+        return known[-1] if known else ()
+
+    def _remember(self) -> None:
+        self._history.append((self._clock.now(), tuple(self._vms.values())))
+
+    def _stream(self, name: str) -> _Stream:
+        stream = self._streams.setdefault(name, _Stream([]))
+        oldest = self._clock.unix() - self._retention_ms
+        while stream.records and stream.records[0].at_ms < oldest:
+            stream.records.pop(0)
+        return stream
+
+
+class PlatformApp:
+    """The WSGI application in front of a `Platform`."""
+
+    def __init__(self, platform: Platform):
+        self._platform = platform
+
+    def __call__(self, environ, start_response):
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        if path == "/faults":
+            return self._set_faults(environ, start_response)
+        if match := STREAM_PATH.match(path):
+            return self._serve_log(match[1], environ, start_response)
+        if path == "/vms" or path.startswith("/vms/"):
+            return self._serve_vms(path, environ, start_response)
+        if match := re.match(r"^/forget/([A-Za-z0-9_.-]+)/(\d+)$", path):
+            self._platform.forget(match[1], int(match[2]))
+            return wsgi.json_answer(start_response, 200, {})
+        return wsgi.json_answer(start_response, 404, {})
+
+    def _set_faults(self, environ, start_response):
+        self._platform.faults = msgspec.json.decode(
+            wsgi.read_body(environ), type=Faults
+        )
+        return wsgi.json_answer(start_response, 200, {})
+
+    def _serve_log(self, name, environ, start_response):
+        if self._platform.faults.log_down:
+            return wsgi.json_answer(start_response, 503, {})
+        if environ["REQUEST_METHOD"] == "POST":
+            return self._append(name, environ, start_response)
+        query = urllib.parse.parse_qs(environ["QUERY_STRING"])
+        offset = int(query.get("from", ["0"])[0])
+        limit = int(query.get("limit", ["500"])[0])
+        wait_ms = float(query.get("wait_ms", ["0"])[0])
+        answer = self._platform.read(name, offset, limit, wait_ms)
+        if self._platform.faults.log_down:
+            return wsgi.json_answer(start_response, 503, {})
+        status = 410 if offset < answer.first else 200
+        return wsgi.json_answer(start_response, status, answer)
+
+    def _append(self, name, environ, start_response):
+        faults = self._platform.faults
+        data = wsgi.read_body(environ).decode()
+        if faults.hang_appends > 0:
+            faults.hang_appends -= 1
+            event.Event().wait()
+        offset = self._platform.append(name, data)
+        if faults.lose_append_answers > 0:
+            faults.lose_append_answers -= 1
+            raise ConnectionAbortedError("the answer is lost on purpose")
+        return wsgi.json_answer(
+            start_response, 200, records.AppendAnswer(offset)
+        )
+
+    def _serve_vms(self, path, environ, start_response):
+        if self._platform.faults.vm_list_down:
+            return wsgi.json_answer(start_response, 503, {})
+        method = environ["REQUEST_METHOD"]
+        match = VM_PATH.match(path)
+        if method == "GET":
+            answer = records.VmListAnswer(self._platform.list_vms())
+            return wsgi.json_answer(start_response, 200, answer)
+        if method == "PUT" and match:
+            body = wsgi.read_body(environ)
+            vm = msgspec.json.decode(body, type=records.ListedVm)
+            self._platform.put_vm(vm)
+            return wsgi.json_answer(start_response, 200, {})
+        if method == "DELETE" and match:
+            self._platform.remove_vm(match[1])
+            return wsgi.json_answer(start_response, 200, {})
+        return wsgi.json_answer(start_response, 405, {})
--- /dev/null
+++ b/hornbeampier/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: admission, queueing, endpoint choice and retries."""
--- /dev/null
+++ b/hornbeampier/policy/durations.py
@@ -0,0 +1,29 @@
+"""Expected endpoint times, learnt by request class and client account."""
+
+DEFAULT_MS = 1_000.0
+GAIN = 0.1
+
+
+class Durations:
+    """Exponentially weighted means of endpoint times in ms."""
+
+    def __init__(self):
+        self._by_class: dict[str, float] = {}
+        self._by_account: dict[tuple[str, str], float] = {}
+
+    def record(self, class_name: str, account: str, duration_ms: float):
+        """Adds the endpoint time of a finished request."""
+        _update(self._by_class, class_name, duration_ms)
+        _update(self._by_account, (class_name, account), duration_ms)
+
+    def expect_ms(self, class_name: str, account: str) -> float:
+        """Returns the expected time of the next request."""
+        known = self._by_account.get((class_name, account))
+        if known is None:
+            known = self._by_class.get(class_name, DEFAULT_MS)
+        return known
+
+
+def _update(means: dict, key, value: float) -> None:
+    former = means.get(key)
+    means[key] = value if former is None else former + GAIN * (value - former)
--- /dev/null
+++ b/hornbeampier/settings.py
@@ -0,0 +1,92 @@
+"""The settings of one VM, read from a TOML file."""
+
+import pathlib
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+from hornbeampier import toml
+
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+PositiveMs = Annotated[float, pydantic.Field(gt=0)]
+LogLevel = Literal["debug", "info", "warning", "error"]
+
+
+class _Section(pydantic.BaseModel):
+    """A settings table that rejects unknown keys and is immutable."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Listen(_Section):
+    """An address to listen on; port 0 lets the system choose one."""
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+
+
+class CallerSettings(_Section):
+    """The listener for callers and its limits."""
+
+    host: str = "127.0.0.1"
+    port: Port = 8080
+    max_connections: int = pydantic.Field(default=2000, gt=0)
+    max_body_bytes: int = pydantic.Field(default=1_048_576, gt=0)
+    read_timeout_ms: PositiveMs = 10_000
+
+
+class PlatformSettings(_Section):
+    """Where the platform's log service and VM list answer."""
+
+    log_host: str = "127.0.0.1"
+    log_port: Port
+    vm_list_host: str = "127.0.0.1"
+    vm_list_port: Port
+    timeout_ms: PositiveMs = 2_000
+    vm_list_interval_ms: PositiveMs = 1_000
+
+
+class PeerSettings(_Section):
+    """How this VM talks to the other entry VMs."""
+
+    host: str = "127.0.0.1"
+    hint_port: Port = 0
+    catch_up_port: Port = 0
+    hint_interval_ms: PositiveMs = 500
+
+
+class DrainSettings(_Section):
+    """The steps of a graceful shutdown."""
+
+    notice_ms: PositiveMs = 3_000
+    timeout_ms: PositiveMs = 120_000
+
+
+class LogSettings(_Section):
+    """The log output of the process."""
+
+    level: LogLevel = "info"
+    json_lines: bool = True
+
+
+class VmSettings(_Section):
+    """All settings of one entry VM."""
+
+    vm: str = pydantic.Field(min_length=1)
+    availability_zone: str = pydantic.Field(min_length=1)
+    callers: CallerSettings = CallerSettings()
+    admin: Listen = Listen()
+    platform: PlatformSettings
+    peers: PeerSettings = PeerSettings()
+    drain: DrainSettings = DrainSettings()
+    logs: LogSettings = LogSettings()
+
+
+def load(path: pathlib.Path) -> VmSettings:
+    """Reads and checks a settings file.
+
+    Raises:
+        errors.InvalidFileError: The file is unreadable or breaks a rule.
+    """
+    return toml.load(path, VmSettings)
--- /dev/null
+++ b/hornbeampier/verdict.py
@@ -0,0 +1,17 @@
+"""Whether a request may have run at an endpoint."""
+
+import enum
+
+
+class Verdict(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+    def allows_retry(self, idempotent: bool) -> bool:
+        """Returns whether another attempt cannot repeat an effect."""
+        if self is Verdict.NOT_RUN:
+            return True
+        return idempotent and self is Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/hornbeampier/vms/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry VMs: load hints and catch-up."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,393 @@
+"""Real processes of a deployment, for tests and measurements."""
+
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+
+import gevent
+
+from hornbeampier import exchange
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 60
+STOP_TIMEOUT_S = 30
+CALL_TIMEOUT_MS = 60_000
+PORTS = re.compile(r"(\d+)(?= \(|$|,)")
+
+
+def hash_key(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An HTTP answer as a caller sees it."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    def json(self):
+        return json.loads(self.body)
+
+    def events(self):
+        """The data of each server-sent event."""
+        return [
+            line.removeprefix("data: ")
+            for line in self.body.decode().split("\n")
+            if line.startswith("data: ")
+        ]
+
+    def text(self):
+        """The text of a chat answer, streamed or whole."""
+        if self.headers.get("content-type") == "text/event-stream":
+            chunks = [json.loads(e) for e in self.events() if e != "[DONE]"]
+            choices = [c["choices"][0] for c in chunks if "choices" in c]
+            return "".join(c["delta"]["content"] for c in choices)
+        return self.json()["choices"][0]["message"]["content"]
+
+
+def call(port, method, path, body=b"", headers=()):
+    """Sends one HTTP request and returns its whole answer."""
+    peer = exchange.HttpPeer(HOST, port, CALL_TIMEOUT_MS)
+    try:
+        reply = peer.send(
+            exchange.OutgoingRequest(method, path, tuple(headers), body)
+        )
+        try:
+            data = reply.read()
+            rows = {k.lower(): v for k, v in reply.headers()}
+            return Answer(reply.status, rows, data)
+        finally:
+            reply.close()
+    finally:
+        peer.close()
+
+
+class Process:
+    """One process of this program."""
+
+    def __init__(self, *args):
+        self._directory = tempfile.TemporaryDirectory()
+        self._log_path = pathlib.Path(self._directory.name) / "stderr"
+        with self._log_path.open("w") as errors:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "hornbeampier", *map(str, args)],
+                stdout=subprocess.PIPE,
+                stderr=errors,
+                text=True,
+            )
+        self.line = ""
+
+    @property
+    def pid(self):
+        return self._process.pid
+
+    def wait_started(self):
+        """Waits for the line with the ports and returns them."""
+        with gevent.Timeout(START_TIMEOUT_S):
+            self.line = self._process.stdout.readline()
+        if not self.line:
+            raise AssertionError(f"did not start: {self.log_text()}")
+        return [int(p) for p in PORTS.findall(self.line.partition("port ")[2])]
+
+    def log_text(self):
+        return self._log_path.read_text()
+
+    def log_lines(self, event):
+        """The JSON log lines of one kind."""
+        lines = [
+            json.loads(line)
+            for line in self.log_text().splitlines()
+            if line.startswith("{")
+        ]
+        return [line for line in lines if line.get("event") == event]
+
+    def freeze(self):
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def thaw(self):
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self):
+        self._process.terminate()
+
+    def kill(self):
+        self._process.kill()
+        self._process.wait()
+
+    def wait(self):
+        return self._process.wait(STOP_TIMEOUT_S)
+
+    def close(self):
+        if self._process.poll() is None:
+            self.kill()
+        self._process.stdout.close()
+        self._directory.cleanup()
+
+
+class Standin:
+    """A stand-in process with its port."""
+
+    def __init__(self, kind, *args):
+        self.process = Process("standin", kind, "--port", 0, *args)
+        self.port = None
+
+    def wait_started(self):
+        self.port = self.process.wait_started()[-1]
+
+    def control(self, **faults):
+        path = "/faults" if "platform" in self.process.line else "/control"
+        call(self.port, "POST", path, json.dumps(faults).encode())
+
+    def runs(self):
+        return call(self.port, "GET", "/runs").json()
+
+
+class Vm:
+    """A `serve` process."""
+
+    def __init__(self, name, directory, platform_port, extra=""):
+        path = pathlib.Path(directory) / f"{name}.toml"
+        path.write_text(
+            f'vm = "{name}"\navailability_zone = "zone-1"\n'
+            "callers.port = 0\n"
+            "drain.notice_ms = 200\n"
+            f"[platform]\nlog_port = {platform_port}\n"
+            f"vm_list_port = {platform_port}\n"
+            "vm_list_interval_ms = 100\n" + extra
+        )
+        self.name = name
+        self.process = Process("serve", "--settings", path)
+        self.port = self.admin = self.hints = self.catch_up = None
+
+    def wait_started(self):
+        self.port, self.admin, self.hints, self.catch_up = (
+            self.process.wait_started()
+        )
+
+    def listing(self, state="live"):
+        return {
+            "name": self.name,
+            "availability_zone": "zone-1",
+            "host": HOST,
+            "state": state,
+            "hint_port": self.hints,
+            "catch_up_port": self.catch_up,
+            "admin_port": self.admin,
+        }
+
+    def chat(self, text, key="key-1", stream=False, headers=()):
+        body = {
+            "model": "notes",
+            "stream": stream,
+            "messages": [{"role": "user", "content": text}],
+        }
+        return call(
+            self.port,
+            "POST",
+            "/v1/chat/completions",
+            json.dumps(body).encode(),
+            [("Authorization", f"Bearer {key}"), *headers],
+        )
+
+    def call(self, method, path, body=b"", key="key-1", headers=()):
+        auth = ("Authorization", f"Bearer {key}")
+        return call(self.port, method, path, body, [auth, *headers])
+
+    def report(self):
+        return call(self.admin, "GET", "/report").json()
+
+
+CLASSES = """\
+[[classes]]
+name = "urgent"
+tier = 1
+first_token_ms = 1100
+max_wait_ms = 10000
+
+[[classes]]
+name = "bulk"
+tier = 2
+complete_ms = 60000
+max_wait_ms = 30000
+min_share = 0.05
+
+[[models]]
+name = "notes"
+
+[[services]]
+name = "entry"
+request_class = "urgent"
+non_idempotent = ["PUT /fees/*"]
+"""
+
+
+def configuration(engines=(), services=(), accounts=2, slots=8):
+    """The text of a configuration for `(name, port)` endpoints."""
+    parts = ['deployment = "test"\n', CLASSES]
+    for number in range(1, accounts + 1):
+        parts.append(
+            f'[[accounts]]\nname = "account-{number}"\n'
+            f'key_sha256 = ["{hash_key(f"key-{number}")}"]\n'
+            'classes = ["urgent", "bulk"]\ndefault_class = "urgent"\n'
+        )
+    rows = [(n, p, "engine", "notes") for n, p in engines]
+    rows += [(n, p, "service", "entry") for n, p in services]
+    for name, port, kind, serves in rows:
+        parts.append(
+            f'[[endpoints]]\nname = "{name}"\nkind = "{kind}"\n'
+            f'serves = ["{serves}"]\navailability_zone = "zone-1"\n'
+            f'host = "{HOST}"\nport = {port}\nslots = {slots}\n'
+        )
+    return "\n".join(parts)
+
+
+class Deployment:
+    """Platform, endpoints and VMs as separate processes."""
+
+    def __init__(self, vms=1, engines=1, services=0, slots=8, vm_extra=""):
+        self._directory = tempfile.TemporaryDirectory()
+        self._slots = slots
+        self._vm_extra = vm_extra
+        self._parts = []
+        self.platform = self._add(Standin("platform"))
+        self.engines = [
+            self._add(
+                Standin("engine", "--name", f"engine-{i + 1}", "--slots", slots)
+            )
+            for i in range(engines)
+        ]
+        self.services = [
+            self._add(Standin("service", "--name", f"service-{i + 1}"))
+            for i in range(services)
+        ]
+        self._wait_started(self._parts)
+        self.vms = []
+        for _ in range(vms):
+            self.start_vm(wait=False)
+        self._wait_started(self.vms)
+        for vm in self.vms:
+            self.list_vm(vm)
+
+    def __enter__(self):
+        try:
+            self.publish(self.configuration())
+            self.wait_ready()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        self.close()
+
+    def close(self):
+        for part in reversed(self._parts):
+            part.process.close()
+        self._directory.cleanup()
+
+    def start_vm(self, wait=True):
+        """Starts another VM; lists it once it listens."""
+        vm = Vm(
+            f"vm-{len(self.vms) + 1}",
+            self._directory.name,
+            self.platform.port,
+            self._vm_extra,
+        )
+        self.vms.append(self._add(vm))
+        if wait:
+            vm.wait_started()
+            self.list_vm(vm)
+        return vm
+
+    def list_vm(self, vm, state="live"):
+        self.put_listing(vm.listing(state))
+
+    def list_endpoint(self, name, state):
+        self.put_listing(
+            {
+                "name": name,
+                "availability_zone": "zone-1",
+                "host": HOST,
+                "state": state,
+            }
+        )
+
+    def put_listing(self, row):
+        call(
+            self.platform.port,
+            "PUT",
+            f"/vms/{row['name']}",
+            json.dumps(row).encode(),
+        )
+
+    def configuration(self, **extra):
+        return configuration(
+            [(f"engine-{i + 1}", e.port) for i, e in enumerate(self.engines)],
+            [(f"service-{i + 1}", s.port) for i, s in enumerate(self.services)],
+            slots=self._slots,
+            **extra,
+        )
+
+    def publish(self, text, *args):
+        """Runs `hornbeampier publish`; returns its exit code and output."""
+        path = pathlib.Path(self._directory.name) / "configuration.toml"
+        path.write_text(text)
+        log = f"{HOST}:{self.platform.port}"
+        return run("publish", path, "--log", log, *args)
+
+    def wait_ready(self, version=None):
+        """Waits until every VM has a configuration in force."""
+        for vm in self.vms:
+            wait_until(lambda vm=vm: _has_version(vm, version))
+
+    def _add(self, part):
+        self._parts.append(part)
+        return part
+
+    @staticmethod
+    def _wait_started(parts):
+        for part in parts:
+            part.wait_started()
+
+
+@dataclasses.dataclass(frozen=True)
+class CommandResult:
+    """What a finished command left behind."""
+
+    exit_code: int
+    stdout: str
+    stderr: str
+
+
+def run(*args):
+    """Runs a command of the program in a process of its own."""
+    done = subprocess.run(
+        [sys.executable, "-m", "hornbeampier", *map(str, args)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return CommandResult(done.returncode, done.stdout, done.stderr)
+
+
+def wait_until(condition, timeout_s=START_TIMEOUT_S):
+    """Polls until `condition` holds."""
+    with gevent.Timeout(timeout_s, AssertionError("condition never held")):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def _has_version(vm, version):
+    report = vm.report()
+    if version is None:
+        return report["ready"]
+    return report["version"] >= version
