Predict waits from slots and keep headroom for higher tiers

The drain rate was a mean of ratios, so an idle VM at the start of a burst predicted waits far too long. floor(slots * 0.08) kept no slot free on endpoints of 8 slots. A class in overload was served oldest first, which makes every request of it late. Ruled out: static slots kept free for each tier (they cost goodput when no higher tier is busy). Change: waits are predicted from this VM's slots less the offered load of higher tiers; headroom follows from the share of slots that higher tiers take (trunk reservation); requests that can no longer meet their target go after those that can, within their class. Fair queue, tickets and capacity are modules of their own. Tests for tiers, shares and fairness.

--- a/hornbeampier/callers/services.py
+++ b/hornbeampier/callers/services.py
@@ -11,7 +11,7 @@
 from hornbeampier import wsgi
 from hornbeampier.callers import connection
 from hornbeampier.operators import schema
-from hornbeampier.policy import queues
+from hornbeampier.policy import tickets
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_MS = 1_000.0
@@ -94,7 +94,7 @@
             return
 
     def _send(
-        self, grant: queues.Grant, req: ServiceRequest
+        self, grant: tickets.Grant, req: ServiceRequest
     ) -> exchange.Exchange:
         reply = grant.endpoint.peer.send(
             exchange.OutgoingRequest(
@@ -117,7 +117,7 @@
 
     def _relay(
         self,
-        grant: queues.Grant,
+        grant: tickets.Grant,
         req: ServiceRequest,
         reply: exchange.Exchange,
         start_response,
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -98,6 +98,7 @@
         self._scheduler = scheduler.Scheduler(
             self._endpoints,
             choice.EndpointChooser(self._hints, self._env.rng),
+            self._hints,
             clk,
         )
         self._load = load.LoadPoller(self._endpoints, clk, self._scheduler.pump)
--- /dev/null
+++ b/hornbeampier/policy/capacity.py
@@ -0,0 +1,100 @@
+"""What the endpoints of a target can take from each tier.
+
+Lower tiers leave slots free for the arrivals of higher ones. With a share `p`
+of all slots released to higher-tier arrivals, `n` free slots are all taken
+with probability `p ** n` (trunk reservation in a loss system), so `n` is the
+smallest number that keeps this below `MAX_BLOCKING`.
+"""
+
+import math
+
+from hornbeampier import clock as clocks
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import schema
+from hornbeampier.policy import choice
+from hornbeampier.policy import demand
+
+MAX_BLOCKING = 0.01
+# Slots that may be kept free, as a share of all.
+MAX_HEADROOM = 0.34
+# Smallest share of this VM's slots that a prediction counts on.
+MIN_AVAILABLE = 0.02
+
+
+class Capacity:
+    """Estimates free slots and waiting times for one VM."""
+
+    def __init__(
+        self,
+        endpoints: registry.Registry,
+        chooser: choice.EndpointChooser,
+        peers: choice.PeerLoads,
+        clock: clocks.Clock,
+    ):
+        self._endpoints = endpoints
+        self._chooser = chooser
+        self._peers = peers
+        self._clock = clock
+        self._classes: tuple[schema.RequestClass, ...] = ()
+        self.offered = demand.OfferedLoad()
+
+    def apply(self, cfg: schema.Configuration) -> None:
+        """Takes the classes of a new configuration into use."""
+        self._classes = cfg.classes
+
+    def has_headroom(
+        self, states: list[registry.EndpointState], tier: int
+    ) -> bool:
+        """Returns whether a request of `tier` leaves enough slots free."""
+        total, free = self._count_slots(states)
+        kept = self._headroom(tier, total)
+        kept += self._peers.waiting_above(tier)
+        return free > kept
+
+    def predict_wait_ms(
+        self,
+        states: list[registry.EndpointState],
+        request_class: schema.RequestClass,
+        cost_ahead_ms: float,
+    ) -> float:
+        """Returns how long `cost_ahead_ms` of waiting work takes to serve."""
+        total, _ = self._count_slots(states)
+        own = sum(state.in_flight for state in states)
+        own_slots = max(own, total / (self._peers.count() + 1))
+        available = own_slots - self._higher_slots(request_class.tier)
+        floor = max(MIN_AVAILABLE, request_class.min_share) * own_slots
+        return cost_ahead_ms / max(available, floor, MIN_AVAILABLE)
+
+    def _headroom(self, tier: int, total: int) -> int:
+        vms = self._peers.count() + 1
+        share = self._higher_slots(tier) * vms / max(1, total)
+        if share <= 0:
+            return 0
+        limit = math.floor(total * MAX_HEADROOM)
+        if share >= 1:
+            return limit
+        needed = math.ceil(math.log(MAX_BLOCKING) / math.log(share))
+        return min(needed, limit)
+
+    def _higher_slots(self, tier: int) -> float:
+        """Returns the slots that this VM's higher tiers keep busy."""
+        now_ms = self._clock.now()
+        return sum(
+            self.offered.slots(c.name, now_ms)
+            for c in self._classes
+            if c.tier < tier
+        )
+
+    def _count_slots(
+        self, states: list[registry.EndpointState]
+    ) -> tuple[int, int]:
+        """Returns all slots of the usable endpoints and the free ones."""
+        now_ms = self._clock.now()
+        total = free = 0
+        for state in states:
+            if not self._chooser.is_usable(state, now_ms):
+                continue
+            total += state.cfg.slots
+            busy = self._chooser.occupancy(state, now_ms)
+            free += max(0, state.cfg.slots - busy)
+        return total, free
--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -6,12 +6,9 @@
 from typing import Protocol
 
 from hornbeampier.endpoints import registry
-from hornbeampier.policy import queues
+from hornbeampier.policy import tickets
 
 REPORT_MAX_AGE_MS = 10_000.0
-# Slots kept free for higher tiers, for each rank below the highest.
-RESERVED_PER_RANK = 0.08
-MAX_RESERVED = 0.3
 # The highest tier may wait inside an engine, which orders by priority.
 TOP_OVERCOMMIT = 0.25
 
@@ -23,17 +20,25 @@
         """Returns the peers' requests at an endpoint."""
         ...
 
+    def waiting_above(self, tier: int) -> int:
+        """Returns the peers' waiting requests of more urgent tiers."""
+        ...
+
     def complete(self) -> bool:
         """Returns whether every live peer was heard recently."""
         ...
 
+    def count(self) -> int:
+        """Returns how many peers are live."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
     """A chosen endpoint, or None, and the ones passed over."""
 
     endpoint: registry.EndpointState | None
-    passed_over: tuple[queues.PassedOver, ...]
+    passed_over: tuple[tickets.PassedOver, ...]
 
 
 class EndpointChooser:
@@ -46,17 +51,17 @@
     def choose(
         self,
         states: list[registry.EndpointState],
-        rank: int,
+        top: bool,
         excluded: frozenset[str],
         now_ms: float,
     ) -> Choice:
-        """Chooses for a request whose tier has `rank`, 0 the highest."""
+        """Chooses for a request; `top` says that its tier is the highest."""
         passed_over = []
         open_states = []
         for state in states:
-            reason = self._find_obstacle(state, rank, excluded, now_ms)
+            reason = self._find_obstacle(state, top, excluded, now_ms)
             if reason:
-                passed_over.append(queues.PassedOver(state.name, reason))
+                passed_over.append(tickets.PassedOver(state.name, reason))
             else:
                 open_states.append(state)
         if not open_states:
@@ -66,12 +71,16 @@
             key=lambda s: (self._score(s, now_ms), self._random.random()),
         )
         passed_over += [
-            queues.PassedOver(s.name, "busier")
+            tickets.PassedOver(s.name, "busier")
             for s in open_states
             if s is not best
         ]
         return Choice(best, tuple(passed_over))
 
+    def is_usable(self, state: registry.EndpointState, now_ms: float) -> bool:
+        """Returns whether an endpoint may get new work at all."""
+        return not _is_leaving(state) and now_ms >= state.ejected_until_ms
+
     def occupancy(self, state: registry.EndpointState, now_ms: float) -> int:
         """Returns the estimated requests at an endpoint, from all VMs."""
         others = self._peers.in_flight(state.name)
@@ -87,24 +96,27 @@
     def _find_obstacle(
         self,
         state: registry.EndpointState,
-        rank: int,
+        top: bool,
         excluded: frozenset[str],
         now_ms: float,
     ) -> str | None:
-        if state.leaving or (state.report and state.report.leaving):
+        if _is_leaving(state):
             return "leaving"
         if now_ms < state.ejected_until_ms:
             return "ejected"
         if state.name in excluded:
             return "failed_before"
-        if self.occupancy(state, now_ms) >= slot_limit(state.cfg.slots, rank):
+        if self.occupancy(state, now_ms) >= slot_limit(state.cfg.slots, top):
             return "full"
         return None
 
 
-def slot_limit(slots: int, rank: int) -> int:
-    """Returns how many requests may run before `rank` has to wait."""
-    if rank == 0:
+def slot_limit(slots: int, top: bool) -> int:
+    """Returns how many requests an endpoint may have before one waits."""
+    if top:
         return slots + math.ceil(slots * TOP_OVERCOMMIT)
-    reserved = min(MAX_RESERVED, RESERVED_PER_RANK * (rank - 1))
-    return max(1, slots - math.floor(slots * reserved))
+    return slots
+
+
+def _is_leaving(state: registry.EndpointState) -> bool:
+    return state.leaving or bool(state.report and state.report.leaving)
--- a/hornbeampier/policy/durations.py
+++ b/hornbeampier/policy/durations.py
@@ -10,19 +10,28 @@
     def __init__(self):
         self._by_class: dict[str, float] = {}
         self._by_account: dict[tuple[str, str], float] = {}
+        self._first_token: dict[str, float] = {}
 
-    def record(self, class_name: str, account: str, duration_ms: float):
+    def record(self, class_name: str, account: str, duration_ms: float) -> None:
         """Adds the endpoint time of a finished request."""
         _update(self._by_class, class_name, duration_ms)
         _update(self._by_account, (class_name, account), duration_ms)
 
+    def record_first_token(self, class_name: str, duration_ms: float) -> None:
+        """Adds the time from dispatch to the first token."""
+        _update(self._first_token, class_name, duration_ms)
+
     def expect_ms(self, class_name: str, account: str) -> float:
-        """Returns the expected time of the next request."""
+        """Returns the expected endpoint time of the next request."""
         known = self._by_account.get((class_name, account))
         if known is None:
             known = self._by_class.get(class_name, DEFAULT_MS)
         return known
 
+    def expect_first_token_ms(self, class_name: str) -> float:
+        """Returns the expected time from dispatch to the first token."""
+        return self._first_token.get(class_name, 0.0)
+
 
 def _update(means: dict, key, value: float) -> None:
     former = means.get(key)
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -1,38 +1,17 @@
 """Grants endpoints to waiting requests."""
 
-from hornbeampier import clock
+from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import models
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import schema
+from hornbeampier.policy import capacity
 from hornbeampier.policy import choice
 from hornbeampier.policy import durations
 from hornbeampier.policy import queues
+from hornbeampier.policy import tickets
 
 MIN_RETRY_AFTER_MS = 1_000.0
-# Weight of the newest dispatch in the estimated drain rate.
-RATE_GAIN = 0.1
-
-
-class DrainRate:
-    """Endpoint time granted in each ms, as an exponential mean."""
-
-    def __init__(self):
-        self._rate = 0.0
-        self._last_ms: float | None = None
-
-    def record(self, cost_ms: float, now_ms: float) -> None:
-        """Adds a dispatched request."""
-        if self._last_ms is not None:
-            gap_ms = max(1.0, now_ms - self._last_ms)
-            self._rate += RATE_GAIN * (cost_ms / gap_ms - self._rate)
-        self._last_ms = now_ms
-
-    def wait_ms(self, cost_ms: float) -> float:
-        """Returns how long `cost_ms` of waiting work takes to drain."""
-        if self._rate <= 0:
-            return 0.0
-        return cost_ms / self._rate
 
 
 class Scheduler:
@@ -42,25 +21,26 @@
         self,
         endpoints: registry.Registry,
         chooser: choice.EndpointChooser,
-        clock: clock.Clock,
+        peers: choice.PeerLoads,
+        clock: clocks.Clock,
     ):
         self._endpoints = endpoints
         self._chooser = chooser
         self._clock = clock
         self._queues: dict[str, queues.TargetQueue] = {}
-        self._rates: dict[str, DrainRate] = {}
-        self._ranks: dict[str, int] = {}
+        self._top_tier = 1
+        self._capacity = capacity.Capacity(endpoints, chooser, peers, clock)
         self.durations = durations.Durations()
 
     def apply(self, cfg: schema.Configuration) -> None:
         """Takes the tiers of a new configuration into use."""
-        tiers = sorted({c.tier for c in cfg.classes})
-        self._ranks = {c.name: tiers.index(c.tier) for c in cfg.classes}
+        self._top_tier = min(c.tier for c in cfg.classes)
+        self._capacity.apply(cfg)
         self.pump()
 
     def acquire(
         self, demand: models.Demand, excluded: frozenset[str] = frozenset()
-    ) -> queues.Grant:
+    ) -> tickets.Grant:
         """Waits until the request may be sent to an endpoint.
 
         Raises:
@@ -70,7 +50,7 @@
         self._pump_target(demand.target)
         try:
             remaining_ms = demand.deadline_ms - self._clock.now()
-            ticket.result.wait(max(0.0, remaining_ms) / clock.MS_PER_SECOND)
+            ticket.result.wait(max(0.0, remaining_ms) / clocks.MS_PER_SECOND)
         except BaseException:
             self._abandon(ticket)
             raise
@@ -84,7 +64,7 @@
             retry_after_ms=self._retry_after_ms(demand),
         )
 
-    def release(self, grant: queues.Grant) -> None:
+    def release(self, grant: tickets.Grant) -> None:
         """Ends a grant and lets the next request in."""
         grant.endpoint.in_flight -= 1
         self.pump()
@@ -104,7 +84,7 @@
 
     def _enqueue(
         self, demand: models.Demand, excluded: frozenset[str]
-    ) -> queues.Ticket:
+    ) -> tickets.Ticket:
         if not self._endpoints.serving(demand.target):
             raise errors.RefusalError(
                 503,
@@ -112,19 +92,37 @@
                 "no endpoint serves this",
                 retry_after_ms=MIN_RETRY_AFTER_MS,
             )
+        now_ms = self._clock.now()
+        cost_ms = self.durations.expect_ms(
+            demand.request_class.name, demand.account.name
+        )
+        self._capacity.offered.record(
+            demand.request_class.name, cost_ms, now_ms
+        )
         self._admit(demand)
-        ticket = queues.Ticket(
+        ticket = tickets.Ticket(
             demand,
-            self._clock.now(),
-            self.durations.expect_ms(
-                demand.request_class.name, demand.account.name
-            ),
+            now_ms,
+            cost_ms,
+            self._latest_start_ms(demand, cost_ms),
             excluded,
         )
         queue = self._queues.setdefault(demand.target, queues.TargetQueue())
         queue.push(ticket)
         return ticket
 
+    def _latest_start_ms(self, demand: models.Demand, cost_ms: float) -> float:
+        """Returns when the request must start to meet its class's target."""
+        wanted = demand.request_class
+        latest_ms = float("inf")
+        if wanted.first_token_ms is not None:
+            ahead_ms = self.durations.expect_first_token_ms(wanted.name)
+            latest_ms = demand.arrival_ms + wanted.first_token_ms - ahead_ms
+        if wanted.complete_ms is not None:
+            end_ms = demand.arrival_ms + wanted.complete_ms
+            latest_ms = min(latest_ms, end_ms - cost_ms)
+        return latest_ms
+
     def _admit(self, demand: models.Demand) -> None:
         """Refuses a request that would wait past its deadline."""
         wait_ms = self._predict_wait_ms(demand)
@@ -139,56 +137,59 @@
 
     def _predict_wait_ms(self, demand: models.Demand) -> float:
         queue = self._queues.get(demand.target)
-        rate = self._rates.get(demand.target)
-        if queue is None or rate is None:
+        if queue is None:
             return 0.0
-        return rate.wait_ms(queue.cost_ahead_ms(demand.request_class.tier))
+        return self._capacity.predict_wait_ms(
+            self._endpoints.serving(demand.target),
+            demand.request_class,
+            queue.cost_ahead_ms(demand.request_class, demand.account),
+        )
 
     def _retry_after_ms(self, demand: models.Demand) -> float:
         return max(MIN_RETRY_AFTER_MS, self._predict_wait_ms(demand))
 
     def _pump_target(self, target: str) -> None:
         queue = self._queues.get(target)
-        if queue is None:
+        if queue is None or not len(queue):
             return
         states = self._endpoints.serving(target)
-        while self._grant_one(target, queue, states):
+        while self._grant_one(queue, states):
             pass
 
     def _grant_one(
-        self,
-        target: str,
-        queue: queues.TargetQueue,
-        states: list[registry.EndpointState],
+        self, queue: queues.TargetQueue, states: list[registry.EndpointState]
     ) -> bool:
+        """Grants an endpoint to the first request that fits."""
         now_ms = self._clock.now()
-        for ticket in queue.candidates():
-            chosen = self._chooser.choose(
-                states, self._rank(queue, ticket), ticket.excluded, now_ms
-            )
+        for ticket in queue.candidates(now_ms):
+            if not self._may_take_slot(queue, ticket, states, now_ms):
+                continue
+            top = ticket.demand.request_class.tier == self._top_tier
+            chosen = self._chooser.choose(states, top, ticket.excluded, now_ms)
             if chosen.endpoint is None:
                 continue
             queue.dispatch(ticket)
             chosen.endpoint.in_flight += 1
-            rate = self._rates.setdefault(target, DrainRate())
-            rate.record(ticket.cost_ms, now_ms)
+            wait_ms = now_ms - ticket.enqueued_ms
             ticket.result.set(
-                queues.Grant(
-                    chosen.endpoint,
-                    chosen.passed_over,
-                    now_ms - ticket.enqueued_ms,
-                )
+                tickets.Grant(chosen.endpoint, chosen.passed_over, wait_ms)
             )
             return True
         return False
 
-    def _rank(self, queue: queues.TargetQueue, ticket: queues.Ticket) -> int:
-        rank = self._ranks.get(ticket.demand.request_class.name, 0)
-        if rank > 1 and queue.is_entitled(ticket):
-            return 1
-        return rank
+    def _may_take_slot(
+        self,
+        queue: queues.TargetQueue,
+        ticket: tickets.Ticket,
+        states: list[registry.EndpointState],
+        now_ms: float,
+    ) -> bool:
+        tier = ticket.demand.request_class.tier
+        if tier == self._top_tier or queue.is_entitled(ticket, now_ms):
+            return True
+        return self._capacity.has_headroom(states, tier)
 
-    def _abandon(self, ticket: queues.Ticket) -> None:
+    def _abandon(self, ticket: tickets.Ticket) -> None:
         """Takes back a ticket whose caller no longer waits for it."""
         queue = self._queues[ticket.demand.target]
         if not queue.remove(ticket) and ticket.result.ready():
--- /dev/null
+++ b/hornbeampier/policy/tickets.py
@@ -0,0 +1,46 @@
+"""Requests that wait for an endpoint, and the grants they receive."""
+
+import dataclasses
+
+from gevent import event
+
+from hornbeampier import models
+from hornbeampier.endpoints import registry
+
+
+@dataclasses.dataclass(frozen=True)
+class PassedOver:
+    """An endpoint that was not chosen, and why."""
+
+    endpoint: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Leave to send one request to one endpoint."""
+
+    endpoint: registry.EndpointState
+    passed_over: tuple[PassedOver, ...]
+    wait_ms: float
+
+
+@dataclasses.dataclass(eq=False)
+class Ticket:
+    """A request that waits for an endpoint.
+
+    Attributes:
+        cost_ms: Expected time at an endpoint.
+        latest_start_ms: A later start misses the class's target; monotonic.
+        excluded: Names of endpoints that it must not use.
+        result: Receives the grant.
+    """
+
+    demand: models.Demand
+    enqueued_ms: float
+    cost_ms: float
+    latest_start_ms: float = float("inf")
+    excluded: frozenset[str] = frozenset()
+    result: event.AsyncResult = dataclasses.field(
+        default_factory=event.AsyncResult
+    )
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -12,9 +12,9 @@
 from hornbeampier.endpoints import engine
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import health
-from hornbeampier.policy import queues
 from hornbeampier.policy import retries
 from hornbeampier.policy import scheduler
+from hornbeampier.policy import tickets
 
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1_000.0
@@ -75,17 +75,17 @@
 
     def acquire_service(
         self, demand: models.Demand, excluded: frozenset[str]
-    ) -> queues.Grant:
+    ) -> tickets.Grant:
         """Waits for an endpoint of a plain service."""
         return self._acquire(demand, excluded)
 
-    def release_service(self, grant: queues.Grant) -> None:
+    def release_service(self, grant: tickets.Grant) -> None:
         """Ends a grant of `acquire_service`."""
         self._scheduler.release(grant)
 
     def _acquire(
         self, demand: models.Demand, excluded: frozenset[str]
-    ) -> queues.Grant:
+    ) -> tickets.Grant:
         grant = self._scheduler.acquire(demand, excluded)
         self._log.info(
             "routed",
@@ -101,7 +101,7 @@
 
     def _attempt(
         self,
-        grant: queues.Grant,
+        grant: tickets.Grant,
         demand: models.Demand,
         body: bytes,
         progress: Progress,
@@ -116,6 +116,10 @@
         )
         client = engine.EngineClient(grant.endpoint.peer)
         for event in client.stream(req):
+            if progress.first_token_ms is None:
+                self._scheduler.durations.record_first_token(
+                    demand.request_class.name, self._clock.now() - started_ms
+                )
             self._record_token(grant.endpoint, event, progress)
             yield event
         self._scheduler.durations.record(
@@ -140,7 +144,7 @@
 
     def _record_failure(
         self,
-        grant: queues.Grant,
+        grant: tickets.Grant,
         demand: models.Demand,
         exc: errors.AttemptError,
     ) -> None:
--- a/hornbeampier/vms/hints.py
+++ b/hornbeampier/vms/hints.py
@@ -88,6 +88,10 @@
             if other < tier
         )
 
+    def count(self) -> int:
+        """Returns how many peers were heard recently."""
+        return len(self._recent())
+
     def complete(self) -> bool:
         """Returns whether every listed peer was heard recently."""
         recent = {heard.hint.vm for heard in self._recent()}
--- /dev/null
+++ b/tests/test_tiers.py
@@ -0,0 +1,149 @@
+"""Tiers, guaranteed shares and fairness between client accounts."""
+
+import random
+
+import testtools
+
+from hornbeampier import clock
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import schema
+from hornbeampier.policy import choice
+from hornbeampier.policy import queues
+from hornbeampier.policy import scheduler
+from hornbeampier.policy import tickets
+from tests import processes
+
+CFG = schema.parse(
+    processes.configuration([("engine-1", 9101), ("engine-2", 9102)], slots=2)
+)
+URGENT, BULK = CFG.classes
+
+
+class SilentPeers:
+    """The view of a VM that is alone."""
+
+    def in_flight(self, endpoint):
+        del endpoint
+        return 0
+
+    def waiting_above(self, tier):
+        del tier
+        return 0
+
+    def complete(self):
+        return True
+
+    def count(self):
+        return 0
+
+
+def make_demand(request_class, account=0, deadline_ms=1e9):
+    return models.Demand(
+        "req",
+        "notes",
+        request_class,
+        CFG.accounts[account],
+        0.0,
+        deadline_ms,
+        "fingerprint",
+    )
+
+
+def make_ticket(request_class, account=0, cost_ms=100.0):
+    return tickets.Ticket(make_demand(request_class, account), 0.0, cost_ms)
+
+
+def drain(queue, count):
+    """Dispatches `count` requests in the queue's order."""
+    taken = []
+    for _ in range(count):
+        ticket = next(queue.candidates(0.0))
+        queue.dispatch(ticket)
+        taken.append(ticket)
+    return taken
+
+
+class TargetQueueTest(testtools.TestCase):
+    def test_higher_tier_goes_first(self):
+        queue = queues.TargetQueue()
+        for request_class in (BULK, URGENT, BULK, URGENT):
+            queue.push(make_ticket(request_class))
+        tiers = [t.demand.request_class.tier for t in drain(queue, 4)]
+        self.assertEqual([1, 1, 2, 2], tiers)
+
+    def test_lowest_class_keeps_its_share_under_sustained_overload(self):
+        queue = queues.TargetQueue()
+        for _ in range(400):
+            queue.push(make_ticket(URGENT))
+            queue.push(make_ticket(BULK))
+        taken = drain(queue, 400)
+        bulk = sum(t.demand.request_class is BULK for t in taken)
+        self.assertEqual(400 * BULK.min_share, bulk + 1)
+
+    def test_burst_of_one_account_does_not_delay_another(self):
+        queue = queues.TargetQueue()
+        for _ in range(100):
+            queue.push(make_ticket(URGENT, account=0))
+        for _ in range(5):
+            queue.push(make_ticket(URGENT, account=1))
+        names = [t.demand.account.name for t in drain(queue, 10)]
+        self.assertEqual(5, names.count("account-2"))
+
+    def test_idle_account_earns_no_claim_on_the_future(self):
+        queue = queues.TargetQueue()
+        for _ in range(20):
+            queue.push(make_ticket(URGENT, account=0))
+        drain(queue, 10)
+        for _ in range(10):
+            queue.push(make_ticket(URGENT, account=1))
+        names = [t.demand.account.name for t in drain(queue, 10)]
+        self.assertEqual(5, names.count("account-2"))
+
+    def test_request_that_can_meet_its_target_goes_before_a_late_one(self):
+        queue = queues.TargetQueue()
+        late = make_ticket(URGENT)
+        late.latest_start_ms = -1.0
+        on_time = make_ticket(URGENT)
+        queue.push(late)
+        queue.push(on_time)
+        self.assertEqual([on_time, late], drain(queue, 2))
+
+
+class SchedulerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.endpoints = registry.Registry(self.clock)
+        self.endpoints.apply(CFG)
+        self.scheduler = scheduler.Scheduler(
+            self.endpoints,
+            choice.EndpointChooser(SilentPeers(), random.Random(1)),
+            SilentPeers(),
+            self.clock,
+        )
+        self.scheduler.apply(CFG)
+
+    def test_requests_spread_over_the_endpoints(self):
+        grants = [self.scheduler.acquire(make_demand(BULK)) for _ in range(4)]
+        names = sorted(g.endpoint.name for g in grants)
+        self.assertEqual(["engine-1"] * 2 + ["engine-2"] * 2, names)
+
+    def test_given_up_request_leaves_the_queue(self):
+        for _ in range(4):
+            self.scheduler.acquire(make_demand(BULK))
+        refusal = self.assertRaises(
+            errors.RefusalError,
+            self.scheduler.acquire,
+            make_demand(BULK, deadline_ms=0.0),
+        )
+        self.assertEqual("not_run", refusal.verdict)
+        self.assertIsNotNone(refusal.retry_after_ms)
+        self.assertEqual({"bulk": 0}, self.scheduler.counts())
+
+    def test_higher_tier_is_served_while_lower_tier_fills_the_engines(self):
+        for _ in range(4):
+            self.scheduler.acquire(make_demand(BULK))
+        grant = self.scheduler.acquire(make_demand(URGENT, deadline_ms=0.0))
+        self.assertEqual(2, grant.endpoint.in_flight - 1)
