Order models to engines under a lease on the log

Ruled out: a leader that routing asks, and plans by every VM without a lease (see docs/design/orders.md). Change: lease, load permits, plan, planner task, order client, the stand-in engine's model memory, placements in the configuration file and its checks. Not measured: attainment during a rollout, separate processes.

--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -9,6 +9,7 @@
 from hornbeampier import environment
 from hornbeampier import metrics
 from hornbeampier import models
+from hornbeampier import planner
 from hornbeampier import router
 from hornbeampier import settings
 from hornbeampier import wsgi
@@ -102,6 +103,13 @@
             clk,
         )
         self._load = load.LoadPoller(self._endpoints, clk, self._scheduler.pump)
+        self._planner = planner.Planner(
+            self._settings.vm,
+            self._env,
+            self._platform_log,
+            self._endpoints,
+            lambda: self._follower.accepted,
+        )
         self._router = router.Router(
             self._scheduler, clk, lambda: self._follower.history.version
         )
@@ -141,6 +149,7 @@
         self.app.add(self._hints)
         self.app.add(self._load)
         self.app.add(self._follower)
+        self.app.add(self._planner)
         self.app.add(self.caller_server)
         self.app.add(_Drain(self))
 
--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -47,6 +47,8 @@
         if self.cfg.kind is schema.EndpointKind.SERVICE:
             name = target.removeprefix(models.SERVICE_PREFIX)
             return name != target and name in self.cfg.serves
+        if self.report and self.report.held is not None:
+            return target in self.cfg.serves and target in self.report.held
         return target in self.cfg.serves
 
 
@@ -98,6 +100,11 @@
         """Returns all endpoints."""
         return list(self._states.values())
 
+    def engines(self) -> list[EndpointState]:
+        """Returns the model engines."""
+        kind = schema.EndpointKind.ENGINE
+        return [s for s in self._states.values() if s.cfg.kind is kind]
+
     def find(self, name: str) -> EndpointState | None:
         """Returns the endpoint of that name."""
         return self._states.get(name)
--- a/hornbeampier/endpoints/standin_engine.py
+++ b/hornbeampier/endpoints/standin_engine.py
@@ -16,6 +16,7 @@
 from hornbeampier import wsgi
 from hornbeampier.endpoints import batch
 from hornbeampier.endpoints import messages
+from hornbeampier.endpoints import standin_models
 
 DEFAULT_TOKENS = 20
 TOKENS_PATTERN = re.compile(r"tokens=(\d+)")
@@ -52,6 +53,7 @@
 
 
 class _Body(msgspec.Struct, frozen=True):
+    model: str = ""
     messages: tuple[_Message, ...] = ()
     max_tokens: int | None = None
 
@@ -66,6 +68,7 @@
         self._reports: collections.deque = collections.deque(maxlen=4_096)
         self._streams: set[gevent.Greenlet] = set()
         self.control = EngineControl()
+        self.memory = standin_models.ModelMemory(clk)
         self.runs: list[EngineRun] = []
 
     def run_batch(self) -> None:
@@ -79,6 +82,10 @@
             return self._chat(environ, start_response)
         if path == "/load":
             return wsgi.json_answer(start_response, 200, self._report())
+        if path == "/models":
+            return self.memory.serve(environ, start_response)
+        if path == "/models/faults":
+            return self.memory.set_faults(environ, start_response)
         if path == "/runs":
             return wsgi.json_answer(start_response, 200, self.runs)
         if path == "/control":
@@ -95,6 +102,7 @@
             self._batch.waiting,
             self._batch.model.slots,
             self.control.leaving,
+            self.memory.held,
         )
         self._reports.append((now, current))
         limit = now - self._batch.model.report_lag_ms
@@ -107,7 +115,9 @@
             body = msgspec.json.decode(raw, type=_Body)
         except msgspec.MsgspecError:
             return wsgi.json_answer(start_response, 400, {})
-        if self.control.leaving:
+        held = self.memory.held
+        missing = held is not None and body.model not in held
+        if self.control.leaving or missing:
             return wsgi.json_answer(start_response, 503, {})
         prompt = "\n".join(m.content for m in body.messages)
         order = body.messages[-1].content if body.messages else ""
--- a/hornbeampier/operators/schema.py
+++ b/hornbeampier/operators/schema.py
@@ -79,6 +79,37 @@
         return routes
 
 
+class Placement(_Table):
+    """How many endpoints are to hold a version of a model.
+
+    Attributes:
+        adapter: Name of the adapter on the model; empty for none.
+        version: Version of the weights.
+        endpoints: How many engines of the availability zone hold it.
+    """
+
+    model: Name
+    adapter: str = ""
+    version: Name
+    availability_zone: Name
+    endpoints: int = pydantic.Field(ge=0)
+
+
+class Rollout(_Table):
+    """Limits on the changes of placement.
+
+    Attributes:
+        loads_per_minute: Loads that the weight store allows over all VMs.
+        concurrent_loads: Engines that may load at the same time.
+        max_unavailable_share: Share of a model's engines that may be
+            unavailable because of changes; at least one always stays.
+    """
+
+    loads_per_minute: int = pydantic.Field(default=6, ge=1)
+    concurrent_loads: int = pydantic.Field(default=1, ge=1)
+    max_unavailable_share: Fraction = 0.25
+
+
 class EndpointKind(enum.StrEnum):
     """What an endpoint runs."""
 
@@ -137,6 +168,8 @@
     models: tuple[Model, ...] = ()
     services: tuple[Service, ...] = ()
     endpoints: tuple[Endpoint, ...] = pydantic.Field(min_length=1)
+    placements: tuple[Placement, ...] = ()
+    rollout: Rollout = Rollout()
     accounts: tuple[ClientAccount, ...] = pydantic.Field(min_length=1)
 
     @pydantic.model_validator(mode="after")
@@ -182,6 +215,7 @@
                 f"services.{service.name}", service.request_class, classes
             )
     yield from _find_endpoint_problems(cfg)
+    yield from _find_placement_problems(cfg)
     total = sum(c.min_share for c in cfg.classes)
     if total > 1:
         yield f"classes: the min_share values add up to {total:g}, above 1"
@@ -200,6 +234,27 @@
                 yield _unknown(f"endpoints.{endpoint.name}", name, allowed)
 
 
+def _find_placement_problems(cfg: Configuration) -> Iterable[str]:
+    models = {m.name for m in cfg.models}
+    wanted: collections.Counter[tuple[str, str]] = collections.Counter()
+    for placement in cfg.placements:
+        if placement.model not in models:
+            yield _unknown("placements.model", placement.model, models)
+        wanted[placement.model, placement.availability_zone] += (
+            placement.endpoints
+        )
+    for (model, availability_zone), count in wanted.items():
+        able = sum(
+            model in e.serves and e.availability_zone == availability_zone
+            for e in cfg.endpoints
+        )
+        if count > able:
+            yield (
+                f"placements: {count} endpoints are to hold {model!r} in "
+                f"{availability_zone!r}; only {able} there may serve it"
+            )
+
+
 def _find_key_problems(cfg: Configuration) -> Iterable[str]:
     owners: dict[str, str] = {}
     for account in cfg.accounts:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,34 @@
+"""The real code of outside systems on small fakes, within one process."""
+
+from hornbeampier import errors
+from hornbeampier.platform import standin
+
+
+class MemoryLog:
+    """A log service without a network, with faults."""
+
+    def __init__(self, clock, retention_ms=standin.DEFAULT_RETENTION_MS):
+        self.platform = standin.Platform(clock, retention_ms)
+        self.down = False
+        self.lose_answers = 0
+        self.before_append = {}
+
+    def append(self, stream, data):
+        if stream in self.before_append:
+            self.before_append.pop(stream)()
+        if self.down:
+            raise errors.PlatformError("the log is down")
+        offset = self.platform.append(stream, data.decode())
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.AppendUnknownError("the answer was lost")
+        return offset
+
+    def read(self, stream, offset, wait_ms=0):
+        del wait_ms
+        if self.down:
+            raise errors.PlatformError("the log is down")
+        answer = self.platform.read(stream, offset, 500, 0)
+        if offset < answer.first:
+            raise errors.OffsetForgottenError(answer.first)
+        return answer
