Add a measuring tool for the policy with baselines

Cause: the policy's decisions had no measurement, so that no change to them could be judged.

Ruled out: a simulator of the cluster, since its model of the router would be measured in place of the router.

Change: bench/ sends a seeded open-loop load to real serve processes, stand-in engines, services and the platform, and prints attainment, goodput, wasted work, refusals, latency, processor time and control bytes. The daemon builds its scheduler in a method, which bench.serve overrides by a baseline; product code holds no baseline. tests.processes can start another module or checkout.

Before / After: none of these figures existed.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy with real processes; not part of CI."""
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,167 @@
+"""Plain policies to compare with: one queue per VM and no priorities."""
+
+import collections
+from typing import Protocol
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import schema
+from hornbeampier.policy import durations
+from hornbeampier.policy import queues
+
+RETRY_AFTER_MS = 1_000.0
+
+
+class Chooser(Protocol):
+    """Chooses among endpoints on which this VM has a free slot."""
+
+    def choose(
+        self, states: list[registry.EndpointState]
+    ) -> registry.EndpointState:
+        """Returns one of `states`, which is not empty."""
+        ...
+
+
+class RoundRobinChooser:
+    """Takes endpoints in turn."""
+
+    def __init__(self):
+        self._last_used: dict[str, int] = {}
+        self._count = 0
+
+    def choose(
+        self, states: list[registry.EndpointState]
+    ) -> registry.EndpointState:
+        """Returns the endpoint that was used longest ago."""
+        best = min(states, key=lambda s: self._last_used.get(s.name, 0))
+        self._count += 1
+        self._last_used[best.name] = self._count
+        return best
+
+
+class LeastLoadChooser:
+    """Takes the endpoint whose last report shows the least load."""
+
+    def __init__(self):
+        self._turns = RoundRobinChooser()
+
+    def choose(
+        self, states: list[registry.EndpointState]
+    ) -> registry.EndpointState:
+        """Returns the endpoint with the least reported load."""
+        loads = {s.name: _reported_load(s) for s in states}
+        least = min(loads.values())
+        return self._turns.choose([s for s in states if loads[s.name] == least])
+
+
+class FifoScheduler:
+    """One first-in-first-out queue for each target."""
+
+    def __init__(
+        self,
+        endpoints: registry.Registry,
+        chooser: Chooser,
+        clk: clocks.Clock,
+    ):
+        self._endpoints = endpoints
+        self._chooser = chooser
+        self._clock = clk
+        self._queues: dict[str, collections.deque[queues.Ticket]] = {}
+        self.durations = durations.Durations()
+
+    def apply(self, cfg: schema.Configuration) -> None:
+        """Takes a new set of endpoints into use."""
+        del cfg
+        self.pump()
+
+    def acquire(
+        self, demand: models.Demand, excluded: frozenset[str] = frozenset()
+    ) -> queues.Grant:
+        """Waits until the request may be sent to an endpoint.
+
+        Raises:
+            errors.RefusalError: No endpoint became free in time.
+        """
+        now_ms = self._clock.now()
+        ticket = queues.Ticket(demand, now_ms, 0.0, excluded)
+        waiting = self._queues.setdefault(demand.target, collections.deque())
+        waiting.append(ticket)
+        self.pump()
+        try:
+            remaining_ms = max(0.0, demand.deadline_ms - now_ms)
+            ticket.result.wait(remaining_ms / clocks.MS_PER_SECOND)
+        except BaseException:
+            self._abandon(ticket)
+            raise
+        if ticket.result.ready():
+            return ticket.result.get()
+        self._abandon(ticket)
+        raise errors.RefusalError(
+            503,
+            errors.RefusalCode.WAIT_TIMEOUT,
+            "no endpoint became free in time",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def release(self, grant: queues.Grant) -> None:
+        """Ends a grant and lets the next request in."""
+        grant.endpoint.in_flight -= 1
+        self.pump()
+
+    def pump(self) -> None:
+        """Grants endpoints to the first requests of each queue."""
+        for target, waiting in self._queues.items():
+            while waiting and self._grant(target, waiting[0]):
+                waiting.popleft()
+
+    def counts(self) -> dict[str, int]:
+        """Returns the number of waiting requests of each class."""
+        return collections.Counter(
+            ticket.demand.request_class.name
+            for waiting in self._queues.values()
+            for ticket in waiting
+        )
+
+    def _grant(self, target: str, ticket: queues.Ticket) -> bool:
+        now_ms = self._clock.now()
+        free = [
+            state
+            for state in self._endpoints.serving(target)
+            if _is_free(state, ticket, now_ms)
+        ]
+        if not free:
+            return False
+        chosen = self._chooser.choose(free)
+        chosen.in_flight += 1
+        wait_ms = now_ms - ticket.enqueued_ms
+        ticket.result.set(queues.Grant(chosen, (), wait_ms))
+        return True
+
+    def _abandon(self, ticket: queues.Ticket) -> None:
+        waiting = self._queues[ticket.demand.target]
+        if ticket in waiting:
+            waiting.remove(ticket)
+        elif ticket.result.ready():
+            self.release(ticket.result.get())
+
+
+def _is_free(
+    state: registry.EndpointState, ticket: queues.Ticket, now_ms: float
+) -> bool:
+    return (
+        not state.leaving
+        and now_ms >= state.ejected_until_ms
+        and state.name not in ticket.excluded
+        and state.in_flight < state.cfg.slots
+    )
+
+
+def _reported_load(state: registry.EndpointState) -> int:
+    if state.report is None:
+        return 0
+    return state.report.running + state.report.waiting
+
+
+CHOOSERS = {"round-robin": RoundRobinChooser, "least-load": LeastLoadChooser}
--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,228 @@
+"""The processes of a measured deployment and the faults in them."""
+
+import dataclasses
+import json
+import pathlib
+import tempfile
+
+import gevent
+import psutil
+
+from bench import scenarios
+from bench import sites
+from tests import processes
+
+ONE_ROUTER = "one-router"
+BEFORE = "before"
+PRODUCT_POLICIES = ("hornbeampier", ONE_ROUTER, BEFORE)
+
+BYTES_PER_MB = 1_000_000
+RESTART_PAUSE_S = 0.5
+NOTICE_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class VmUsage:
+    """What one VM's process used.
+
+    Attributes:
+        cpu_s: Processor time in s.
+        wall_s: Time that it was measured, in s.
+        rss_mb: Resident memory at the end, in MB.
+        hint_bytes: Bytes of control datagrams that it sent.
+    """
+
+    name: str
+    cpu_s: float
+    wall_s: float
+    rss_mb: float
+    hint_bytes: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """A policy under measurement; `tree` is the checkout of `before`."""
+
+    name: str
+    tree: pathlib.Path | None = None
+
+    @property
+    def flat(self) -> bool:
+        """Whether all classes get the same tier."""
+        return self.name not in PRODUCT_POLICIES
+
+    def command(self) -> tuple[str, ...]:
+        """Returns the arguments that start a VM."""
+        return ("--policy", self.name) if self.flat else ("serve",)
+
+    def module(self) -> str:
+        """Returns the module that starts a VM."""
+        return "bench.serve" if self.flat else "hornbeampier"
+
+
+class MeasuredDeployment:
+    """Platform, engines, services and VMs as separate processes."""
+
+    def __init__(
+        self, site: sites.Site, profile: scenarios.Profile, policy: Policy
+    ):
+        self._site = site
+        self._profile = profile
+        self._policy = policy
+        self._directory = tempfile.TemporaryDirectory()
+        self._parts = []
+        self._started: dict[str, tuple[float, float]] = {}
+        self.lost_runs: list[dict] = []
+        self.usage: list[VmUsage] = []
+        self.platform = self._add(processes.Standin("platform"))
+        self.engines = [
+            self._add(self._engine(i)) for i in range(len(site.engines))
+        ]
+        self.services = [
+            self._add(processes.Standin("service", "--name", f"service-{i}"))
+            for i in range(site.services)
+        ]
+        for part in self._parts:
+            part.wait_started()
+        self.vms: list[processes.Vm] = []
+        self._vm_count = 0
+
+    def start(self) -> None:
+        """Starts the VMs and puts the configuration in force."""
+        count = 1 if self._policy.name == ONE_ROUTER else self._site.vms
+        started = [self._start_vm() for _ in range(count)]
+        for vm in started:
+            vm.wait_started()
+            self._list(vm)
+        self._publish()
+        for vm in started:
+            processes.wait_until(lambda vm=vm: vm.report()["ready"])
+
+    def close(self) -> None:
+        """Ends all processes."""
+        for part in reversed(self._parts):
+            part.process.close()
+        self._directory.cleanup()
+
+    def begin_usage(self) -> None:
+        """Starts the measurement of processor time."""
+        for vm in self.vms:
+            self._started[vm.name] = _cpu_and_time(vm)
+
+    def end_usage(self) -> None:
+        """Ends the measurement of the VMs that still run."""
+        for vm in self.vms:
+            self._record_usage(vm)
+
+    def read_runs(self) -> list[dict]:
+        """Returns the engines' own records, those before a crash too."""
+        return [r for e in self.engines for r in e.runs()] + self.lost_runs
+
+    def crash_engine(self) -> None:
+        """Kills the first engine and restarts it on the same port."""
+        old = self.engines[0]
+        self.lost_runs += old.runs()
+        old.process.kill()
+        gevent.sleep(RESTART_PAUSE_S)
+        self.engines[0] = self._add(self._engine(0, old.port))
+        self.engines[0].wait_started()
+
+    def replace_vm(self, balancer) -> None:
+        """Starts a new VM, then ends the oldest gracefully."""
+        old = self.vms[0]
+        new = self._start_vm()
+        new.wait_started()
+        self._list(new)
+        processes.wait_until(lambda: new.report()["ready"])
+        self._started[new.name] = _cpu_and_time(new)
+        balancer.add(new.port)
+        self._record_usage(old)
+        self.vms.remove(old)
+        self._list(old, "leaving")
+        old.process.terminate()
+        gevent.sleep(NOTICE_S)
+        balancer.remove(old.port)
+        gevent.spawn(self._remove, old)
+
+    def _remove(self, vm: processes.Vm) -> None:
+        vm.process.wait()
+        processes.call(self.platform.port, "DELETE", f"/vms/{vm.name}")
+
+    def _record_usage(self, vm: processes.Vm) -> None:
+        cpu_s, at_s = _cpu_and_time(vm)
+        began_cpu_s, began_s = self._started[vm.name]
+        rss = psutil.Process(vm.process.pid).memory_info().rss
+        self.usage.append(
+            VmUsage(
+                vm.name,
+                cpu_s - began_cpu_s,
+                at_s - began_s,
+                rss / BYTES_PER_MB,
+                vm.report()["hint_bytes"],
+            )
+        )
+
+    def _engine(self, index: int, port: int = 0) -> processes.Standin:
+        slowdown = self._site.slowdown
+        if index == 0:
+            slowdown *= self._profile.slowdown
+        return processes.Standin(
+            "engine",
+            "--name",
+            f"engine-{index + 1}",
+            "--slots",
+            self._site.slots,
+            "--slowdown",
+            slowdown,
+            "--report-lag-ms",
+            self._profile.report_lag_ms,
+            "--port",
+            port,
+        )
+
+    def _start_vm(self) -> processes.Vm:
+        self._vm_count += 1
+        vm = self._add(
+            processes.Vm(
+                f"vm-{self._vm_count}",
+                self._directory.name,
+                self.platform.port,
+                command=self._policy.command(),
+                module=self._policy.module(),
+                tree=self._policy.tree,
+            )
+        )
+        self.vms.append(vm)
+        return vm
+
+    def _list(self, vm: processes.Vm, state: str = "live") -> None:
+        row = vm.listing(state)
+        processes.call(
+            self.platform.port,
+            "PUT",
+            f"/vms/{vm.name}",
+            json.dumps(row).encode(),
+        )
+
+    def _publish(self) -> None:
+        path = pathlib.Path(self._directory.name) / "configuration.toml"
+        text = sites.configuration(
+            self._site,
+            [e.port for e in self.engines],
+            [s.port for s in self.services],
+            self._policy.flat,
+        )
+        path.write_text(text)
+        log = f"{processes.HOST}:{self.platform.port}"
+        done = processes.run("publish", path, "--log", log)
+        if done.exit_code:
+            raise RuntimeError(done.stderr)
+
+    def _add(self, part):
+        self._parts.append(part)
+        return part
+
+
+def _cpu_and_time(vm: processes.Vm) -> tuple[float, float]:
+    times = psutil.Process(vm.process.pid).cpu_times()
+    return times.user + times.system, gevent.get_hub().loop.now()
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,153 @@
+"""The open-loop load: a seeded plan of requests and their callers."""
+
+from collections.abc import Iterator
+import dataclasses
+import json
+import math
+import random
+
+from bench import scenarios
+from bench import sites
+
+MAX_TOKENS = 400
+PREFIX_CHARS = 260
+
+
+@dataclasses.dataclass(frozen=True)
+class PlannedRequest:
+    """One request of the plan; `at_ms` counts from the run's start."""
+
+    at_ms: float
+    class_name: str
+    account: sites.Account
+    target: str
+    tokens: int
+    stream: bool
+    prompt: str
+
+    @property
+    def is_service(self) -> bool:
+        """Whether it goes to a plain service."""
+        return self.tokens == 0
+
+    def body(self) -> bytes:
+        """Returns the chat body."""
+        message = {"role": "user", "content": self.prompt}
+        fields = {
+            "model": self.target,
+            "stream": self.stream,
+            "messages": [message],
+        }
+        return json.dumps(fields).encode()
+
+
+def mean_tokens(load: sites.ClassLoad, sigma_factor: float = 1.0) -> float:
+    """Returns the mean length of the answers, without the upper limit."""
+    sigma = load.sigma * sigma_factor
+    return load.median_tokens * math.exp(sigma**2 / 2)
+
+
+def mean_request_tokens(site: sites.Site) -> float:
+    """Returns the mean length over all classes of model requests."""
+    chats = [c for c in site.classes if not c.is_service]
+    requests = sum(c.share / mean_tokens(c) for c in chats)
+    return sum(c.share for c in chats) / requests
+
+
+def plan(
+    site: sites.Site,
+    profile: scenarios.Profile,
+    capacity: float,
+    duration_ms: float,
+    seed: int,
+) -> list[PlannedRequest]:
+    """Returns the requests of a run in order of their time.
+
+    Args:
+        site: The deployment.
+        profile: The scenario's load.
+        capacity: Tokens a second that the engines compute when full.
+        duration_ms: How long requests arrive.
+        seed: Equal seeds give equal plans.
+    """
+    requests = []
+    for load in site.classes:
+        rng = random.Random(f"{seed}/{load.name}")
+        for account in site.accounts:
+            requests += _plan_account(
+                _Stream(site, load, account, profile),
+                capacity,
+                duration_ms,
+                rng,
+            )
+    return sorted(requests, key=lambda r: r.at_ms)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Stream:
+    """The requests of one account in one class."""
+
+    site: sites.Site
+    load: sites.ClassLoad
+    account: sites.Account
+    profile: scenarios.Profile
+
+    def rate(self, capacity: float, at_ms: float, duration_ms: float) -> float:
+        """Returns the requests a second at a time of the run."""
+        rate = self.load.requests_per_s * self.account.share
+        if not self.load.is_service:
+            tokens = capacity * self.load.share * self.account.share
+            rate = tokens / mean_tokens(self.load)
+            rate *= scenarios.load_at(self.profile, at_ms, duration_ms)
+        if self.account is self.site.accounts[0]:
+            rate *= self.profile.account_factor
+        return rate
+
+
+def _plan_account(
+    stream: _Stream, capacity: float, duration_ms: float, rng: random.Random
+) -> Iterator[PlannedRequest]:
+    """Yields Poisson arrivals, thinned to the rate at each time."""
+    peak = max(
+        stream.rate(capacity, at_ms, duration_ms)
+        for at_ms in (0.0, duration_ms / 2)
+    )
+    at_ms = 0.0
+    while True:
+        at_ms += rng.expovariate(peak) * scenarios.MS_PER_SECOND
+        if at_ms >= duration_ms:
+            return
+        req = _plan_request(stream, at_ms, rng)
+        if rng.random() * peak <= stream.rate(capacity, at_ms, duration_ms):
+            yield req
+
+
+def _plan_request(
+    stream: _Stream, at_ms: float, rng: random.Random
+) -> PlannedRequest:
+    load = stream.load
+    tokens = 0
+    if not load.is_service:
+        # The mean stays the same when the spread grows.
+        sigma = load.sigma * stream.profile.sigma_factor
+        mu = math.log(mean_tokens(load)) - sigma**2 / 2
+        tokens = max(1, min(MAX_TOKENS, round(rng.lognormvariate(mu, sigma))))
+    return PlannedRequest(
+        at_ms,
+        load.name,
+        stream.account,
+        rng.choice(load.targets),
+        tokens,
+        rng.random() < load.stream_share,
+        _prompt(stream, tokens, rng),
+    )
+
+
+def _prompt(stream: _Stream, tokens: int, rng: random.Random) -> str:
+    number = f"{rng.getrandbits(64):016x}"
+    shared = f"{stream.account.name} {stream.load.name} ".ljust(
+        PREFIX_CHARS, "."
+    )
+    if rng.random() < sites.SHARED_PREFIX_SHARE:
+        return f"{shared} {number} tokens={tokens}"
+    return f"{number} {shared} tokens={tokens}"
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,169 @@
+"""From the records of a run to its figures."""
+
+import collections
+import dataclasses
+
+from hdrh import histogram
+
+from bench import callers
+from bench import runner
+from bench import sites
+from hornbeampier.endpoints import batch
+
+# Histograms count tenths of a ms, up to ten minutes, with three digits.
+UNITS_PER_MS = 10
+MAX_UNITS = 10 * 60 * 1_000 * UNITS_PER_MS
+DIGITS = 3
+PERCENTILE = 95
+# A run in which the generator itself was later than this is not valid.
+MAX_LATE_MS = 60.0
+MAX_VM_CPU = 0.9
+
+
+@dataclasses.dataclass(frozen=True)
+class ClassFigures:
+    """One class of one run.
+
+    Attributes:
+        attainment: Part of all offered requests served whole in time.
+        others_attainment: The same without the first account.
+        wrong: Answers whose text is not that of their own request.
+        refusals: Ends without a whole answer, by cause.
+        retry_after_s: Least and greatest Retry-After.
+    """
+
+    name: str
+    offered: int
+    attainment: float
+    others_attainment: float
+    whole: int
+    wrong: int
+    refusals: dict[str, int]
+    first_p95_ms: float
+    gap_p95_ms: float
+    retry_after_s: tuple[int, int] | None
+
+
+@dataclasses.dataclass(frozen=True)
+class RunFigures:
+    """The figures of one run.
+
+    Attributes:
+        capacity: Tokens a second that the load was made for.
+        answers_per_s: Whole answers a second of arrivals.
+        useful_tokens_per_s: Their tokens a second of arrivals.
+        computed: Tokens that the engines computed.
+        wasted: Part of them that reached nobody in a whole answer.
+        extra_offered: Repeats by callers as a part of the offered requests.
+        valid: Whether the load generator kept its times.
+    """
+
+    site: str
+    scenario: str
+    policy: str
+    seed: int
+    capacity: float
+    classes: tuple[ClassFigures, ...]
+    answers_per_s: float
+    useful_tokens_per_s: float
+    computed: int
+    wasted: float
+    extra_offered: float
+    late_p99_ms: float
+    loop_lag_p99_ms: float
+    generator_cpu: float
+    load_average: float
+    vm_cpu: tuple[float, ...]
+    vm_rss_mb: tuple[float, ...]
+    hint_bytes_per_s: tuple[float, ...]
+    valid: bool
+
+
+def summarize(raw: runner.RawRun) -> RunFigures:
+    """Returns the figures of a run."""
+    plan = raw.plan
+    seconds = plan.duration_ms / 1_000
+    whole = [out for out in raw.outcomes if _is_right(out)]
+    useful = sum(out.planned.tokens for out in whole)
+    computed = sum(run["tokens"] for run in raw.runs)
+    late = _percentile([o.late_ms for o in raw.outcomes], 99)
+    lag = _percentile(raw.loop_lags_ms, 99)
+    cpu = tuple(round(u.cpu_s / u.wall_s, 3) for u in raw.usage)
+    return RunFigures(
+        plan.site.name,
+        plan.scenario,
+        plan.policy.name,
+        plan.seed,
+        plan.capacity,
+        tuple(_class_figures(c, raw.outcomes) for c in plan.site.classes),
+        round(len(whole) / seconds, 2),
+        round(useful / seconds, 1),
+        computed,
+        1 - useful / computed if computed else 0.0,
+        sum(o.returns for o in raw.outcomes) / max(1, len(raw.outcomes)),
+        late,
+        lag,
+        round(raw.generator_cpu, 2),
+        round(raw.load_average, 2),
+        cpu,
+        tuple(round(u.rss_mb, 1) for u in raw.usage),
+        tuple(round(u.hint_bytes / u.wall_s) for u in raw.usage),
+        max(late, lag) <= MAX_LATE_MS and max(cpu) <= MAX_VM_CPU,
+    )
+
+
+def _class_figures(
+    load: sites.ClassLoad, outcomes: list[callers.Outcome]
+) -> ClassFigures:
+    own = [o for o in outcomes if o.planned.class_name == load.name]
+    others = [o for o in own if o.planned.account is not sites.ACCOUNTS[0]]
+    firsts = [o.first_ms for o in own if o.first_ms is not None]
+    gaps = [gap for o in own for gap in o.gaps_ms]
+    waits = [o.retry_after_s for o in own if o.retry_after_s is not None]
+    causes = collections.Counter(o.code or "none" for o in own if not o.whole)
+    return ClassFigures(
+        load.name,
+        len(own),
+        _attainment(load, own),
+        _attainment(load, others),
+        sum(_is_right(o) for o in own),
+        sum(o.whole and not _is_right(o) for o in own),
+        dict(causes),
+        _percentile(firsts, PERCENTILE),
+        _percentile(gaps, PERCENTILE),
+        (min(waits), max(waits)) if waits else None,
+    )
+
+
+def _attainment(
+    load: sites.ClassLoad, outcomes: list[callers.Outcome]
+) -> float:
+    met = sum(_is_right(o) and _in_time(load, o) for o in outcomes)
+    return met / len(outcomes) if outcomes else 1.0
+
+
+def _in_time(load: sites.ClassLoad, out: callers.Outcome) -> bool:
+    in_time = True
+    if load.first_token_ms is not None and out.first_ms is not None:
+        in_time = out.first_ms <= load.first_token_ms
+    if load.complete_ms is not None:
+        in_time = in_time and out.end_ms <= load.complete_ms
+    return in_time
+
+
+def _is_right(out: callers.Outcome) -> bool:
+    """Returns whether the answer is whole and its request's own."""
+    if not out.whole or out.planned.is_service:
+        return out.whole
+    planned = out.planned
+    texts = (batch.token_text(planned.prompt, i) for i in range(planned.tokens))
+    return out.text == "".join(texts)
+
+
+def _percentile(values_ms: list[float], percentile: float) -> float:
+    if not values_ms:
+        return 0.0
+    found = histogram.HdrHistogram(1, MAX_UNITS, DIGITS)
+    for value in values_ms:
+        found.record_value(max(1, round(value * UNITS_PER_MS)))
+    return found.get_value_at_percentile(percentile) / UNITS_PER_MS
--- /dev/null
+++ b/bench/runner.py
@@ -0,0 +1,118 @@
+"""One run: a deployment, a load and the faults of a scenario."""
+
+import dataclasses
+import os
+
+import gevent
+import psutil
+
+from bench import callers
+from bench import deployment
+from bench import load
+from bench import scenarios
+from bench import sites
+from hornbeampier import clock as clocks
+
+FAULT_CALLS = {"log_down": True, "vm_list_down": True}
+NO_FAULT_CALLS = {"log_down": False, "vm_list_down": False}
+# Time before the load starts, for the first load reports and hints.
+SETTLE_MS = 1_500.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RunPlan:
+    """What one run measures; `capacity` in tokens a second."""
+
+    site: sites.Site
+    scenario: scenarios.Scenario
+    policy: deployment.Policy
+    seed: int
+    capacity: float
+    duration_ms: float
+    comes_back: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class RawRun:
+    """Everything that a run recorded.
+
+    Attributes:
+        runs: The engines' own records of executions.
+        loop_lags_ms: Lateness of the load generator's event loop.
+        generator_cpu: Processor time of the generator, in cores.
+        load_average: The machine's load average at the start.
+        wall_ms: From the first arrival to the last end.
+    """
+
+    plan: RunPlan
+    outcomes: list[callers.Outcome]
+    runs: list[dict]
+    usage: list[deployment.VmUsage]
+    loop_lags_ms: list[float]
+    generator_cpu: float
+    load_average: float
+    wall_ms: float
+
+
+def run(plan: RunPlan) -> RawRun:
+    """Runs one scenario under one policy."""
+    load_average = os.getloadavg()[0]
+    profile = scenarios.PROFILES[plan.scenario]
+    requests = load.plan(
+        plan.site, profile, plan.capacity, plan.duration_ms, plan.seed
+    )
+    measured = deployment.MeasuredDeployment(plan.site, profile, plan.policy)
+    try:
+        measured.start()
+        clk = clocks.SystemClock()
+        clk.sleep(SETTLE_MS)
+        balancer = callers.Balancer([vm.port for vm in measured.vms])
+        generator = callers.Callers(balancer, clk, plan.comes_back)
+        measured.begin_usage()
+        own = psutil.Process()
+        began_cpu_s = own.cpu_times().user + own.cpu_times().system
+        faults = gevent.spawn(
+            _inject, measured, profile, balancer, plan.duration_ms, clk
+        )
+        outcomes = generator.run(requests)
+        wall_ms = clk.now() - generator.start_ms
+        spent_s = own.cpu_times().user + own.cpu_times().system - began_cpu_s
+        faults.get()
+        measured.end_usage()
+        return RawRun(
+            plan,
+            outcomes,
+            measured.read_runs(),
+            measured.usage,
+            generator.loop_lags_ms,
+            spent_s / (wall_ms / clocks.MS_PER_SECOND),
+            load_average,
+            wall_ms,
+        )
+    finally:
+        measured.close()
+
+
+def _inject(
+    measured: deployment.MeasuredDeployment,
+    profile: scenarios.Profile,
+    balancer: callers.Balancer,
+    duration_ms: float,
+    clk: clocks.Clock,
+) -> None:
+    """Brings about the scenario's faults at their times."""
+    clk.sleep(duration_ms / 3)
+    if profile.crash:
+        measured.crash_engine()
+    if profile.outage:
+        _set_faults(measured, FAULT_CALLS)
+        clk.sleep(duration_ms / 3)
+        _set_faults(measured, NO_FAULT_CALLS)
+    if profile.rolling:
+        for _ in range(len(measured.vms)):
+            measured.replace_vm(balancer)
+            clk.sleep(duration_ms / 12)
+
+
+def _set_faults(measured: deployment.MeasuredDeployment, faults: dict) -> None:
+    measured.platform.control(**faults)
--- /dev/null
+++ b/bench/serve.py
@@ -0,0 +1,44 @@
+"""Runs one VM's router with a baseline in place of its scheduler."""
+
+# The entry module patches the standard library and must come first.
+from hornbeampier import core  # isort: skip
+
+import functools
+import pathlib
+import sys
+from typing import Annotated
+
+import typer
+
+from bench import baselines
+from hornbeampier import commands
+from hornbeampier import daemon
+from hornbeampier import environment
+
+
+class BaselineDaemon(daemon.VmDaemon):
+    """A VM's daemon whose scheduler is a baseline."""
+
+    def __init__(self, chooser: baselines.Chooser, env, cfg):
+        self._chooser = chooser
+        super().__init__(env, cfg)
+
+    def _make_scheduler(self) -> baselines.FifoScheduler:
+        return baselines.FifoScheduler(
+            self._endpoints, self._chooser, self._env.clock
+        )
+
+
+def main(
+    policy: Annotated[str, typer.Option(help="Name of a baseline.")],
+    settings: Annotated[pathlib.Path, typer.Option(help="TOML file.")],
+) -> None:
+    """Runs one VM until SIGTERM or SIGINT."""
+    chooser = baselines.CHOOSERS[policy]()
+    build = functools.partial(BaselineDaemon, chooser)
+    sys.exit(commands.serve(environment.Environment(), settings, build))
+
+
+if __name__ == "__main__":
+    del core
+    typer.run(main)
--- /dev/null
+++ b/bench/sites.py
@@ -0,0 +1,275 @@
+"""The two deployments that are measured, compressed in time and size."""
+
+import dataclasses
+import enum
+
+from tests import processes
+
+KEY_SUFFIX = "-key"
+SERVICE_SLOTS = 16
+SERVICE_COMPLETE_MS = 2_000.0
+# The stand-in engine's own times in ms; see EngineModel.
+ENGINE_STEP_MS = 10.0
+ENGINE_STEP_PER_REQUEST_MS = 1.0
+ENGINE_PREFILL_MS = 40.0
+# Share of requests whose prompt starts with a prefix shared by others.
+SHARED_PREFIX_SHARE = 0.75
+
+
+class SiteName(enum.StrEnum):
+    """The deployments of the examples."""
+
+    COOPERATIVE = "cooperative"
+    KAURI = "kauri"
+
+
+@dataclasses.dataclass(frozen=True)
+class ClassLoad:
+    """A request class with its targets and its part of the load.
+
+    Attributes:
+        share: Part of the offered tokens; 0 for a plain service.
+        median_tokens: Median length of the answers.
+        sigma: Standard deviation of the logarithm of the length.
+        targets: Models that its requests name, each as often as listed.
+        stream_share: Part of its requests that ask for a streamed answer.
+        requests_per_s: Rate of a plain service's requests.
+    """
+
+    name: str
+    tier: int
+    max_wait_ms: float
+    share: float = 0.0
+    median_tokens: float = 0.0
+    sigma: float = 0.0
+    targets: tuple[str, ...] = ()
+    stream_share: float = 1.0
+    first_token_ms: float | None = None
+    between_tokens_ms: float | None = None
+    complete_ms: float | None = None
+    min_share: float = 0.0
+    requests_per_s: float = 0.0
+
+    @property
+    def is_service(self) -> bool:
+        """Whether the class is that of a plain service."""
+        return self.requests_per_s > 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Account:
+    """A client account; `share` is its part of each class's load."""
+
+    name: str
+    share: float
+
+    @property
+    def key(self) -> str:
+        """The account's API key."""
+        return self.name + KEY_SUFFIX
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """A deployment: VMs, engines by the models that they serve, load."""
+
+    name: SiteName
+    vms: int
+    engines: tuple[tuple[str, ...], ...]
+    services: int
+    classes: tuple[ClassLoad, ...]
+    accounts: tuple[Account, ...]
+    slots: int = 8
+    slowdown: float = 1.5
+
+    def find_class(self, name: str) -> ClassLoad:
+        """Returns the class of that name."""
+        return next(c for c in self.classes if c.name == name)
+
+
+# Two large accounts and eight small ones.
+ACCOUNT_SHARES = (0.3, 0.2, 0.1, 0.1, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05)
+ACCOUNTS = tuple(
+    Account(f"account-{i + 1}", share) for i, share in enumerate(ACCOUNT_SHARES)
+)
+
+COOPERATIVE = Site(
+    SiteName.COOPERATIVE,
+    vms=3,
+    engines=(("notes",),) * 6,
+    services=2,
+    accounts=ACCOUNTS,
+    classes=(
+        ClassLoad(
+            "judge-query",
+            tier=1,
+            max_wait_ms=8_000,
+            share=0.1,
+            median_tokens=18,
+            sigma=0.6,
+            targets=("notes",),
+            first_token_ms=1_100,
+            between_tokens_ms=37,
+            min_share=0.1,
+        ),
+        ClassLoad(
+            "entry",
+            tier=1,
+            max_wait_ms=5_000,
+            targets=("entry",),
+            complete_ms=SERVICE_COMPLETE_MS,
+            requests_per_s=2.0,
+        ),
+        ClassLoad(
+            "catalogue-note",
+            tier=2,
+            max_wait_ms=10_000,
+            share=0.15,
+            median_tokens=25,
+            sigma=0.7,
+            targets=("notes",),
+            first_token_ms=3_000,
+            min_share=0.1,
+        ),
+        ClassLoad(
+            "stand-caption",
+            tier=3,
+            max_wait_ms=15_000,
+            share=0.75,
+            median_tokens=30,
+            sigma=0.8,
+            targets=("notes",),
+            stream_share=0.5,
+            complete_ms=20_000,
+            min_share=0.05,
+        ),
+    ),
+)
+
+KAURI = Site(
+    SiteName.KAURI,
+    vms=3,
+    engines=(("drafting",),) * 6 + (("drafting", "guidance"),) * 3,
+    services=2,
+    accounts=ACCOUNTS,
+    classes=(
+        ClassLoad(
+            "family-quote",
+            tier=1,
+            max_wait_ms=10_000,
+            share=0.1,
+            median_tokens=18,
+            sigma=0.6,
+            targets=("drafting",),
+            first_token_ms=1_100,
+            between_tokens_ms=37,
+            min_share=0.1,
+        ),
+        ClassLoad(
+            "job-desk",
+            tier=1,
+            max_wait_ms=5_000,
+            targets=("jobs",),
+            complete_ms=SERVICE_COMPLETE_MS,
+            requests_per_s=2.0,
+        ),
+        ClassLoad(
+            "installer-question",
+            tier=2,
+            max_wait_ms=10_000,
+            share=0.15,
+            median_tokens=20,
+            sigma=0.7,
+            targets=("drafting", "guidance"),
+            first_token_ms=2_500,
+            min_share=0.1,
+        ),
+        ClassLoad(
+            "site-assessment",
+            tier=3,
+            max_wait_ms=15_000,
+            share=0.75,
+            median_tokens=35,
+            sigma=0.9,
+            targets=("drafting",),
+            stream_share=0.5,
+            complete_ms=20_000,
+            min_share=0.1,
+        ),
+    ),
+)
+
+SITES = {site.name: site for site in (COOPERATIVE, KAURI)}
+
+
+def model_capacity(site: Site, mean_tokens: float) -> float:
+    """Returns the tokens a second that all engines compute when full."""
+    step_ms = ENGINE_STEP_MS + site.slots * ENGINE_STEP_PER_REQUEST_MS
+    prefill_ms = ENGINE_PREFILL_MS * (1 - SHARED_PREFIX_SHARE)
+    request_ms = mean_tokens * step_ms / site.slots + prefill_ms
+    per_engine = mean_tokens / (request_ms * site.slowdown / 1_000)
+    return per_engine * len(site.engines)
+
+
+def configuration(
+    site: Site, engine_ports: list[int], service_ports: list[int], flat: bool
+) -> str:
+    """Returns the configuration file; `flat` gives all classes one tier."""
+    parts = [f'deployment = "{site.name}"\n']
+    parts += [_class_table(c, flat) for c in site.classes]
+    served = sorted({name for names in site.engines for name in names})
+    parts += [f'[[models]]\nname = "{name}"\n' for name in served]
+    service = next(c for c in site.classes if c.is_service)
+    parts.append(
+        f'[[services]]\nname = "{service.targets[0]}"\n'
+        f'request_class = "{service.name}"\n'
+    )
+    parts += [_account_table(a, site) for a in site.accounts]
+    rows = zip(site.engines, engine_ports, strict=True)
+    for number, (names, port) in enumerate(rows, 1):
+        parts.append(
+            _endpoint_table(f"engine-{number}", "engine", names, port)
+            + f"slots = {site.slots}\n"
+        )
+    for number, port in enumerate(service_ports, 1):
+        parts.append(
+            _endpoint_table(
+                f"service-{number}", "service", service.targets, port
+            )
+            + f"slots = {SERVICE_SLOTS}\n"
+        )
+    return "\n".join(parts)
+
+
+def _class_table(load: ClassLoad, flat: bool) -> str:
+    rows = [
+        "[[classes]]",
+        f'name = "{load.name}"',
+        f"tier = {1 if flat else load.tier}",
+        f"max_wait_ms = {load.max_wait_ms}",
+        f"min_share = {0.0 if flat else load.min_share}",
+    ]
+    for key in ("first_token_ms", "between_tokens_ms", "complete_ms"):
+        value = getattr(load, key)
+        if value is not None:
+            rows.append(f"{key} = {value}")
+    return "\n".join(rows) + "\n"
+
+
+def _account_table(account: Account, site: Site) -> str:
+    names = ", ".join(f'"{c.name}"' for c in site.classes)
+    return (
+        f'[[accounts]]\nname = "{account.name}"\n'
+        f'key_sha256 = ["{processes.hash_key(account.key)}"]\n'
+        f"classes = [{names}]\n"
+        f'default_class = "{site.classes[0].name}"\n'
+    )
+
+
+def _endpoint_table(name, kind, serves, port) -> str:
+    names = ", ".join(f'"{s}"' for s in serves)
+    return (
+        f'[[endpoints]]\nname = "{name}"\nkind = "{kind}"\n'
+        f'serves = [{names}]\navailability_zone = "zone-1"\n'
+        f'host = "{processes.HOST}"\nport = {port}\n'
+    )
--- a/hornbeampier/commands.py
+++ b/hornbeampier/commands.py
@@ -36,7 +36,9 @@
 
 
 def serve(
-    env: environment.Environment, path: pathlib.Path
+    env: environment.Environment,
+    path: pathlib.Path,
+    daemon_type: type[daemon.VmDaemon] = daemon.VmDaemon,
 ) -> status.ExitStatus:
     """Runs one entry VM's daemon."""
     try:
@@ -45,7 +47,7 @@
         return _report_problems(env, path, exc)
     logs.configure(env.stderr, cfg.logs.level, cfg.logs.json_lines)
     app = application.Application(cfg.vm)
-    vm = daemon.VmDaemon(env, cfg)
+    vm = daemon_type(env, cfg)
     app.add(vm)
     app.add(_Announcement(env, lambda: _describe_ports(cfg.vm, vm.ports)))
     return _run(app)
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -95,16 +95,20 @@
             self._on_hint,
             peers.hint_interval_ms,
         )
-        self._scheduler = scheduler.Scheduler(
-            self._endpoints,
-            choice.EndpointChooser(self._hints, self._env.rng),
-            clk,
-        )
+        self._scheduler = self._make_scheduler()
         self._load = load.LoadPoller(self._endpoints, clk, self._scheduler.pump)
         self._router = router.Router(
             self._scheduler, clk, lambda: self._follower.history.version
         )
 
+    def _make_scheduler(self) -> scheduler.Scheduler:
+        """Returns the scheduler; measurements replace it by baselines."""
+        return scheduler.Scheduler(
+            self._endpoints,
+            choice.EndpointChooser(self._hints, self._env.rng),
+            self._env.clock,
+        )
+
     def _build_callers(self) -> None:
         callers = self._settings.callers
         self._caller_app = server.CallerApp(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -72,17 +72,18 @@
 
 
 class Process:
-    """One process of this program."""
+    """One process of this program, or of another module or checkout."""
 
-    def __init__(self, *args):
+    def __init__(self, *args, module="hornbeampier", tree=None):
         self._directory = tempfile.TemporaryDirectory()
         self._log_path = pathlib.Path(self._directory.name) / "stderr"
         with self._log_path.open("w") as errors:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "hornbeampier", *map(str, args)],
+                [sys.executable, "-m", module, *map(str, args)],
                 stdout=subprocess.PIPE,
                 stderr=errors,
                 text=True,
+                cwd=tree,
             )
         self.line = ""
 
@@ -154,7 +155,15 @@
 class Vm:
     """A `serve` process."""
 
-    def __init__(self, name, directory, platform_port, extra=""):
+    def __init__(
+        self,
+        name,
+        directory,
+        platform_port,
+        extra="",
+        command=("serve",),
+        **process_args,
+    ):
         path = pathlib.Path(directory) / f"{name}.toml"
         path.write_text(
             f'vm = "{name}"\navailability_zone = "zone-1"\n'
@@ -165,7 +174,7 @@
             "vm_list_interval_ms = 100\n" + extra
         )
         self.name = name
-        self.process = Process("serve", "--settings", path)
+        self.process = Process(*command, "--settings", path, **process_args)
         self.port = self.admin = self.hints = self.catch_up = None
 
     def wait_started(self):
