Size the headroom by what higher tiers may wait

Cause: under a burst of three times capacity the higher tiers took 75% of the released slots and the headroom came to 16 of 48 slots, although a slot was released every 20 ms and the next tier may wait 1.5 s. Ruled out: the hints' age (the same loss with one router that sees all). Change: the headroom counts the releases within half of the higher tiers' target time.

--- a/hornbeampier/policy/capacity.py
+++ b/hornbeampier/policy/capacity.py
@@ -1,9 +1,11 @@
 """What the endpoints of a target can take from each tier.
 
-Lower tiers leave slots free for the arrivals of higher ones. With a share `p`
-of all slots released to higher-tier arrivals, `n` free slots are all taken
-with probability `p ** n` (trunk reservation in a loss system), so `n` is the
-smallest number that keeps this below `MAX_BLOCKING`.
+Lower tiers leave slots free for arrivals of higher ones, as far as these
+could not wait for a slot to be released. With a share `p` of the released
+slots taken by higher tiers and a release every `r` ms, an arrival that finds
+`n` slots kept free waits longer than `w` with probability about
+`p ** (n + 1) * exp(-(1 - p) * w / r)` (trunk reservation and an M/M/1 queue).
+The headroom is the smallest `n` that keeps this below `MAX_BLOCKING`.
 """
 
 import math
@@ -13,10 +15,13 @@
 from hornbeampier.operators import schema
 from hornbeampier.policy import choice
 from hornbeampier.policy import demand
+from hornbeampier.policy import durations
 
 MAX_BLOCKING = 0.01
 # Slots that may be kept free, as a share of all.
 MAX_HEADROOM = 0.34
+# Part of a class's time to the first token that may go into waiting.
+WAIT_SHARE = 0.5
 # Smallest share of this VM's slots that a prediction counts on.
 MIN_AVAILABLE = 0.02
 
@@ -26,12 +31,12 @@
 
     def __init__(
         self,
-        endpoints: registry.Registry,
         chooser: choice.EndpointChooser,
         peers: choice.PeerLoads,
+        durations: durations.Durations,
         clock: clocks.Clock,
     ):
-        self._endpoints = endpoints
+        self._durations = durations
         self._chooser = chooser
         self._peers = peers
         self._clock = clock
@@ -73,16 +78,32 @@
         limit = math.floor(total * MAX_HEADROOM)
         if share >= 1:
             return limit
-        needed = math.ceil(math.log(MAX_BLOCKING) / math.log(share))
-        return min(needed, limit)
+        releases = self._tolerated_releases(tier, total / vms)
+        exponent = math.log(MAX_BLOCKING) + (1 - share) * releases
+        needed = math.ceil(exponent / math.log(share) - 1)
+        return min(max(0, needed), limit)
+
+    def _tolerated_releases(self, tier: int, own_slots: float) -> float:
+        """Returns how many own slots free while a higher tier may wait."""
+        waits = [self._tolerated_wait_ms(c) for c in self._higher(tier)]
+        return min(waits) * own_slots / self._durations.mean_ms()
+
+    def _tolerated_wait_ms(self, request_class: schema.RequestClass) -> float:
+        wait_ms = request_class.max_wait_ms
+        if request_class.first_token_ms is not None:
+            wait_ms = min(wait_ms, request_class.first_token_ms)
+        if request_class.complete_ms is not None:
+            wait_ms = min(wait_ms, request_class.complete_ms)
+        return wait_ms * WAIT_SHARE
+
+    def _higher(self, tier: int) -> list[schema.RequestClass]:
+        return [c for c in self._classes if c.tier < tier]
 
     def _higher_slots(self, tier: int) -> float:
         """Returns the slots that this VM's higher tiers keep busy."""
         now_ms = self._clock.now()
         return sum(
-            self.offered.slots(c.name, now_ms)
-            for c in self._classes
-            if c.tier < tier
+            self.offered.slots(c.name, now_ms) for c in self._higher(tier)
         )
 
     def _count_slots(
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -29,8 +29,10 @@
         self._clock = clock
         self._queues: dict[str, queues.TargetQueue] = {}
         self._top_tier = 1
-        self._capacity = capacity.Capacity(endpoints, chooser, peers, clock)
         self.durations = durations.Durations()
+        self._capacity = capacity.Capacity(
+            chooser, peers, self.durations, clock
+        )
 
     def apply(self, cfg: schema.Configuration) -> None:
         """Takes the tiers of a new configuration into use."""
