Refuse at admission only what even the least wait rules out

Cause: the predicted wait subtracted the offered load of higher tiers, a mean over ten seconds; at the end of a burst it refused bulk requests that the following quiet time would have served (335 refusals 'overloaded'). Change: the prediction divides the work ahead by this VM's slots. The misses of catalogue-note remain: long bulk requests hold the slots when a burst begins.

--- a/hornbeampier/policy/capacity.py
+++ b/hornbeampier/policy/capacity.py
@@ -22,8 +22,6 @@
 MAX_HEADROOM = 0.34
 # Part of a class's time to the first token that may go into waiting.
 WAIT_SHARE = 0.5
-# Smallest share of this VM's slots that a prediction counts on.
-MIN_AVAILABLE = 0.02
 
 
 class Capacity:
@@ -59,16 +57,17 @@
     def predict_wait_ms(
         self,
         states: list[registry.EndpointState],
-        request_class: schema.RequestClass,
         cost_ahead_ms: float,
     ) -> float:
-        """Returns how long `cost_ahead_ms` of waiting work takes to serve."""
+        """Returns how long `cost_ahead_ms` of waiting work takes at least.
+
+        Later arrivals of higher tiers are left out: how long a burst lasts is
+        unknown, and a request that is refused cannot use its end.
+        """
         total, _ = self._count_slots(states)
         own = sum(state.in_flight for state in states)
         own_slots = max(own, total / (self._peers.count() + 1))
-        available = own_slots - self._higher_slots(request_class.tier)
-        floor = max(MIN_AVAILABLE, request_class.min_share) * own_slots
-        return cost_ahead_ms / max(available, floor, MIN_AVAILABLE)
+        return cost_ahead_ms / max(own_slots, 1.0)
 
     def _headroom(self, tier: int, total: int) -> int:
         vms = self._peers.count() + 1
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -143,7 +143,6 @@
             return 0.0
         return self._capacity.predict_wait_ms(
             self._endpoints.serving(demand.target),
-            demand.request_class,
             queue.cost_ahead_ms(demand.request_class, demand.account),
         )
 
