--- a/bench/cli.py
+++ b/bench/cli.py
@@ -25,16 +25,16 @@
     seeds: Annotated[str, typer.Option("--seeds", "--seed")] = "1",
     duration_s: Annotated[float, typer.Option(help="Time of arrivals.")] = 30,
     capacity: Annotated[
-        float, typer.Option(help="Tokens a second; 0 uses the model's.")
+        float, typer.Option(help="Tokens a second; 0 uses the measured ones.")
     ] = 0,
     callers: Annotated[str, typer.Option(help="give-up or retry.")] = "give-up",
     tree: Annotated[
         pathlib.Path | None,
         typer.Option(help="Checkout for the policy `before`."),
     ] = None,
-    name: Annotated[
-        str, typer.Option(help="Name of the files in bench/out.")
-    ] = "",
+    label: Annotated[
+        str, typer.Option(help="Start of the names of files in bench/out.")
+    ] = "run",
     show: Annotated[
         list[pathlib.Path] | None,
         typer.Option(help="Print these JSON files and run nothing."),
@@ -42,30 +42,42 @@
 ) -> None:
     """Measures policies with real processes."""
     if show:
-        print(report.render_table(_read_all(show)))
+        _summarize([run for p in show for run in report.read_json(p)], label)
         return
     site = sites.SITES[deployment_name]
-    known = capacity or sites.model_capacity(
-        site, load.mean_request_tokens(site)
+    known = capacity or site.capacity
+    modelled = sites.model_capacity(site, load.mean_request_tokens(site))
+    print(
+        f"capacity of {site.name}: {known:.0f} tokens/s; "
+        f"by the engines' model {modelled:.0f}"
     )
-    print(f"capacity of {site.name}: {known:.0f} tokens/s")
     for one in scenario.split(","):
-        chosen = scenarios.Scenario(one)
         figures = []
         for seed in seeds.split(","):
             for policy_name in policy.split(","):
                 plan = runner.RunPlan(
                     site,
-                    chosen,
+                    scenarios.Scenario(one),
                     _policy(policy_name, tree),
                     int(seed),
                     known,
                     duration_s * scenarios.MS_PER_SECOND,
                     callers == "retry",
                 )
-                figures.append(measure.summarize(runner.run(plan)))
-                print(report.render_run(figures[-1]), flush=True)
-        _write(figures, name or f"{site.name}-{chosen}")
+                figures.append(_run(plan, label))
+        _summarize(figures, label)
+
+
+def _run(plan: runner.RunPlan, label: str) -> measure.RunFigures:
+    """Runs one plan, prints its figures and writes them."""
+    figures = measure.summarize(runner.run(plan))
+    print(report.render_run(figures), flush=True)
+    stem = (
+        f"{label}-{plan.site.name}-{plan.scenario}-"
+        f"{plan.policy.name}-{plan.seed}"
+    )
+    report.write_json([figures], report.OUT_DIRECTORY / f"{stem}.json")
+    return figures
 
 
 def _policy(name: str, tree: pathlib.Path | None) -> deployment.Policy:
@@ -76,15 +88,15 @@
     return deployment.Policy(name, tree.resolve())
 
 
-def _read_all(paths: list[pathlib.Path]) -> list[measure.RunFigures]:
-    return [run for path in paths for run in report.read_json(path)]
-
-
-def _write(figures: list[measure.RunFigures], stem: str) -> None:
+def _summarize(figures: list[measure.RunFigures], label: str) -> None:
+    """Prints the table over the seeds and draws a plot for each load."""
     print()
     print(report.render_table(figures))
-    report.write_json(figures, report.OUT_DIRECTORY / f"{stem}.json")
-    report.plot(figures, report.OUT_DIRECTORY / f"{stem}.png")
+    loads = dict.fromkeys((run.site, run.scenario) for run in figures)
+    for site, scenario in loads:
+        same = [r for r in figures if (r.site, r.scenario) == (site, scenario)]
+        path = report.OUT_DIRECTORY / f"{label}-{site}-{scenario}.png"
+        report.plot(same, path)
 
 
 def run() -> None:
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -121,6 +121,8 @@
     def crash_engine(self) -> None:
         """Kills the first engine and restarts it on the same port."""
         old = self.engines[0]
+        # No token is computed between reading the records and the end.
+        old.control(frozen=True)
         self.lost_runs += old.runs()
         old.process.kill()
         gevent.sleep(RESTART_PAUSE_S)
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -52,6 +52,7 @@
         capacity: Tokens a second that the load was made for.
         answers_per_s: Whole answers a second of arrivals.
         useful_tokens_per_s: Their tokens a second of arrivals.
+        middle_rate: Tokens a second computed in the middle third.
         computed: Tokens that the engines computed.
         wasted: Part of them that reached nobody in a whole answer.
         extra_offered: Repeats by callers as a part of the offered requests.
@@ -66,6 +67,7 @@
     classes: tuple[ClassFigures, ...]
     answers_per_s: float
     useful_tokens_per_s: float
+    middle_rate: float
     computed: int
     wasted: float
     extra_offered: float
@@ -98,6 +100,7 @@
         tuple(_class_figures(c, raw.outcomes) for c in plan.site.classes),
         round(len(whole) / seconds, 2),
         round(useful / seconds, 1),
+        round(raw.middle_rate, 1),
         computed,
         1 - useful / computed if computed else 0.0,
         sum(o.returns for o in raw.outcomes) / max(1, len(raw.outcomes)),
--- a/bench/report.py
+++ b/bench/report.py
@@ -33,7 +33,8 @@
     lines = [
         f"{run.site} {run.scenario} {run.policy} seed {run.seed}"
         + ("" if run.valid else "  NOT VALID"),
-        f"  capacity {run.capacity:.0f} tokens/s; goodput "
+        f"  capacity {run.capacity:.0f} tokens/s, "
+        f"{run.middle_rate:.0f} computed in the middle; goodput "
         f"{run.answers_per_s:.1f} answers/s, "
         f"{run.useful_tokens_per_s:.0f} tokens/s; wasted "
         f"{run.wasted:.2%} of {run.computed}; "
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -42,6 +42,8 @@
         generator_cpu: Processor time of the generator, in cores.
         load_average: The machine's load average at the start.
         wall_ms: From the first arrival to the last end.
+        middle_rate: Tokens a second that the engines computed in the
+            middle third.
     """
 
     plan: RunPlan
@@ -52,6 +54,7 @@
     generator_cpu: float
     load_average: float
     wall_ms: float
+    middle_rate: float
 
 
 def run(plan: RunPlan) -> RawRun:
@@ -74,6 +77,7 @@
         faults = gevent.spawn(
             _inject, measured, profile, balancer, plan.duration_ms, clk
         )
+        middle = gevent.spawn(_measure_middle, measured, plan.duration_ms, clk)
         outcomes = generator.run(requests)
         wall_ms = clk.now() - generator.start_ms
         spent_s = own.cpu_times().user + own.cpu_times().system - began_cpu_s
@@ -88,11 +92,29 @@
             spent_s / (wall_ms / clocks.MS_PER_SECOND),
             load_average,
             wall_ms,
+            middle.get(),
         )
     finally:
         measured.close()
 
 
+def _measure_middle(
+    measured: deployment.MeasuredDeployment,
+    duration_ms: float,
+    clk: clocks.Clock,
+) -> float:
+    """Returns the engines' tokens a second in the middle third."""
+    clk.sleep(duration_ms / 3)
+    began_ms, before = clk.now(), _computed(measured)
+    clk.sleep(duration_ms / 3)
+    seconds = (clk.now() - began_ms) / clocks.MS_PER_SECOND
+    return (_computed(measured) - before) / seconds
+
+
+def _computed(measured: deployment.MeasuredDeployment) -> int:
+    return sum(run["tokens"] for run in measured.read_runs())
+
+
 def _inject(
     measured: deployment.MeasuredDeployment,
     profile: scenarios.Profile,
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -71,9 +71,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Site:
-    """A deployment: VMs, engines by the models that they serve, load."""
+    """A deployment: VMs, engines by the models that they serve, load.
+
+    Attributes:
+        capacity: Tokens a second that all engines together compute under
+            the scenario `calibration`.
+    """
 
     name: SiteName
+    capacity: float
     vms: int
     engines: tuple[tuple[str, ...], ...]
     services: int
@@ -95,6 +101,7 @@
 
 COOPERATIVE = Site(
     SiteName.COOPERATIVE,
+    capacity=1_450,
     vms=3,
     engines=(("notes",),) * 6,
     services=2,
@@ -148,6 +155,7 @@
 
 KAURI = Site(
     SiteName.KAURI,
+    capacity=2_220,
     vms=3,
     engines=(("drafting",),) * 6 + (("drafting", "guidance"),) * 3,
     services=2,
