Let the measuring tool join scenarios in one run

Ruled out: a scenario of its own for each pair.

Change: `--scenario burst+crash+straggler` joins profiles; the crash takes the last engine. The configuration file's text has a module of its own.

--- a/bench/cli.py
+++ b/bench/cli.py
@@ -17,7 +17,10 @@
 
 
 def main(
-    scenario: Names = "burst",
+    scenario: Annotated[
+        str,
+        typer.Option(help="Separated by commas; `+` joins some in one run."),
+    ] = "burst",
     deployment_name: Annotated[
         sites.SiteName, typer.Option("--deployment")
     ] = sites.SiteName.COOPERATIVE,
@@ -57,7 +60,7 @@
             for policy_name in policy.split(","):
                 plan = runner.RunPlan(
                     site,
-                    scenarios.Scenario(one),
+                    one,
                     _policy(policy_name, tree),
                     int(seed),
                     known,
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -8,6 +8,7 @@
 import gevent
 import psutil
 
+from bench import configuration
 from bench import scenarios
 from bench import sites
 from tests import processes
@@ -119,15 +120,16 @@
         return [r for e in self.engines for r in e.runs()] + self.lost_runs
 
     def crash_engine(self) -> None:
-        """Kills the first engine and restarts it on the same port."""
-        old = self.engines[0]
+        """Kills the last engine and restarts it on the same port."""
+        last = len(self.engines) - 1
+        old = self.engines[last]
         # No token is computed between reading the records and the end.
         old.control(frozen=True)
         self.lost_runs += old.runs()
         old.process.kill()
         gevent.sleep(RESTART_PAUSE_S)
-        self.engines[0] = self._add(self._engine(0, old.port))
-        self.engines[0].wait_started()
+        self.engines[last] = self._add(self._engine(last, old.port))
+        self.engines[last].wait_started()
 
     def replace_vm(self, balancer) -> None:
         """Starts a new VM, then ends the oldest gracefully."""
@@ -208,7 +210,7 @@
 
     def _publish(self) -> None:
         path = pathlib.Path(self._directory.name) / "configuration.toml"
-        text = sites.configuration(
+        text = configuration.render(
             self._site,
             [e.port for e in self.engines],
             [s.port for s in self.services],
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -21,10 +21,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunPlan:
-    """What one run measures; `capacity` in tokens a second."""
+    """What one run measures; `capacity` in tokens a second.
+
+    Attributes:
+        scenario: Name of a scenario, or several joined by `+`.
+        comes_back: Callers repeat refused requests after Retry-After.
+    """
 
     site: sites.Site
-    scenario: scenarios.Scenario
+    scenario: str
     policy: deployment.Policy
     seed: int
     capacity: float
@@ -60,7 +65,7 @@
 def run(plan: RunPlan) -> RawRun:
     """Runs one scenario under one policy."""
     load_average = os.getloadavg()[0]
-    profile = scenarios.PROFILES[plan.scenario]
+    profile = scenarios.combine(plan.scenario)
     requests = load.plan(
         plan.site, profile, plan.capacity, plan.duration_ms, plan.seed
     )
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -32,7 +32,7 @@
         sigma_factor: Factor on the spread of the answers' lengths.
         slowdown: Factor on the times of the first engine.
         report_lag_ms: Age of the engines' load reports.
-        crash: Kill an engine in the middle and restart it.
+        crash: Kill the last engine in the middle and restart it.
         outage: The platform refuses all calls in the middle third.
         rolling: Replace all VMs, one after another.
     """
@@ -62,6 +62,18 @@
 }
 
 
+def combine(names: str) -> Profile:
+    """Returns the profile of scenarios joined by `+`."""
+    changes = {}
+    for name in names.split("+"):
+        for field, value in dataclasses.asdict(
+            PROFILES[Scenario(name)]
+        ).items():
+            if value != getattr(Profile(), field):
+                changes[field] = value
+    return Profile(**changes)
+
+
 def load_at(profile: Profile, at_ms: float, duration_ms: float) -> float:
     """Returns the offered load at a time of the run."""
     in_middle = duration_ms / 3 <= at_ms < duration_ms * 2 / 3
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from bench import configuration
 from bench import load
 from bench import scenarios
 from bench import sites
@@ -57,13 +58,19 @@
         ratio = count(swamp, second) / count(steady, second)
         self.assertAlmostEqual(1.0, ratio, delta=0.2)
 
+    def test_joined_scenarios_happen_in_one_run(self):
+        profile = scenarios.combine("burst+crash+straggler")
+        self.assertEqual(
+            scenarios.Profile(peak=3.0, crash=True, slowdown=10.0), profile
+        )
+
 
 class SitesTest(testtools.TestCase):
     def test_both_deployments_are_valid_configurations(self):
         for site in sites.SITES.values():
             ports = list(range(9001, 9001 + len(site.engines)))
             for flat in (False, True):
-                text = sites.configuration(site, ports, [9101], flat)
+                text = configuration.render(site, ports, [9101], flat)
                 cfg = schema.parse(text)
                 tiers = {c.tier for c in cfg.classes}
                 self.assertEqual({1} if flat else {1, 2, 3}, tiers)
