--- a/bench/runner.py
+++ b/bench/runner.py
@@ -21,10 +21,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunPlan:
-    """What one run measures; `capacity` in tokens a second."""
+    """What one run measures; `capacity` in tokens a second.
+
+    Attributes:
+        scenario: Name of a scenario, or several joined by `+`.
+        comes_back: Callers repeat refused requests after Retry-After.
+    """
 
     site: sites.Site
-    scenario: scenarios.Scenario
+    scenario: str
     policy: deployment.Policy
     seed: int
     capacity: float
@@ -42,6 +47,8 @@
         generator_cpu: Processor time of the generator, in cores.
         load_average: The machine's load average at the start.
         wall_ms: From the first arrival to the last end.
+        middle_rate: Tokens a second that the engines computed in the
+            middle third.
     """
 
     plan: RunPlan
@@ -52,12 +59,13 @@
     generator_cpu: float
     load_average: float
     wall_ms: float
+    middle_rate: float
 
 
 def run(plan: RunPlan) -> RawRun:
     """Runs one scenario under one policy."""
     load_average = os.getloadavg()[0]
-    profile = scenarios.PROFILES[plan.scenario]
+    profile = scenarios.combine(plan.scenario)
     requests = load.plan(
         plan.site, profile, plan.capacity, plan.duration_ms, plan.seed
     )
@@ -74,6 +82,7 @@
         faults = gevent.spawn(
             _inject, measured, profile, balancer, plan.duration_ms, clk
         )
+        middle = gevent.spawn(_measure_middle, measured, plan.duration_ms, clk)
         outcomes = generator.run(requests)
         wall_ms = clk.now() - generator.start_ms
         spent_s = own.cpu_times().user + own.cpu_times().system - began_cpu_s
@@ -88,11 +97,29 @@
             spent_s / (wall_ms / clocks.MS_PER_SECOND),
             load_average,
             wall_ms,
+            middle.get(),
         )
     finally:
         measured.close()
 
 
+def _measure_middle(
+    measured: deployment.MeasuredDeployment,
+    duration_ms: float,
+    clk: clocks.Clock,
+) -> float:
+    """Returns the engines' tokens a second in the middle third."""
+    clk.sleep(duration_ms / 3)
+    began_ms, before = clk.now(), _computed(measured)
+    clk.sleep(duration_ms / 3)
+    seconds = (clk.now() - began_ms) / clocks.MS_PER_SECOND
+    return (_computed(measured) - before) / seconds
+
+
+def _computed(measured: deployment.MeasuredDeployment) -> int:
+    return sum(run["tokens"] for run in measured.read_runs())
+
+
 def _inject(
     measured: deployment.MeasuredDeployment,
     profile: scenarios.Profile,
