Hold whole sessions of both examples in golden files

Cause: nothing showed that the two example files serve through three VMs. The first sessions found four faults. GET /v1/models and every other answer made outside the chat and service handlers had no X-Request-Id. A refusal's log line named neither account nor class, so an operator could not tell whose request was refused. Requests to plain services were never counted, so the status showed 0 served for the class of the entry application and the job desk. Two Metrics in one process failed, because aioprometheus registers each collector with a registry of its own choosing as well.

Ruled out: approvaltests' default namer; it looks at the stack and, under testtools, writes into the installed package.

Change: the callers' application adds X-Request-Id to any answer without it, keeps what it knows of a request in a RequestContext for the refusal's line and metric, and counts how a service request ended.

Before: test_cooperative and test_kauri ended with KeyError 'x-request-id'; the status line of `entry` was "0 0 0 -" after four served requests; test_metrics' second test ended with "is already registered". After: python -m pytest tests/test_example_sessions.py tests/test_metrics.py: 4 passed. With the added header switched off, both sessions fail again.

Conclusion: three serve processes with separate stand-ins serve both examples.

--- a/hornbeampier/callers/server.py
+++ b/hornbeampier/callers/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 import re
 import urllib.parse
 
@@ -23,7 +24,10 @@
 from hornbeampier.operators import history
 from hornbeampier.operators import schema
 
+REQUEST_ID_HEADER = "X-Request-Id"
 SERVICE_PATH = re.compile(r"^/services/([A-Za-z0-9_.-]+)(/.*)$")
+# The label of refusals before the class is known.
+NO_CLASS = "none"
 NOT_READY_RETRY_MS = 1_000.0
 DRAIN_RETRY_MS = 1_000.0
 
@@ -43,6 +47,15 @@
     object: str = "list"
 
 
+@dataclasses.dataclass
+class RequestContext:
+    """What is known so far of a request, for its log lines."""
+
+    request_id: str
+    account: str | None = None
+    request_class: str | None = None
+
+
 class CallerApp:
     """The WSGI application that callers reach."""
 
@@ -68,18 +81,21 @@
     def __call__(self, environ, start_response) -> Iterator[bytes]:
         """Answers one request."""
         request_id = self._env.new_id("req")
+        context = RequestContext(request_id)
         started = False
 
         def start(status, headers):
             nonlocal started
             started = True
+            if REQUEST_ID_HEADER not in dict(headers):
+                headers = [*headers, (REQUEST_ID_HEADER, request_id)]
             return start_response(status, headers)
 
         self.open_requests += 1
         try:
-            yield from self._route(environ, start, request_id)
+            yield from self._route(environ, start, context)
         except errors.RefusalError as exc:
-            self._log_refusal(request_id, exc)
+            self._log_refusal(context, exc)
             if started:
                 yield answers.error_event(exc)
                 return
@@ -99,14 +115,15 @@
             self.open_requests -= 1
 
     def _route(
-        self, environ, start_response, request_id: str
+        self, environ, start_response, context: RequestContext
     ) -> Iterator[bytes]:
         accepted = self._require_open()
         account = requests.authenticate(environ, accepted.cfg)
+        context.account = account.name
         path = environ["PATH_INFO"]
         if path == "/v1/chat/completions":
             _require_method(environ, "POST")
-            req = self._read_chat(environ, accepted.cfg, account, request_id)
+            req = self._read_chat(environ, accepted.cfg, account, context)
             return self._chat.handle(req, environ, start_response)
         if path == "/v1/models":
             _require_method(environ, "GET")
@@ -114,9 +131,10 @@
             return iter(wsgi.json_answer(start_response, 200, ModelList(rows)))
         if match := SERVICE_PATH.match(path):
             req = self._read_service(
-                environ, accepted.cfg, account, request_id, match
+                environ, accepted.cfg, account, context, match
             )
-            return self._services.handle(req, environ, start_response)
+            answer = self._services.handle(req, environ, start_response)
+            return self._count_end(req.demand, answer)
         raise errors.RefusalError(
             404, errors.RefusalCode.NOT_FOUND, f"no such path: {path}"
         )
@@ -144,13 +162,14 @@
         environ,
         cfg: schema.Configuration,
         account: schema.ClientAccount,
-        request_id: str,
+        context: RequestContext,
     ) -> requests.ChatRequest:
         request_class = requests.choose_class(environ, account, cfg)
+        context.request_class = request_class.name
         raw = self._read_body(environ)
         body = requests.parse_chat(raw, cfg)
         demand = self._demand(
-            request_id, body.model, request_class, account, raw
+            context.request_id, body.model, request_class, account, raw
         )
         return requests.ChatRequest(
             demand, body.model, body.stream, requests.streamed_body(raw)
@@ -161,7 +180,7 @@
         environ,
         cfg: schema.Configuration,
         account: schema.ClientAccount,
-        request_id: str,
+        context: RequestContext,
         match: re.Match,
     ) -> services.ServiceRequest:
         service = cfg.find_service(match[1])
@@ -172,13 +191,16 @@
                 f"unknown service {match[1]!r}",
             )
         request_class = cfg.find_class(service.request_class)
+        context.request_class = request_class.name
         raw = self._read_body(environ)
         path = urllib.parse.quote(match[2], safe="/:@!$&'()*+,;=~-._")
         if environ.get("QUERY_STRING"):
             path += "?" + environ["QUERY_STRING"]
         target = models.service_target(service.name)
         return services.ServiceRequest(
-            self._demand(request_id, target, request_class, account, raw),
+            self._demand(
+                context.request_id, target, request_class, account, raw
+            ),
             service,
             environ["REQUEST_METHOD"],
             path,
@@ -210,13 +232,41 @@
             models.fingerprint(account.name, raw),
         )
 
+    def _count_end(
+        self, demand: models.Demand, answer: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        """Relays a service's answer and counts how the request ended."""
+        wanted = demand.request_class
+        outcome = models.Outcome.CANCELLED
+        try:
+            yield from answer
+            outcome = models.Outcome.SERVED
+        except errors.RefusalError:
+            outcome = models.Outcome.REFUSED
+            raise
+        finally:
+            end_ms = self._env.clock.now() - demand.arrival_ms
+            in_time = wanted.complete_ms is None or end_ms <= wanted.complete_ms
+            self._metrics.record_end(
+                wanted.name,
+                outcome,
+                in_time and outcome is models.Outcome.SERVED,
+            )
+
     def _log_refusal(
-        self, request_id: str, refusal: errors.RefusalError
+        self, context: RequestContext, refusal: errors.RefusalError
     ) -> None:
-        self._metrics.refusals.inc({"code": refusal.code.value})
+        self._metrics.refusals.inc(
+            {
+                "class": context.request_class or NO_CLASS,
+                "code": refusal.code.value,
+            }
+        )
         self._log.info(
             "refused",
-            request_id=request_id,
+            request_id=context.request_id,
+            request_class=context.request_class,
+            account=context.account,
             status=refusal.status,
             code=refusal.code.value,
             verdict=refusal.verdict.value,
--- a/hornbeampier/metrics.py
+++ b/hornbeampier/metrics.py
@@ -13,39 +13,33 @@
 
     def __init__(self):
         self._registry = aioprometheus.Registry()
-        self.requests = self._register(
-            aioprometheus.Counter(
-                "hornbeampier_requests_total",
-                "Requests by class and outcome.",
-            )
+        self.requests = aioprometheus.Counter(
+            "hornbeampier_requests_total",
+            "Requests by class and outcome.",
+            registry=self._registry,
         )
-        self.refusals = self._register(
-            aioprometheus.Counter(
-                "hornbeampier_refusals_total", "Refusals by class and cause."
-            )
+        self.refusals = aioprometheus.Counter(
+            "hornbeampier_refusals_total",
+            "Refusals by class and cause.",
+            registry=self._registry,
         )
-        self.on_time = self._register(
-            aioprometheus.Counter(
-                "hornbeampier_on_time_total", "Requests served within target."
-            )
+        self.on_time = aioprometheus.Counter(
+            "hornbeampier_on_time_total",
+            "Requests served within target.",
+            registry=self._registry,
         )
-        self.tokens = self._register(
-            aioprometheus.Counter(
-                "hornbeampier_tokens_total", "Tokens by use: useful or wasted."
-            )
+        self.tokens = aioprometheus.Counter(
+            "hornbeampier_tokens_total",
+            "Tokens by use: useful or wasted.",
+            registry=self._registry,
         )
-        self.first_token = self._register(
-            aioprometheus.Histogram(
-                "hornbeampier_first_token_ms",
-                "Time from arrival to the first token in ms.",
-                buckets=list(MS_BUCKETS),
-            )
+        self.first_token = aioprometheus.Histogram(
+            "hornbeampier_first_token_ms",
+            "Time from arrival to the first token in ms.",
+            buckets=list(MS_BUCKETS),
+            registry=self._registry,
         )
 
-    def _register(self, collector):
-        self._registry.register(collector)
-        return collector
-
     def record_end(
         self, class_name: str, outcome: models.Outcome, on_time: bool
     ) -> None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -269,15 +269,12 @@
         self._parts = []
         self.platform = self._add(Standin("platform"))
         self.engines = [
-            self._add(
-                Standin("engine", "--name", f"engine-{i + 1}", "--slots", slots)
-            )
-            for i in range(engines)
+            self._start_standin("engine", i, slots) for i in range(engines)
         ]
         self.services = [
-            self._add(Standin("service", "--name", f"service-{i + 1}"))
-            for i in range(services)
+            self._start_standin("service", i, slots) for i in range(services)
         ]
+        self._start_more()
         self._wait_started(self._parts)
         self.vms = []
         for _ in range(vms):
@@ -303,6 +300,13 @@
             part.process.close()
         self._directory.cleanup()
 
+    def _start_standin(self, kind, index, slots):
+        name = f"{kind}-{index + 1}"
+        return self._add(Standin(kind, "--name", name, "--slots", slots))
+
+    def _start_more(self):
+        """Hook for stand-ins that start along with the others."""
+
     def start_vm(self, wait=True):
         """Starts another VM; lists it once it listens."""
         vm = Vm(
--- /dev/null
+++ b/tests/test_example_sessions.py
@@ -0,0 +1,244 @@
+"""Golden files of a whole session with each example deployment."""
+
+import dataclasses
+import json
+import pathlib
+import re
+import tomllib
+
+from approvaltests import scrubbers
+import testtools
+
+from tests import golden
+from tests import processes
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+PORT_KEY = re.compile(r"^port = (\d+)$", re.MULTILINE)
+DECISIONS = ("routed", "attempt_failed", "refused")
+SHOWN_HEADERS = ("content-type", "retry-after", "x-request-id")
+CHAT = "/v1/chat/completions"
+MAX_SHOWN = 500
+OVERSIZED = b"x" * (1_048_576 + 1)
+SCRUBS = (
+    scrubbers.create_regex_scrubber(
+        r"req-[0-9a-f]{24}", lambda index: f"req-{index}"
+    ),
+    scrubbers.create_regex_scrubber(r'"created":\d+', '"created":<unix s>'),
+    scrubbers.create_regex_scrubber(r'"wait_ms": [\d.]+', '"wait_ms": <ms>'),
+    scrubbers.create_regex_scrubber(r"\d+\.\d%", "<share>"),
+)
+
+
+class ExampleDeployment(processes.Deployment):
+    """An example's file, with stand-ins in place of its endpoints."""
+
+    def __init__(self, name):
+        self._text = (EXAMPLES / name / "configuration.toml").read_text()
+        self._endpoints = tomllib.loads(self._text)["endpoints"]
+        self.kinds = {e["name"]: e["kind"] for e in self._endpoints}
+        super().__init__(vms=3, engines=0)
+
+    def __enter__(self):
+        return self
+
+    def _start_more(self):
+        self._standins = [
+            self._add(
+                processes.Standin(
+                    e["kind"], "--name", e["name"], "--slots", e["slots"]
+                )
+            )
+            for e in self._endpoints
+        ]
+
+    def configuration(self):
+        ports = {
+            str(e["port"]): standin.port
+            for e, standin in zip(self._endpoints, self._standins, strict=True)
+        }
+        return PORT_KEY.sub(lambda m: f"port = {ports[m[1]]}", self._text)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A caller's request; `account` is the owner of its key."""
+
+    account: str
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple = ()
+
+    def send(self, vm):
+        key = f"{self.account}-key"
+        return vm.call(self.method, self.path, self.body, key, self.headers)
+
+
+def chat(account, text, model, stream=False, request_class=None):
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": text}],
+        "stream": stream,
+    }
+    headers = (("X-Request-Class", request_class),) if request_class else ()
+    return Call(account, "POST", CHAT, json.dumps(body).encode(), headers)
+
+
+def bad_calls(account, other_class, model):
+    """Requests that are refused before they reach an endpoint."""
+    messages = b'"messages": [{"role": "user", "content": "Hello"}]'
+    return [
+        chat("stranger", "Hello", model),
+        chat(account, "Hello", "unheard-of"),
+        chat(account, "Hello", model, request_class=other_class),
+        chat(account, "Hello", model, request_class="unheard-of"),
+        Call(account, "POST", CHAT, b'{"model": "' + model.encode()),
+        Call(account, "POST", CHAT, b"{" + messages + b"}"),
+        Call(account, "POST", CHAT, b'{"model": "x", "messages": []}'),
+        Call(account, "POST", CHAT, OVERSIZED),
+        Call(account, "GET", CHAT),
+        Call(account, "DELETE", "/v1/models"),
+        Call(account, "GET", "/v1/embeddings"),
+        Call(account, "GET", "/services/unheard-of/list"),
+    ]
+
+
+class Session:
+    """Makes calls one after another and writes down what is seen."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._calls = 0
+        self._lines = []
+
+    def text(self):
+        return "\n".join(self._lines) + "\n"
+
+    def publish(self, *args):
+        result = self._deployment.publish(
+            self._deployment.configuration(), *args
+        )
+        self._lines.append("$ hornbeampier publish FILE " + " ".join(args))
+        self._lines.append(result.stdout + result.stderr)
+
+    def status(self):
+        vm_list = f"{processes.HOST}:{self._deployment.platform.port}"
+        for vm in self._deployment.vms:
+            processes.wait_until(lambda vm=vm: not vm.report()["open_requests"])
+        result = processes.run("status", "--vm-list", vm_list)
+        self._lines += ["$ hornbeampier status", result.stdout]
+
+    def call(self, call):
+        vms = self._deployment.vms
+        vm = vms[self._calls % len(vms)]
+        self._calls += 1
+        answer = call.send(vm)
+        self._lines.append(f"{self._calls}. {call.account} at {vm.name}")
+        self._lines.append(f"> {call.method} {call.path}")
+        self._lines += [f"> {name}: {value}" for name, value in call.headers]
+        self._lines += _quote(">", call.body)
+        self._lines.append(f"< {answer.status}")
+        self._lines += [
+            f"< {name}: {answer.headers[name]}"
+            for name in SHOWN_HEADERS
+            if name in answer.headers
+        ]
+        self._lines += _quote("<", answer.body)
+        self._lines += self._decisions(vm, answer.headers["x-request-id"])
+        self._lines.append("")
+
+    def _decisions(self, vm, request_id):
+        for event in DECISIONS:
+            for line in vm.process.log_lines(event):
+                if line["request_id"] == request_id:
+                    yield "log " + json.dumps(self._scrub_choice(line))
+
+    def _scrub_choice(self, line):
+        """Names the kind of the chosen endpoint, which is random."""
+        shown = {k: v for k, v in line.items() if k != "timestamp"}
+        if "endpoint" in shown:
+            shown["endpoint"] = f"<{self._deployment.kinds[line['endpoint']]}>"
+        if "passed_over" in shown:
+            reasons = list(line["passed_over"].values())
+            shown["passed_over"] = {r: reasons.count(r) for r in set(reasons)}
+        return shown
+
+
+def _quote(mark, body):
+    if len(body) > MAX_SHOWN and body == body[:1] * len(body):
+        return [f"{mark} ({len(body)} bytes)"]
+    return [f"{mark} {line}" for line in body.decode().splitlines() if line]
+
+
+class ExampleSessionTest(testtools.TestCase):
+    def check(self, name, calls, later_calls):
+        with ExampleDeployment(name) as deployment:
+            session = Session(deployment)
+            session.publish()
+            deployment.wait_ready(version=0)
+            for call in calls:
+                session.call(call)
+            session.publish("--base", "0")
+            session.publish("--base", "0")
+            deployment.wait_ready(version=1)
+            for call in later_calls:
+                session.call(call)
+            session.status()
+        golden.verify(name, session.text(), *SCRUBS)
+
+    def test_cooperative(self):
+        key = (("Idempotency-Key", "fee-17"),)
+        self.check(
+            "cooperative",
+            [
+                chat("judges", "Which timber? tokens=4", "notes", stream=True),
+                chat("royal-welsh-show", "A note. tokens=4", "notes"),
+                chat(
+                    "royal-welsh-show",
+                    "Judge: which finish? tokens=3",
+                    "notes",
+                    request_class="judge-query",
+                ),
+                chat("photographers", "A caption. tokens=3", "notes"),
+                Call("archive", "GET", "/v1/models"),
+                Call("stewards", "GET", "/services/entry/stands?hall=2"),
+                Call("stewards", "PUT", "/services/entry/stands/7", b"bowl"),
+                Call("exhibitors", "POST", "/services/entry/fees", b"1", key),
+                Call(
+                    "exhibitors",
+                    "POST",
+                    "/services/entry/stand-lists/search",
+                    b"platter",
+                ),
+                *bad_calls("photographers", "judge-query", "notes"),
+            ],
+            [chat("clwb-aberystwyth", f"{n} tokens=2", "notes") for n in "abc"],
+        )
+
+    def test_kauri(self):
+        key = (("Idempotency-Key", "crew-9"),)
+        self.check(
+            "kauri",
+            [
+                chat(
+                    "hospital-discharge",
+                    "A quote. tokens=4",
+                    "drafting",
+                    stream=True,
+                ),
+                chat("napier", "An assessment. tokens=4", "drafting"),
+                chat(
+                    "nelson",
+                    "Which gradient? tokens=3",
+                    "guidance",
+                    stream=True,
+                    request_class="installer-question",
+                ),
+                Call("dunedin", "GET", "/v1/models"),
+                Call("wellington", "GET", "/services/jobs/jobs/12"),
+                Call("wellington", "POST", "/services/jobs/status", b"12"),
+                Call("hamilton", "POST", "/services/jobs/bookings", b"9", key),
+                *bad_calls("hospital-discharge", "job-desk", "drafting"),
+            ],
+            [chat("tauranga", f"{n} tokens=2", "drafting") for n in "abc"],
+        )
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,73 @@
+"""The text of `/metrics` and the health paths."""
+
+import re
+
+import testtools
+
+from hornbeampier import metrics
+from hornbeampier import models
+from hornbeampier.operators import admin
+
+LABEL = r'[a-zA-Z_][a-zA-Z0-9_]*="(?:[^"\\\n]|\\["\\n])*"'
+SAMPLE = re.compile(
+    rf"^([a-zA-Z_:][a-zA-Z0-9_:]*)(?:\{{({LABEL}(?:,{LABEL})*)?,?\}})? (\S+)$"
+)
+SUFFIXES = re.compile(r"_(bucket|sum|count)$")
+
+
+def parse(text):
+    """Reads Prometheus' text format 0.0.4; returns types and samples."""
+    types, samples = {}, []
+    for line in text.splitlines():
+        if line.startswith("# TYPE "):
+            _, _, name, kind = line.split(" ")
+            types[name] = kind
+        elif line and not line.startswith("# HELP "):
+            name, labels, value = SAMPLE.match(line).groups()
+            pairs = re.findall(r'(\w+)="([^"]*)"', labels or "")
+            samples.append((name, dict(pairs), float(value)))
+    return types, samples
+
+
+def get(app, path):
+    seen = []
+    body = app({"PATH_INFO": path}, lambda status, rows: seen.append(status))
+    return seen[0], b"".join(body).decode()
+
+
+class MetricsTextTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.metrics = metrics.Metrics()
+        self.app = admin.AdminApp(self.metrics, lambda: None)
+
+    def test_every_sample_is_declared_and_labelled(self):
+        self.metrics.record_end("urgent", models.Outcome.SERVED, True)
+        self.metrics.refusals.inc({"class": "urgent", "code": "overloaded"})
+        self.metrics.tokens.add({"use": "useful"}, 7)
+        status, text = get(self.app, "/metrics")
+        types, samples = parse(text)
+        self.assertEqual("200 OK", status)
+        self.assertTrue(text.endswith("\n"))
+        self.assertEqual({"counter", "histogram"}, set(types.values()))
+        for name, labels, _ in samples:
+            self.assertIn(SUFFIXES.sub("", name), types)
+            self.assertTrue(labels, name)
+        row = ("hornbeampier_tokens_total", {"use": "useful"}, 7.0)
+        self.assertIn(row, samples)
+
+    def test_histogram_buckets_are_cumulative(self):
+        for value_ms in (3, 30, 300, 30_000):
+            self.metrics.first_token.observe({"class": "urgent"}, value_ms)
+        _, samples = parse(get(self.app, "/metrics")[1])
+        name = "hornbeampier_first_token_ms"
+        rows = [
+            (float(labels["le"]), value)
+            for sample, labels, value in samples
+            if sample == f"{name}_bucket"
+        ]
+        self.assertEqual(sorted(rows), rows)
+        self.assertEqual(sorted(v for _, v in rows), [v for _, v in rows])
+        self.assertEqual((float("inf"), 4.0), rows[-1])
+        self.assertIn((f"{name}_count", {"class": "urgent"}, 4.0), samples)
+        self.assertIn((f"{name}_sum", {"class": "urgent"}, 30_333.0), samples)
