--- a/hornbeampier/commands.py
+++ b/hornbeampier/commands.py
@@ -55,10 +55,10 @@
 
 def dev(env: environment.Environment, port: int) -> status.ExitStatus:
     """Runs the embedded deployment."""
-    logs.configure(env.stderr, json_lines=False)
+    logs.configure(env.stderr, "warning", json_lines=False)
     app = application.Application("dev")
-    deployment = dev_deployment.DevDeployment(env, port)
-    app.add(deployment)
+    app.add(dev_deployment.DevDeployment(env, port))
+    app.add(_DecisionLines(env))
     return _run(app)
 
 
@@ -188,6 +188,17 @@
         print(self._make_line(), file=self._env.stdout, flush=True)
 
 
+class _DecisionLines(application.BaseComponent):
+    """Shows the decision lines once the components before it have started."""
+
+    def __init__(self, env: environment.Environment):
+        self._env = env
+
+    def start(self) -> None:
+        """Lowers the level of the log."""
+        logs.configure(self._env.stderr, json_lines=False)
+
+
 def _describe_ports(vm: str, ports: daemon.Ports) -> str:
     return (
         f"{vm} listens on port {ports.callers} (callers), "
--- a/hornbeampier/dev.py
+++ b/hornbeampier/dev.py
@@ -167,17 +167,20 @@
             self._env.clock.sleep(READY_POLL_MS)
 
     def _print_help(self) -> None:
+        port = self._daemon.caller_server.port
         platform_port = self._platform_server.port
         print(
-            f"hornbeampier is ready on http://{HOST}:{self._port}\n\n"
+            f"hornbeampier is ready on http://{HOST}:{port}\n\n"
             "Try it:\n"
-            f"  curl -N http://{HOST}:{self._port}/v1/chat/completions \\\n"
+            f"  curl -N http://{HOST}:{port}/v1/chat/completions \\\n"
             f"    -H 'Authorization: Bearer {DEV_KEY}' \\\n"
             "    -H 'Content-Type: application/json' \\\n"
             '    -d \'{"model": "demo", "stream": true, "messages": '
             '[{"role": "user", "content": "Hello"}]}\'\n\n'
-            f"Status:  hornbeampier status --vm-list {HOST}:{platform_port}\n"
-            "Stop with Ctrl-C.",
+            "See its state:\n"
+            f"  {self._env.program_path} status "
+            f"--vm-list {HOST}:{platform_port}\n\n"
+            "Stop it with Ctrl-C.",
             file=self._env.stdout,
             flush=True,
         )
--- a/hornbeampier/environment.py
+++ b/hornbeampier/environment.py
@@ -34,6 +34,7 @@
         default_factory=_default_config_dir
     )
     program_name: str = "hornbeampier"
+    program_path: str = dataclasses.field(default_factory=lambda: sys.argv[0])
 
     def new_id(self, prefix: str) -> str:
         """Returns an identifier that no other process generates."""
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -99,6 +99,17 @@
             raise AssertionError(f"did not start: {self.log_text()}")
         return [int(p) for p in PORTS.findall(self.line.partition("port ")[2])]
 
+    def read_until(self, end):
+        """Returns the standard output up to the line that is `end`."""
+        lines = [self.line]
+        with gevent.Timeout(START_TIMEOUT_S):
+            while lines[-1] and lines[-1] != end + "\n":
+                lines.append(self._process.stdout.readline())
+        return "".join(lines)
+
+    def interrupt(self):
+        self._process.send_signal(signal.SIGINT)
+
     def log_text(self):
         return self._log_path.read_text()
 
