Send each chunk at once, and measure what one router adds

Cause: bench/overhead.py showed 43 ms between a direct and a routed first token. The head and the chunks of an answer are separate writes on a socket without TCP_NODELAY, so each waits for the acknowledgement of the one before, which the receiver delays by 40 ms. It held for the stand-in engines too: the second and later requests on a kept connection got their first token after 44 to 52 ms instead of 4.

Ruled out: the queue (`wait_ms` 0.1 in the decision lines), and the watch for callers that leave (its interval is 500 ms).

A chunk costs more because the kernel no longer joins several into one segment; the next step is to cut the chunk path.

--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,181 @@
+"""What one router adds: latency to the first token, and processor time.
+
+Calls one stand-in engine directly and through one `serve` process, in turn and
+in the same run. Run it with `python -m bench.overhead`.
+"""
+
+# The entry module patches the standard library and must come first.
+from hornbeampier import core  # isort: skip
+
+import argparse
+import dataclasses
+import json
+import statistics
+import time
+
+import gevent
+from gevent import pool
+import psutil
+
+from hornbeampier import exchange
+from tests import processes
+
+CHAT_PATH = "/v1/chat/completions"
+TIMEOUT_MS = 60_000.0
+ENGINE_SLOTS = 32
+ENGINE_SLOWDOWN = 0.2
+CALLERS = 16
+LATENCY_PAIRS = 100
+# Tokens of an answer, and how many answers are asked for.
+LOADS = ((1, 640), (64, 96), (256, 32))
+IDLE_S = 2.0
+US_PER_S = 1_000_000
+MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Repetition:
+    """The figures of one repetition.
+
+    Attributes:
+        direct_ms: First-token latencies of direct calls.
+        routed_ms: First-token latencies of routed calls.
+        request_us: Router's processor time for each request.
+        chunk_us: Router's processor time for each streamed chunk.
+        idle_core: Share of a core that the idle router used.
+    """
+
+    direct_ms: list[float]
+    routed_ms: list[float]
+    request_us: float
+    chunk_us: float
+    idle_core: float
+
+
+class FastDeployment(processes.Deployment):
+    """One VM before one engine that is faster than the router."""
+
+    def __init__(self):
+        super().__init__(vms=1, engines=0, slots=ENGINE_SLOTS)
+
+    def _start_more(self):
+        engine = processes.Standin(
+            "engine",
+            "--name",
+            "engine-1",
+            "--slots",
+            ENGINE_SLOTS,
+            "--slowdown",
+            ENGINE_SLOWDOWN,
+        )
+        self.engines.append(self._add(engine))
+
+
+class Caller:
+    """Sends streamed requests to one port over kept connections."""
+
+    def __init__(self, port: int):
+        self._peer = exchange.HttpPeer(processes.HOST, port, TIMEOUT_MS)
+
+    def stream(self, tokens: int) -> float:
+        """Reads one whole answer; returns the first token's latency in ms."""
+        body = {
+            "model": "notes",
+            "stream": True,
+            "messages": [{"role": "user", "content": f"tokens={tokens}"}],
+        }
+        headers = (("Authorization", "Bearer key-1"), ("X-Request-Id", "r"))
+        req = exchange.OutgoingRequest(
+            "POST", CHAT_PATH, headers, json.dumps(body).encode()
+        )
+        began_s = time.perf_counter()
+        reply = self._peer.send(req)
+        events = (line for line in reply.lines() if line.startswith(b"data: "))
+        next(events)
+        first_ms = (time.perf_counter() - began_s) * MS_PER_S
+        count = sum(1 for _ in events)
+        reply.close()
+        if reply.status != 200 or count != tokens:
+            raise RuntimeError(f"{reply.status}: {count} of {tokens} tokens")
+        return first_ms
+
+
+def measure(deployment: FastDeployment) -> Repetition:
+    """Measures one repetition."""
+    vm = deployment.vms[0]
+    direct = Caller(deployment.engines[0].port)
+    routed = Caller(vm.port)
+    latencies = ([], [])
+    for _ in range(LATENCY_PAIRS):
+        latencies[0].append(direct.stream(1))
+        latencies[1].append(routed.stream(1))
+    router = psutil.Process(vm.process.pid)
+    idle_s = _cpu_s(router)
+    gevent.sleep(IDLE_S)
+    idle_core = (_cpu_s(router) - idle_s) / IDLE_S
+    costs = [
+        (tokens, _request_cost_s(router, routed, tokens, count, idle_core))
+        for tokens, count in LOADS
+    ]
+    slope, intercept = statistics.linear_regression(*zip(*costs, strict=True))
+    return Repetition(
+        *latencies, intercept * US_PER_S, slope * US_PER_S, idle_core
+    )
+
+
+def _request_cost_s(
+    router: psutil.Process,
+    caller: Caller,
+    tokens: int,
+    count: int,
+    idle_core: float,
+) -> float:
+    """Returns the processor time of one request, less the idle share."""
+    callers = pool.Pool(CALLERS)
+    began_s, before_s = time.perf_counter(), _cpu_s(router)
+    for _ in callers.imap_unordered(caller.stream, [tokens] * count):
+        pass
+    wall_s = time.perf_counter() - began_s
+    return (_cpu_s(router) - before_s - wall_s * idle_core) / count
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _percentile(values: list[float], percent: int) -> float:
+    return statistics.quantiles(values, n=100)[percent - 1]
+
+
+def _show(name: str, values: list[float], unit: str) -> None:
+    middle = statistics.median(values)
+    print(
+        f"{name:<42} {middle:8.2f} {unit}"
+        f"  ({min(values):.2f} to {max(values):.2f})"
+    )
+
+
+def main() -> None:
+    """Prints the median and the spread over the repetitions."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--repetitions", type=int, default=5)
+    count = parser.parse_args().repetitions
+    with FastDeployment() as deployment:
+        measure(deployment)
+        rows = [measure(deployment) for _ in range(count)]
+    for percent in (50, 95):
+        direct = [_percentile(r.direct_ms, percent) for r in rows]
+        routed = [_percentile(r.routed_ms, percent) for r in rows]
+        added = [b - a for a, b in zip(direct, routed, strict=True)]
+        _show(f"first token, direct, p{percent}", direct, "ms")
+        _show(f"first token, routed, p{percent}", routed, "ms")
+        _show(f"first token, added, p{percent}", added, "ms")
+    _show("processor time for each request", [r.request_us for r in rows], "us")
+    _show("processor time for each chunk", [r.chunk_us for r in rows], "us")
+    _show("idle", [r.idle_core * 100 for r in rows], "% of a core")
+
+
+if __name__ == "__main__":
+    del core
+    main()
--- a/hornbeampier/wsgi.py
+++ b/hornbeampier/wsgi.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import pool
 from gevent import pywsgi
+from gevent import socket
 import msgspec
 
 from hornbeampier import application
@@ -81,7 +82,16 @@
         return self._server.server_port
 
     def start(self) -> None:
-        """Binds the address and begins to accept connections."""
+        """Binds the address and begins to accept connections.
+
+        Accepted connections inherit `TCP_NODELAY`: the head and the body of
+        an answer are sent apart, and the body must not wait for the
+        acknowledgement of the head.
+        """
+        self._server.init_socket()
+        self._server.socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+        )
         self._server.start()
 
     def stop(self) -> None:
--- /dev/null
+++ b/tests/test_wsgi.py
@@ -0,0 +1,23 @@
+"""The HTTP server that all parts of the program use."""
+
+from gevent import socket
+import testtools
+
+from hornbeampier import wsgi
+from hornbeampier.callers import connection
+from tests import processes
+
+
+class HttpServerTest(testtools.TestCase):
+    def test_a_chunk_does_not_wait_for_the_last_ones_acknowledgement(self):
+        def app(environ, start_response):
+            accepted = environ[connection.SOCKET_KEY]
+            value = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            return wsgi.json_answer(start_response, 200, bool(value))
+
+        server = wsgi.HttpServer(
+            processes.HOST, 0, app, handler_class=connection.CallerHandler
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        self.assertTrue(processes.call(server.port, "GET", "/").json())
