--- a/tests/processes.py
+++ b/tests/processes.py
@@ -99,6 +99,17 @@
             raise AssertionError(f"did not start: {self.log_text()}")
         return [int(p) for p in PORTS.findall(self.line.partition("port ")[2])]
 
+    def read_until(self, end):
+        """Returns the standard output up to the line that is `end`."""
+        lines = [self.line]
+        with gevent.Timeout(START_TIMEOUT_S):
+            while lines[-1] and lines[-1] != end + "\n":
+                lines.append(self._process.stdout.readline())
+        return "".join(lines)
+
+    def interrupt(self):
+        self._process.send_signal(signal.SIGINT)
+
     def log_text(self):
         return self._log_path.read_text()
 
@@ -269,15 +280,12 @@
         self._parts = []
         self.platform = self._add(Standin("platform"))
         self.engines = [
-            self._add(
-                Standin("engine", "--name", f"engine-{i + 1}", "--slots", slots)
-            )
-            for i in range(engines)
+            self._start_standin("engine", i, slots) for i in range(engines)
         ]
         self.services = [
-            self._add(Standin("service", "--name", f"service-{i + 1}"))
-            for i in range(services)
+            self._start_standin("service", i, slots) for i in range(services)
         ]
+        self._start_more()
         self._wait_started(self._parts)
         self.vms = []
         for _ in range(vms):
@@ -303,6 +311,13 @@
             part.process.close()
         self._directory.cleanup()
 
+    def _start_standin(self, kind, index, slots):
+        name = f"{kind}-{index + 1}"
+        return self._add(Standin(kind, "--name", name, "--slots", slots))
+
+    def _start_more(self):
+        """Hook for stand-ins that start along with the others."""
+
     def start_vm(self, wait=True):
         """Starts another VM; lists it once it listens."""
         vm = Vm(
