Remove the headroom for arrivals that have not come yet

Change: the headroom, the offered load and its estimate are gone; a lower tier still leaves room for what peers report as waiting. The misses of the middle tier come from long bulk requests that hold the slots when a burst begins.

--- a/hornbeampier/policy/durations.py
+++ b/hornbeampier/policy/durations.py
@@ -2,7 +2,6 @@
 
 DEFAULT_MS = 1_000.0
 GAIN = 0.1
-ALL = "all"
 
 
 class Durations:
@@ -12,11 +11,9 @@
         self._by_class: dict[str, float] = {}
         self._by_account: dict[tuple[str, str], float] = {}
         self._first_token: dict[str, float] = {}
-        self._all: dict[str, float] = {}
 
     def record(self, class_name: str, account: str, duration_ms: float) -> None:
         """Adds the endpoint time of a finished request."""
-        _update(self._all, ALL, duration_ms)
         _update(self._by_class, class_name, duration_ms)
         _update(self._by_account, (class_name, account), duration_ms)
 
@@ -31,10 +28,6 @@
             known = self._by_class.get(class_name, DEFAULT_MS)
         return known
 
-    def mean_ms(self) -> float:
-        """Returns the mean endpoint time of all classes."""
-        return max(1.0, self._all.get(ALL, DEFAULT_MS))
-
     def expect_first_token_ms(self, class_name: str) -> float:
         """Returns the expected time from dispatch to the first token."""
         return self._first_token.get(class_name, 0.0)
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -30,14 +30,11 @@
         self._queues: dict[str, queues.TargetQueue] = {}
         self._top_tier = 1
         self.durations = durations.Durations()
-        self._capacity = capacity.Capacity(
-            chooser, peers, self.durations, clock
-        )
+        self._capacity = capacity.Capacity(chooser, peers, clock)
 
     def apply(self, cfg: schema.Configuration) -> None:
         """Takes the tiers of a new configuration into use."""
         self._top_tier = min(c.tier for c in cfg.classes)
-        self._capacity.apply(cfg)
         self.pump()
 
     def acquire(
@@ -98,9 +95,6 @@
         cost_ms = self.durations.expect_ms(
             demand.request_class.name, demand.account.name
         )
-        self._capacity.offered.record(
-            demand.request_class.name, cost_ms, now_ms
-        )
         self._admit(demand)
         ticket = tickets.Ticket(
             demand,
@@ -188,7 +182,7 @@
         tier = ticket.demand.request_class.tier
         if tier == self._top_tier or queue.is_entitled(ticket, now_ms):
             return True
-        return self._capacity.has_headroom(states, tier)
+        return self._capacity.leaves_room(states, tier)
 
     def _abandon(self, ticket: tickets.Ticket) -> None:
         """Takes back a ticket whose caller no longer waits for it."""
