--- a/hornbeampier/callers/connection.py
+++ b/hornbeampier/callers/connection.py
@@ -10,6 +10,14 @@
 
 SOCKET_KEY = "hornbeampier.socket"
 WATCH_INTERVAL_S = 0.5
+# A caller that takes nothing of its answer for so long is cut off.
+WRITE_TIMEOUT_S = 30.0
+# What is read of a body that nobody wants, before the connection is closed.
+DISCARD_TIMEOUT_S = 1.0
+DISCARD_BYTES = 65_536
+# The peer has sent its FIN; tcp_info's first byte is the state.
+TCP_CLOSE_WAIT = 8
+TCP_CLOSE = 7
 
 
 class CallerGoneError(BaseException):
@@ -19,6 +27,32 @@
     """
 
 
+class BoundedInput(pywsgi.Input):
+    """A request body whose unread rest is not read to its end."""
+
+    def is_unread(self) -> bool:
+        """Returns whether a part of the body was not read."""
+        if self.chunked_input:
+            return self.chunk_length != 0
+        return self.position < (self.content_length or 0)
+
+    def _discard(self):
+        """Reads a little of the rest, so that the caller sees the answer.
+
+        Raises:
+            OSError: The rest is too long or too slow; the handler closes.
+        """
+        if self._chunked_input_error or not self.is_unread():
+            return
+        self.send_100_continue_enabled = False
+        left = DISCARD_BYTES
+        with gevent.Timeout(DISCARD_TIMEOUT_S, TimeoutError):
+            while left > 0 and (data := self.read(min(left, 16_384))):
+                left -= len(data)
+        if left <= 0:
+            raise TimeoutError("the body was not read to its end")
+
+
 class CallerHandler(pywsgi.WSGIHandler):
     """Hands the connection to the application and limits slow senders."""
 
@@ -42,8 +76,30 @@
         self._head_timeout.close()
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        former = self.wsgi_input
+        self.wsgi_input = BoundedInput(
+            former.rfile,
+            former.content_length,
+            socket=former.socket,
+            chunked_input=former.chunked_input,
+        )
+        environ["wsgi.input"] = self.wsgi_input
+        self.socket.settimeout(WRITE_TIMEOUT_S)
         return environ
 
+    def handle_one_response(self):
+        """Answers, then closes unless the whole body was read."""
+        super().handle_one_response()
+        if self.wsgi_input.is_unread():
+            self.close_connection = True
+
+    def handle_error(self, t, v, tb):
+        """Closes without a traceback when the caller went away."""
+        if issubclass(t, (CallerGoneError, TimeoutError)):
+            self.close_connection = True
+            return
+        super().handle_error(t, v, tb)
+
 
 @contextlib.contextmanager
 def watch(sock: socket.socket) -> Iterator[None]:
@@ -61,15 +117,17 @@
         readable, _, _ = select.select([sock], [], [], WATCH_INTERVAL_S)
         if not readable:
             continue
-        if not _is_closed(sock):
+        if _is_closed(sock):
+            handler.kill(CallerGoneError, block=False)
             return
-        handler.kill(CallerGoneError, block=False)
-        return
+        # Pipelined bytes keep the socket readable.
+        gevent.sleep(WATCH_INTERVAL_S)
 
 
 def _is_closed(sock: socket.socket) -> bool:
-    """Returns whether the caller closed; pipelined bytes mean it did not."""
+    """Returns whether the caller closed, perhaps behind pipelined bytes."""
     try:
-        return sock.recv(1, socket.MSG_PEEK) == b""
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
     except OSError:
         return True
+    return info[0] in (TCP_CLOSE_WAIT, TCP_CLOSE)
--- a/hornbeampier/callers/requests.py
+++ b/hornbeampier/callers/requests.py
@@ -12,6 +12,8 @@
 
 CLASS_HEADER = "HTTP_X_REQUEST_CLASS"
 BEARER = "Bearer "
+# A tab is allowed inside a header's value.
+CONTROL_BYTES = frozenset(map(chr, range(32))) - {"\t"} | {"\x7f"}
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -23,11 +25,17 @@
 
 
 class ChatBody(msgspec.Struct, frozen=True):
-    """The part of OpenAI's chat request that the router reads."""
+    """The part of OpenAI's chat request that the router reads.
+
+    A whole answer is put together from the text of its events, so that it
+    cannot hold several choices or tool calls.
+    """
 
     model: str
     messages: tuple[ChatMessage, ...]
     stream: bool = False
+    n: int | None = None
+    tools: tuple[msgspec.Raw, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +48,20 @@
     body: bytes
 
 
+def check_head(environ) -> None:
+    """Refuses a head that endpoints could read in another way.
+
+    Raises:
+        errors.RefusalError: The head is malformed.
+    """
+    coding = environ.get("HTTP_TRANSFER_ENCODING", "")
+    if coding and coding.lower() != "chunked":
+        raise _bad_request("Transfer-Encoding: only chunked is supported")
+    for key, value in environ.items():
+        if key.startswith("HTTP_") and not CONTROL_BYTES.isdisjoint(value):
+            raise _bad_request("a header holds control characters")
+
+
 def authenticate(environ, cfg: schema.Configuration) -> schema.ClientAccount:
     """Returns the account that the bearer key belongs to.
 
@@ -123,10 +145,14 @@
     """
     try:
         body = msgspec.json.decode(raw, type=ChatBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except errors.DECODE_ERRORS as exc:
         raise _bad_request(f"the body is not a chat request: {exc}") from exc
     if not body.messages:
         raise _bad_request("messages: at least one is needed")
+    if body.n not in (None, 1):
+        raise _bad_request("n: only 1 is supported")
+    if body.tools and not body.stream:
+        raise _bad_request("tools: set stream to true")
     if body.model not in {m.name for m in cfg.models}:
         raise errors.RefusalError(
             404,
@@ -136,6 +162,16 @@
     return body
 
 
+def canonical_body(raw: bytes) -> bytes:
+    """Returns the body's value in one spelling, for its fingerprint."""
+    try:
+        fields = msgspec.json.decode(raw, type=dict)
+        fields.pop("stream", None)
+        return msgspec.json.encode(fields, order="sorted")
+    except (*errors.DECODE_ERRORS, ValueError) as exc:
+        raise _bad_request(f"the body is not a chat request: {exc}") from exc
+
+
 def streamed_body(raw: bytes) -> bytes:
     """Returns the body with `stream` set, as engines receive it."""
     fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
--- a/hornbeampier/callers/server.py
+++ b/hornbeampier/callers/server.py
@@ -118,6 +118,7 @@
         self, environ, start_response, context: RequestContext
     ) -> Iterator[bytes]:
         accepted = self._require_open()
+        requests.check_head(environ)
         account = requests.authenticate(environ, accepted.cfg)
         context.account = account.name
         path = environ["PATH_INFO"]
@@ -169,7 +170,11 @@
         raw = self._read_body(environ)
         body = requests.parse_chat(raw, cfg)
         demand = self._demand(
-            context.request_id, body.model, request_class, account, raw
+            context.request_id,
+            body.model,
+            request_class,
+            account,
+            requests.canonical_body(raw),
         )
         return requests.ChatRequest(
             demand, body.model, body.stream, requests.streamed_body(raw)
@@ -193,7 +198,9 @@
         request_class = cfg.find_class(service.request_class)
         context.request_class = request_class.name
         raw = self._read_body(environ)
-        path = urllib.parse.quote(match[2], safe="/:@!$&'()*+,;=~-._")
+        path = urllib.parse.quote(
+            match[2], safe="/:@!$&'()*+,;=~-._", encoding="latin-1"
+        )
         if environ.get("QUERY_STRING"):
             path += "?" + environ["QUERY_STRING"]
         target = models.service_target(service.name)
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -25,6 +25,7 @@
 from hornbeampier.platform import vm_list
 from hornbeampier.policy import choice
 from hornbeampier.policy import scheduler
+from hornbeampier.policy import suspects
 from hornbeampier.vms import catch_up
 from hornbeampier.vms import hints
 from hornbeampier.vms import messages
@@ -105,10 +106,26 @@
             self._endpoints,
             lambda: self._follower.accepted,
         )
+        self._suspects = suspects.Suspects(
+            clk,
+            self._env.rng,
+            self._endpoints,
+            self._hints,
+            self._occupancy,
+            self._announce,
+        )
         self._router = router.Router(
-            self._scheduler, clk, lambda: self._follower.history.version
+            self._scheduler,
+            self._endpoints,
+            self._suspects,
+            clk,
+            lambda: self._follower.history.version,
         )
 
+    def _occupancy(self, state: registry.EndpointState) -> int:
+        chooser = choice.EndpointChooser(self._hints, self._env.rng)
+        return chooser.occupancy(state, self._env.clock.now())
+
     def _make_scheduler(self) -> scheduler.Scheduler:
         """Returns the scheduler; measurements replace it by baselines."""
         return scheduler.Scheduler(
@@ -256,13 +273,22 @@
             {s.name: s.in_flight for s in self._endpoints.all() if s.in_flight},
             waiting,
             tuple(s.name for s in self._endpoints.all() if s.leaving),
+            self._suspects.tell(),
+            self._suspects.suspects_at(),
+            self._suspects.reserved(),
         )
 
+    def _announce(self) -> None:
+        """Tells a change of the suspects and what waits for it."""
+        self._hints.announce()
+        self._scheduler.pump()
+
     def _on_hint(self, hint: messages.Hint) -> None:
         for name in hint.leaving:
             state = self._endpoints.find(name)
             if state is not None:
                 state.leaving = True
+        self._suspects.merge(hint.suspicions)
         self._scheduler.pump()
 
 
--- a/hornbeampier/endpoints/batch.py
+++ b/hornbeampier/endpoints/batch.py
@@ -113,8 +113,14 @@
         return sequence
 
     def cancel(self, sequence: Sequence) -> None:
-        """Takes a request out at the next step."""
+        """Takes a request out; one that runs leaves at the next step."""
+        if sequence.cancelled:
+            return
         sequence.cancelled = True
+        if sequence in self._waiting:
+            self._waiting.remove(sequence)
+            heapq.heapify(self._waiting)
+        sequence.output.put(None)
 
     def run(self) -> None:
         """Executes decoding steps until killed."""
--- a/hornbeampier/endpoints/engine.py
+++ b/hornbeampier/endpoints/engine.py
@@ -3,17 +3,35 @@
 from collections.abc import Iterator
 import dataclasses
 
+import gevent
 import msgspec
 
+from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import exchange
 from hornbeampier import verdict
 from hornbeampier.endpoints import messages
 
 CHAT_PATH = "/v1/chat/completions"
+CANCEL_PATH = "/cancel/{request_id}/{attempt}"
+RESUME_HEADER = "X-Resume-Tokens"
+RESUME_FIELD = "resume_text"
+COMMENT = b":"
 # Statuses by which an engine says that it did not run the request.
-NOT_RUN_STATUSES = frozenset({400, 404, 413, 422, 429, 503})
+NOT_RUN_STATUSES = frozenset({404, 429, 503})
 BUSY_STATUSES = frozenset({429, 503})
+# Statuses by which an engine says that the caller's request is wrong.
+CALLER_STATUSES = frozenset({400, 413, 422})
+CANCEL_TIMEOUT_MS = 1_000.0
+END_TIMEOUT_MS = 200.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Timeouts:
+    """How long an engine may be silent, in ms."""
+
+    first_token_ms: float
+    between_tokens_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,54 +43,94 @@
         priority: The tier; engines run lower numbers first.
         resume_text: The part of the answer that the router already has.
         resume_tokens: The number of events in `resume_text`.
+        attempt: Tells the attempts of a request apart, from 1 on.
     """
 
     request_id: str
     body: bytes
     priority: int
+    timeouts: Timeouts
     resume_text: str = ""
     resume_tokens: int = 0
+    attempt: int = 1
 
     def headers(self) -> tuple[tuple[str, str], ...]:
         """Returns the HTTP headers of the request."""
         rows = [
             ("Content-Type", "application/json"),
             ("X-Request-Id", self.request_id),
+            ("X-Attempt", str(self.attempt)),
             ("X-Priority", str(self.priority)),
         ]
         if self.resume_tokens:
-            rows.append(("X-Resume-Tokens", str(self.resume_tokens)))
+            rows.append((RESUME_HEADER, str(self.resume_tokens)))
         return tuple(rows)
 
+    def full_body(self) -> bytes:
+        """Returns the body with the text to resume from."""
+        if not self.resume_tokens:
+            return self.body
+        fields = msgspec.json.decode(self.body, type=dict[str, msgspec.Raw])
+        fields[RESUME_FIELD] = msgspec.Raw(
+            msgspec.json.encode(self.resume_text)
+        )
+        return msgspec.json.encode(fields)
+
 
 @dataclasses.dataclass(frozen=True)
 class EngineEvent:
-    """One event of an answer: the SSE line and the text that it adds."""
+    """One event of an answer: the SSE line and the text that it adds.
+
+    Attributes:
+        resumable: Whether the text alone lets another engine go on.
+    """
 
     line: bytes
     text: str
     finish_reason: str | None
+    resumable: bool = True
 
 
 class EngineClient:
     """Sends chat requests to one engine."""
 
-    def __init__(self, peer: exchange.HttpPeer):
+    def __init__(self, peer: exchange.HttpPeer, clk: clock.Clock):
         self._peer = peer
+        self._clock = clk
 
     def stream(self, req: EngineRequest) -> Iterator[EngineEvent]:
         """Runs a request and yields its events up to the end marker.
 
+        A request that is left before its end is cancelled at the engine.
+
         Raises:
             errors.AttemptError: The engine refused, or the answer is not
                 whole or belongs to another request.
+            errors.RefusalError: The engine finds the caller's request wrong.
         """
+        ended = False
+        try:
+            yield from self._exchange(req)
+            ended = True
+        except errors.AttemptError as exc:
+            ended = exc.verdict is verdict.Verdict.NOT_RUN
+            raise
+        finally:
+            if not ended:
+                gevent.spawn(self._cancel, req)
+
+    def _exchange(self, req: EngineRequest) -> Iterator[EngineEvent]:
         reply = self._peer.send(
-            exchange.OutgoingRequest("POST", CHAT_PATH, req.headers(), req.body)
+            exchange.OutgoingRequest(
+                "POST",
+                CHAT_PATH,
+                req.headers(),
+                req.full_body(),
+                timeout_ms=req.timeouts.first_token_ms,
+            )
         )
         try:
-            if reply.status != 200:
-                raise _refusal(reply)
+            _check_status(req, reply)
             yield from self._events(req, reply)
         finally:
             reply.close()
@@ -80,20 +138,77 @@
     def _events(
         self, req: EngineRequest, reply: exchange.Exchange
     ) -> Iterator[EngineEvent]:
+        limit_ms = req.timeouts.first_token_ms
+        since_ms = self._clock.now()
+        finished = False
         for line in reply.lines():
             line = line.rstrip()
-            if not line:
+            if not line or line.startswith(COMMENT):
+                if self._clock.now() - since_ms > limit_ms:
+                    raise _stalled()
                 continue
             if line == messages.DONE_LINE:
-                # Reads the end of the body, so that the connection is kept.
-                reply.read()
+                _check_finished(finished)
+                _end(reply)
                 return
-            yield _parse(req.request_id, line)
-        raise errors.AttemptError(
-            "the answer ended without its end marker",
-            verdict.Verdict.MAY_HAVE_RUN,
-            crashed=True,
+            event = _parse(req.request_id, line)
+            finished = finished or event.finish_reason is not None
+            if limit_ms != req.timeouts.between_tokens_ms:
+                limit_ms = req.timeouts.between_tokens_ms
+                reply.set_read_timeout(limit_ms)
+            yield event
+            since_ms = self._clock.now()
+        raise _corrupt("the answer ended without its end marker")
+
+    def _cancel(self, req: EngineRequest) -> None:
+        path = CANCEL_PATH.format(
+            request_id=req.request_id, attempt=req.attempt
         )
+        order = exchange.OutgoingRequest(
+            "POST", path, timeout_ms=CANCEL_TIMEOUT_MS
+        )
+        try:
+            self._peer.call(order)
+        except errors.AttemptError:
+            # An engine that cannot be reached sees its connection closed.
+            return
+
+
+def _check_status(req: EngineRequest, reply: exchange.Exchange) -> None:
+    """Raises unless the engine runs the request as it was sent."""
+    status = reply.status
+    if status == 200:
+        if req.resume_tokens and reply.header(RESUME_HEADER) != str(
+            req.resume_tokens
+        ):
+            raise _corrupt("the engine did not resume the answer")
+        return
+    if status in CALLER_STATUSES and not req.resume_tokens:
+        raise errors.RefusalError(
+            status,
+            errors.RefusalCode.BAD_REQUEST,
+            f"the engine refused the request with {status}",
+        )
+    run = verdict.Verdict.MAY_HAVE_RUN
+    if status in NOT_RUN_STATUSES | CALLER_STATUSES:
+        run = verdict.Verdict.NOT_RUN
+    raise errors.AttemptError(
+        f"the engine answered {status}", run, leaving=status in BUSY_STATUSES
+    )
+
+
+def _end(reply: exchange.Exchange) -> None:
+    """Reads the end of the body, so that the connection can be kept."""
+    reply.set_read_timeout(END_TIMEOUT_MS)
+    try:
+        reply.read()
+    except errors.AttemptError:
+        return
+
+
+def _check_finished(finished: bool) -> None:
+    if not finished:
+        raise _corrupt("the answer ended without its finish reason")
 
 
 def _parse(request_id: str, line: bytes) -> EngineEvent:
@@ -102,26 +217,28 @@
     payload = line[len(messages.DATA_PREFIX) :]
     try:
         chunk = msgspec.json.decode(payload, type=messages.Chunk)
-    except msgspec.MsgspecError as exc:
+    except errors.DECODE_ERRORS as exc:
         raise _corrupt("an event is not valid JSON") from exc
     if chunk.id != request_id:
         raise _corrupt("an event belongs to another request")
     if not chunk.choices:
         return EngineEvent(line, "", None)
     choice = chunk.choices[0]
-    return EngineEvent(line, choice.delta.content, choice.finish_reason)
-
-
-def _refusal(reply: exchange.Exchange) -> errors.AttemptError:
-    status = reply.status
-    reply.read()
-    run = verdict.Verdict.MAY_HAVE_RUN
-    if status in NOT_RUN_STATUSES:
-        run = verdict.Verdict.NOT_RUN
-    return errors.AttemptError(
-        f"the engine answered {status}", run, leaving=status in BUSY_STATUSES
+    return EngineEvent(
+        line,
+        choice.delta.content or "",
+        choice.finish_reason,
+        not choice.delta.tool_calls,
     )
 
 
 def _corrupt(message: str) -> errors.AttemptError:
     return errors.AttemptError(message, verdict.Verdict.MAY_HAVE_RUN)
+
+
+def _stalled() -> errors.AttemptError:
+    return errors.AttemptError(
+        "the engine computes no tokens",
+        verdict.Verdict.MAY_HAVE_RUN,
+        timed_out=True,
+    )
--- a/hornbeampier/endpoints/load.py
+++ b/hornbeampier/endpoints/load.py
@@ -60,7 +60,7 @@
             return
         try:
             report = msgspec.json.decode(body, type=messages.LoadReport)
-        except msgspec.MsgspecError:
+        except errors.DECODE_ERRORS:
             return
         self._endpoints.record_report(state, report)
         self._on_report()
--- a/hornbeampier/endpoints/messages.py
+++ b/hornbeampier/endpoints/messages.py
@@ -7,9 +7,10 @@
 
 
 class Delta(msgspec.Struct, frozen=True):
-    """The text that a chunk adds."""
+    """What a chunk adds; only text can be resumed at another engine."""
 
-    content: str = ""
+    content: str | None = None
+    tool_calls: tuple[msgspec.Raw, ...] | None = None
 
 
 class ChunkChoice(msgspec.Struct, frozen=True):
@@ -69,6 +70,7 @@
         slots: Requests that it can execute at the same time.
         leaving: Whether it refuses new work.
         held: Models that it can run; None if it does not say.
+        boot: Identifies the endpoint's process, or empty.
     """
 
     running: int
@@ -76,3 +78,4 @@
     slots: int
     leaving: bool = False
     held: tuple[str, ...] | None = None
+    boot: str = ""
--- /dev/null
+++ b/hornbeampier/endpoints/probe.py
@@ -0,0 +1,29 @@
+"""Tells a crashed endpoint from a lost connection."""
+
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier import exchange
+from hornbeampier.endpoints import load
+from hornbeampier.endpoints import messages
+from hornbeampier.endpoints import registry
+
+TIMEOUT_MS = 500.0
+
+
+def is_same_process(state: registry.EndpointState) -> bool:
+    """Returns whether the endpoint answers and did not restart.
+
+    An endpoint that reports no `boot` counts as the same process.
+    """
+    req = exchange.OutgoingRequest(
+        "GET", load.LOAD_PATH, fresh=True, timeout_ms=TIMEOUT_MS
+    )
+    try:
+        status, body = state.peer.call(req)
+        report = msgspec.json.decode(body, type=messages.LoadReport)
+    except (errors.AttemptError, *errors.DECODE_ERRORS):
+        return False
+    if status != 200:
+        return False
+    return state.report is None or report.boot == state.report.boot
--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -36,6 +36,7 @@
     ejected_until_ms: float = 0.0
     failures: int = 0
     token_gap_ms: float = 0.0
+    gap_samples: int = 0
 
     @property
     def name(self) -> str:
--- a/hornbeampier/endpoints/standin_engine.py
+++ b/hornbeampier/endpoints/standin_engine.py
@@ -1,11 +1,13 @@
 """Stand-in of a model engine over HTTP; see docs/endpoints.md.
 
 The last message may steer it: `tokens=N` sets the length of the answer,
-`crash` makes the process drop every connection, `truncate` ends the answer
-without its end marker, `hang` accepts and never answers.
+`crash` drops every connection and stays down for a moment, `truncate` ends
+the answer without its end marker, `hang` accepts and never answers.
 """
 
 import collections
+import enum
+import errno
 import re
 
 import gevent
@@ -20,7 +22,21 @@
 
 DEFAULT_TOKENS = 20
 TOKENS_PATTERN = re.compile(r"tokens=(\d+)")
+CANCEL_PATH = re.compile(r"^/cancel/([^/]+)/(\d+)$")
 SSE_HEADERS = [("Content-Type", "text/event-stream")]
+RESTART_MS = 500.0
+CANCEL_POLL_S = 0.02
+CANCELS_KEPT = 1_024
+
+
+class StreamFault(enum.StrEnum):
+    """What happens to a stream after some of its events."""
+
+    DROP = "drop"
+    TRUNCATE = "truncate"
+    STALL = "stall"
+    CORRUPT = "corrupt"
+    CROSS = "cross"
 
 
 class EngineControl(msgspec.Struct):
@@ -30,21 +46,37 @@
         leaving: Refuse new work with 503.
         frozen: Accept and compute nothing.
         drop_after: Drop each connection after so many events; 0 is never.
+        fault: What happens to coming streams, or None.
+        fault_after: Events of a stream before its fault.
+        fault_count: How many streams meet the fault.
+        no_resume: Ignore what a request says about resuming.
     """
 
     leaving: bool = False
     frozen: bool = False
     drop_after: int = 0
+    fault: StreamFault | None = None
+    fault_after: int = 0
+    fault_count: int = 0
+    no_resume: bool = False
 
 
 class EngineRun(msgspec.Struct):
-    """The engine's own record of one execution."""
+    """The engine's own record of one execution.
+
+    Attributes:
+        start: Tokens that were computed elsewhere before.
+        resume_text: Their text, as the router sent it.
+        tokens: Tokens sent by this execution.
+    """
 
     request_id: str
     priority: int
     start: int = 0
+    resume_text: str = ""
     tokens: int = 0
     finished: bool = False
+    cancelled: bool = False
 
 
 class _Message(msgspec.Struct, frozen=True):
@@ -56,6 +88,7 @@
     model: str = ""
     messages: tuple[_Message, ...] = ()
     max_tokens: int | None = None
+    resume_text: str = ""
 
 
 class EngineApp:
@@ -67,6 +100,12 @@
         self._batch = batch.Batch(model, clk)
         self._reports: collections.deque = collections.deque(maxlen=4_096)
         self._streams: set[gevent.Greenlet] = set()
+        self._sequences: dict[tuple[str, str], batch.Sequence] = {}
+        self._cancels: collections.deque = collections.deque(
+            maxlen=CANCELS_KEPT
+        )
+        self._boots = 1
+        self._down_until_ms = 0.0
         self.control = EngineControl()
         self.memory = standin_models.ModelMemory(clk)
         self.runs: list[EngineRun] = []
@@ -75,9 +114,19 @@
         """Executes the engine's steps until killed."""
         self._batch.run()
 
+    def open_sequences(self) -> int:
+        """Returns the requests that the engine still holds."""
+        held = max(self._batch.running, len(self._sequences))
+        return held + self._batch.waiting
+
     def __call__(self, environ, start_response):
         """Serves one request."""
         path = environ["PATH_INFO"]
+        if self._clock.now() < self._down_until_ms:
+            raise _dropped()
+        if match := CANCEL_PATH.match(path):
+            self._cancel(match[1], match[2])
+            return wsgi.json_answer(start_response, 200, {})
         if path == "/v1/chat/completions":
             return self._chat(environ, start_response)
         if path == "/load":
@@ -103,6 +152,7 @@
             self._batch.model.slots,
             self.control.leaving,
             self.memory.held,
+            f"{self._name}:{self._boots}",
         )
         self._reports.append((now, current))
         limit = now - self._batch.model.report_lag_ms
@@ -119,19 +169,17 @@
         missing = held is not None and body.model not in held
         if self.control.leaving or missing:
             return wsgi.json_answer(start_response, 503, {})
-        prompt = "\n".join(m.content for m in body.messages)
         order = body.messages[-1].content if body.messages else ""
-        run = EngineRun(
-            request_id=environ.get("HTTP_X_REQUEST_ID", ""),
-            priority=int(environ.get("HTTP_X_PRIORITY", "1")),
-            start=int(environ.get("HTTP_X_RESUME_TOKENS", "0")),
-        )
+        run = self._new_run(environ, body)
         if "crash" in order.split():
             self.runs.append(run)
             self._crash()
+        key = (run.request_id, environ.get("HTTP_X_ATTEMPT", "1"))
+        if key in self._cancels:
+            return wsgi.json_answer(start_response, 499, {})
         sequence = self._batch.submit(
             run.request_id,
-            prompt,
+            "\n".join(m.content for m in body.messages),
             _answer_length(order, body.max_tokens),
             run.priority,
             run.start,
@@ -139,37 +187,89 @@
         if sequence is None:
             return wsgi.json_answer(start_response, 429, {})
         self.runs.append(run)
-        return self._stream(sequence, run, order, start_response)
+        self._sequences[key] = sequence
+        return self._stream(key, run, order, start_response)
+
+    def _new_run(self, environ, body: _Body) -> EngineRun:
+        run = EngineRun(
+            request_id=environ.get("HTTP_X_REQUEST_ID", ""),
+            priority=int(environ.get("HTTP_X_PRIORITY", "1")),
+        )
+        if not self.control.no_resume:
+            run.start = int(environ.get("HTTP_X_RESUME_TOKENS", "0"))
+            run.resume_text = body.resume_text
+        return run
 
-    def _stream(self, sequence, run, order, start_response):
+    def _stream(self, key, run, order, start_response):
         streams = self._streams
         own = gevent.getcurrent()
         streams.add(own)
+        sequence = self._sequences[key]
+        words = order.split()
         try:
-            start_response("200 OK", SSE_HEADERS)
+            if "hang" in words:
+                _wait_cancelled(sequence)
+            start_response("200 OK", _headers(run))
             while (text := sequence.output.get()) is not None:
                 run.tokens += 1
-                if "truncate" in order.split() and run.tokens > 3:
+                if "truncate" in words and run.tokens > 3:
                     return
                 last = run.start + run.tokens >= sequence.length
-                yield _event(run.request_id, text, last)
+                yield from self._send(run, sequence, text, last)
                 self._drop_if_told(run)
-            run.finished = True
-            yield messages.DONE_LINE + b"\n\n"
+            run.cancelled = sequence.cancelled
+            if not run.cancelled:
+                run.finished = True
+                yield messages.DONE_LINE + b"\n\n"
+        except _EndOfStreamError:
+            return
         finally:
             streams.discard(own)
+            self._sequences.pop(key, None)
+            self._batch.cancel(sequence)
+
+    def _send(self, run, sequence, text: str, last: bool):
+        """Yields an event, or meets the fault that is switched on."""
+        control = self.control
+        if control.fault_count <= 0 or run.tokens <= control.fault_after:
+            yield _event(run.request_id, text, last)
+            return
+        control.fault_count -= 1
+        if control.fault is StreamFault.DROP:
+            raise _dropped()
+        if control.fault is StreamFault.TRUNCATE:
+            raise _EndOfStreamError
+        if control.fault is StreamFault.STALL:
+            _wait_cancelled(sequence)
+        if control.fault is StreamFault.CORRUPT:
+            yield messages.DATA_PREFIX + b'{"id": \xff\n\n'
+        if control.fault is StreamFault.CROSS:
+            yield _event("req-of-another-caller", "secret ", last)
+
+    def _cancel(self, request_id: str, attempt: str) -> None:
+        """Ends an attempt, also one that has not arrived yet."""
+        key = (request_id, attempt)
+        self._cancels.append(key)
+        sequence = self._sequences.get(key)
+        if sequence is not None:
             self._batch.cancel(sequence)
 
     def _drop_if_told(self, run: EngineRun) -> None:
         limit = self.control.drop_after
         if limit and run.tokens >= limit:
-            raise ConnectionAbortedError("dropped on purpose")
+            raise _dropped()
 
     def _crash(self) -> None:
-        """Drops all connections, as the end of the process would."""
+        """Drops all connections, as a process that ends and restarts."""
+        self._boots += 1
+        self._down_until_ms = self._clock.now() + RESTART_MS
         for stream in list(self._streams):
-            stream.kill(block=False)
-        raise ConnectionAbortedError("crashed on purpose")
+            stream.kill(_dropped(), block=False)
+        raise _dropped()
+
+
+class _EndOfStreamError(Exception):
+    """The stream ends here without its end marker."""
 
 
 class EngineStandin(application.BaseComponent):
@@ -199,6 +299,23 @@
             self._task.kill()
 
 
+def _dropped() -> OSError:
+    """Returns an error on which the server closes without an answer."""
+    return BrokenPipeError(errno.EPIPE, "dropped on purpose")
+
+
+def _wait_cancelled(sequence: batch.Sequence) -> None:
+    while not sequence.cancelled:
+        gevent.sleep(CANCEL_POLL_S)
+    raise _dropped()
+
+
+def _headers(run: EngineRun) -> list[tuple[str, str]]:
+    if not run.start:
+        return SSE_HEADERS
+    return [*SSE_HEADERS, ("X-Resume-Tokens", str(run.start))]
+
+
 def _answer_length(order: str, max_tokens: int | None) -> int:
     match = TOKENS_PATTERN.search(order)
     length = int(match[1]) if match else DEFAULT_TOKENS
--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -2,8 +2,13 @@
 
 import enum
 
+import msgspec
+
 from hornbeampier import verdict
 
+# What decoding bytes of another process may raise.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 
 class RefusalCode(enum.StrEnum):
     """The cause of a refusal, as callers and logs see it."""
@@ -68,6 +73,7 @@
         verdict: Whether the request may have run there.
         crashed: Whether the endpoint dropped the connection while it ran.
         leaving: Whether the endpoint refused because it is leaving or full.
+        timed_out: Whether the endpoint was silent for too long.
     """
 
     def __init__(
@@ -76,11 +82,13 @@
         verdict: verdict.Verdict,
         crashed: bool = False,
         leaving: bool = False,
+        timed_out: bool = False,
     ):
         super().__init__(message)
         self.verdict = verdict
         self.crashed = crashed
         self.leaving = leaving
+        self.timed_out = timed_out
 
 
 class PlatformError(Exception):
--- a/hornbeampier/exchange.py
+++ b/hornbeampier/exchange.py
@@ -30,13 +30,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class OutgoingRequest:
-    """One HTTP request; `fresh` forbids an idle connection."""
+    """One HTTP request.
+
+    Attributes:
+        fresh: Forbids an idle connection.
+        timeout_ms: Longest silence of the server, or None for the peer's.
+    """
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     fresh: bool = False
+    timeout_ms: float | None = None
 
 
 class Exchange:
@@ -67,6 +73,11 @@
         """Returns all headers of the answer."""
         return list(self._answer.items())
 
+    def set_read_timeout(self, timeout_ms: float) -> None:
+        """Limits the silence between two blocks of the body."""
+        if self._sock is not None:
+            self._sock.settimeout(timeout_ms / MS_PER_SECOND)
+
     def read(self) -> bytes:
         """Returns the whole body.
 
@@ -124,6 +135,17 @@
         self._pool.release_socket(sock)
 
 
+class _Pool(connectionpool.ConnectionPool):
+    """A pool that loses no slot when the task that wants one is killed."""
+
+    def _is_socket_alive(self, sock) -> bool:
+        try:
+            return super()._is_socket_alive(sock)
+        except BaseException:
+            self.release_socket(sock)
+            raise
+
+
 class HttpPeer:
     """One HTTP server, with a pool of connections to it."""
 
@@ -142,7 +164,7 @@
         self._pool = self._new_pool(pool_size)
 
     def _new_pool(self, size: int) -> connectionpool.ConnectionPool:
-        return connectionpool.ConnectionPool(
+        return _Pool(
             self.host,
             self.port,
             self.host,
@@ -166,7 +188,9 @@
                 f"cannot connect to {self.host}:{self.port}: {exc}",
                 verdict.Verdict.NOT_RUN,
             ) from exc
+        timeout_ms = req.timeout_ms or self._read_timeout_ms
         try:
+            sock.settimeout(timeout_ms / MS_PER_SECOND)
             sock.sendall(self._encode(req))
             answer = response.HTTPSocketResponse(
                 sock, block_size=BLOCK_BYTES, method=req.method
@@ -213,4 +237,5 @@
         f"connection lost: {exc or type(exc).__name__}",
         verdict.Verdict.MAY_HAVE_RUN,
         crashed=not timed_out,
+        timed_out=timed_out,
     )
--- a/hornbeampier/models.py
+++ b/hornbeampier/models.py
@@ -27,6 +27,8 @@
         arrival_ms: When the request was read, on the monotonic clock.
         deadline_ms: When waiting for an endpoint is given up.
         fingerprint: Digest of account and body; equal for repeats.
+        retried: An earlier attempt failed, or endpoints crashed under it; it
+            goes before new requests of its tier and holds none of them up.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     arrival_ms: float
     deadline_ms: float
     fingerprint: str
+    retried: bool = False
 
 
 def service_target(name: str) -> str:
--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -1,5 +1,6 @@
 """Choice of an endpoint by estimated occupancy."""
 
+from collections.abc import Container
 import dataclasses
 import math
 import random
@@ -52,7 +53,7 @@
         self,
         states: list[registry.EndpointState],
         top: bool,
-        excluded: frozenset[str],
+        excluded: Container[str],
         now_ms: float,
     ) -> Choice:
         """Chooses for a request; `top` says that its tier is the highest."""
@@ -97,7 +98,7 @@
         self,
         state: registry.EndpointState,
         top: bool,
-        excluded: frozenset[str],
+        excluded: Container[str],
         now_ms: float,
     ) -> str | None:
         if _is_leaving(state):
--- a/hornbeampier/policy/health.py
+++ b/hornbeampier/policy/health.py
@@ -1,17 +1,63 @@
-"""Ejection of endpoints that fail."""
+"""Ejection of endpoints that fail or lag behind the others."""
+
+from collections.abc import Sequence
+import statistics
 
 from hornbeampier.endpoints import registry
 
 BASE_EJECTION_MS = 1_000.0
 MAX_EJECTION_MS = 30_000.0
+# The last open endpoint of a target is tried again soon.
+LAST_EJECTION_MS = 200.0
 GAP_GAIN = 0.2
+# An endpoint is a straggler above so many times the median token gap.
+STRAGGLER_FACTOR = 4.0
+STRAGGLER_EJECTION_MS = 10_000.0
+MAX_STRAGGLER_SHARE = 1 / 3
+MIN_GAP_SAMPLES = 20
+
+
+def is_open(state: registry.EndpointState, now_ms: float) -> bool:
+    """Returns whether an endpoint may receive new work."""
+    if state.leaving or (state.report and state.report.leaving):
+        return False
+    return now_ms >= state.ejected_until_ms
 
 
-def record_failure(state: registry.EndpointState, now_ms: float) -> None:
-    """Ejects an endpoint, longer after each failure in a row."""
+def record_failure(
+    state: registry.EndpointState,
+    now_ms: float,
+    states: Sequence[registry.EndpointState] = (),
+) -> bool:
+    """Ejects an endpoint, longer after each failure in a row.
+
+    Args:
+        state: The endpoint that failed.
+        now_ms: Monotonic time.
+        states: All endpoints of the same target.
+
+    Returns:
+        Whether this failure ejected it; it may be out already.
+    """
+    if now_ms < state.ejected_until_ms:
+        # The other requests that were lost by the same failure.
+        return False
     state.failures += 1
-    duration_ms = BASE_EJECTION_MS * 2 ** (state.failures - 1)
-    state.ejected_until_ms = now_ms + min(duration_ms, MAX_EJECTION_MS)
+    others = [s for s in states if s is not state and is_open(s, now_ms)]
+    if states and not others:
+        state.ejected_until_ms = now_ms + LAST_EJECTION_MS
+        return True
+    duration_ms = min(
+        BASE_EJECTION_MS * 2.0 ** min(state.failures - 1, 10), MAX_EJECTION_MS
+    )
+    state.ejected_until_ms = now_ms + duration_ms
+    return True
+
+
+def withdraw_failure(state: registry.EndpointState) -> None:
+    """Takes an ejection back: the connection failed, not the endpoint."""
+    state.failures = max(0, state.failures - 1)
+    state.ejected_until_ms = 0.0
 
 
 def record_success(state: registry.EndpointState) -> None:
@@ -21,7 +67,41 @@
 
 def record_gap(state: registry.EndpointState, gap_ms: float) -> None:
     """Adds a measured time between two tokens."""
+    state.gap_samples += 1
     if state.token_gap_ms == 0:
         state.token_gap_ms = gap_ms
         return
     state.token_gap_ms += GAP_GAIN * (gap_ms - state.token_gap_ms)
+
+
+def eject_straggler(
+    state: registry.EndpointState,
+    now_ms: float,
+    states: Sequence[registry.EndpointState],
+) -> bool:
+    """Ejects an endpoint whose tokens come far slower than its peers'.
+
+    It returns by itself and is judged by new samples. At most
+    `MAX_STRAGGLER_SHARE` of the target's endpoints are out at a time.
+
+    Returns:
+        Whether the endpoint was ejected.
+    """
+    gaps = [
+        s.token_gap_ms
+        for s in states
+        if s is not state and s.gap_samples >= MIN_GAP_SAMPLES
+    ]
+    if not gaps or state.gap_samples < MIN_GAP_SAMPLES:
+        return False
+    if state.token_gap_ms <= STRAGGLER_FACTOR * statistics.median(gaps):
+        return False
+    out = sum(not is_open(s, now_ms) for s in states)
+    if not is_open(state, now_ms) or out + 1 > len(states) * (
+        MAX_STRAGGLER_SHARE
+    ):
+        return False
+    state.ejected_until_ms = now_ms + STRAGGLER_EJECTION_MS
+    state.gap_samples = 0
+    state.token_gap_ms = 0.0
+    return True
--- a/hornbeampier/policy/queues.py
+++ b/hornbeampier/policy/queues.py
@@ -71,12 +71,18 @@
 
     def __init__(self):
         self._classes: dict[str, ClassQueue] = {}
+        self._retried: list[tickets.Ticket] = []
 
     def __len__(self) -> int:
-        return sum(len(q) for q in self._classes.values())
+        waiting = sum(len(q) for q in self._classes.values())
+        return waiting + len(self._retried)
 
     def push(self, ticket: tickets.Ticket) -> None:
         """Adds a request to the queue of its class."""
+        if ticket.demand.retried:
+            self._retried.append(ticket)
+            self._retried.sort(key=_tier)
+            return
         request_class = ticket.demand.request_class
         queue = self._classes.get(request_class.name)
         if queue is None:
@@ -87,11 +93,25 @@
 
     def remove(self, ticket: tickets.Ticket) -> bool:
         """Takes a request out; returns whether it was waiting."""
+        if ticket in self._retried:
+            self._retried.remove(ticket)
+            return True
         queue = self._classes.get(ticket.demand.request_class.name)
         return queue is not None and queue.remove(ticket)
 
     def candidates(self, now_ms: float) -> Iterator[tickets.Ticket]:
-        """Yields the next request of each class in order of dispatch."""
+        """Yields the requests that may go next, in order of dispatch.
+
+        These are the next request of each class and all that are retried.
+        """
+        heads = list(self._heads(now_ms))
+        first = _tier(heads[0]) if heads else 0
+        retried = list(self._retried)
+        yield from (t for t in retried if not heads or _tier(t) <= first)
+        yield from heads
+        yield from (t for t in retried if heads and _tier(t) > first)
+
+    def _heads(self, now_ms: float) -> Iterator[tickets.Ticket]:
         heads = [
             (not self._entitled(queue, now_ms), queue.request_class.tier, queue)
             for queue in self._classes.values()
@@ -105,12 +125,17 @@
 
     def is_entitled(self, ticket: tickets.Ticket, now_ms: float) -> bool:
         """Returns whether the request's class may use its guaranteed share."""
+        if ticket.demand.retried:
+            return True
         queue = self._classes.get(ticket.demand.request_class.name)
         return queue is not None and self._entitled(queue, now_ms)
 
     def dispatch(self, ticket: tickets.Ticket) -> None:
         """Removes a request that was granted an endpoint."""
         self.remove(ticket)
+        if ticket.demand.retried:
+            # Its account paid for the first attempt.
+            return
         own = self._classes[ticket.demand.request_class.name]
         own.charge(ticket)
         own.credit_ms = max(0.0, own.credit_ms - ticket.cost_ms)
@@ -133,9 +158,17 @@
 
     def counts(self) -> dict[str, int]:
         """Returns the number of waiting requests of each class."""
-        return {name: len(q) for name, q in self._classes.items()}
+        counts = {name: len(q) for name, q in self._classes.items()}
+        for ticket in self._retried:
+            name = ticket.demand.request_class.name
+            counts[name] = counts.get(name, 0) + 1
+        return counts
 
     @staticmethod
     def _entitled(queue: ClassQueue, now_ms: float) -> bool:
         head = queue.head(now_ms)
         return head is not None and 0 < head.cost_ms <= queue.credit_ms
+
+
+def _tier(ticket: tickets.Ticket) -> int:
+    return ticket.demand.request_class.tier
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -1,5 +1,7 @@
 """Grants endpoints to waiting requests."""
 
+from collections.abc import Container
+
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import models
@@ -38,7 +40,7 @@
         self.pump()
 
     def acquire(
-        self, demand: models.Demand, excluded: frozenset[str] = frozenset()
+        self, demand: models.Demand, excluded: Container[str] = frozenset()
     ) -> tickets.Grant:
         """Waits until the request may be sent to an endpoint.
 
@@ -82,7 +84,7 @@
         return totals
 
     def _enqueue(
-        self, demand: models.Demand, excluded: frozenset[str]
+        self, demand: models.Demand, excluded: Container[str]
     ) -> tickets.Ticket:
         if not self._endpoints.serving(demand.target):
             raise errors.RefusalError(
@@ -95,7 +97,8 @@
         cost_ms = self.durations.expect_ms(
             demand.request_class.name, demand.account.name
         )
-        self._admit(demand)
+        if not demand.retried:
+            self._admit(demand)
         ticket = tickets.Ticket(
             demand,
             now_ms,
--- /dev/null
+++ b/hornbeampier/policy/suspects.py
@@ -0,0 +1,317 @@
+"""Requests under which endpoints crash; see docs/design/failures.md.
+
+A crash casts suspicion on every request that ran there. A suspect runs apart
+from other suspects; one with a second crash runs alone on an endpoint. Only a
+crash under a request that ran alone convicts it, or `MAX_CRASHES` in all.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import enum
+import random
+from typing import Protocol
+
+from gevent import lock
+
+from hornbeampier import clock
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier import verdict
+from hornbeampier.endpoints import registry
+from hornbeampier.policy import health
+from hornbeampier.vms import messages
+
+# The most endpoints that one request costs, whatever ran beside it.
+MAX_CRASHES = 4
+# Crashes after which a request runs alone.
+CRASHES_BEFORE_TRIAL = 2
+EXPIRY_MS = 600_000.0
+# How long a suspicion is repeated in the hints.
+TELL_MS = 3_000.0
+MAX_RECORDS = 1_024
+CRASH_ID_BITS = 32
+RETRY_AFTER_MS = 1_000.0
+
+
+class Level(enum.IntEnum):
+    """How a request has to be kept apart."""
+
+    NONE = 0
+    APART = 1
+    ALONE = 2
+
+
+class PeerSuspects(Protocol):
+    """What the other VMs say about their suspected requests."""
+
+    def in_flight(self, endpoint: str) -> int:
+        """Returns the peers' requests at an endpoint."""
+        ...
+
+    def suspects_at(self, endpoint: str) -> bool:
+        """Returns whether a peer runs a suspected request there."""
+        ...
+
+    def reserved(self, endpoint: str) -> bool:
+        """Returns whether a peer keeps the endpoint for one suspect."""
+        ...
+
+
+@dataclasses.dataclass
+class _Record:
+    crashes: set[int] = dataclasses.field(default_factory=set)
+    convicted: bool = False
+    expires_ms: float = 0.0
+    tell_until_ms: float = 0.0
+
+    @property
+    def level(self) -> Level:
+        if len(self.crashes) >= CRASHES_BEFORE_TRIAL:
+            return Level.ALONE
+        return Level.APART if self.crashes else Level.NONE
+
+
+@dataclasses.dataclass
+class _Trial:
+    """A run that is meant to be alone on its endpoint."""
+
+    fingerprint: str
+    shared: bool
+
+
+class Suspects:
+    """Remembers crashes and decides where suspects may run."""
+
+    def __init__(
+        self,
+        clk: clock.Clock,
+        rng: random.Random,
+        endpoints: registry.Registry,
+        peers: PeerSuspects,
+        occupancy: Callable[[registry.EndpointState], int],
+        announce: Callable[[], None],
+    ):
+        self._clock = clk
+        self._random = rng
+        self._endpoints = endpoints
+        self._peers = peers
+        self._occupancy = occupancy
+        self._announce = announce
+        self._records: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
+        self._running: dict[str, list[str]] = {}
+        self._reserved: dict[str, str] = {}
+        self._turns: dict[str, lock.Semaphore] = {}
+        self._trials: dict[str, _Trial] = {}
+
+    def check(self, fingerprint: str) -> None:
+        """Refuses a request that crashes endpoints.
+
+        Raises:
+            errors.RefusalError: The request is convicted.
+        """
+        record = self._find(fingerprint)
+        if record is not None and record.convicted:
+            raise errors.RefusalError(
+                422,
+                errors.RefusalCode.CRASHES_ENDPOINTS,
+                "endpoints crash when they run this request",
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+
+    def level(self, fingerprint: str) -> Level:
+        """Returns how the request has to be kept apart."""
+        record = self._find(fingerprint)
+        return record.level if record else Level.NONE
+
+    @contextlib.contextmanager
+    def trial(
+        self, demand: models.Demand, failed: frozenset[str]
+    ) -> Iterator[None]:
+        """Keeps an endpoint free for a request that has to run alone.
+
+        Requests of other levels pass through at once.
+
+        Raises:
+            errors.RefusalError: Another trial did not end in time.
+        """
+        if self.level(demand.fingerprint) is not Level.ALONE:
+            yield
+            return
+        turn = self._turns.setdefault(demand.target, lock.Semaphore())
+        remaining_ms = max(0.0, demand.deadline_ms - self._clock.now())
+        if not turn.acquire(timeout=remaining_ms / clock.MS_PER_SECOND):
+            raise errors.RefusalError(
+                503,
+                errors.RefusalCode.WAIT_TIMEOUT,
+                "no endpoint became free in time",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        try:
+            self._reserve(demand, failed)
+            yield
+        finally:
+            self._release(demand.fingerprint)
+            turn.release()
+            self._announce()
+
+    @contextlib.contextmanager
+    def running(
+        self, fingerprint: str, state: registry.EndpointState
+    ) -> Iterator[None]:
+        """Marks an endpoint while a suspected request runs there."""
+        self._note_company(state.name)
+        level = self.level(fingerprint)
+        if level is Level.NONE:
+            yield
+            return
+        if level is Level.ALONE:
+            shared = self._occupancy(state) > 1
+            self._trials[state.name] = _Trial(fingerprint, shared)
+        fingerprints = self._running.setdefault(state.name, [])
+        fingerprints.append(fingerprint)
+        self._announce()
+        try:
+            yield
+        finally:
+            fingerprints.remove(fingerprint)
+            if not fingerprints:
+                self._running.pop(state.name, None)
+            self._announce()
+            if level is Level.ALONE:
+                self._trials.pop(state.name, None)
+
+    def bars(self, demand: models.Demand, name: str) -> bool:
+        """Returns whether a request must keep away from an endpoint."""
+        state = self._endpoints.find(name)
+        if state is None:
+            return True
+        own = demand.fingerprint
+        level = self.level(own)
+        if level is Level.ALONE and self._occupancy(state) > 0:
+            return True
+        if self._is_kept_for_other(own, name):
+            return level > Level.NONE or self._has_other(demand.target, state)
+        if level is Level.NONE:
+            return False
+        others = [f for f in self._running.get(name, ()) if f != own]
+        return bool(others) or self._peers.suspects_at(name)
+
+    def record_crash(
+        self, fingerprint: str, state: registry.EndpointState
+    ) -> None:
+        """Counts a crash of an endpoint under a request."""
+        record = self._find(fingerprint) or self._add(fingerprint)
+        alone = self._was_alone(fingerprint, state)
+        record.crashes.add(self._random.getrandbits(CRASH_ID_BITS))
+        record.convicted = alone or len(record.crashes) >= MAX_CRASHES
+        self._touch(record)
+        self._announce()
+
+    def record_whole(self, fingerprint: str) -> None:
+        """Clears a request that was answered whole."""
+        self._records.pop(fingerprint, None)
+
+    def tell(self) -> tuple[messages.Suspicion, ...]:
+        """Returns the newest suspicions for the next hint."""
+        now_ms = self._clock.now()
+        recent = [
+            messages.Suspicion(
+                fingerprint,
+                tuple(sorted(r.crashes))[: messages.MAX_CRASHES_TOLD],
+                r.convicted,
+            )
+            for fingerprint, r in reversed(self._records.items())
+            if now_ms < r.tell_until_ms
+        ]
+        # A conviction goes before the suspicions of its bystanders.
+        recent.sort(key=lambda s: (not s.convicted, -len(s.crashes)))
+        return tuple(recent[: messages.MAX_SUSPICIONS])
+
+    def suspects_at(self) -> tuple[str, ...]:
+        """Returns the endpoints where this VM runs suspects."""
+        return tuple(self._running)
+
+    def reserved(self) -> tuple[str, ...]:
+        """Returns the endpoints that this VM keeps for one suspect."""
+        return tuple(self._reserved)
+
+    def merge(self, suspicions: tuple[messages.Suspicion, ...]) -> None:
+        """Takes over what a peer tells."""
+        for told in suspicions:
+            record = self._find(told.fingerprint)
+            if record is None:
+                record = self._add(told.fingerprint)
+            record.crashes |= set(told.crashes)
+            record.convicted = record.convicted or told.convicted
+            record.expires_ms = self._clock.now() + EXPIRY_MS
+
+    def _find(self, fingerprint: str) -> _Record | None:
+        record = self._records.get(fingerprint)
+        if record is not None and self._clock.now() >= record.expires_ms:
+            del self._records[fingerprint]
+            return None
+        return record
+
+    def _add(self, fingerprint: str) -> _Record:
+        record = _Record()
+        self._records[fingerprint] = record
+        while len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
+        return record
+
+    def _touch(self, record: _Record) -> None:
+        now_ms = self._clock.now()
+        record.expires_ms = now_ms + EXPIRY_MS
+        record.tell_until_ms = now_ms + TELL_MS
+
+    def _reserve(self, demand: models.Demand, failed: frozenset[str]) -> None:
+        """Picks the emptiest endpoint, but never the last open one."""
+        now_ms = self._clock.now()
+        states = [
+            s
+            for s in self._endpoints.serving(demand.target)
+            if health.is_open(s, now_ms) and s.name not in failed
+        ]
+        if not states or not self._has_other(demand.target, states[0]):
+            return
+        free = [s for s in states if not self._peers.reserved(s.name)]
+        chosen = min(free or states, key=self._occupancy)
+        self._reserved[chosen.name] = demand.fingerprint
+        self._announce()
+
+    def _release(self, fingerprint: str) -> None:
+        for name, owner in list(self._reserved.items()):
+            if owner == fingerprint:
+                del self._reserved[name]
+
+    def _is_kept_for_other(self, fingerprint: str, name: str) -> bool:
+        owner = self._reserved.get(name)
+        if owner is not None:
+            return owner != fingerprint
+        return self._peers.reserved(name)
+
+    def _has_other(self, target: str, state: registry.EndpointState) -> bool:
+        now_ms = self._clock.now()
+        return any(
+            health.is_open(s, now_ms)
+            for s in self._endpoints.serving(target)
+            if s is not state
+        )
+
+    def _note_company(self, name: str) -> None:
+        trial = self._trials.get(name)
+        if trial is not None:
+            trial.shared = True
+
+    def _was_alone(
+        self, fingerprint: str, state: registry.EndpointState
+    ) -> bool:
+        trial = self._trials.get(state.name)
+        if trial is None or trial.fingerprint != fingerprint:
+            return False
+        return not trial.shared and not self._peers.in_flight(state.name)
--- a/hornbeampier/policy/tickets.py
+++ b/hornbeampier/policy/tickets.py
@@ -1,5 +1,6 @@
 """Requests that wait for an endpoint, and the grants they receive."""
 
+from collections.abc import Container
 import dataclasses
 
 from gevent import event
@@ -32,7 +33,7 @@
     Attributes:
         cost_ms: Expected time at an endpoint.
         latest_start_ms: A later start misses the class's target; monotonic.
-        excluded: Names of endpoints that it must not use.
+        excluded: Names of endpoints that it must not use at present.
         result: Receives the grant.
     """
 
@@ -40,7 +41,7 @@
     enqueued_ms: float
     cost_ms: float
     latest_start_ms: float = float("inf")
-    excluded: frozenset[str] = frozenset()
+    excluded: Container[str] = frozenset()
     result: event.AsyncResult = dataclasses.field(
         default_factory=event.AsyncResult
     )
--- /dev/null
+++ b/hornbeampier/policy/timeouts.py
@@ -0,0 +1,42 @@
+"""How long an engine may be silent, derived from the request's class."""
+
+from hornbeampier import models
+from hornbeampier.endpoints import engine
+
+MIN_FIRST_TOKEN_MS = 2_000.0
+MAX_FIRST_TOKEN_MS = 10_000.0
+# The rest of the wait is kept for an attempt elsewhere.
+FIRST_TOKEN_SHARE = 0.5
+BETWEEN_TOKENS_FACTOR = 100.0
+COMPLETE_SHARE = 0.25
+MIN_BETWEEN_TOKENS_MS = 2_000.0
+MAX_BETWEEN_TOKENS_MS = 30_000.0
+# How long a broken-off answer may wait for another endpoint.
+RESUME_WAIT_MS = 10_000.0
+
+
+def derive(demand: models.Demand, now_ms: float) -> engine.Timeouts:
+    """Returns the limits for an attempt that starts now."""
+    remaining_ms = demand.deadline_ms - now_ms
+    return engine.Timeouts(
+        _clamp(
+            remaining_ms * FIRST_TOKEN_SHARE,
+            MIN_FIRST_TOKEN_MS,
+            MAX_FIRST_TOKEN_MS,
+        ),
+        _between_tokens_ms(demand),
+    )
+
+
+def _between_tokens_ms(demand: models.Demand) -> float:
+    wanted = demand.request_class
+    limit_ms = MAX_BETWEEN_TOKENS_MS
+    if wanted.between_tokens_ms is not None:
+        limit_ms = wanted.between_tokens_ms * BETWEEN_TOKENS_FACTOR
+    elif wanted.complete_ms is not None:
+        limit_ms = wanted.complete_ms * COMPLETE_SHARE
+    return _clamp(limit_ms, MIN_BETWEEN_TOKENS_MS, MAX_BETWEEN_TOKENS_MS)
+
+
+def _clamp(value: float, low: float, high: float) -> float:
+    return max(low, min(value, high))
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -1,8 +1,10 @@
 """Routes accepted requests to endpoints and repeats failed attempts."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
+import gevent
 import structlog
 
 from hornbeampier import clock
@@ -10,23 +12,43 @@
 from hornbeampier import models
 from hornbeampier import verdict
 from hornbeampier.endpoints import engine
+from hornbeampier.endpoints import probe
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import health
 from hornbeampier.policy import retries
 from hornbeampier.policy import scheduler
+from hornbeampier.policy import suspects
 from hornbeampier.policy import tickets
+from hornbeampier.policy import timeouts
 
-MAX_ATTEMPTS = 4
+MAX_ATTEMPTS = 6
 RETRY_AFTER_MS = 1_000.0
+# Wait before an attempt at an endpoint that has just failed.
+BACKOFF_MS = 100.0
+STRAGGLER_CHECK_TOKENS = 32
 
 
 @dataclasses.dataclass
 class Progress:
-    """The part of an answer that has arrived so far."""
+    """The part of an answer that has arrived so far.
+
+    Attributes:
+        attempts: Attempts made at endpoints.
+        failed: Endpoints that are passed over while others are open.
+        preferred: The endpoint that still holds the answer's KV cache.
+        may_have_run: Whether an attempt may have run at an endpoint.
+        finished: Whether the last event with text has arrived.
+        resumable: Whether the text alone lets another engine go on.
+    """
 
     texts: list[str] = dataclasses.field(default_factory=list)
     first_token_ms: float | None = None
-    last_token_ms: float | None = None
+    attempts: int = 0
+    failed: frozenset[str] = frozenset()
+    preferred: registry.EndpointState | None = None
+    may_have_run: bool = False
+    finished: bool = False
+    resumable: bool = True
 
     @property
     def text(self) -> str:
@@ -34,16 +56,53 @@
         return "".join(self.texts)
 
 
+class _Barred:
+    """The endpoints that a request must not use at present."""
+
+    def __init__(
+        self,
+        demand: models.Demand,
+        progress: Progress,
+        suspects: suspects.Suspects,
+        has_alternative: Callable[[str, frozenset[str]], bool],
+    ):
+        self._demand = demand
+        self._failed = progress.failed
+        self._preferred = progress.preferred
+        self._suspects = suspects
+        self._has_alternative = has_alternative
+
+    def __contains__(self, name: str) -> bool:
+        if self._is_held_elsewhere(name):
+            return True
+        if name in self._failed and self._has_alternative(
+            self._demand.target, self._failed
+        ):
+            return True
+        return self._suspects.bars(self._demand, name)
+
+    def _is_held_elsewhere(self, name: str) -> bool:
+        """Returns whether another endpoint has the answer and a free slot."""
+        held = self._preferred
+        if held is None or held.name == name:
+            return False
+        return held.in_flight < held.cfg.slots
+
+
 class Router:
     """Sends each request to the endpoint that the scheduler grants."""
 
     def __init__(
         self,
         scheduler: scheduler.Scheduler,
+        endpoints: registry.Registry,
+        suspects: suspects.Suspects,
         clock: clock.Clock,
         version,
     ):
         self._scheduler = scheduler
+        self._endpoints = endpoints
+        self._suspects = suspects
         self._clock = clock
         self._version = version
         self._budget = retries.RetryBudget()
@@ -58,20 +117,21 @@
             errors.RefusalError: The request ends without its whole answer.
         """
         self._budget.record_request()
-        excluded: frozenset[str] = frozenset()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            grant = self._acquire(demand, excluded)
+        while True:
+            demand = self._prepare(demand, progress)
             try:
-                yield from self._attempt(grant, demand, body, progress)
-                health.record_success(grant.endpoint)
+                with self._suspects.trial(demand, progress.failed):
+                    yield from self._grant_and_run(demand, body, progress)
+                self._suspects.record_whole(demand.fingerprint)
                 return
             except errors.AttemptError as exc:
-                excluded |= {grant.endpoint.name}
-                self._record_failure(grant, demand, exc)
-                if not self._may_retry(exc, attempt):
-                    raise _final_refusal(exc, bool(progress.texts)) from exc
-            finally:
-                self._scheduler.release(grant)
+                if progress.finished:
+                    return
+                progress.may_have_run |= exc.verdict.may_have_run
+                self._check_retry(demand, exc, progress)
+            except errors.RefusalError as exc:
+                raise _with_history(exc, progress) from exc
+            self._back_off(demand, progress)
 
     def acquire_service(
         self, demand: models.Demand, excluded: frozenset[str]
@@ -83,9 +143,45 @@
         """Ends a grant of `acquire_service`."""
         self._scheduler.release(grant)
 
-    def _acquire(
-        self, demand: models.Demand, excluded: frozenset[str]
-    ) -> tickets.Grant:
+    def _prepare(
+        self, demand: models.Demand, progress: Progress
+    ) -> models.Demand:
+        """Checks for a conviction; gives a broken-off answer more time."""
+        self._suspects.check(demand.fingerprint)
+        suspected = self._suspects.level(demand.fingerprint)
+        if not progress.attempts and not suspected:
+            return demand
+        deadline_ms = demand.deadline_ms
+        if progress.texts:
+            wait_ms = min(
+                timeouts.RESUME_WAIT_MS, demand.request_class.max_wait_ms
+            )
+            deadline_ms = max(deadline_ms, self._clock.now() + wait_ms)
+        return dataclasses.replace(
+            demand, deadline_ms=deadline_ms, retried=True
+        )
+
+    def _grant_and_run(
+        self, demand: models.Demand, body: bytes, progress: Progress
+    ) -> Iterator[engine.EngineEvent]:
+        barred = _Barred(
+            demand, progress, self._suspects, self._has_alternative
+        )
+        grant = self._acquire(demand, barred)
+        state = grant.endpoint
+        progress.attempts += 1
+        try:
+            with self._suspects.running(demand.fingerprint, state):
+                try:
+                    yield from self._attempt(state, demand, body, progress)
+                    health.record_success(state)
+                except errors.AttemptError as exc:
+                    self._record_failure(state, demand, exc, progress)
+                    raise
+        finally:
+            self._scheduler.release(grant)
+
+    def _acquire(self, demand: models.Demand, excluded) -> tickets.Grant:
         grant = self._scheduler.acquire(demand, excluded)
         self._log.info(
             "routed",
@@ -101,7 +197,7 @@
 
     def _attempt(
         self,
-        grant: tickets.Grant,
+        state: registry.EndpointState,
         demand: models.Demand,
         body: bytes,
         progress: Progress,
@@ -111,73 +207,180 @@
             demand.request_id,
             body,
             demand.request_class.tier,
+            timeouts.derive(demand, started_ms),
             progress.text,
             len(progress.texts),
+            progress.attempts,
         )
-        client = engine.EngineClient(grant.endpoint.peer)
+        client = engine.EngineClient(state.peer, self._clock)
+        waiting_ms = None
         for event in client.stream(req):
-            if progress.first_token_ms is None:
+            if progress.first_token_ms is None and event.text:
                 self._scheduler.durations.record_first_token(
                     demand.request_class.name, self._clock.now() - started_ms
                 )
-            self._record_token(grant.endpoint, event, progress)
-            yield event
+            self._record_event(state, demand, event, progress, waiting_ms)
+            if event.text or event.finish_reason or not req.resume_tokens:
+                yield event
+            waiting_ms = self._clock.now()
         self._scheduler.durations.record(
             demand.request_class.name,
             demand.account.name,
             self._clock.now() - started_ms,
         )
 
-    def _record_token(
+    def _record_event(
         self,
         state: registry.EndpointState,
+        demand: models.Demand,
         event: engine.EngineEvent,
         progress: Progress,
+        waiting_ms: float | None,
     ) -> None:
         now_ms = self._clock.now()
-        if progress.first_token_ms is None:
-            progress.first_token_ms = now_ms
-        elif progress.last_token_ms is not None:
-            health.record_gap(state, now_ms - progress.last_token_ms)
-        progress.last_token_ms = now_ms
-        progress.texts.append(event.text)
+        progress.resumable = progress.resumable and event.resumable
+        progress.finished = progress.finished or event.finish_reason is not None
+        if event.text:
+            progress.texts.append(event.text)
+            if progress.first_token_ms is None:
+                progress.first_token_ms = now_ms
+        if waiting_ms is None:
+            return
+        health.record_gap(state, now_ms - waiting_ms)
+        if state.gap_samples % STRAGGLER_CHECK_TOKENS == 0:
+            states = self._endpoints.serving(demand.target)
+            if health.eject_straggler(state, now_ms, states):
+                self._log.warning("straggler_ejected", endpoint=state.name)
 
     def _record_failure(
         self,
-        grant: tickets.Grant,
+        state: registry.EndpointState,
         demand: models.Demand,
         exc: errors.AttemptError,
+        progress: Progress,
     ) -> None:
-        if not exc.leaving:
-            health.record_failure(grant.endpoint, self._clock.now())
+        crashed = self._eject(state, demand, exc)
+        lost = exc.crashed and not crashed
+        if crashed:
+            self._suspects.record_crash(demand.fingerprint, state)
+        if lost and progress.preferred is not state:
+            progress.preferred = state
+        else:
+            progress.preferred = None
+            progress.failed |= {state.name}
         self._log.warning(
             "attempt_failed",
             request_id=demand.request_id,
-            endpoint=grant.endpoint.name,
+            endpoint=state.name,
             verdict=exc.verdict.value,
             error=str(exc),
+            crashed=crashed,
+            tokens=len(progress.texts),
         )
 
-    def _may_retry(self, exc: errors.AttemptError, attempt: int) -> bool:
-        if attempt >= MAX_ATTEMPTS or not exc.verdict.allows_retry(True):
+    def _eject(
+        self,
+        state: registry.EndpointState,
+        demand: models.Demand,
+        exc: errors.AttemptError,
+    ) -> bool:
+        """Ejects the endpoint and returns whether it crashed.
+
+        It receives no work while the probe goes on.
+        """
+        if exc.leaving:
             return False
-        return self._budget.take()
+        states = self._endpoints.serving(demand.target)
+        now_ms = self._clock.now()
+        ejected = health.record_failure(state, now_ms, states)
+        if ejected:
+            # Requests may be waiting for just this endpoint.
+            out_ms = state.ejected_until_ms - now_ms
+            gevent.spawn_later(
+                out_ms / clock.MS_PER_SECOND, self._scheduler.pump
+            )
+        if not exc.crashed:
+            return False
+        crashed = not probe.is_same_process(state)
+        if ejected and not crashed:
+            health.withdraw_failure(state)
+        return crashed
+
+    def _check_retry(
+        self,
+        demand: models.Demand,
+        exc: errors.AttemptError,
+        progress: Progress,
+    ) -> None:
+        """Raises the final refusal unless another attempt is due.
 
+        Crashes and resumed answers are outside the budget: they are bounded
+        in number, and tokens received so far are not computed again.
+        """
+        self._suspects.check(demand.fingerprint)
+        late = not progress.texts and self._clock.now() >= demand.deadline_ms
+        allowed = exc.verdict.allows_retry(True) and progress.resumable
+        if (
+            late
+            or not allowed
+            or progress.attempts >= MAX_ATTEMPTS
+            or not (exc.crashed or progress.texts or self._budget.take())
+        ):
+            raise _final_refusal(exc, progress) from exc
 
-def _final_refusal(
-    exc: errors.AttemptError, partial: bool
+    def _back_off(self, demand: models.Demand, progress: Progress) -> None:
+        if not self._has_alternative(demand.target, progress.failed):
+            self._clock.sleep(BACKOFF_MS * 2 ** (progress.attempts - 1))
+
+    def _has_alternative(self, target: str, failed: frozenset[str]) -> bool:
+        now_ms = self._clock.now()
+        return any(
+            state.name not in failed and health.is_open(state, now_ms)
+            for state in self._endpoints.serving(target)
+        )
+
+
+def _with_history(
+    exc: errors.RefusalError, progress: Progress
 ) -> errors.RefusalError:
-    if partial:
+    """Returns the refusal with the verdict of all attempts."""
+    if progress.texts:
+        return _incomplete()
+    if progress.may_have_run and exc.verdict is verdict.Verdict.NOT_RUN:
         return errors.RefusalError(
-            502,
-            errors.RefusalCode.INCOMPLETE_ANSWER,
-            "the answer broke off and could not be resumed",
+            exc.status,
+            exc.code,
+            exc.message,
             verdict.Verdict.MAY_HAVE_RUN,
+            exc.retry_after_ms,
         )
+    return exc
+
+
+def _final_refusal(
+    exc: errors.AttemptError, progress: Progress
+) -> errors.RefusalError:
+    if progress.texts:
+        return _incomplete()
+    run = verdict.Verdict.NOT_RUN
+    if progress.may_have_run:
+        run = verdict.Verdict.MAY_HAVE_RUN
     return errors.RefusalError(
-        503,
-        errors.RefusalCode.ENDPOINT_FAILED,
+        504 if exc.timed_out else 503,
+        errors.RefusalCode.ENDPOINT_TIMEOUT
+        if exc.timed_out
+        else errors.RefusalCode.ENDPOINT_FAILED,
         str(exc),
-        exc.verdict,
+        run,
+        RETRY_AFTER_MS,
+    )
+
+
+def _incomplete() -> errors.RefusalError:
+    return errors.RefusalError(
+        502,
+        errors.RefusalCode.INCOMPLETE_ANSWER,
+        "the answer broke off and could not be resumed",
+        verdict.Verdict.MAY_HAVE_RUN,
         RETRY_AFTER_MS,
     )
--- a/hornbeampier/verdict.py
+++ b/hornbeampier/verdict.py
@@ -10,6 +10,11 @@
     MAY_HAVE_RUN = "may_have_run"
     RAN = "ran"
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an execution cannot be ruled out."""
+        return self is not Verdict.NOT_RUN
+
     def allows_retry(self, idempotent: bool) -> bool:
         """Returns whether another attempt cannot repeat an effect."""
         if self is Verdict.NOT_RUN:
--- a/hornbeampier/vms/hints.py
+++ b/hornbeampier/vms/hints.py
@@ -10,6 +10,7 @@
 
 from hornbeampier import application
 from hornbeampier import clock
+from hornbeampier import errors
 from hornbeampier.platform import records
 from hornbeampier.vms import messages
 
@@ -92,6 +93,14 @@
         """Returns how many peers were heard recently."""
         return len(self._recent())
 
+    def suspects_at(self, endpoint: str) -> bool:
+        """Returns whether a peer runs a suspected request there."""
+        return any(endpoint in h.hint.suspects_at for h in self._recent())
+
+    def reserved(self, endpoint: str) -> bool:
+        """Returns whether a peer keeps the endpoint for one suspect."""
+        return any(endpoint in h.hint.reserved for h in self._recent())
+
     def complete(self) -> bool:
         """Returns whether every listed peer was heard recently."""
         recent = {heard.hint.vm for heard in self._recent()}
@@ -103,12 +112,16 @@
 
     def _send(self) -> None:
         while True:
-            self._sequence += 1
-            payload = msgspec.msgpack.encode(self._make_hint(self._sequence))
-            for address in self._peers.values():
-                self._send_to(payload, address)
+            self.announce()
             self._clock.sleep(self._interval_ms)
 
+    def announce(self) -> None:
+        """Sends a hint to all peers now."""
+        self._sequence += 1
+        payload = msgspec.msgpack.encode(self._make_hint(self._sequence))
+        for address in list(self._peers.values()):
+            self._send_to(payload, address)
+
     def _send_to(self, payload: bytes, address: tuple[str, int]) -> None:
         try:
             self._sock.sendto(payload, address)
@@ -121,7 +134,7 @@
             payload, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
                 hint = msgspec.msgpack.decode(payload, type=messages.Hint)
-            except msgspec.MsgspecError:
+            except errors.DECODE_ERRORS:
                 self._log.warning("hint_unreadable")
                 continue
             self._accept(hint)
@@ -129,8 +142,9 @@
     def _accept(self, hint: messages.Hint) -> None:
         if hint.vm == self._vm or hint.vm not in self._peers:
             return
-        former = self._heard.get(hint.vm)
-        if former and _is_older(hint, former.hint):
+        # Only a recent hint counts: one absurd number mutes nobody for long.
+        former = {h.hint.vm: h.hint for h in self._recent()}.get(hint.vm)
+        if former and _is_older(hint, former):
             return
         self._heard[hint.vm] = _Heard(hint, self._clock.now())
         self._on_hint(hint)
--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -1,7 +1,31 @@
 """Wire types between the entry VMs."""
 
+from typing import Annotated
+
 import msgspec
 
+MAX_SUSPICIONS = 16
+MAX_CRASHES_TOLD = 8
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+Digest = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+CrashId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """A request under which endpoints crashed.
+
+    Attributes:
+        fingerprint: Digest of the account and the body.
+        crashes: Identifies each crash, so that none is counted twice.
+        convicted: Whether the request is refused from now on.
+    """
+
+    fingerprint: Digest
+    crashes: Annotated[
+        tuple[CrashId, ...], msgspec.Meta(max_length=MAX_CRASHES_TOLD)
+    ]
+    convicted: bool
+
 
 class Hint(msgspec.Struct, frozen=True, array_like=True):
     """What a VM tells its peers in a datagram.
@@ -14,15 +38,23 @@
         in_flight: The sender's requests at each endpoint.
         waiting: The sender's waiting requests of each tier.
         leaving: Endpoints that the sender knows to be leaving.
+        suspicions: Recent crashes under the sender's requests.
+        suspects_at: Endpoints where the sender runs suspected requests.
+        reserved: Endpoints that the sender keeps for one suspect alone.
     """
 
     vm: str
     boot: int
     sequence: int
     version: int
-    in_flight: dict[str, int]
-    waiting: dict[int, int]
+    in_flight: dict[str, Count]
+    waiting: dict[int, Count]
     leaving: tuple[str, ...]
+    suspicions: Annotated[
+        tuple[Suspicion, ...], msgspec.Meta(max_length=MAX_SUSPICIONS)
+    ] = ()
+    suspects_at: tuple[str, ...] = ()
+    reserved: tuple[str, ...] = ()
 
 
 class CatchUpRequest(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/sites.py
@@ -0,0 +1,211 @@
+"""Routers and stand-in engines in the test's own process."""
+
+import contextlib
+import json
+import random
+
+import gevent
+import msgspec
+
+from hornbeampier import clock
+from hornbeampier import environment
+from hornbeampier import metrics
+from hornbeampier import router
+from hornbeampier import settings
+from hornbeampier import toml
+from hornbeampier import wsgi
+from hornbeampier.callers import connection
+from hornbeampier.callers import server
+from hornbeampier.endpoints import batch
+from hornbeampier.endpoints import registry
+from hornbeampier.endpoints import standin_engine
+from hornbeampier.operators import history
+from hornbeampier.operators import schema
+from hornbeampier.policy import choice
+from hornbeampier.policy import scheduler
+from hornbeampier.policy import suspects
+from tests import processes
+
+CHAT = "/v1/chat/completions"
+KEY = ("Authorization", "Bearer key-1")
+
+
+class LinkedPeers:
+    """The other VMs of a site, heard without delay."""
+
+    def __init__(self):
+        self.others = []
+        self.heard = True
+
+    def in_flight(self, name):
+        return sum(vm.in_flight(name) for vm in self._heard())
+
+    def waiting_above(self, tier):
+        return 0
+
+    def complete(self):
+        return self.heard
+
+    def count(self):
+        return len(self._heard())
+
+    def suspects_at(self, name):
+        return any(name in vm.suspects.suspects_at() for vm in self._heard())
+
+    def reserved(self, name):
+        return any(name in vm.suspects.reserved() for vm in self._heard())
+
+    def _heard(self):
+        return self.others if self.heard else []
+
+
+class SiteVm:
+    """The router of one VM."""
+
+    def __init__(self, cfg, seed):
+        self.clock = clock.SystemClock()
+        self.env = environment.Environment(
+            clock=self.clock, rng=random.Random(seed)
+        )
+        self.peers = LinkedPeers()
+        self.endpoints = registry.Registry(self.clock)
+        self.endpoints.apply(cfg)
+        chooser = choice.EndpointChooser(self.peers, self.env.rng)
+        self.scheduler = scheduler.Scheduler(
+            self.endpoints, chooser, self.peers, self.clock
+        )
+        self.scheduler.apply(cfg)
+        self.suspects = suspects.Suspects(
+            self.clock,
+            self.env.rng,
+            self.endpoints,
+            self.peers,
+            lambda s: chooser.occupancy(s, self.clock.now()),
+            self.announce,
+        )
+        self.router = router.Router(
+            self.scheduler,
+            self.endpoints,
+            self.suspects,
+            self.clock,
+            lambda: 1,
+        )
+        self.metrics = metrics.Metrics()
+        self.app = server.CallerApp(
+            self.env,
+            settings.CallerSettings(read_timeout_ms=300),
+            lambda: history.Accepted(1, "test", "", cfg),
+            self.router,
+            self.metrics,
+        )
+        self.server = wsgi.HttpServer(
+            processes.HOST, 0, self.app, 200, connection.CallerHandler
+        )
+
+    def announce(self):
+        for vm in self.peers.others:
+            if self.peers.heard:
+                vm.suspects.merge(self.suspects.tell())
+                vm.scheduler.pump()
+        self.scheduler.pump()
+
+    def in_flight(self, name):
+        return self.endpoints.find(name).in_flight
+
+    def total_in_flight(self):
+        return sum(s.in_flight for s in self.endpoints.all())
+
+    def chat(self, text, stream=True, headers=(KEY,)):
+        body = {
+            "model": "notes",
+            "stream": stream,
+            "messages": [{"role": "user", "content": text}],
+        }
+        return processes.call(
+            self.server.port, "POST", CHAT, json.dumps(body).encode(), headers
+        )
+
+
+class Site:
+    """VMs before stand-in engines; use as a context manager."""
+
+    def __init__(self, engines=2, vms=1, slots=4, classes=None, **model):
+        model = {"step_ms": 1.0, "step_per_request_ms": 0.0} | model
+        model = {"prefill_ms": 1.0} | model
+        self.engines = [
+            standin_engine.EngineStandin(
+                f"engine-{i + 1}",
+                processes.HOST,
+                0,
+                batch.EngineModel(slots=slots, **model),
+                clock.SystemClock(),
+            )
+            for i in range(engines)
+        ]
+        self._slots = slots
+        self._classes = classes
+        self._vm_count = vms
+        self._stack = contextlib.ExitStack()
+        self.vms = []
+
+    def __enter__(self):
+        for engine in self.engines:
+            self._start(engine)
+        text = processes.configuration(
+            [(f"engine-{i + 1}", e.server.port) for i, e in self._numbered()],
+            slots=self._slots,
+        )
+        if self._classes:
+            text = text.replace(processes.CLASSES, self._classes)
+        self.cfg = toml.parse(text, schema.Configuration)
+        self.vms = [SiteVm(self.cfg, i) for i in range(self._vm_count)]
+        for vm in self.vms:
+            vm.peers.others = [v for v in self.vms if v is not vm]
+            self._start(vm.server)
+        ticker = gevent.spawn(self._tick)
+        self._stack.callback(ticker.kill)
+        return self
+
+    def _tick(self):
+        """Does what the periodic hints do for waiting requests."""
+        while True:
+            gevent.sleep(0.05)
+            for vm in self.vms:
+                vm.scheduler.pump()
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def _numbered(self):
+        return list(enumerate(self.engines))
+
+    def _start(self, part):
+        part.start()
+        self._stack.callback(part.stop)
+
+    @property
+    def vm(self):
+        return self.vms[0]
+
+    def control(self, index, **faults):
+        app = self.engines[index].app
+        app.control = msgspec.convert(faults, standin_engine.EngineControl)
+
+    def runs(self):
+        return [run for e in self.engines for run in e.app.runs]
+
+    def wait_idle(self):
+        """Waits until no VM and no engine holds any work."""
+        processes.wait_until(self._is_idle, 10)
+
+    def _is_idle(self):
+        gevent.sleep(0)
+        busy = sum(vm.total_in_flight() for vm in self.vms)
+        busy += sum(vm.app.open_requests for vm in self.vms)
+        busy += sum(sum(vm.scheduler.counts().values()) for vm in self.vms)
+        apps = [e.app for e in self.engines]
+        return not busy and not any(a.open_sequences() for a in apps)
+
+
+def expected_text(prompt, tokens):
+    return "".join(batch.token_text(prompt, i) for i in range(tokens))
--- /dev/null
+++ b/tests/test_whole_answers.py
@@ -0,0 +1,261 @@
+"""Whole answers and own answers under faults in the middle of a stream."""
+
+import random
+import socket
+
+import gevent
+import testtools
+
+from hornbeampier import exchange
+from hornbeampier import router
+from hornbeampier.callers import connection
+from hornbeampier.endpoints import standin_engine
+from hornbeampier.policy import health
+from hornbeampier.policy import timeouts
+from tests import processes
+from tests import sites
+
+FAULTS = list(standin_engine.StreamFault)
+TOKENS = 12
+
+
+class WholeAnswerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(timeouts, "MIN_FIRST_TOKEN_MS", 150.0)
+        self.patch(timeouts, "MAX_FIRST_TOKEN_MS", 150.0)
+        self.patch(timeouts, "MIN_BETWEEN_TOKENS_MS", 150.0)
+        self.patch(timeouts, "MAX_BETWEEN_TOKENS_MS", 150.0)
+        self.patch(router, "BACKOFF_MS", 20.0)
+        self.patch(health, "BASE_EJECTION_MS", 50.0)
+
+    def check_whole(self, answer, prompt, tokens):
+        self.assertEqual(200, answer.status, answer.body)
+        expected = sites.expected_text(prompt, tokens)
+        self.assertEqual(expected, answer.text())
+        if answer.headers["content-type"] == "text/event-stream":
+            self.assertEqual("[DONE]", answer.events()[-1])
+            self.assertEqual(tokens + 1, len(answer.events()))
+
+    def test_each_fault_in_a_stream_is_resumed(self):
+        with sites.Site(engines=2) as site:
+            for number, fault in enumerate(FAULTS):
+                for stream in (True, False):
+                    for index in range(2):
+                        site.control(
+                            index, fault=fault, fault_after=5, fault_count=1
+                        )
+                    prompt = f"{number} {stream} tokens={TOKENS}"
+                    answer = site.vm.chat(prompt, stream)
+                    self.check_whole(answer, prompt, TOKENS)
+                    site.wait_idle()
+            resumed = [r for r in site.runs() if r.start]
+            self.assertGreaterEqual(len(resumed), 2 * len(FAULTS))
+            for run in resumed:
+                # The engine gets the text and computes only the rest.
+                self.assertEqual(
+                    7 * run.start, len(run.resume_text.encode()), run
+                )
+                self.assertLessEqual(run.tokens, TOKENS - run.start)
+
+    def test_a_lost_connection_resumes_at_the_same_engine(self):
+        with sites.Site(engines=3) as site:
+            for index in range(3):
+                site.control(index, fault="drop", fault_after=5, fault_count=1)
+            self.check_whole(site.vm.chat("x tokens=12"), "x tokens=12", 12)
+            used = [len(e.app.runs) for e in site.engines]
+            self.assertEqual([0, 0, 2], sorted(used))
+            self.assertEqual([], [s for s in site.vm.suspects._records])
+
+    def test_an_engine_that_cannot_resume_ends_in_an_error_event(self):
+        with sites.Site(engines=1) as site:
+            site.control(
+                0, fault="drop", fault_after=5, fault_count=1, no_resume=True
+            )
+            answer = site.vm.chat("x tokens=12")
+            events = answer.events()
+            self.assertEqual(6, len(events))
+            self.assertNotIn("[DONE]", events)
+            self.assertIn('"verdict":"may_have_run"', events[-1])
+            site.control(
+                0, fault="drop", fault_after=5, fault_count=1, no_resume=True
+            )
+            whole = site.vm.chat("x tokens=12", stream=False)
+            self.assertEqual(502, whole.status)
+            self.assertEqual("incomplete_answer", whole.json()["error"]["code"])
+
+    def test_no_event_of_another_request_reaches_the_caller(self):
+        with sites.Site(engines=1) as site:
+            site.control(0, fault="cross", fault_after=3, fault_count=1)
+            answer = site.vm.chat("x tokens=12")
+            self.check_whole(answer, "x tokens=12", 12)
+            self.assertNotIn(b"secret", answer.body)
+
+    def test_a_connection_lost_after_the_last_token_is_whole(self):
+        with sites.Site(engines=1) as site:
+            site.control(0, drop_after=12)
+            self.check_whole(site.vm.chat("x tokens=12"), "x tokens=12", 12)
+            self.assertEqual(1, len(site.runs()))
+
+    def test_a_bad_request_is_no_failure_of_the_engine(self):
+        with sites.Site(engines=1) as site:
+            body = (
+                b'{"model": "notes",'
+                b' "messages": [{"role": "user", "content": []}]}'
+            )
+            port = site.vm.server.port
+            answer = processes.call(port, "POST", sites.CHAT, body, [sites.KEY])
+            self.assertEqual(400, answer.status)
+            self.assertEqual("not_run", answer.json()["error"]["verdict"])
+            state = site.vm.endpoints.find("engine-1")
+            self.assertEqual(0, state.failures)
+
+    def test_a_silent_engine_costs_one_timeout(self):
+        with sites.Site(engines=2) as site:
+            site.engines[0].app._batch.frozen = True
+            for number in range(4):
+                prompt = f"{number} tokens=3"
+                self.check_whole(site.vm.chat(prompt), prompt, 3)
+            site.engines[1].app._batch.frozen = True
+            answer = site.vm.chat("hang tokens=3")
+            self.assertEqual(504, answer.status)
+            self.assertEqual("1", answer.headers["retry-after"])
+            self.assertEqual("may_have_run", answer.json()["error"]["verdict"])
+
+
+class CallerGoneTest(testtools.TestCase):
+    def leave(self, site, text, seen=b""):
+        """Sends a request, waits for `seen` and closes the connection."""
+        sock = socket.create_connection((processes.HOST, site.vm.server.port))
+        sock.settimeout(10)
+        body = (
+            '{"model": "notes", "stream": true, "messages": [{"role": "user",'
+            f' "content": "{text}"}}]}}'
+        )
+        sock.sendall(
+            (
+                f"POST {sites.CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: "
+                f"Bearer key-1\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+            ).encode()
+        )
+        data = b""
+        while seen and seen not in data:
+            data += sock.recv(1_000)
+        return sock
+
+    def test_work_stops_while_the_caller_waits_for_the_first_token(self):
+        with sites.Site(engines=1, slots=1, prefill_ms=200.0) as site:
+            first = self.leave(site, "tokens=100000")
+            processes.wait_until(lambda: site.runs())
+            # The engine holds the second request outside its batch.
+            second = self.leave(site, "x tokens=100000")
+            processes.wait_until(lambda: len(site.runs()) == 2)
+            second.close()
+            processes.wait_until(lambda: site.vm.app.open_requests == 1)
+            first.close()
+            site.wait_idle()
+            self.assertEqual([0], [r.tokens for r in site.runs()][1:])
+            computed = site.engines[0].app._batch.computed_tokens
+            self.assertLess(computed, 100_000)
+
+    def test_a_queued_request_leaves_the_queue(self):
+        with sites.Site(engines=1, slots=1) as site:
+            held = [self.leave(site, "tokens=100000") for _ in range(2)]
+            processes.wait_until(lambda: len(site.runs()) == 2)
+            queued = self.leave(site, "x tokens=100000")
+            processes.wait_until(
+                lambda: sum(site.vm.scheduler.counts().values()) == 1
+            )
+            queued.close()
+            processes.wait_until(
+                lambda: sum(site.vm.scheduler.counts().values()) == 0
+            )
+            for sock in held:
+                sock.close()
+            site.wait_idle()
+            self.assertEqual(2, len(site.runs()))
+
+    def test_a_caller_that_pipelines_and_goes_is_seen(self):
+        self.patch(timeouts, "MIN_FIRST_TOKEN_MS", 60_000.0)
+        with sites.Site(engines=1) as site:
+            site.engines[0].app._batch.frozen = True
+            sock = self.leave(site, "tokens=100000")
+            processes.wait_until(lambda: site.runs())
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            gevent.sleep(0.1)
+            sock.close()
+            processes.wait_until(
+                lambda: not site.vm.app.open_requests, timeout_s=10
+            )
+
+
+class LeakTest(testtools.TestCase):
+    def test_nothing_is_held_after_a_seeded_run_of_faults(self):
+        self.patch(timeouts, "MIN_FIRST_TOKEN_MS", 200.0)
+        self.patch(timeouts, "MAX_FIRST_TOKEN_MS", 200.0)
+        self.patch(timeouts, "MAX_BETWEEN_TOKENS_MS", 200.0)
+        self.patch(timeouts, "MIN_BETWEEN_TOKENS_MS", 200.0)
+        self.patch(standin_engine, "RESTART_MS", 50.0)
+        self.patch(health, "BASE_EJECTION_MS", 50.0)
+        self.patch(router, "BACKOFF_MS", 20.0)
+        rng = random.Random(4)
+        with sites.Site(engines=3, vms=2) as site:
+            for _ in range(6):
+                self.run_round(site, rng)
+                site.wait_idle()
+            pools = [
+                state.peer._pool
+                for vm in site.vms
+                for state in vm.endpoints.all()
+            ]
+            # Cancels may still be on their way.
+            processes.wait_until(
+                lambda: {p._semaphore.counter for p in pools} == {256}, 5
+            )
+
+    def run_round(self, site, rng):
+        for index in range(3):
+            site.control(
+                index,
+                fault=rng.choice(FAULTS),
+                fault_after=rng.randrange(8),
+                fault_count=rng.randrange(4),
+            )
+        texts = [
+            f"{rng.random()} tokens={rng.randrange(1, 30)}" for _ in range(20)
+        ]
+        texts += [f"{rng.random()} crash"]
+        calls = [
+            gevent.spawn(self.one_call, rng.choice(site.vms), text, rng)
+            for text in texts
+        ]
+        gevent.joinall(calls, raise_error=True)
+
+    def one_call(self, vm, text, rng):
+        with gevent.Timeout(rng.choice([0.03, 60, 60, 60, 60]), False):
+            answer = vm.chat(text, stream=rng.random() < 0.5)
+            events = answer.events()
+            if answer.status != 200:
+                self.assertIn("verdict", answer.json()["error"])
+            elif events and events[-1] != "[DONE]":
+                self.assertIn("verdict", events[-1])
+            else:
+                tokens = int(text.rpartition("=")[2])
+                self.assertEqual(
+                    sites.expected_text(text, tokens), answer.text()
+                )
+
+
+class ConnectionPoolTest(testtools.TestCase):
+    def test_a_task_killed_before_it_has_its_socket_leaks_none(self):
+        with sites.Site(engines=1) as site:
+            peer = site.vm.endpoints.find("engine-1").peer
+            req = exchange.OutgoingRequest("GET", "/load")
+            peer.call(req)
+            task = gevent.spawn(peer.call, req)
+            # Runs after the task has started and before it goes on.
+            gevent.get_hub().loop.run_callback(
+                task.throw, connection.CallerGoneError
+            )
+            task.join()
+            self.assertEqual(256, peer._pool._semaphore.counter)
