--- a/hornbeampier/callers/connection.py
+++ b/hornbeampier/callers/connection.py
@@ -8,6 +8,8 @@
 from gevent import select
 from gevent import socket
 
+from hornbeampier import wsgi
+
 SOCKET_KEY = "hornbeampier.socket"
 WATCH_INTERVAL_S = 0.5
 # A caller that takes nothing of its answer for so long is cut off.
@@ -53,7 +55,7 @@
             raise TimeoutError("the body was not read to its end")
 
 
-class CallerHandler(pywsgi.WSGIHandler):
+class CallerHandler(wsgi.TrackedHandler):
     """Hands the connection to the application and limits slow senders."""
 
     read_timeout_s = 10.0
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -5,6 +5,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import models
+from hornbeampier import verdict
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import schema
 from hornbeampier.policy import capacity
@@ -46,12 +47,17 @@
 
         Raises:
             errors.RefusalError: The request is given up; it was not sent.
+            errors.ShutdownError: The VM stops; this wait sent nothing.
         """
         ticket = self._enqueue(demand, excluded)
         self._pump_target(demand.target)
         try:
             remaining_ms = demand.deadline_ms - self._clock.now()
             ticket.result.wait(max(0.0, remaining_ms) / clocks.MS_PER_SECOND)
+        except errors.ShutdownError as exc:
+            self._abandon(ticket)
+            exc.verdict = verdict.Verdict.NOT_RUN
+            raise
         except BaseException:
             self._abandon(ticket)
             raise
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -131,13 +131,22 @@
                 self._check_retry(demand, exc, progress)
             except errors.RefusalError as exc:
                 raise _with_history(exc, progress) from exc
+            except errors.ShutdownError as exc:
+                if progress.may_have_run or progress.texts:
+                    exc.verdict = verdict.Verdict.MAY_HAVE_RUN
+                raise
             self._back_off(demand, progress)
 
     def acquire_service(
         self, demand: models.Demand, excluded: frozenset[str]
     ) -> tickets.Grant:
         """Waits for an endpoint of a plain service."""
-        return self._acquire(demand, excluded)
+        try:
+            return self._acquire(demand, excluded)
+        except errors.ShutdownError as exc:
+            if excluded:
+                exc.verdict = verdict.Verdict.MAY_HAVE_RUN
+            raise
 
     def release_service(self, grant: tickets.Grant) -> None:
         """Ends a grant of `acquire_service`."""
--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -37,7 +37,8 @@
         version: The accepted configuration version.
         in_flight: The sender's requests at each endpoint.
         waiting: The sender's waiting requests of each tier.
-        leaving: Endpoints that the sender knows to be leaving.
+        leaving: Endpoints that the sender itself saw leaving, with the age
+            of that evidence in ms.
         suspicions: Recent crashes under the sender's requests.
         suspects_at: Endpoints where the sender runs suspected requests.
         reserved: Endpoints that the sender keeps for one suspect alone.
@@ -49,7 +50,7 @@
     version: int
     in_flight: dict[str, Count]
     waiting: dict[int, Count]
-    leaving: tuple[str, ...]
+    leaving: dict[str, float]
     suspicions: Annotated[
         tuple[Suspicion, ...], msgspec.Meta(max_length=MAX_SUSPICIONS)
     ] = ()
--- a/tests/test_example_sessions.py
+++ b/tests/test_example_sessions.py
@@ -26,6 +26,7 @@
     scrubbers.create_regex_scrubber(r'"created":\d+', '"created":<unix s>'),
     scrubbers.create_regex_scrubber(r'"wait_ms": [\d.]+', '"wait_ms": <ms>'),
     scrubbers.create_regex_scrubber(r"\d+\.\d%", "<share>"),
+    scrubbers.create_regex_scrubber(r"127\.0\.0\.1:\d+", "<address>"),
 )
 
 
