Preempt running requests of lower tiers for those that wait long

Change: a request that has waited a quarter of its time to the first token, or is of the highest tier and sent above the slots, preempts one of a lower tier; the preempted answer goes on where it stopped.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -3,6 +3,7 @@
 import collections
 from typing import Protocol
 
+from hornbeampier import application
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import models
@@ -56,7 +57,7 @@
         return self._turns.choose([s for s in states if loads[s.name] == least])
 
 
-class FifoScheduler:
+class FifoScheduler(application.BaseComponent):
     """One first-in-first-out queue for each target."""
 
     def __init__(
@@ -136,7 +137,7 @@
         chosen = self._chooser.choose(free)
         chosen.in_flight += 1
         wait_ms = now_ms - ticket.enqueued_ms
-        ticket.result.set(tickets.Grant(chosen, (), wait_ms))
+        ticket.result.set(tickets.Grant(ticket.demand, chosen, (), wait_ms))
         return True
 
     def _abandon(self, ticket: tickets.Ticket) -> None:
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -171,6 +171,7 @@
         self.app.add(self._catch_up_server)
         self.app.add(self._hints)
         self.app.add(self._load)
+        self.app.add(self._scheduler)
         self.app.add(self._follower)
         self.app.add(self._planner)
         self.app.add(self.caller_server)
--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -105,6 +105,10 @@
         self.timed_out = timed_out
 
 
+class PreemptedError(Exception):
+    """A request gave its slot to a higher tier and is to be resumed."""
+
+
 class PlatformError(Exception):
     """The platform could not be reached or refused the call."""
 
--- a/hornbeampier/models.py
+++ b/hornbeampier/models.py
@@ -29,6 +29,8 @@
         fingerprint: Digest of account and body; equal for repeats.
         retried: An earlier attempt failed, or endpoints crashed under it; it
             goes before new requests of its tier and holds none of them up.
+        preemptions: How often it gave its slot to a higher tier; it goes
+            before the other requests of its class.
     """
 
     request_id: str
@@ -39,6 +41,7 @@
     deadline_ms: float
     fingerprint: str
     retried: bool = False
+    preemptions: int = 0
 
 
 def service_target(name: str) -> str:
--- a/hornbeampier/policy/queues.py
+++ b/hornbeampier/policy/queues.py
@@ -10,6 +10,7 @@
 class ClassQueue:
     """The waiting requests of one class.
 
+    Preempted requests go first: their answers have begun.
     Requests that can still meet the class's target go before those that
     cannot, so that under overload some are served in time rather than none.
     """
@@ -17,25 +18,38 @@
     def __init__(self, request_class: schema.RequestClass):
         self.request_class = request_class
         self.credit_ms = 0.0
+        self._resumed: list[tickets.Ticket] = []
         self._on_time = fairness.FairQueue()
         self._late = fairness.FairQueue()
 
     def __len__(self) -> int:
-        return len(self._on_time) + len(self._late)
+        return len(self._resumed) + len(self._on_time) + len(self._late)
 
     def push(self, ticket: tickets.Ticket) -> None:
         """Adds a request."""
+        if ticket.demand.preemptions:
+            self._resumed.append(ticket)
+            return
         self._on_time.push(ticket)
 
     def remove(self, ticket: tickets.Ticket) -> bool:
         """Takes a request out; returns whether it was waiting."""
+        if ticket in self._resumed:
+            self._resumed.remove(ticket)
+            return True
         return self._on_time.remove(ticket) or self._late.remove(ticket)
 
     def head(self, now_ms: float) -> tickets.Ticket | None:
         """Returns the request that is next."""
+        if self._resumed:
+            return self._resumed[0]
         self._demote(now_ms)
         return self._on_time.head() or self._late.head()
 
+    def on_time(self) -> Iterator[tickets.Ticket]:
+        """Yields the requests that can still meet the target."""
+        yield from self._on_time
+
     def charge(self, ticket: tickets.Ticket) -> None:
         """Counts a dispatched request against its account."""
         self._on_time.charge(ticket)
@@ -43,7 +57,8 @@
 
     def cost_ms(self) -> float:
         """Returns the expected endpoint time of all waiting requests."""
-        return self._on_time.cost_ms() + self._late.cost_ms()
+        resumed_ms = sum(ticket.cost_ms for ticket in self._resumed)
+        return resumed_ms + self._on_time.cost_ms() + self._late.cost_ms()
 
     def cost_ahead_ms(self, account: schema.ClientAccount) -> float:
         """Returns the cost that is served before a new request."""
@@ -156,6 +171,15 @@
                 ahead_ms += queue.cost_ms()
         return ahead_ms
 
+    def overdue(self, now_ms: float) -> list[tickets.Ticket]:
+        """Returns the requests that may preempt lower tiers."""
+        return [
+            ticket
+            for queue in self._classes.values()
+            for ticket in queue.on_time()
+            if ticket.preempt_ms <= now_ms
+        ]
+
     def counts(self) -> dict[str, int]:
         """Returns the number of waiting requests of each class."""
         counts = {name: len(q) for name, q in self._classes.items()}
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container
 
+from hornbeampier import application
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import models
@@ -11,13 +12,17 @@
 from hornbeampier.policy import capacity
 from hornbeampier.policy import choice
 from hornbeampier.policy import durations
+from hornbeampier.policy import preemption
 from hornbeampier.policy import queues
 from hornbeampier.policy import tickets
 
 MIN_RETRY_AFTER_MS = 1_000.0
+# Part of a class's time to the first token after which it may preempt.
+PREEMPT_SHARE = 0.25
+PREEMPT_INTERVAL_MS = 50.0
 
 
-class Scheduler:
+class Scheduler(application.TaskComponent):
     """Queues requests by target and grants them endpoints."""
 
     def __init__(
@@ -27,11 +32,13 @@
         peers: choice.PeerLoads,
         clock: clocks.Clock,
     ):
+        super().__init__()
         self._endpoints = endpoints
         self._chooser = chooser
         self._clock = clock
         self._queues: dict[str, queues.TargetQueue] = {}
         self._top_tier = 1
+        self._running = preemption.RunningRequests()
         self.durations = durations.Durations()
         self._capacity = capacity.Capacity(chooser, peers, clock)
 
@@ -73,6 +80,7 @@
 
     def release(self, grant: tickets.Grant) -> None:
         """Ends a grant and lets the next request in."""
+        self._running.discard(grant)
         grant.endpoint.in_flight -= 1
         self.pump()
 
@@ -81,6 +89,22 @@
         for target in list(self._queues):
             self._pump_target(target)
 
+    def run(self) -> None:
+        """Makes room for requests that have waited long, until killed."""
+        while True:
+            self._clock.sleep(PREEMPT_INTERVAL_MS)
+            self.preempt()
+
+    def preempt(self) -> None:
+        """Preempts a lower-tier request for each one that waited long."""
+        now_ms = self._clock.now()
+        for target, queue in self._queues.items():
+            overdue = queue.overdue(now_ms)
+            for ticket in overdue[self._running.pending(target) :]:
+                tier = ticket.demand.request_class.tier
+                if not self._running.preempt(target, tier):
+                    break
+
     def counts(self) -> dict[str, int]:
         """Returns the number of waiting requests of each class."""
         totals: dict[str, int] = {}
@@ -110,6 +134,7 @@
             now_ms,
             cost_ms,
             self._latest_start_ms(demand, cost_ms),
+            _preempt_ms(demand),
             excluded,
         )
         queue = self._queues.setdefault(demand.target, queues.TargetQueue())
@@ -173,14 +198,24 @@
             if chosen.endpoint is None:
                 continue
             queue.dispatch(ticket)
-            chosen.endpoint.in_flight += 1
-            wait_ms = now_ms - ticket.enqueued_ms
-            ticket.result.set(
-                tickets.Grant(chosen.endpoint, chosen.passed_over, wait_ms)
-            )
+            self._grant(ticket, chosen, now_ms)
             return True
         return False
 
+    def _grant(
+        self, ticket: tickets.Ticket, chosen: choice.Choice, now_ms: float
+    ) -> None:
+        state = chosen.endpoint
+        demand = ticket.demand
+        if self._chooser.occupancy(state, now_ms) >= state.cfg.slots:
+            tier = demand.request_class.tier
+            self._running.preempt(demand.target, tier, state.name)
+        state.in_flight += 1
+        wait_ms = now_ms - ticket.enqueued_ms
+        grant = tickets.Grant(demand, state, chosen.passed_over, wait_ms)
+        self._running.add(grant)
+        ticket.result.set(grant)
+
     def _may_take_slot(
         self,
         queue: queues.TargetQueue,
@@ -198,3 +233,11 @@
         queue = self._queues[ticket.demand.target]
         if not queue.remove(ticket) and ticket.result.ready():
             self.release(ticket.result.get())
+
+
+def _preempt_ms(demand: models.Demand) -> float:
+    """Returns from when on a waiting request may preempt lower tiers."""
+    target_ms = demand.request_class.first_token_ms
+    if target_ms is None:
+        return float("inf")
+    return demand.arrival_ms + target_ms * PREEMPT_SHARE
--- a/hornbeampier/policy/tickets.py
+++ b/hornbeampier/policy/tickets.py
@@ -17,13 +17,21 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class Grant:
-    """Leave to send one request to one endpoint."""
+    """Leave to send one request to one endpoint.
+
+    Attributes:
+        resumable: The answer has begun and may be preempted.
+        preempted: The slot is to be given back after the next event.
+    """
 
+    demand: models.Demand
     endpoint: registry.EndpointState
     passed_over: tuple[PassedOver, ...]
     wait_ms: float
+    resumable: bool = False
+    preempted: bool = False
 
 
 @dataclasses.dataclass(eq=False)
@@ -33,6 +41,7 @@
     Attributes:
         cost_ms: Expected time at an endpoint.
         latest_start_ms: A later start misses the class's target; monotonic.
+        preempt_ms: From then on it may preempt lower tiers; monotonic.
         excluded: Names of endpoints that it must not use at present.
         result: Receives the grant.
     """
@@ -41,6 +50,7 @@
     enqueued_ms: float
     cost_ms: float
     latest_start_ms: float = float("inf")
+    preempt_ms: float = float("inf")
     excluded: Container[str] = frozenset()
     result: event.AsyncResult = dataclasses.field(
         default_factory=event.AsyncResult
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -15,6 +15,7 @@
 from hornbeampier.endpoints import probe
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import health
+from hornbeampier.policy import preemption
 from hornbeampier.policy import retries
 from hornbeampier.policy import scheduler
 from hornbeampier.policy import suspects
@@ -26,6 +27,8 @@
 # Wait before an attempt at an endpoint that has just failed.
 BACKOFF_MS = 100.0
 STRAGGLER_CHECK_TOKENS = 32
+# How long a preempted answer may wait for its next slot.
+PREEMPTED_WAIT_MS = 120_000.0
 
 
 @dataclasses.dataclass
@@ -39,6 +42,7 @@
         may_have_run: Whether an attempt may have run at an endpoint.
         finished: Whether the last event with text has arrived.
         resumable: Whether the text alone lets another engine go on.
+        preempted: Whether the last attempt ended by preemption.
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
@@ -49,6 +53,7 @@
     may_have_run: bool = False
     finished: bool = False
     resumable: bool = True
+    preempted: bool = False
 
     @property
     def text(self) -> str:
@@ -124,6 +129,9 @@
                     yield from self._grant_and_run(demand, body, progress)
                 self._suspects.record_whole(demand.fingerprint)
                 return
+            except errors.PreemptedError:
+                progress.preempted = True
+                continue
             except errors.AttemptError as exc:
                 if progress.finished:
                     return
@@ -157,6 +165,8 @@
     ) -> models.Demand:
         """Checks for a conviction; gives a broken-off answer more time."""
         self._suspects.check(demand.fingerprint)
+        if progress.preempted:
+            return self._requeue(demand, progress)
         suspected = self._suspects.level(demand.fingerprint)
         if not progress.attempts and not suspected:
             return demand
@@ -170,6 +180,23 @@
             demand, deadline_ms=deadline_ms, retried=True
         )
 
+    def _requeue(
+        self, demand: models.Demand, progress: Progress
+    ) -> models.Demand:
+        """Returns the demand of a preempted request, with new time to wait."""
+        progress.preempted = False
+        self._log.info(
+            "preempted",
+            request_id=demand.request_id,
+            tokens=len(progress.texts),
+        )
+        return dataclasses.replace(
+            demand,
+            retried=False,
+            preemptions=demand.preemptions + 1,
+            deadline_ms=self._clock.now() + PREEMPTED_WAIT_MS,
+        )
+
     def _grant_and_run(
         self, demand: models.Demand, body: bytes, progress: Progress
     ) -> Iterator[engine.EngineEvent]:
@@ -182,7 +209,7 @@
         try:
             with self._suspects.running(demand.fingerprint, state):
                 try:
-                    yield from self._attempt(state, demand, body, progress)
+                    yield from self._attempt(grant, demand, body, progress)
                     health.record_success(state)
                 except errors.AttemptError as exc:
                     self._record_failure(state, demand, exc, progress)
@@ -206,11 +233,12 @@
 
     def _attempt(
         self,
-        state: registry.EndpointState,
+        grant: tickets.Grant,
         demand: models.Demand,
         body: bytes,
         progress: Progress,
     ) -> Iterator[engine.EngineEvent]:
+        state = grant.endpoint
         started_ms = self._clock.now()
         req = engine.EngineRequest(
             demand.request_id,
@@ -232,6 +260,9 @@
             if event.text or event.finish_reason or not req.resume_tokens:
                 yield event
             waiting_ms = self._clock.now()
+            if grant.preempted and not progress.finished:
+                raise errors.PreemptedError
+            grant.resumable = _is_preemptible(demand, progress)
         self._scheduler.durations.record(
             demand.request_class.name,
             demand.account.name,
@@ -393,3 +424,8 @@
         verdict.Verdict.MAY_HAVE_RUN,
         RETRY_AFTER_MS,
     )
+
+
+def _is_preemptible(demand: models.Demand, progress: Progress) -> bool:
+    begun = bool(progress.texts) and not progress.finished
+    return begun and progress.resumable and preemption.is_preemptible(demand)
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,68 @@
+"""Running requests that make room for higher tiers."""
+
+import dataclasses
+import types
+
+import gevent
+import testtools
+
+from hornbeampier.policy import preemption
+from hornbeampier.policy import queues
+from hornbeampier.policy import tickets
+from tests import processes
+from tests import sites
+from tests import test_tiers
+from tests.test_tiers import BULK
+from tests.test_tiers import URGENT
+
+
+class PreemptionTest(testtools.TestCase):
+    def test_waiting_request_preempts_once_a_quarter_of_its_target_is_over(
+        self,
+    ):
+        running = preemption.RunningRequests()
+        endpoint = types.SimpleNamespace(name="engine-1")
+        grant = tickets.Grant(
+            test_tiers.make_demand(BULK), endpoint, (), 0.0, resumable=True
+        )
+        running.add(grant)
+        queue = queues.TargetQueue()
+        ticket = test_tiers.make_ticket(URGENT)
+        ticket.preempt_ms = 275.0
+        queue.push(ticket)
+        self.assertEqual([], queue.overdue(274.0))
+        self.assertEqual([ticket], queue.overdue(275.0))
+        self.assertTrue(running.preempt("notes", URGENT.tier))
+        self.assertEqual(1, running.pending("notes"))
+        self.assertFalse(running.preempt("notes", URGENT.tier))
+
+    def test_each_request_is_preempted_at_most_once(self):
+        demand = test_tiers.make_demand(BULK)
+        self.assertTrue(preemption.is_preemptible(demand))
+        again = dataclasses.replace(demand, preemptions=1)
+        self.assertFalse(preemption.is_preemptible(again))
+
+    def test_preempted_request_goes_before_the_others_of_its_class(self):
+        queue = queues.TargetQueue()
+        queue.push(test_tiers.make_ticket(BULK))
+        resumed = test_tiers.make_ticket(BULK)
+        resumed.demand = dataclasses.replace(resumed.demand, preemptions=1)
+        queue.push(resumed)
+        self.assertIs(resumed, test_tiers.drain(queue, 1)[0])
+
+    def test_preempted_answer_is_whole_and_nothing_is_computed_twice(self):
+        with sites.Site(engines=1, slots=1) as site:
+            bulk = (sites.KEY, ("X-Request-Class", "bulk"))
+            text = "a long list tokens=400"
+            first = gevent.spawn(site.vm.chat, text, headers=bulk)
+            processes.wait_until(lambda: site.runs() and site.runs()[0].tokens)
+            second = site.vm.chat("a question tokens=3")
+            self.assertFalse(first.ready())
+            self.assertEqual(
+                sites.expected_text("a question tokens=3", 3), second.text()
+            )
+            self.assertEqual(sites.expected_text(text, 400), first.get().text())
+            begun, urgent, resumed = site.runs()
+            self.assertEqual(begun.request_id, resumed.request_id)
+            self.assertNotEqual(begun.request_id, urgent.request_id)
+            self.assertTrue(0 < resumed.start <= begun.tokens)
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -147,3 +147,30 @@
             self.scheduler.acquire(make_demand(BULK))
         grant = self.scheduler.acquire(make_demand(URGENT, deadline_ms=0.0))
         self.assertEqual(2, grant.endpoint.in_flight - 1)
+
+    def start_bulk(self, count):
+        grants = [
+            self.scheduler.acquire(make_demand(BULK)) for _ in range(count)
+        ]
+        for grant in grants:
+            grant.resumable = True
+        return grants
+
+    def test_highest_tier_preempts_where_it_is_sent_above_the_slots(self):
+        grants = self.start_bulk(4)
+        urgent = self.scheduler.acquire(make_demand(URGENT))
+        preempted = [g for g in grants if g.preempted]
+        self.assertEqual(1, len(preempted))
+        self.assertIs(urgent.endpoint, preempted[0].endpoint)
+
+    def test_request_whose_answer_cannot_be_resumed_is_not_preempted(self):
+        grants = [self.scheduler.acquire(make_demand(BULK)) for _ in range(4)]
+        self.scheduler.acquire(make_demand(URGENT))
+        self.assertFalse(any(g.preempted for g in grants))
+
+    def test_no_request_is_preempted_for_its_own_tier_or_a_lower_one(self):
+        grants = [self.scheduler.acquire(make_demand(URGENT)) for _ in range(4)]
+        for grant in grants:
+            grant.resumable = True
+        self.scheduler.acquire(make_demand(URGENT))
+        self.assertFalse(any(g.preempted for g in grants))
