Convict a request only for a crash under it alone, confirmed by the peers

Cause: with two poison requests on two engines and two VMs, innocent requests were convicted (422, one stream cut after 20 tokens): the trial of one VM could not see that a request of another VM had joined it. Requests sent to an engine that accepts connections and drops them while down were blamed, too. Ruled out: a lower count of crashes in company (it convicts innocents that share two engines with two poison requests); blocking the last open endpoint for a trial (urgent work would wait). Change: a crash in a trial that another request joined is blamed on the other; a conviction waits for what the peers tell; an endpoint that is down and has shown no life blames nobody; at most 6 endpoints, 3 when nobody joins the trial.

--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -25,6 +25,7 @@
         foreign: The report's requests that were not this VM's.
         leaving: The VM list, a peer or the endpoint says it is leaving.
         ejected_until_ms: No new work before this time, monotonic.
+        down: It crashed and has not shown life since.
     """
 
     cfg: schema.Endpoint
@@ -38,6 +39,7 @@
     failures: int = 0
     token_gap_ms: float = 0.0
     gap_samples: int = 0
+    down: bool = False
 
     @property
     def name(self) -> str:
@@ -124,6 +126,7 @@
     ) -> None:
         """Stores a load report that has just arrived."""
         state.report = report
+        state.down = False
         state.reported_at_ms = self._clock.now()
         total = report.running + report.waiting
         state.foreign = max(0, total - state.in_flight)
--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -2,7 +2,9 @@
 
 A crash casts suspicion on every request that ran there. A suspect runs apart
 from other suspects; one with a second crash runs alone on an endpoint. Only a
-crash under a request that ran alone convicts it, or `MAX_CRASHES` in all.
+crash under a request that ran alone convicts it, or `MAX_CRASHES` in all. A
+crash in spoiled company, where another request joined such a run, is blamed
+on the other.
 """
 
 import collections
@@ -25,12 +27,15 @@
 from hornbeampier.vms import messages
 
 # The most endpoints that one request costs, whatever ran beside it.
-MAX_CRASHES = 4
+MAX_CRASHES = 6
 # Crashes after which a request runs alone.
 CRASHES_BEFORE_TRIAL = 2
 EXPIRY_MS = 600_000.0
 # How long a suspicion is repeated in the hints.
 TELL_MS = 3_000.0
+# How long peers have to tell that they ran a request there, too; longer than
+# their probe of the endpoint.
+CONFIRM_MS = 700.0
 MAX_RECORDS = 1_024
 CRASH_ID_BITS = 32
 RETRY_AFTER_MS = 1_000.0
@@ -63,6 +68,8 @@
 @dataclasses.dataclass
 class _Record:
     crashes: set[int] = dataclasses.field(default_factory=set)
+    spoiled: int = 0
+    endpoint: str = ""
     convicted: bool = False
     expires_ms: float = 0.0
     tell_until_ms: float = 0.0
@@ -107,6 +114,7 @@
         self._reserved: dict[str, str] = {}
         self._turns: dict[str, lock.Semaphore] = {}
         self._trials: dict[str, _Trial] = {}
+        self._peer_crashes_ms: dict[str, float] = {}
 
     def check(self, fingerprint: str) -> None:
         """Refuses a request that crashes endpoints.
@@ -206,9 +214,16 @@
     ) -> None:
         """Counts a crash of an endpoint under a request."""
         record = self._find(fingerprint) or self._add(fingerprint)
-        alone = self._was_alone(fingerprint, state)
-        record.crashes.add(self._random.getrandbits(CRASH_ID_BITS))
-        record.convicted = alone or len(record.crashes) >= MAX_CRASHES
+        trial = self._trials.get(state.name)
+        on_trial = trial is not None and trial.fingerprint == fingerprint
+        if on_trial and not self._was_alone(trial, state):
+            record.spoiled += 1
+        else:
+            record.crashes.add(self._random.getrandbits(CRASH_ID_BITS))
+            record.convicted = on_trial
+        if len(record.crashes) + record.spoiled >= MAX_CRASHES:
+            record.convicted = True
+        record.endpoint = state.name
         self._touch(record)
         self._announce()
 
@@ -223,6 +238,7 @@
             messages.Suspicion(
                 fingerprint,
                 tuple(sorted(r.crashes))[: messages.MAX_CRASHES_TOLD],
+                r.endpoint,
                 r.convicted,
             )
             for fingerprint, r in reversed(self._records.items())
@@ -246,6 +262,8 @@
             record = self._find(told.fingerprint)
             if record is None:
                 record = self._add(told.fingerprint)
+            if not record.crashes.issuperset(told.crashes):
+                self._peer_crashes_ms[told.endpoint] = self._clock.now()
             record.crashes |= set(told.crashes)
             record.convicted = record.convicted or told.convicted
             record.expires_ms = self._clock.now() + EXPIRY_MS
@@ -308,10 +326,11 @@
         if trial is not None:
             trial.shared = True
 
-    def _was_alone(
-        self, fingerprint: str, state: registry.EndpointState
-    ) -> bool:
-        trial = self._trials.get(state.name)
-        if trial is None or trial.fingerprint != fingerprint:
+    def _was_alone(self, trial: _Trial, state: registry.EndpointState) -> bool:
+        """Returns whether no request of any VM ran beside the trial."""
+        crashed_ms = self._clock.now()
+        if trial.shared or self._peers.in_flight(state.name):
             return False
-        return not trial.shared and not self._peers.in_flight(state.name)
+        self._clock.sleep(CONFIRM_MS)
+        told_ms = self._peer_crashes_ms.get(state.name, float("-inf"))
+        return told_ms < crashed_ms - CONFIRM_MS
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -179,13 +179,17 @@
         grant = self._acquire(demand, barred)
         state = grant.endpoint
         progress.attempts += 1
+        was_down = state.down
         try:
             with self._suspects.running(demand.fingerprint, state):
                 try:
                     yield from self._attempt(state, demand, body, progress)
                     health.record_success(state)
                 except errors.AttemptError as exc:
-                    self._record_failure(state, demand, exc, progress)
+                    crashed = self._record_failure(state, demand, exc, progress)
+                    # No request is blamed for an endpoint that was down.
+                    if crashed and not was_down:
+                        self._suspects.record_crash(demand.fingerprint, state)
                     raise
         finally:
             self._scheduler.release(grant)
@@ -247,6 +251,7 @@
         waiting_ms: float | None,
     ) -> None:
         now_ms = self._clock.now()
+        state.down = False
         progress.resumable = progress.resumable and event.resumable
         progress.finished = progress.finished or event.finish_reason is not None
         if event.text:
@@ -267,11 +272,10 @@
         demand: models.Demand,
         exc: errors.AttemptError,
         progress: Progress,
-    ) -> None:
+    ) -> bool:
+        """Returns whether the endpoint crashed."""
         crashed = self._eject(state, demand, exc)
         lost = exc.crashed and not crashed
-        if crashed:
-            self._suspects.record_crash(demand.fingerprint, state)
         if lost and progress.preferred is not state:
             progress.preferred = state
         else:
@@ -286,6 +290,7 @@
             crashed=crashed,
             tokens=len(progress.texts),
         )
+        return crashed
 
     def _eject(
         self,
@@ -311,6 +316,7 @@
         if not exc.crashed:
             return False
         crashed = not probe.is_same_process(state)
+        state.down = state.down or crashed
         if ejected and not crashed:
             health.withdraw_failure(state)
         return crashed
--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -17,6 +17,7 @@
     Attributes:
         fingerprint: Digest of the account and the body.
         crashes: Identifies each crash, so that none is counted twice.
+        endpoint: Where the last of them happened.
         convicted: Whether the request is refused from now on.
     """
 
@@ -24,6 +25,7 @@
     crashes: Annotated[
         tuple[CrashId, ...], msgspec.Meta(max_length=MAX_CRASHES_TOLD)
     ]
+    endpoint: str
     convicted: bool
 
 
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -17,6 +17,7 @@
 from hornbeampier.callers import connection
 from hornbeampier.callers import server
 from hornbeampier.endpoints import batch
+from hornbeampier.endpoints import load
 from hornbeampier.endpoints import registry
 from hornbeampier.endpoints import standin_engine
 from hornbeampier.operators import history
@@ -27,6 +28,7 @@
 from tests import processes
 
 CHAT = "/v1/chat/completions"
+POLL_MS = 50.0
 KEY = ("Authorization", "Bearer key-1")
 
 
@@ -69,11 +71,14 @@
         )
         self.peers = LinkedPeers()
         self.endpoints = registry.Registry(self.clock)
-        self.endpoints.apply(cfg)
         chooser = choice.EndpointChooser(self.peers, self.env.rng)
         self.scheduler = scheduler.Scheduler(
             self.endpoints, chooser, self.peers, self.clock
         )
+        self.load = load.LoadPoller(
+            self.endpoints, self.clock, self.scheduler.pump, POLL_MS
+        )
+        self.endpoints.apply(cfg)
         self.scheduler.apply(cfg)
         self.suspects = suspects.Suspects(
             self.clock,
@@ -162,17 +167,9 @@
         for vm in self.vms:
             vm.peers.others = [v for v in self.vms if v is not vm]
             self._start(vm.server)
-        ticker = gevent.spawn(self._tick)
-        self._stack.callback(ticker.kill)
+            self._start(vm.load)
         return self
 
-    def _tick(self):
-        """Does what the periodic hints do for waiting requests."""
-        while True:
-            gevent.sleep(0.05)
-            for vm in self.vms:
-                vm.scheduler.pump()
-
     def __exit__(self, *exc_info):
         self._stack.close()
 
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -249,7 +249,9 @@
 class ConnectionPoolTest(testtools.TestCase):
     def test_a_task_killed_before_it_has_its_socket_leaks_none(self):
         with sites.Site(engines=1) as site:
-            peer = site.vm.endpoints.find("engine-1").peer
+            port = site.engines[0].server.port
+            peer = exchange.HttpPeer(processes.HOST, port, 10_000)
+            self.addCleanup(peer.close)
             req = exchange.OutgoingRequest("GET", "/load")
             peer.call(req)
             task = gevent.spawn(peer.call, req)
