--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,221 @@
+"""Frozen, slow and partitioned: VMs, engines, peers and the platform."""
+
+import json
+import random
+import socket
+
+import gevent
+import msgspec
+import testtools
+
+from hornbeampier.endpoints import messages
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import schema
+from hornbeampier.policy import choice
+from hornbeampier.policy import health
+from tests import golden
+from tests import processes
+from tests import sites
+
+SLOTS = 4
+
+
+def make_state(name, gap_ms=10.0, samples=100):
+    cfg = schema.Endpoint(
+        name=name,
+        kind="engine",
+        serves=("notes",),
+        availability_zone="zone-1",
+        host="127.0.0.1",
+        port=1,
+        slots=SLOTS,
+    )
+    state = registry.EndpointState(cfg, None)
+    state.token_gap_ms = gap_ms
+    state.gap_samples = samples
+    return state
+
+
+class HealthTest(testtools.TestCase):
+    def test_a_straggler_is_ejected_and_judged_anew(self):
+        states = [make_state(n) for n in "abc"] + [make_state("slow", 90.0)]
+        slow = states[-1]
+        self.assertTrue(health.eject_straggler(slow, 0.0, states))
+        self.assertFalse(health.is_open(slow, 0.0))
+        back_ms = health.STRAGGLER_EJECTION_MS
+        self.assertTrue(health.is_open(slow, back_ms))
+        self.assertFalse(health.eject_straggler(slow, back_ms, states))
+
+    def test_at_most_a_share_of_the_endpoints_is_out(self):
+        states = [make_state(f"e{n}") for n in range(6)]
+        for number, state in enumerate(states[:4]):
+            state.token_gap_ms = 1_000.0
+            others = [s for s in states if s is not state]
+            for other in others:
+                other.token_gap_ms = 10.0
+            out = health.eject_straggler(state, 0.0, states)
+            self.assertEqual(number < 2, out)
+        two = [make_state("a"), make_state("slow", 1_000.0)]
+        self.assertFalse(health.eject_straggler(two[1], 0.0, two))
+
+    def test_one_crash_counts_once_and_the_last_endpoint_returns_soon(self):
+        states = [make_state("a"), make_state("b")]
+        for _ in range(8):
+            health.record_failure(states[0], 0.0, states)
+        self.assertEqual(1, states[0].failures)
+        for _ in range(8):
+            now_ms = states[1].ejected_until_ms
+            states[0].ejected_until_ms = now_ms + 1.0
+            health.record_failure(states[1], now_ms, states)
+            out_ms = states[1].ejected_until_ms - now_ms
+            self.assertEqual(health.LAST_EJECTION_MS, out_ms)
+
+
+class SlowEngineTest(testtools.TestCase):
+    def test_a_straggling_engine_is_left_alone_for_a_while(self):
+        with sites.Site(engines=4) as site:
+            model = site.engines[0].app._batch.model
+            site.engines[0].app._batch.model = msgspec.structs.replace(
+                model, slowdown=30.0
+            )
+            texts = [f"{n} tokens=60" for n in range(12)]
+            calls = [gevent.spawn(site.vm.chat, text) for text in texts]
+            for text, call in zip(texts, calls, strict=True):
+                expected = sites.expected_text(text, 60)
+                self.assertEqual(expected, call.get(timeout=60).text())
+            state = site.vm.endpoints.find("engine-1")
+            self.assertGreater(state.ejected_until_ms, site.vm.clock.now())
+
+
+class PartitionTest(testtools.TestCase):
+    def test_reports_stand_in_for_hints_that_are_missing(self):
+        peers = sites.LinkedPeers()
+        chooser = choice.EndpointChooser(peers, random.Random(1))
+        full, free = make_state("full"), make_state("free")
+        full.report = messages.LoadReport(SLOTS, 0, SLOTS)
+        full.foreign = SLOTS
+        peers.heard = False
+        chosen = chooser.choose([full, free], False, frozenset(), 1.0)
+        self.assertEqual("free", chosen.endpoint.name)
+        self.assertEqual("full", chosen.passed_over[0].reason)
+
+
+class Session:
+    """Calls on real processes, written down for a golden file."""
+
+    def __init__(self):
+        self.lines = []
+
+    def note(self, text):
+        self.lines.append(text)
+
+    def answer(self, answer, prompt, tokens):
+        whole = answer.text() == sites.expected_text(prompt, tokens)
+        self.note(f"{answer.status} whole={whole} {answer.events()[-1:]}")
+
+    def refusal(self, answer):
+        error = answer.json()["error"]
+        self.note(f"{answer.status} {error['code']} {error['verdict']}")
+
+
+def cut(vm, text):
+    """Starts a stream, reads its first event and closes the connection."""
+    body = json.dumps(
+        {
+            "model": "notes",
+            "stream": True,
+            "messages": [{"role": "user", "content": text}],
+        }
+    )
+    sock = socket.create_connection((processes.HOST, vm.port))
+    sock.sendall(
+        (
+            f"POST {sites.CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+            f"key-1\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+    )
+    while b"data:" not in sock.recv(1_000):
+        pass
+    sock.close()
+
+
+def started(deployment, count):
+    """The engines that run a request, once there are `count` runs."""
+
+    def runs():
+        return [(e, r) for e in deployment.engines for r in e.runs()]
+
+    processes.wait_until(lambda: len(runs()) >= count)
+    return [e for e, r in runs() if not r["finished"]]
+
+
+class FaultSessionTest(testtools.TestCase):
+    def test_session(self):
+        session = Session()
+        with processes.Deployment(vms=2, engines=6, slots=4) as site:
+            self.crash(site, session)
+            self.poison(site, session)
+            self.caller_gone(site, session)
+            self.frozen_vm(site, session)
+            self.platform_down(site, session)
+        golden.verify("faults", "\n".join(session.lines) + "\n")
+
+    def crash(self, site, session):
+        session.note("# An engine is killed in the middle of an answer.")
+        prompt = "Describe the bowl tokens=300"
+        call = gevent.spawn(site.vms[0].chat, prompt, stream=True)
+        engine = started(site, 1)[0]
+        processes.wait_until(lambda: engine.runs()[0]["tokens"] > 5)
+        engine.process.kill()
+        site.engines.remove(engine)
+        session.answer(call.get(timeout=30), prompt, 300)
+        runs = [r for e in site.engines for r in e.runs()]
+        resumed = [r for r in runs if r["start"] > 0]
+        session.note(f"resumed runs: {len(resumed)}")
+        rest = [r["start"] + r["tokens"] for r in resumed]
+        session.note(f"tokens in all: {rest}")
+
+    def poison(self, site, session):
+        session.note("# A request that crashes engines, sent through both VMs.")
+        for vm in (*site.vms, *site.vms):
+            session.refusal(vm.chat("Oak crash"))
+        crashed = [r for e in site.engines for r in e.runs() if not r["tokens"]]
+        session.note(f"crashes: {len(crashed)}")
+
+    def caller_gone(self, site, session):
+        session.note("# A caller goes away.")
+        vm = site.vms[0]
+        cut(vm, "tokens=100000")
+        processes.wait_until(lambda: vm.report()["open_requests"] == 0)
+        in_flight = [e["in_flight"] for e in vm.report()["endpoints"]]
+        session.note(f"in flight: {sum(in_flight)}")
+        processes.wait_until(lambda: not self.running(site))
+        session.note("at engines: 0")
+
+    def running(self, site):
+        loads = [
+            processes.call(e.port, "GET", "/load").json() for e in site.engines
+        ]
+        return sum(x["running"] for x in loads)
+
+    def frozen_vm(self, site, session):
+        session.note("# A VM is frozen in the middle of an answer.")
+        frozen, other = site.vms
+        prompt = "Label the platter tokens=40"
+        call = gevent.spawn(frozen.chat, prompt, stream=True)
+        gevent.sleep(0.2)
+        frozen.process.freeze()
+        prompt_2 = "Label the spindle tokens=5"
+        session.note("its peer:")
+        session.answer(other.chat(prompt_2, stream=True), prompt_2, 5)
+        gevent.sleep(0.5)
+        frozen.process.thaw()
+        session.note("itself, after it goes on:")
+        session.answer(call.get(timeout=30), prompt, 40)
+
+    def platform_down(self, site, session):
+        session.note("# The platform is gone.")
+        site.platform.process.kill()
+        for vm in site.vms:
+            prompt = "Ash or elm? tokens=5"
+            session.answer(vm.chat(prompt, stream=True), prompt, 5)
