--- a/hornbeampier/callers/connection.py
+++ b/hornbeampier/callers/connection.py
@@ -8,6 +8,7 @@
 from gevent import select
 from gevent import socket
 
+from hornbeampier import errors
 from hornbeampier import wsgi
 
 SOCKET_KEY = "hornbeampier.socket"
@@ -96,8 +97,8 @@
             self.close_connection = True
 
     def handle_error(self, t, v, tb):
-        """Closes without a traceback when the caller went away."""
-        if issubclass(t, (CallerGoneError, TimeoutError)):
+        """Closes without a traceback when the caller or the VM goes away."""
+        if issubclass(t, (CallerGoneError, TimeoutError, errors.ShutdownError)):
             self.close_connection = True
             return
         super().handle_error(t, v, tb)
--- a/hornbeampier/operators/schema.py
+++ b/hornbeampier/operators/schema.py
@@ -17,7 +17,7 @@
 Sha256Hex = Annotated[str, pydantic.Field(pattern="^[0-9a-f]{64}$")]
 ROUTE = re.compile(r"^(GET|HEAD|POST|PUT|PATCH|DELETE) /\S*$")
 MAX_TIERS = 16
-MAX_TEXT_BYTES = 512 * 1024
+MAX_TEXT_BYTES = 128 * 1024
 
 
 class _Table(pydantic.BaseModel):
--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -7,6 +7,7 @@
 MAX_SUSPICIONS = 16
 MAX_CRASHES_TOLD = 8
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+AgeMs = Annotated[float, msgspec.Meta(ge=0)]
 Digest = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 CrashId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 
@@ -50,7 +51,7 @@
     version: int
     in_flight: dict[str, Count]
     waiting: dict[int, Count]
-    leaving: dict[str, float]
+    leaving: dict[str, AgeMs]
     suspicions: Annotated[
         tuple[Suspicion, ...], msgspec.Meta(max_length=MAX_SUSPICIONS)
     ] = ()
--- /dev/null
+++ b/tests/test_catch_up.py
@@ -0,0 +1,64 @@
+"""Catch-up from peers over gRPC."""
+
+import testtools
+
+from hornbeampier import clock
+from hornbeampier.operators import history
+from hornbeampier.platform import records
+from hornbeampier.vms import catch_up
+from tests import configurations
+
+HOST = "127.0.0.1"
+
+
+class CatchUpTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = catch_up.CatchUpClient("vm-0", clock.SystemClock())
+
+    def serve(self, answer):
+        server = catch_up.CatchUpServer(HOST, 0, lambda: answer)
+        server.start()
+        self.addCleanup(server.stop)
+        return server.port
+
+    def list_peers(self, ports):
+        self.client.apply_vm_list(
+            tuple(
+                records.ListedVm(f"vm-{i}", "z", HOST, catch_up_port=port)
+                for i, port in enumerate(ports)
+            )
+        )
+
+    def test_only_sound_answers_are_returned(self):
+        snapshot = history.ConfigurationRecord(
+            history.RecordKind.SNAPSHOT, "p", configurations.TEXT, -1, 3, 4
+        )
+        ports = [
+            self.serve(answer)
+            for answer in (snapshot, {"not": "a record"}, None)
+        ]
+        self.list_peers([1, *ports])
+        found = [one for _ in ports for one in self.client.fetch()]
+        self.assertEqual({snapshot}, set(found))
+
+    def test_dead_peers_at_the_head_of_the_list_are_passed(self):
+        asked = []
+        self.patch(
+            self.client, "_fetch_from", lambda peer: asked.append(peer.name)
+        )
+        self.list_peers(range(1, 10))
+        for _ in range(3):
+            self.client.fetch()
+        self.assertEqual({f"vm-{i}" for i in range(1, 9)}, set(asked))
+
+    def test_a_peer_known_to_be_ahead_is_asked_first(self):
+        asked = []
+        self.patch(
+            self.client, "_fetch_from", lambda peer: asked.append(peer.name)
+        )
+        self.list_peers(range(1, 10))
+        self.client.prefer("vm-7")
+        for _ in range(3):
+            self.client.fetch()
+        self.assertEqual(3, asked.count("vm-7"))
--- a/tests/test_configuration_log.py
+++ b/tests/test_configuration_log.py
@@ -500,3 +500,5 @@
         site.publisher().publish(configurations.TEXT)
         result = site.publisher().publish(configurations.text(1), base=-1)
         self.assertEqual(("refused", 0), (result.outcome, result.version))
+        stream = site.platform.read(history.STREAM, 0, 10, 0)
+        self.assertEqual(1, len(stream.records))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -139,3 +139,43 @@
         names = [state.name for state in endpoints.serving("notes")]
         self.assertEqual(["engine-2"], names)
         self.assertFalse(dropped.peer._pool._closed)
+
+
+class LeavingSessionTest(testtools.TestCase):
+    def states(self, deployment):
+        """What each VM says of the first engine."""
+        return {
+            row["state"]
+            for vm in deployment.vms
+            for row in vm.report()["endpoints"]
+            if row["name"] == NAME
+        }
+
+    def wait_state(self, deployment, state):
+        processes.wait_until(lambda: self.states(deployment) == {state})
+
+    def assert_shunned(self, deployment):
+        """Sends requests to all VMs; the first engine gets none."""
+        runs = len(deployment.engines[0].runs())
+        for vm in deployment.vms * 4:
+            self.assertEqual(200, vm.chat("tokens=3").status)
+        self.assertEqual(runs, len(deployment.engines[0].runs()))
+
+    def test_no_new_work_while_the_vm_list_is_down(self):
+        with processes.Deployment(vms=2, engines=2) as deployment:
+            platform = deployment.platform
+            deployment.list_endpoint(NAME, "leaving")
+            self.wait_state(deployment, "leaving")
+            platform.control(vm_list_down=True)
+            self.assert_shunned(deployment)
+            platform.control()
+            deployment.list_endpoint(NAME, "live")
+            self.wait_state(deployment, "open")
+            for _ in range(20):
+                self.assertEqual({"open"}, self.states(deployment))
+            platform.control(vm_list_down=True)
+            deployment.engines[0].control(leaving=True)
+            self.wait_state(deployment, "leaving")
+            self.assert_shunned(deployment)
+            deployment.engines[0].control(leaving=False)
+            self.wait_state(deployment, "open")
