Spare an engine that refuses all work the next requests

Cause: an engine that leaves and answers 503, but whose load report lags, has nothing in flight and so was chosen first by each new request. Each spent a retry; with two engines the retry budget was empty after some dozen requests and callers got 503 although the other engine was idle.

Ruled out: marking it as leaving on all VMs on the strength of a 503, which would turn the overload of one endpoint into an outage; ejecting on 429, which a full engine sends and which the choice handles by occupancy.

Change: a 503 spares the engine for 1 s on that VM, 200 ms if no other is open. The rolling replacement's balancer now also keeps connections open.

Before / After: `pytest tests/test_leaving.py -k Refusal`: 503 to a caller before, 80 of 80 answered after.

Conclusion: refusals alone keep new work away from a leaving engine. Plain services are not covered; their path has its own retry.

--- a/hornbeampier/endpoints/engine.py
+++ b/hornbeampier/endpoints/engine.py
@@ -20,6 +20,8 @@
 # Statuses by which an engine says that it did not run the request.
 NOT_RUN_STATUSES = frozenset({404, 429, 503})
 BUSY_STATUSES = frozenset({429, 503})
+# Sent by an engine that is leaving; one that is full answers 429.
+REFUSES_ALL_STATUS = 503
 # Statuses by which an engine says that the caller's request is wrong.
 CALLER_STATUSES = frozenset({400, 413, 422})
 CANCEL_TIMEOUT_MS = 1_000.0
@@ -193,7 +195,10 @@
     if status in NOT_RUN_STATUSES | CALLER_STATUSES:
         run = verdict.Verdict.NOT_RUN
     raise errors.AttemptError(
-        f"the engine answered {status}", run, leaving=status in BUSY_STATUSES
+        f"the engine answered {status}",
+        run,
+        leaving=status in BUSY_STATUSES,
+        refuses_all=status == REFUSES_ALL_STATUS,
     )
 
 
--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -87,6 +87,7 @@
         verdict: Whether the request may have run there.
         crashed: Whether the endpoint dropped the connection while it ran.
         leaving: Whether the endpoint refused because it is leaving or full.
+        refuses_all: Whether it refuses all new work for now.
         timed_out: Whether the endpoint was silent for too long.
     """
 
@@ -96,12 +97,14 @@
         verdict: verdict.Verdict,
         crashed: bool = False,
         leaving: bool = False,
+        refuses_all: bool = False,
         timed_out: bool = False,
     ):
         super().__init__(message)
         self.verdict = verdict
         self.crashed = crashed
         self.leaving = leaving
+        self.refuses_all = refuses_all
         self.timed_out = timed_out
 
 
--- a/hornbeampier/policy/health.py
+++ b/hornbeampier/policy/health.py
@@ -54,6 +54,17 @@
     return True
 
 
+def record_refusal(
+    state: registry.EndpointState,
+    now_ms: float,
+    states: Sequence[registry.EndpointState],
+) -> None:
+    """Spares an endpoint that refuses all new work the next requests."""
+    others = [s for s in states if s is not state and is_open(s, now_ms)]
+    duration_ms = BASE_EJECTION_MS if others else LAST_EJECTION_MS
+    state.ejected_until_ms = max(state.ejected_until_ms, now_ms + duration_ms)
+
+
 def withdraw_failure(state: registry.EndpointState) -> None:
     """Takes an ejection back: the connection failed, not the endpoint."""
     state.failures = max(0, state.failures - 1)
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -297,10 +297,12 @@
 
         It receives no work while the probe goes on.
         """
-        if exc.leaving:
-            return False
         states = self._endpoints.serving(demand.target)
         now_ms = self._clock.now()
+        if exc.refuses_all:
+            health.record_refusal(state, now_ms, states)
+        if exc.leaving:
+            return False
         ejected = health.record_failure(state, now_ms, states)
         if ejected:
             # Requests may be waiting for just this endpoint.
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -58,19 +58,24 @@
     """Sends one HTTP request and returns its whole answer."""
     peer = exchange.HttpPeer(HOST, port, CALL_TIMEOUT_MS)
     try:
-        reply = peer.send(
-            exchange.OutgoingRequest(method, path, tuple(headers), body)
-        )
-        try:
-            data = reply.read()
-            rows = {k.lower(): v for k, v in reply.headers()}
-            return Answer(reply.status, rows, data)
-        finally:
-            reply.close()
+        return exchange_with(peer, method, path, body, headers)
     finally:
         peer.close()
 
 
+def exchange_with(peer, method, path, body=b"", headers=()):
+    """Sends one HTTP request over a peer's connections."""
+    reply = peer.send(
+        exchange.OutgoingRequest(method, path, tuple(headers), body)
+    )
+    try:
+        data = reply.read()
+        rows = {k.lower(): v for k, v in reply.headers()}
+        return Answer(reply.status, rows, data)
+    finally:
+        reply.close()
+
+
 class Process:
     """One process of this program, or of another module or checkout."""
 
--- a/tests/rolling.py
+++ b/tests/rolling.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import itertools
+import json
 
 import gevent
 
 from hornbeampier import errors
+from hornbeampier import exchange
 from hornbeampier import verdict
 from tests import processes
 
@@ -19,6 +21,7 @@
         self._deployment = deployment
         self._dropped = set()
         self._ready = []
+        self._peers = {}
         self._numbers = itertools.count()
         self._running = False
         self._turn = 0
@@ -65,23 +68,26 @@
             self.answered += 1
 
     def _pay(self, path):
-        answer = self._send(
-            lambda vm: vm.call("PUT", f"/services/entry{path}", b"fee")
-        )
+        answer = self._send("PUT", f"/services/entry{path}", b"fee")
         self.paid.append(path)
         if answer.status != 200 or answer.json()["path"] != path:
             self.failures.append((path, answer))
 
     def _ask(self, number):
         stream = number % 2 == 1
+        body = {
+            "model": "notes",
+            "stream": stream,
+            "messages": [{"role": "user", "content": f"{number} tokens=20"}],
+        }
         answer = self._send(
-            lambda vm: vm.chat(f"{number} tokens=20", stream=stream)
+            "POST", "/v1/chat/completions", json.dumps(body).encode()
         )
         whole = answer.status == 200 and len(answer.text().split()) == 20
         if not whole or (stream and answer.events()[-1] != "[DONE]"):
             self.failures.append((number, answer))
 
-    def _send(self, send):
+    def _send(self, method, path, body):
         answer = None
         while answer is None or _was_not_run(answer):
             if answer or not self._ready:
@@ -90,13 +96,31 @@
                 continue
             self._turn += 1
             try:
-                answer = send(self._ready[self._turn % len(self._ready)])
+                answer = self._send_to(
+                    self._ready[self._turn % len(self._ready)],
+                    method,
+                    path,
+                    body,
+                )
             except errors.AttemptError as exc:
                 if exc.verdict is not verdict.Verdict.NOT_RUN:
                     self.failures.append(exc)
                     raise
         return answer
 
+    def _send_to(self, vm, method, path, body):
+        """Uses a kept connection for chats and a new one for fees."""
+        headers = [("Authorization", "Bearer key-1")]
+        if method == "PUT":
+            return processes.call(vm.port, method, path, body, headers)
+        peer = self._peers.get(vm.name)
+        if peer is None:
+            peer = exchange.HttpPeer(
+                processes.HOST, vm.port, processes.CALL_TIMEOUT_MS
+            )
+            self._peers[vm.name] = peer
+        return processes.exchange_with(peer, method, path, body, headers)
+
 
 def _is_ready(vm):
     try:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,5 +1,8 @@
 """Endpoints that leave and come back, as several VMs learn of it."""
 
+import datetime
+import itertools
+
 import testtools
 
 from hornbeampier import clock
@@ -8,6 +11,7 @@
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import schema
 from hornbeampier.platform import records
+from hornbeampier.policy import health
 from tests import configurations
 from tests import processes
 
@@ -179,3 +183,29 @@
             self.assert_shunned(deployment)
             deployment.engines[0].control(leaving=False)
             self.wait_state(deployment, "open")
+
+
+class LaggingDeployment(processes.Deployment):
+    """Engines whose load reports lag behind for the whole test."""
+
+    def _start_standin(self, kind, index, slots):
+        name = f"{kind}-{index + 1}"
+        return self._add(
+            processes.Standin(kind, "--name", name, "--report-lag-ms", 600_000)
+        )
+
+
+class RefusalTest(testtools.TestCase):
+    def test_refusals_alone_keep_new_work_away(self):
+        with LaggingDeployment(vms=1, engines=2) as deployment:
+            vm = deployment.vms[0]
+            deployment.engines[0].control(leaving=True)
+            for _ in range(80):
+                self.assertEqual(200, vm.chat("tokens=1").status)
+            refused = [
+                datetime.datetime.fromisoformat(line["timestamp"])
+                for line in vm.process.log_lines("attempt_failed")
+            ]
+            pause = datetime.timedelta(milliseconds=health.BASE_EJECTION_MS)
+            for earlier, later in itertools.pairwise(refused):
+                self.assertGreaterEqual(later - earlier, pause)
