Measure what control costs by the size of what a VM knows

Change: bench/slopes.py and bench/idle.py measure choice, hints, accounts, files, the VM list, polling and memory at three sizes or more each.

--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,78 @@
+"""What an idle `serve` process costs, by the endpoints that it polls."""
+
+from collections.abc import Callable
+import pathlib
+import subprocess
+import sys
+
+import gevent
+import psutil
+
+from tests import processes
+
+ENDPOINTS = (1, 40, 160, 324)
+SETTLE_S = 2.5
+WINDOW_S = 4.0
+BYTES_PER_MB = 1_000_000
+IMPORTS = (
+    "pass",
+    "import gevent.pywsgi, geventhttpclient, msgspec",
+    "import grpc",
+    "import pydantic",
+    "import typer",
+    "from hornbeampier import core",
+)
+REPORT_RSS = (
+    "import re; print(re.search(r'VmRSS:\\s+(\\d+)', "
+    "open('/proc/self/status').read())[1])"
+)
+
+
+class PolledDeployment(processes.Deployment):
+    """One VM whose endpoints are all the same stand-in process."""
+
+    def __init__(self, count: int):
+        self._count = count
+        super().__init__(vms=1, engines=0, services=1)
+
+    def configuration(self):
+        """Returns the text of the file in force."""
+        rows = [
+            (f"service-{i}", self.services[0].port) for i in range(self._count)
+        ]
+        return processes.configuration([], rows)
+
+
+def measure(show: Callable[[str, str, list[tuple[int, float]]], None]) -> None:
+    """Prints processor time and memory of idle processes."""
+    cores, memory = [], []
+    for count in ENDPOINTS:
+        with PolledDeployment(count) as deployment:
+            gevent.sleep(SETTLE_S)
+            router = psutil.Process(deployment.vms[0].process.pid)
+            began_s = _cpu_s(router)
+            gevent.sleep(WINDOW_S)
+            used_s = _cpu_s(router) - began_s
+            cores.append((count, used_s / WINDOW_S * 100))
+            memory.append((count, router.memory_info().rss / BYTES_PER_MB))
+    show("idle router by endpoints polled", "% of a core", cores)
+    show("idle router's resident memory by endpoints", "MB", memory)
+    for statement in IMPORTS:
+        print(f"resident after '{statement}' [MB] {_rss_mb(statement):.1f}")
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _rss_mb(statement: str) -> float:
+    """Returns the resident memory of a process after some imports."""
+    done = subprocess.run(
+        [sys.executable, "-c", f"{statement}; {REPORT_RSS}"],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=pathlib.Path(__file__).parent.parent,
+    )
+    return int(done.stdout) * 1_024 / BYTES_PER_MB
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,260 @@
+"""What control costs, by the size of what a VM knows.
+
+Each line is one cost at three sizes or more and the slope over them. Run it
+with `python -m bench.slopes`; docs/CAPACITY.md is worked out from it.
+"""
+
+# The entry module patches the standard library and must come first.
+from hornbeampier import core  # isort: skip
+
+from collections.abc import Callable
+import dataclasses
+import random
+import statistics
+import time
+import tracemalloc
+
+import gevent
+from gevent import socket
+import msgspec
+
+from bench import idle
+from hornbeampier import clock
+from hornbeampier.callers import requests
+from hornbeampier.endpoints import messages as endpoint_messages
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import history
+from hornbeampier.operators import schema
+from hornbeampier.platform import records
+from hornbeampier.policy import choice
+from hornbeampier.vms import hints
+from hornbeampier.vms import messages
+from tests import processes
+
+ENDPOINTS = (40, 160, 324, 640)
+PEERS = (3, 9, 36, 339)
+ACCOUNTS = (10, 70, 280, 1_120)
+LISTED = (20, 340, 1_360)
+FILE_ENDPOINTS = (10, 324, 1_296)
+RUN_S = 0.2
+REPEATS = 3
+US_PER_S = 1_000_000
+BUSY_ENDPOINTS = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """Peer loads as the chooser sees them, from a real hint exchange."""
+
+    exchange: hints.HintExchange
+    sink: socket.socket
+
+
+def cost_us(action: Callable[[], object]) -> float:
+    """Returns the processor time of one call in us, the least of several."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        calls = 0
+        began_s = time.process_time()
+        while (used_s := time.process_time() - began_s) < RUN_S:
+            action()
+            calls += 1
+        best = min(best, used_s / calls)
+    return best * US_PER_S
+
+
+def show(name: str, unit: str, rows: list[tuple[int, float]]) -> None:
+    """Prints one line: the cost at each size, and the slope."""
+    fit = statistics.linear_regression(*zip(*rows, strict=True))
+    cells = "  ".join(f"{size}: {value:.1f}" for size, value in rows)
+    print(f"{name} [{unit}]  {cells}  slope {fit.slope:.3f}", flush=True)
+
+
+def configuration_text(endpoints: int, accounts: int = 10) -> str:
+    """Returns a file of that size."""
+    rows = [(f"engine-{i}", 20_000 + i) for i in range(endpoints)]
+    services = [("entry-1", 9_999)]
+    return processes.configuration(rows, services, accounts=accounts)
+
+
+def make_states(count: int) -> list[registry.EndpointState]:
+    """Returns the states of `count` engines with load reports."""
+    known = registry.Registry(clock.ManualClock(1.0))
+    known.apply(schema.parse(configuration_text(count)))
+    for state in known.all():
+        report = endpoint_messages.LoadReport(1, 0, 8)
+        known.record_report(state, report)
+    return known.serving("notes")
+
+
+def make_hint(vm: str, endpoints: int) -> messages.Hint:
+    """Returns a hint that names up to `BUSY_ENDPOINTS` endpoints."""
+    busy = {f"engine-{i}": 2 for i in range(min(BUSY_ENDPOINTS, endpoints))}
+    return messages.Hint(vm, 1, 1, 7, busy, {1: 2, 3: 9}, {})
+
+
+def make_peers(count: int) -> Peers:
+    """Returns a started exchange that has heard `count` peers."""
+    sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sink.bind((processes.HOST, 0))
+    exchange = hints.HintExchange(
+        "own",
+        processes.HOST,
+        0,
+        clock.ManualClock(1.0),
+        lambda sequence: make_hint("own", BUSY_ENDPOINTS),
+        lambda hint: None,
+        500.0,
+    )
+    exchange.apply_vm_list(
+        tuple(
+            records.ListedVm(
+                f"vm-{i}", "z", processes.HOST, hint_port=sink.getsockname()[1]
+            )
+            for i in range(count)
+        )
+    )
+    for i in range(count):
+        exchange._accept(make_hint(f"vm-{i}", BUSY_ENDPOINTS))
+    return Peers(exchange, sink)
+
+
+def measure_choice() -> None:
+    """Prints the cost of a choice by endpoints and by peers."""
+    rng = random.Random(1)
+    peers = make_peers(8)
+    rows = []
+    for count in ENDPOINTS:
+        states = make_states(count)
+        chooser = choice.EndpointChooser(peers.exchange, rng)
+        rows.append((count, cost_us(_choice(chooser, states))))
+    show("choice by endpoints, 8 peers", "us", rows)
+    states = make_states(324)
+    rows = []
+    for count in PEERS:
+        chooser = choice.EndpointChooser(make_peers(count).exchange, rng)
+        rows.append((count, cost_us(_choice(chooser, states))))
+    show("choice by peers, 324 endpoints", "us", rows)
+
+
+def _choice(chooser, states) -> Callable[[], object]:
+    return lambda: chooser.choose(states, True, frozenset(), 2.0)
+
+
+def measure_hints() -> None:
+    """Prints bytes and processor time of hints."""
+    payload = msgspec.msgpack.encode(make_hint("vm-1", BUSY_ENDPOINTS))
+    print(f"hint with {BUSY_ENDPOINTS} busy endpoints [bytes] {len(payload)}")
+    sizes = [
+        (n, float(len(msgspec.msgpack.encode(make_hint("vm-1", n)))))
+        for n in (5, 20, 40)
+    ]
+    show("hint by busy endpoints", "bytes", sizes)
+    rows = []
+    for count in PEERS:
+        peers = make_peers(count)
+        exchange = peers.exchange
+        exchange.start()
+        gevent.killall(exchange._tasks)
+
+        def send(exchange=exchange):
+            data = msgspec.msgpack.encode(make_hint("own", BUSY_ENDPOINTS))
+            for address in exchange._peers.values():
+                exchange._send_to(data, address)
+
+        rows.append((count, cost_us(send)))
+        exchange.stop()
+        peers.sink.close()
+    show("one round of hints sent, by peers", "us", rows)
+    exchange = make_peers(36).exchange
+
+    def receive():
+        exchange._accept(msgspec.msgpack.decode(payload, type=messages.Hint))
+
+    print(f"hint decoded and kept [us] {cost_us(receive):.1f}")
+
+
+def measure_accounts() -> None:
+    """Prints the cost of finding the account of a key."""
+    rows = []
+    for count in ACCOUNTS:
+        cfg = schema.parse(configuration_text(10, count))
+        environ = {"HTTP_AUTHORIZATION": f"Bearer key-{count}"}
+        rows.append(
+            (
+                count,
+                cost_us(lambda e=environ, c=cfg: requests.authenticate(e, c)),
+            )
+        )
+    show("authentication by accounts, the last one", "us", rows)
+
+
+def measure_files() -> None:
+    """Prints bytes, processor time and memory of configuration files."""
+    sizes, folds, memory = [], [], []
+    for count in FILE_ENDPOINTS:
+        text = configuration_text(count, 280)
+        entry = history.ConfigurationRecord(
+            kind=history.RecordKind.PUBLISH, publish_id="p", text=text
+        )
+        data = msgspec.json.encode(entry).decode()
+        record = records.LogRecord(0, 0.0, data)
+        sizes.append((count, float(len(data))))
+        folds.append(
+            (count, cost_us(lambda r=record: history.History().fold(r)))
+        )
+        tracemalloc.start()
+        kept = history.History()
+        kept.fold(record)
+        memory.append((count, tracemalloc.get_traced_memory()[0] / 1_000))
+        tracemalloc.stop()
+    show("file by endpoints, 280 accounts", "bytes", sizes)
+    show("fold of a file by endpoints", "us", folds)
+    show("file kept by endpoints", "kB", memory)
+
+
+def measure_endpoint_memory() -> None:
+    """Prints the memory of endpoint states."""
+    rows = []
+    for count in ENDPOINTS:
+        tracemalloc.start()
+        states = make_states(count)
+        rows.append((count, tracemalloc.get_traced_memory()[0] / 1_000))
+        tracemalloc.stop()
+        del states
+    show("endpoint states with their file", "kB", rows)
+
+
+def measure_vm_list() -> None:
+    """Prints bytes and processor time of one answer of the VM list."""
+    sizes, costs = [], []
+    for count in LISTED:
+        vms = tuple(
+            records.ListedVm(f"vm-{i}", "zone-1", "10.0.0.1", hint_port=7001)
+            for i in range(count)
+        )
+        data = msgspec.json.encode(records.VmListAnswer(vms))
+        sizes.append((count, float(len(data))))
+        costs.append((count, cost_us(lambda d=data: _decode_list(d))))
+    show("VM list by VMs", "bytes", sizes)
+    show("VM list decoded by VMs", "us", costs)
+
+
+def _decode_list(data: bytes) -> records.VmListAnswer:
+    return msgspec.json.decode(data, type=records.VmListAnswer)
+
+
+def main() -> None:
+    """Prints all slopes."""
+    measure_choice()
+    measure_hints()
+    measure_accounts()
+    measure_files()
+    measure_endpoint_memory()
+    measure_vm_list()
+    idle.measure(show)
+
+
+if __name__ == "__main__":
+    del core
+    main()
