Sum the peers' hints once for each change, not for each endpoint

Ruled out: choosing from a sample of the endpoints; it changes the decisions and belongs to the policy, which is measured apart.

Change: HintExchange keeps one summary of the recently heard hints and makes it anew after a hint, a new VM list or the first expiry. The answers are the same.

--- a/hornbeampier/vms/hints.py
+++ b/hornbeampier/vms/hints.py
@@ -1,7 +1,10 @@
 """Load hints between the entry VMs in UDP datagrams."""
 
+import collections
 from collections.abc import Callable
+from collections.abc import Set
 import dataclasses
+import math
 
 import gevent
 from gevent import socket
@@ -25,6 +28,19 @@
     at_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Summary:
+    """What the recently heard peers say together; valid up to `until_ms`."""
+
+    vms: frozenset[str]
+    in_flight: collections.Counter[str]
+    waiting: collections.Counter[int]
+    suspects_at: frozenset[str]
+    reserved: frozenset[str]
+    complete: bool
+    until_ms: float
+
+
 class HintExchange(application.BaseComponent):
     """Sends this VM's hint to all peers and keeps the newest of each."""
 
@@ -47,6 +63,8 @@
         self._log = structlog.get_logger(task="hints")
         self._peers: dict[str, tuple[str, int]] = {}
         self._heard: dict[str, _Heard] = {}
+        self._made: _Summary | None = None
+        self._window_ms = MISSED_INTERVALS * interval_ms
         self._sequence = 0
         self._sock: socket.socket | None = None
         self._tasks: list[gevent.Greenlet] = []
@@ -60,6 +78,7 @@
             for vm in vms
             if vm.is_entry and vm.name != self._vm
         }
+        self._made = None
 
     def start(self) -> None:
         """Binds the socket and starts to send and receive."""
@@ -76,39 +95,45 @@
 
     def in_flight(self, endpoint: str) -> int:
         """Returns the requests of all recently heard peers there."""
-        return sum(
-            heard.hint.in_flight.get(endpoint, 0) for heard in self._recent()
-        )
+        return self._summary.in_flight[endpoint]
 
     def waiting_above(self, tier: int) -> int:
         """Returns the peers' waiting requests of more urgent tiers."""
-        return sum(
-            count
-            for heard in self._recent()
-            for other, count in heard.hint.waiting.items()
-            if other < tier
-        )
+        waiting = self._summary.waiting
+        return sum(n for other, n in waiting.items() if other < tier)
 
     def count(self) -> int:
         """Returns how many peers were heard recently."""
-        return len(self._recent())
+        return len(self._summary.vms)
 
     def suspects_at(self, endpoint: str) -> bool:
         """Returns whether a peer runs a suspected request there."""
-        return any(endpoint in h.hint.suspects_at for h in self._recent())
+        return endpoint in self._summary.suspects_at
 
     def reserved(self, endpoint: str) -> bool:
         """Returns whether a peer keeps the endpoint for one suspect."""
-        return any(endpoint in h.hint.reserved for h in self._recent())
+        return endpoint in self._summary.reserved
 
     def complete(self) -> bool:
         """Returns whether every listed peer was heard recently."""
-        recent = {heard.hint.vm for heard in self._recent()}
-        return recent >= set(self._peers)
+        return self._summary.complete
+
+    @property
+    def _summary(self) -> _Summary:
+        """The summary in force; made anew after a change or an expiry."""
+        if self._made is None or self._clock.now() > self._made.until_ms:
+            self._made = _summarize(
+                self._recent(),
+                self._peers.keys(),
+                self._window_ms,
+            )
+        return self._made
 
     def _recent(self) -> list[_Heard]:
-        oldest = self._clock.now() - MISSED_INTERVALS * self._interval_ms
-        return [h for h in self._heard.values() if h.at_ms >= oldest]
+        return [h for h in self._heard.values() if self._is_recent(h)]
+
+    def _is_recent(self, heard: _Heard) -> bool:
+        return self._clock.now() <= heard.at_ms + self._window_ms
 
     def _send(self) -> None:
         while True:
@@ -143,13 +168,34 @@
         if hint.vm == self._vm or hint.vm not in self._peers:
             return
         # Only a recent hint counts: one absurd number mutes nobody for long.
-        former = {h.hint.vm: h.hint for h in self._recent()}.get(hint.vm)
-        if former and _is_older(hint, former):
+        former = self._heard.get(hint.vm)
+        if former and self._is_recent(former) and _is_older(hint, former.hint):
             return
         self._heard[hint.vm] = _Heard(hint, self._clock.now())
+        self._made = None
         self._on_hint(hint)
 
 
+def _summarize(
+    recent: list[_Heard], listed: Set[str], window_ms: float
+) -> _Summary:
+    in_flight: collections.Counter[str] = collections.Counter()
+    waiting: collections.Counter[int] = collections.Counter()
+    for heard in recent:
+        in_flight.update(heard.hint.in_flight)
+        waiting.update(heard.hint.waiting)
+    vms = frozenset(heard.hint.vm for heard in recent)
+    return _Summary(
+        vms,
+        in_flight,
+        waiting,
+        frozenset(n for h in recent for n in h.hint.suspects_at),
+        frozenset(n for h in recent for n in h.hint.reserved),
+        vms >= listed,
+        min((h.at_ms for h in recent), default=math.inf) + window_ms,
+    )
+
+
 def _is_older(hint: messages.Hint, former: messages.Hint) -> bool:
     """Returns whether a hint was overtaken by another of its process."""
     return hint.boot == former.boot and hint.sequence <= former.sequence
--- /dev/null
+++ b/tests/test_hints.py
@@ -0,0 +1,66 @@
+"""What a VM knows of its peers' load from their datagrams."""
+
+import msgspec
+import testtools
+
+from hornbeampier import clock
+from hornbeampier.platform import records
+from hornbeampier.vms import hints
+from hornbeampier.vms import messages
+from tests import processes
+
+INTERVAL_MS = 100.0
+WINDOW_MS = hints.MISSED_INTERVALS * INTERVAL_MS
+
+
+def listed(*names):
+    return tuple(
+        records.ListedVm(n, "zone-1", processes.HOST, hint_port=1)
+        for n in names
+    )
+
+
+class HintExchangeTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.exchange = hints.HintExchange(
+            "own",
+            processes.HOST,
+            0,
+            self.clock,
+            lambda sequence: None,
+            lambda hint: None,
+            INTERVAL_MS,
+        )
+        self.exchange.apply_vm_list(listed("own", "a", "b"))
+
+    def hear(self, vm, sequence, in_flight, **more):
+        hint = messages.Hint(vm, 1, sequence, 0, in_flight, {1: 2}, {}, **more)
+        data = msgspec.msgpack.encode(hint)
+        self.exchange._accept(msgspec.msgpack.decode(data, type=messages.Hint))
+
+    def view(self):
+        seen = self.exchange
+        return seen.in_flight("e"), seen.count(), seen.complete()
+
+    def test_every_change_and_expiry_is_seen(self):
+        self.assertEqual((0, 0, False), self.view())
+        self.hear("a", 1, {"e": 3}, suspects_at=("e",))
+        self.assertEqual((3, 1, False), self.view())
+        self.assertTrue(self.exchange.suspects_at("e"))
+        self.clock.advance(WINDOW_MS / 2)
+        self.hear("b", 1, {"e": 4}, reserved=("e",))
+        self.assertEqual((7, 2, True), self.view())
+        self.assertEqual(4, self.exchange.waiting_above(2))
+        self.hear("b", 1, {"e": 9})
+        self.assertEqual((7, 2, True), self.view())
+        self.hear("b", 2, {"e": 5})
+        self.assertEqual((8, 2, True), self.view())
+        self.assertFalse(self.exchange.reserved("e"))
+        self.exchange.apply_vm_list(listed("own", "a", "b", "c"))
+        self.assertEqual((8, 2, False), self.view())
+        self.clock.advance(WINDOW_MS / 2 + 1)
+        self.assertEqual((5, 1, False), self.view())
+        self.clock.advance(WINDOW_MS)
+        self.assertEqual((0, 0, False), self.view())
