--- a/bench/idle.py
+++ b/bench/idle.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 import pathlib
+import statistics
 import subprocess
 import sys
+import time
 
 import gevent
 import psutil
@@ -11,9 +13,12 @@
 from tests import processes
 
 ENDPOINTS = (1, 40, 160, 324)
+VMS = (1, 3, 9, 18)
+PUBLISHES = 3
 SETTLE_S = 2.5
 WINDOW_S = 4.0
 BYTES_PER_MB = 1_000_000
+MS_PER_S = 1_000
 IMPORTS = (
     "pass",
     "import gevent.pywsgi, geventhttpclient, msgspec",
@@ -61,6 +66,29 @@
         print(f"resident after '{statement}' [MB] {_rss_mb(statement):.1f}")
 
 
+def measure_publish(
+    show: Callable[[str, str, list[tuple[int, float]]], None],
+) -> None:
+    """Prints the time from a publish command's start to force everywhere."""
+    rows = []
+    for count in VMS:
+        with processes.Deployment(vms=count) as deployment:
+            times_ms = []
+            for version in range(1, PUBLISHES + 1):
+                began_s = time.perf_counter()
+                deployment.publish(deployment.configuration())
+                published_s = time.perf_counter()
+                deployment.wait_ready(version)
+                times_ms.append((time.perf_counter() - began_s) * MS_PER_S)
+                print(
+                    f"  {count} VMs: publish took "
+                    f"{(published_s - began_s) * MS_PER_S:.0f} ms, "
+                    f"in force everywhere after {times_ms[-1]:.0f} ms"
+                )
+            rows.append((count, statistics.median(times_ms)))
+    show("publish to force everywhere by VMs", "ms", rows)
+
+
 def _cpu_s(process: psutil.Process) -> float:
     times = process.cpu_times()
     return times.user + times.system
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 import statistics
+import sys
 import time
 import tracemalloc
 
@@ -27,6 +28,7 @@
 from hornbeampier.operators import schema
 from hornbeampier.platform import records
 from hornbeampier.policy import choice
+from hornbeampier.vms import catch_up
 from hornbeampier.vms import hints
 from hornbeampier.vms import messages
 from tests import processes
@@ -244,15 +246,46 @@
     return msgspec.json.decode(data, type=records.VmListAnswer)
 
 
+def measure_catch_up() -> None:
+    """Prints the processor time of a catch-up call, both sides together."""
+    rows = []
+    for count in FILE_ENDPOINTS:
+        snapshot = history.ConfigurationRecord(
+            kind=history.RecordKind.SNAPSHOT,
+            publish_id="p",
+            text=configuration_text(count, 280),
+        )
+        server = catch_up.CatchUpServer(
+            processes.HOST, 0, lambda found=snapshot: found
+        )
+        server.start()
+        client = catch_up.CatchUpClient("own", clock.SystemClock())
+        peer = records.ListedVm(
+            "peer", "z", processes.HOST, catch_up_port=server.port
+        )
+        client.apply_vm_list((peer,))
+        rows.append((count, cost_us(client.fetch)))
+        server.stop()
+    show("catch-up from one peer by endpoints in the file", "us", rows)
+
+
+MEASUREMENTS = {
+    "choice": measure_choice,
+    "hints": measure_hints,
+    "accounts": measure_accounts,
+    "files": measure_files,
+    "states": measure_endpoint_memory,
+    "vm-list": measure_vm_list,
+    "catch-up": measure_catch_up,
+    "idle": lambda: idle.measure(show),
+    "publish": lambda: idle.measure_publish(show),
+}
+
+
 def main() -> None:
-    """Prints all slopes."""
-    measure_choice()
-    measure_hints()
-    measure_accounts()
-    measure_files()
-    measure_endpoint_memory()
-    measure_vm_list()
-    idle.measure(show)
+    """Prints the slopes that the arguments name, by default all."""
+    for name in sys.argv[1:] or MEASUREMENTS:
+        MEASUREMENTS[name]()
 
 
 if __name__ == "__main__":
