--- a/bench/runner.py
+++ b/bench/runner.py
@@ -128,9 +128,11 @@
     clk: clocks.Clock,
 ) -> None:
     """Brings about the scenario's faults at their times."""
-    clk.sleep(duration_ms / 3)
     if profile.crash:
+        clk.sleep(duration_ms / 2)
         measured.crash_engine()
+        return
+    clk.sleep(duration_ms / 3)
     if profile.outage:
         _set_faults(measured, FAULT_CALLS)
         clk.sleep(duration_ms / 3)
