Let stand-ins drop connections instead of answering 500

Cause: the stand-in service and platform raised ConnectionAbortedError to drop a connection, but gevent's WSGI server swallows only EPIPE and ECONNRESET; to any other error it answers 500. So a "dropped" request, a "lost answer" and a "lost append answer" reached the router as an HTTP answer, and no test saw a lost connection there.

Ruled out: killing the handler's greenlet, since the server answers 500 to that too when no head was sent.

Change: `wsgi.DropConnectionError` carries ECONNRESET; the stand-ins raise it. The stand-in service can cut an answer in the middle and answer with a chosen status; the stand-in platform can hold a stream's long polls, refuse appends and land them late. `tests/embedded.py` runs a deployment of several VMs in the test's process.

Conclusion: results of tests that used these faults before this commit speak of HTTP 500, not of lost connections.

--- a/hornbeampier/endpoints/standin_engine.py
+++ b/hornbeampier/endpoints/standin_engine.py
@@ -95,7 +95,7 @@
     """The WSGI application of a stand-in engine."""
 
     def __init__(self, name: str, model: batch.EngineModel, clk: clock.Clock):
-        self._name = name
+        self.name = name
         self._clock = clk
         self._batch = batch.Batch(model, clk)
         self._reports: collections.deque = collections.deque(maxlen=4_096)
@@ -152,7 +152,7 @@
             self._batch.model.slots,
             self.control.leaving,
             self.memory.held,
-            f"{self._name}:{self._boots}",
+            f"{self.name}:{self._boots}",
         )
         self._reports.append((now, current))
         limit = now - self._batch.model.report_lag_ms
--- a/hornbeampier/endpoints/standin_service.py
+++ b/hornbeampier/endpoints/standin_service.py
@@ -16,12 +16,17 @@
         delay_ms: Time that each request takes.
         lose_answers: How many coming requests run and lose their connection.
         refuse_before_run: How many coming requests are dropped unrun.
+        cut_answers: How many coming requests run and lose their connection
+            in the middle of the answer.
+        status: The status of all answers.
     """
 
     leaving: bool = False
     delay_ms: float = 0.0
     lose_answers: int = 0
     refuse_before_run: int = 0
+    cut_answers: int = 0
+    status: int = 200
 
 
 class ServiceRun(msgspec.Struct):
@@ -37,7 +42,7 @@
     """The WSGI application of a stand-in service; it echoes requests."""
 
     def __init__(self, name: str, slots: int):
-        self._name = name
+        self.name = name
         self._slots = slots
         self._running = 0
         self.control = ServiceControl()
@@ -65,7 +70,7 @@
         body = wsgi.read_body(environ).decode(errors="replace")
         if self.control.refuse_before_run > 0:
             self.control.refuse_before_run -= 1
-            raise ConnectionAbortedError("dropped before the run")
+            raise wsgi.DropConnectionError("dropped before the run")
         run = ServiceRun(
             environ.get("HTTP_X_REQUEST_ID", ""),
             environ["REQUEST_METHOD"],
@@ -80,8 +85,17 @@
             self._running -= 1
         if self.control.lose_answers > 0:
             self.control.lose_answers -= 1
-            raise ConnectionAbortedError("dropped after the run")
-        return wsgi.json_answer(start_response, 200, run)
+            raise wsgi.DropConnectionError("dropped after the run")
+        if self.control.cut_answers > 0:
+            self.control.cut_answers -= 1
+            return _cut_answer(start_response)
+        return wsgi.json_answer(start_response, self.control.status, run)
+
+
+def _cut_answer(start_response):
+    start_response("200 OK", [("Content-Length", "100")])
+    yield b"half"
+    raise wsgi.DropConnectionError("dropped in the middle of the answer")
 
 
 class ServiceStandin(application.BaseComponent):
--- a/hornbeampier/platform/standin.py
+++ b/hornbeampier/platform/standin.py
@@ -4,6 +4,7 @@
 import re
 import urllib.parse
 
+import gevent
 from gevent import event
 import msgspec
 
@@ -11,6 +12,7 @@
 from hornbeampier import wsgi
 from hornbeampier.platform import records
 
+HOLD_POLL_MS = 10.0
 DEFAULT_RETENTION_MS = 7 * 24 * 3_600_000.0
 MAX_RECORD_BYTES = 2 * 1024 * 1024
 STREAM_PATH = re.compile(r"^/streams/([A-Za-z0-9_.-]+)/records$")
@@ -27,6 +29,9 @@
             lose their connection.
         hang_appends: How many coming appends never answer nor take effect.
         vm_list_lag_ms: Age of the list that is served.
+        late_appends: How many coming appends lose their connection and take
+            effect only when they are landed.
+        held_stream: Reads of this stream wait until the fault ends.
     """
 
     log_down: bool = False
@@ -34,6 +39,8 @@
     lose_append_answers: int = 0
     hang_appends: int = 0
     vm_list_lag_ms: float = 0
+    late_appends: int = 0
+    held_stream: str = ""
 
 
 @dataclasses.dataclass
@@ -62,8 +69,19 @@
         self._streams: dict[str, _Stream] = {}
         self._vms: dict[str, records.ListedVm] = {}
         self._history: list[tuple[float, tuple[records.ListedVm, ...]]] = []
+        self._late: list[tuple[str, str]] = []
         self.faults = Faults()
 
+    def append_late(self, name: str, data: str) -> None:
+        """Keeps an append back until `land`."""
+        self._late.append((name, data))
+
+    def land(self) -> None:
+        """Lets the late appends take effect."""
+        late, self._late = self._late, []
+        for name, data in late:
+            self.append(name, data)
+
     def append(self, name: str, data: str) -> int:
         """Appends a record and returns its offset."""
         stream = self._stream(name)
@@ -86,6 +104,10 @@
         after = chosen[-1].offset + 1 if chosen else max(offset, stream.first)
         return records.ReadAnswer(stream.first, after, chosen)
 
+    def stream_end(self, name: str) -> int:
+        """Returns the offset that the next record of a stream gets."""
+        return self._stream(name).next
+
     def forget(self, name: str, before: int) -> None:
         """Drops the records below the offset `before`."""
         stream = self._stream(name)
@@ -129,6 +151,9 @@
         path = environ["PATH_INFO"]
         if path == "/faults":
             return self._set_faults(environ, start_response)
+        if path == "/land":
+            self._platform.land()
+            return wsgi.json_answer(start_response, 200, {})
         if match := STREAM_PATH.match(path):
             return self._serve_log(match[1], environ, start_response)
         if path == "/vms" or path.startswith("/vms/"):
@@ -154,6 +179,8 @@
         limit = int(query.get("limit", ["500"])[0])
         wait_ms = float(query.get("wait_ms", ["0"])[0])
         answer = self._platform.read(name, offset, limit, wait_ms)
+        while self._platform.faults.held_stream == name:
+            gevent.sleep(HOLD_POLL_MS / clock.MS_PER_SECOND)
         if self._platform.faults.log_down:
             return wsgi.json_answer(start_response, 503, {})
         status = 410 if offset < answer.first else 200
@@ -167,10 +194,14 @@
         if faults.hang_appends > 0:
             faults.hang_appends -= 1
             event.Event().wait()
+        if faults.late_appends > 0:
+            faults.late_appends -= 1
+            self._platform.append_late(name, data)
+            raise wsgi.DropConnectionError("the append is late on purpose")
         offset = self._platform.append(name, data)
         if faults.lose_append_answers > 0:
             faults.lose_append_answers -= 1
-            raise ConnectionAbortedError("the answer is lost on purpose")
+            raise wsgi.DropConnectionError("the answer is lost on purpose")
         return wsgi.json_answer(
             start_response, 200, records.AppendAnswer(offset)
         )
--- a/hornbeampier/wsgi.py
+++ b/hornbeampier/wsgi.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
+import errno
 import logging
 import socket as sockets
 
@@ -44,6 +45,17 @@
 POLL = monkey.get_original("select", "poll")
 POLL_INPUT = 1
 
+
+class DropConnectionError(ConnectionResetError):
+    """Closes the connection without an answer, as a crash would.
+
+    The WSGI server answers 500 to any other error of an application.
+    """
+
+    def __init__(self, reason: str):
+        super().__init__(errno.ECONNRESET, reason)
+
+
 WsgiApp = Callable[..., Iterable[bytes]]
 
 
--- /dev/null
+++ b/tests/embedded.py
@@ -0,0 +1,125 @@
+"""A whole deployment in the test's own process, with its stand-ins."""
+
+import json
+import random
+
+from hornbeampier import clock
+from hornbeampier import daemon
+from hornbeampier import environment
+from hornbeampier import settings
+from hornbeampier import wsgi
+from hornbeampier.endpoints import batch
+from hornbeampier.endpoints import standin_engine
+from hornbeampier.endpoints import standin_service
+from hornbeampier.operators import publish
+from hornbeampier.platform import log as platform_log
+from hornbeampier.platform import standin
+from tests import processes
+
+HOST = processes.HOST
+FAST = batch.EngineModel(step_ms=1, step_per_request_ms=0, prefill_ms=1)
+
+
+class Embedded:
+    """Platform, endpoints and VMs that share one process and one seed."""
+
+    def __init__(self, vms=1, engines=0, services=0, seed=1, change=str):
+        self._env = environment.Environment(rng=random.Random(seed))
+        self._change = change
+        self.platform = standin.Platform(clock.SystemClock())
+        self.platform_server = wsgi.HttpServer(
+            HOST, 0, standin.PlatformApp(self.platform)
+        )
+        self.engines = [
+            standin_engine.EngineStandin(
+                f"engine-{i + 1}", HOST, 0, FAST, self._env.clock
+            )
+            for i in range(engines)
+        ]
+        self.services = [
+            standin_service.ServiceStandin(f"service-{i + 1}", HOST, 0)
+            for i in range(services)
+        ]
+        self._parts = [self.platform_server, *self.engines, *self.services]
+        self._vm_count = vms
+        self.vms = []
+
+    def __enter__(self):
+        for part in self._parts:
+            part.start()
+        self._publish()
+        for number in range(self._vm_count):
+            self.vms.append(self.start_vm(f"vm-{number + 1}"))
+        return self
+
+    def __exit__(self, *exc_info):
+        for part in reversed(self._parts):
+            part.stop()
+
+    def start_vm(self, name):
+        """Starts a VM and waits until it serves and can claim keys."""
+        port = self.platform_server.port
+        cfg = settings.VmSettings(
+            vm=name,
+            availability_zone="zone-1",
+            callers=settings.CallerSettings(port=0),
+            platform=settings.PlatformSettings(
+                log_port=port, vm_list_port=port, timeout_ms=500
+            ),
+            drain=settings.DrainSettings(notice_ms=1),
+        )
+        vm = EmbeddedVm(daemon.VmDaemon(self._env, cfg))
+        vm.daemon.start()
+        self._parts.append(vm.daemon)
+        processes.wait_until(lambda: vm.daemon.make_report().ready)
+        processes.wait_until(lambda: vm.daemon.claims.available)
+        return vm
+
+    def settle(self):
+        """Ends the log's faults; waits until all VMs know all claims."""
+        self.platform.faults = standin.Faults()
+        self.platform.land()
+        for vm in self.vms:
+            vm.forget_failures()
+            processes.wait_until(lambda vm=vm: self._has_settled(vm))
+
+    def _has_settled(self, vm):
+        claims = vm.daemon.claims
+        if vm.daemon.claim_writer.backlog or not claims.available:
+            return False
+        return claims.position == self.platform.stream_end("claims")
+
+    def _publish(self):
+        text = processes.configuration(
+            [(e.app.name, e.server.port) for e in self.engines],
+            [(s.app.name, s.server.port) for s in self.services],
+        )
+        log = platform_log.HttpLog(HOST, self.platform_server.port, 2_000)
+        publish.Publisher(log, self._env).publish(self._change(text))
+
+
+class EmbeddedVm(processes.Caller):
+    """A VM's daemon inside the test's process."""
+
+    def __init__(self, vm_daemon):
+        self.daemon = vm_daemon
+
+    @property
+    def port(self):
+        return self.daemon.ports.callers
+
+    def forget_failures(self):
+        """Lets ejected endpoints take requests again."""
+        for state in self.daemon.endpoints.all():
+            state.ejected_until_ms = 0.0
+
+
+def keyed(key):
+    """The headers of a request with an idempotency key."""
+    return [("Idempotency-Key", key)]
+
+
+def refusal(answer):
+    """The code and verdict of a refusal."""
+    error = json.loads(answer.body)["error"]
+    return answer.status, error["code"], error["verdict"]
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -163,7 +163,29 @@
         return call(self.port, "GET", "/runs").json()
 
 
-class Vm:
+class Caller:
+    """Sends requests to a VM's port."""
+
+    def chat(self, text, key="key-1", stream=False, headers=()):
+        body = {
+            "model": "notes",
+            "stream": stream,
+            "messages": [{"role": "user", "content": text}],
+        }
+        return call(
+            self.port,
+            "POST",
+            "/v1/chat/completions",
+            json.dumps(body).encode(),
+            [("Authorization", f"Bearer {key}"), *headers],
+        )
+
+    def call(self, method, path, body=b"", key="key-1", headers=()):
+        auth = ("Authorization", f"Bearer {key}")
+        return call(self.port, method, path, body, [auth, *headers])
+
+
+class Vm(Caller):
     """A `serve` process."""
 
     def __init__(
@@ -209,24 +231,6 @@
             "admin_port": self.admin,
         }
 
-    def chat(self, text, key="key-1", stream=False, headers=()):
-        body = {
-            "model": "notes",
-            "stream": stream,
-            "messages": [{"role": "user", "content": text}],
-        }
-        return call(
-            self.port,
-            "POST",
-            "/v1/chat/completions",
-            json.dumps(body).encode(),
-            [("Authorization", f"Bearer {key}"), *headers],
-        )
-
-    def call(self, method, path, body=b"", key="key-1", headers=()):
-        auth = ("Authorization", f"Bearer {key}")
-        return call(self.port, method, path, body, [auth, *headers])
-
     def report(self):
         return call(self.admin, "GET", "/report").json()
 
