--- a/hornbeampier/callers/chat.py
+++ b/hornbeampier/callers/chat.py
@@ -6,6 +6,7 @@
 from hornbeampier import errors
 from hornbeampier import metrics
 from hornbeampier import models
+from hornbeampier import permits
 from hornbeampier import router
 from hornbeampier import wsgi
 from hornbeampier.callers import answers
@@ -28,18 +29,23 @@
         self._metrics = metrics
 
     def handle(
-        self, req: requests.ChatRequest, environ, start_response
+        self,
+        req: requests.ChatRequest,
+        environ,
+        start_response,
+        permit: permits.Permit = permits.OPEN,
     ) -> Iterator[bytes]:
         """Yields the answer; the first event decides the HTTP status.
 
         Raises:
             errors.RefusalError: Nothing was answered yet.
         """
-        progress = router.Progress()
+        progress = router.Progress(permit=permit)
         events = self._router.run_chat(req.demand, req.body, progress)
         outcome = models.Outcome.CANCELLED
         try:
-            with connection.watch(environ[connection.SOCKET_KEY]):
+            with connection.watch(environ[connection.SOCKET_KEY]) as watch:
+                permit.attach(watch)
                 if req.stream:
                     yield from self._stream(req, events, start_response)
                 else:
--- a/hornbeampier/callers/connection.py
+++ b/hornbeampier/callers/connection.py
@@ -103,27 +103,51 @@
         super().handle_error(t, v, tb)
 
 
+class CallerWatch:
+    """Aborts a handler whose caller has gone, until the watch is stopped."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._handler = gevent.getcurrent()
+        self._active = True
+        self._watcher = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends the watch; nothing is raised in the handler after this."""
+        self._active = False
+        self._watcher.kill(block=False)
+
+    def abort(self) -> None:
+        """Raises `CallerGoneError` in the handler, unless it has gone on."""
+        gevent.get_hub().loop.run_callback(self._raise_in_handler)
+
+    def _raise_in_handler(self) -> None:
+        if self._active:
+            self._active = False
+            self._handler.throw(CallerGoneError)
+
+    def _run(self) -> None:
+        while True:
+            readable, _, _ = select.select(
+                [self._sock], [], [], WATCH_INTERVAL_S
+            )
+            if not readable:
+                continue
+            if _is_closed(self._sock):
+                self.abort()
+                return
+            # Pipelined bytes keep the socket readable.
+            gevent.sleep(WATCH_INTERVAL_S)
+
+
 @contextlib.contextmanager
-def watch(sock: socket.socket) -> Iterator[None]:
+def watch(sock: socket.socket) -> Iterator[CallerWatch]:
     """Raises `CallerGoneError` in the body when the caller disconnects."""
-    handler = gevent.getcurrent()
-    watcher = gevent.spawn(_watch, sock, handler)
+    watcher = CallerWatch(sock)
     try:
-        yield
+        yield watcher
     finally:
-        watcher.kill(block=False)
-
-
-def _watch(sock: socket.socket, handler: gevent.Greenlet) -> None:
-    while True:
-        readable, _, _ = select.select([sock], [], [], WATCH_INTERVAL_S)
-        if not readable:
-            continue
-        if _is_closed(sock):
-            handler.kill(CallerGoneError, block=False)
-            return
-        # Pipelined bytes keep the socket readable.
-        gevent.sleep(WATCH_INTERVAL_S)
+        watcher.stop()
 
 
 def _is_closed(sock: socket.socket) -> bool:
--- /dev/null
+++ b/hornbeampier/callers/idempotency.py
@@ -0,0 +1,318 @@
+"""Requests with an `Idempotency-Key`: at most one run, replayed answers."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import hashlib
+import re
+
+import structlog
+
+from hornbeampier import environment
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier import permits
+from hornbeampier import verdict
+from hornbeampier import wsgi
+from hornbeampier.platform import claim_index
+from hornbeampier.platform import claim_records
+from hornbeampier.platform import claims
+
+KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
+KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,255}$")
+REPLAYED = ("Idempotent-Replayed", "true")
+MAX_STORED_BYTES = 4_096
+UNAVAILABLE_RETRY_MS = 1_000.0
+IN_PROGRESS_RETRY_MS = 1_000.0
+# A claim that is older and has no outcome is no longer taken for a running one.
+IN_PROGRESS_MS = 120_000.0
+DIGEST_BYTES = 16
+
+Produce = Callable[[Callable, permits.Permit], Iterator[bytes]]
+
+
+class KeyTakenError(Exception):
+    """Another claim came first; nothing was dispatched."""
+
+
+def read_key(environ) -> str | None:
+    """Returns the request's key, or None if it has none.
+
+    Raises:
+        errors.RefusalError: The key is malformed.
+    """
+    key = environ.get(KEY_HEADER)
+    if key is None or KEY_PATTERN.match(key):
+        return key
+    raise errors.RefusalError(
+        400,
+        errors.RefusalCode.BAD_REQUEST,
+        "Idempotency-Key: 1 to 255 visible ASCII characters are needed",
+    )
+
+
+class KeyedPermit:
+    """Allows the dispatch of a request only while it holds its key."""
+
+    repeatable = False
+
+    def __init__(
+        self,
+        claims: claims.Claims,
+        env: environment.Environment,
+        demand: models.Demand,
+        key: str,
+        fingerprint: str,
+    ):
+        self._claims = claims
+        self._env = env
+        self._demand = demand
+        self._watch: permits.Watch | None = None
+        self._claim_id: str | None = None
+        self._dispatched = False
+        self.key = key
+        self.fingerprint = fingerprint
+
+    def attach(self, watch: permits.Watch) -> None:
+        """Takes the watch, to end it before the first dispatch."""
+        self._watch = watch
+
+    def confirm(self) -> None:
+        """Claims the key once and checks the deadline before each dispatch.
+
+        Raises:
+            KeyTakenError: Another request holds the key.
+            errors.RefusalError: The key cannot be claimed, or it is too late.
+        """
+        if self._watch:
+            self._watch.stop()
+        if self._claim_id is None:
+            self._claim_id = self._claim()
+        if self._env.clock.now() > self._demand.deadline_ms:
+            raise errors.RefusalError(
+                503,
+                errors.RefusalCode.WAIT_TIMEOUT,
+                "the request's time ran out before it was sent",
+                retry_after_ms=UNAVAILABLE_RETRY_MS,
+            )
+        self._dispatched = True
+
+    def _claim(self) -> str:
+        try:
+            claim_id = self._claims.claim(self.key, self.fingerprint)
+        except claims.ClaimsUnavailableError as exc:
+            raise _unavailable() from exc
+        if claim_id is None:
+            raise KeyTakenError
+        return claim_id
+
+    def finish(
+        self,
+        run: verdict.Verdict | None,
+        answer: claim_records.StoredAnswer | None = None,
+    ) -> None:
+        """Ends the claim; `run` is None where the end is not known."""
+        claim_id, self._claim_id = self._claim_id, None
+        if claim_id is None:
+            return
+        if run is None:
+            run = verdict.Verdict.NOT_RUN
+            if self._dispatched:
+                run = verdict.Verdict.MAY_HAVE_RUN
+        if run is verdict.Verdict.NOT_RUN:
+            self._claims.release(self.key, claim_id)
+        else:
+            self._claims.record(self.key, claim_id, run, answer)
+
+
+class _Recorder:
+    """Keeps a copy of an answer that is small enough to be stored."""
+
+    def __init__(self, start_response):
+        self._start_response = start_response
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._blocks: list[bytes] = []
+        self._size = 0
+
+    def start(self, status: str, headers, exc_info=None):
+        """Passes the head of the answer on."""
+        self._status = int(status.split(" ", 1)[0])
+        self._headers = {name.lower(): value for name, value in headers}
+        return self._start_response(status, headers)
+
+    def add(self, block: bytes) -> None:
+        """Takes a block of the body."""
+        self._size += len(block)
+        if self._size <= MAX_STORED_BYTES:
+            self._blocks.append(block)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of an answer of known length was taken."""
+        length = self._headers.get("content-length")
+        return length is not None and self._size >= int(length)
+
+    def answer(self) -> claim_records.StoredAnswer | None:
+        """Returns the copy, or None if the answer is too large."""
+        if self._size > MAX_STORED_BYTES:
+            return None
+        return claim_records.StoredAnswer(
+            self._status,
+            self._headers.get("content-type", ""),
+            b"".join(self._blocks),
+        )
+
+
+class IdempotencyGuard:
+    """Runs each key's request at most once and answers its repeats."""
+
+    def __init__(self, claims: claims.Claims, env: environment.Environment):
+        self._claims = claims
+        self._env = env
+        self._log = structlog.get_logger(task="idempotency")
+
+    def serve(
+        self,
+        demand: models.Demand,
+        key: str,
+        parts: tuple[bytes, ...],
+        start_response,
+        produce: Produce,
+    ) -> Iterator[bytes]:
+        """Yields the answer of `produce`, or that of an earlier run.
+
+        Args:
+            demand: What the request asks of the scheduler.
+            key: The caller's key.
+            parts: What makes two requests the same one.
+            start_response: The WSGI callable.
+            produce: Runs the request once its permit allows it.
+
+        Raises:
+            errors.RefusalError: The request was not run, or no answer of its
+                run can be given.
+        """
+        permit = KeyedPermit(
+            self._claims,
+            self._env,
+            demand,
+            _digest(demand.account.name.encode(), key.encode()),
+            _digest(*parts),
+        )
+        if self._claims.find(permit.key) is None:
+            if not self._claims.available:
+                raise _unavailable()
+            try:
+                yield from _run(permit, start_response, produce)
+                return
+            except KeyTakenError:
+                self._log.info("key_taken", request_id=demand.request_id)
+        yield from self._answer_repeat(permit, demand, start_response)
+
+    def _answer_repeat(
+        self, permit: KeyedPermit, demand: models.Demand, start_response
+    ) -> Iterator[bytes]:
+        entry = self._claims.find(permit.key)
+        if entry is None:
+            raise _in_progress()
+        if entry.fingerprint != permit.fingerprint:
+            raise errors.RefusalError(
+                422,
+                errors.RefusalCode.KEY_REUSED,
+                "the Idempotency-Key belongs to another request",
+            )
+        if entry.run is not verdict.Verdict.RAN:
+            raise self._unfinished(entry)
+        answer = self._claims.read_answer(entry)
+        if answer is None:
+            raise errors.RefusalError(
+                409,
+                errors.RefusalCode.ALREADY_RAN,
+                "the request ran; its answer is not kept",
+                verdict.Verdict.RAN,
+            )
+        self._log.info("replayed", request_id=demand.request_id)
+        start_response(
+            wsgi.status_line(answer.status),
+            [
+                ("Content-Type", answer.content_type),
+                ("Content-Length", str(len(answer.body))),
+                ("X-Request-Id", demand.request_id),
+                REPLAYED,
+            ],
+        )
+        yield answer.body
+
+    def _unfinished(self, entry: claim_index.KeyEntry) -> errors.RefusalError:
+        age_ms = self._env.clock.unix() - entry.claimed_at_ms
+        if entry.run is None and age_ms < IN_PROGRESS_MS:
+            return _in_progress()
+        return errors.RefusalError(
+            409,
+            errors.RefusalCode.MAY_HAVE_RUN,
+            "the request may have run; its end is not known",
+            verdict.Verdict.MAY_HAVE_RUN,
+        )
+
+
+def _run(
+    permit: KeyedPermit, start_response, produce: Produce
+) -> Iterator[bytes]:
+    """Yields an answer and ends the claim, also if the caller has gone."""
+    recorder = _Recorder(start_response)
+    blocks = produce(recorder.start, permit)
+    try:
+        for block in blocks:
+            recorder.add(block)
+            if recorder.is_whole:
+                permit.finish(verdict.Verdict.RAN, recorder.answer())
+            try:
+                yield block
+            except GeneratorExit:
+                _finish_unread(blocks, recorder, permit)
+                raise
+        permit.finish(verdict.Verdict.RAN, recorder.answer())
+    except errors.RefusalError as exc:
+        permit.finish(exc.verdict)
+        raise
+    finally:
+        permit.finish(None)
+
+
+def _finish_unread(
+    blocks: Iterator[bytes], recorder: _Recorder, permit: KeyedPermit
+) -> None:
+    """Takes the rest of an answer that nobody reads, for its repeats."""
+    try:
+        for block in blocks:
+            recorder.add(block)
+    except errors.RefusalError as exc:
+        permit.finish(exc.verdict)
+        return
+    permit.finish(verdict.Verdict.RAN, recorder.answer())
+
+
+def _digest(*parts: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+def _in_progress() -> errors.RefusalError:
+    return errors.RefusalError(
+        409,
+        errors.RefusalCode.IN_PROGRESS,
+        "a request with this Idempotency-Key may be running",
+        verdict.Verdict.MAY_HAVE_RUN,
+        IN_PROGRESS_RETRY_MS,
+    )
+
+
+def _unavailable() -> errors.RefusalError:
+    return errors.RefusalError(
+        503,
+        errors.RefusalCode.CLAIMS_UNAVAILABLE,
+        "keys cannot be claimed while the platform's log is unavailable",
+        retry_after_ms=UNAVAILABLE_RETRY_MS,
+    )
--- a/hornbeampier/callers/server.py
+++ b/hornbeampier/callers/server.py
@@ -16,14 +16,17 @@
 from hornbeampier import models
 from hornbeampier import router
 from hornbeampier import settings
+from hornbeampier import verdict
 from hornbeampier import wsgi
 from hornbeampier.callers import answers
 from hornbeampier.callers import chat
 from hornbeampier.callers import connection
+from hornbeampier.callers import idempotency
 from hornbeampier.callers import requests
 from hornbeampier.callers import services
 from hornbeampier.operators import history
 from hornbeampier.operators import schema
+from hornbeampier.platform import claims
 
 REQUEST_ID_HEADER = "X-Request-Id"
 SERVICE_PATH = re.compile(r"^/services/([A-Za-z0-9_.-]+)(/.*)$")
@@ -67,12 +70,14 @@
         accepted: Callable[[], history.Accepted | None],
         router: router.Router,
         metrics: metrics.Metrics,
+        claims: claims.Claims,
     ):
         self._env = env
         self._limits = limits
         self._accepted = accepted
         self._chat = chat.ChatHandler(router, env.clock, metrics)
         self._services = services.ServiceHandler(router)
+        self._idempotency = idempotency.IdempotencyGuard(claims, env)
         self._metrics = metrics
         self._log = structlog.get_logger(task="callers")
         self.draining = False
@@ -132,7 +137,10 @@
                 "internal_error", request_id=context.request_id, exc_info=exc
             )
             return errors.RefusalError(
-                500, errors.RefusalCode.INTERNAL, "internal error"
+                500,
+                errors.RefusalCode.INTERNAL,
+                "internal error",
+                verdict.Verdict.MAY_HAVE_RUN,
             )
         self._log_refusal(context, refusal)
         return refusal
@@ -148,7 +156,8 @@
         if path == "/v1/chat/completions":
             _require_method(environ, "POST")
             req = self._read_chat(environ, accepted.cfg, account, context)
-            return self._chat.handle(req, environ, start_response)
+            parts = (b"chat", str(req.stream).encode(), req.body)
+            return self._serve(self._chat, req, parts, environ, start_response)
         if path == "/v1/models":
             _require_method(environ, "GET")
             rows = tuple(ModelRow(m.name) for m in accepted.cfg.models)
@@ -157,12 +166,39 @@
             req = self._read_service(
                 environ, accepted.cfg, account, context, match
             )
-            answer = self._services.handle(req, environ, start_response)
+            parts = (
+                req.demand.target.encode(),
+                f"{req.method} {req.path}".encode(),
+                req.body,
+            )
+            answer = self._serve(
+                self._services, req, parts, environ, start_response
+            )
             return self._count_end(req.demand, answer)
         raise errors.RefusalError(
             404, errors.RefusalCode.NOT_FOUND, f"no such path: {path}"
         )
 
+    def _serve(
+        self,
+        handler: chat.ChatHandler | services.ServiceHandler,
+        req: requests.ChatRequest | services.ServiceRequest,
+        parts: tuple[bytes, ...],
+        environ,
+        start_response,
+    ) -> Iterator[bytes]:
+        """Runs a request, at most once if it has an `Idempotency-Key`."""
+        key = idempotency.read_key(environ)
+        if key is None:
+            return handler.handle(req, environ, start_response)
+        return self._idempotency.serve(
+            req.demand,
+            key,
+            parts,
+            start_response,
+            lambda start, permit: handler.handle(req, environ, start, permit),
+        )
+
     def _require_open(self) -> history.Accepted:
         if self.draining:
             raise errors.RefusalError(
--- a/hornbeampier/callers/services.py
+++ b/hornbeampier/callers/services.py
@@ -6,6 +6,7 @@
 from hornbeampier import errors
 from hornbeampier import exchange
 from hornbeampier import models
+from hornbeampier import permits
 from hornbeampier import router
 from hornbeampier import verdict
 from hornbeampier import wsgi
@@ -63,6 +64,15 @@
         return self.method not in NON_IDEMPOTENT_METHODS
 
 
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """The whole answer of a service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 class ServiceHandler:
     """Passes requests to a service's endpoints and answers back."""
 
@@ -70,74 +80,76 @@
         self._router = router
 
     def handle(
-        self, req: ServiceRequest, environ, start_response
+        self,
+        req: ServiceRequest,
+        environ,
+        start_response,
+        permit: permits.Permit | None = None,
     ) -> Iterator[bytes]:
         """Yields the service's answer.
 
         Raises:
             errors.RefusalError: Nothing was answered yet.
         """
+        permit = permit or permits.OpenPermit(req.idempotent)
+        answer = self._fetch(req, environ, permit)
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in HOP_HEADERS
+        ]
+        headers.append(("Content-Length", str(len(answer.body))))
+        headers.append(("X-Request-Id", req.demand.request_id))
+        start_response(wsgi.status_line(answer.status), headers)
+        yield answer.body
+
+    def _fetch(
+        self, req: ServiceRequest, environ, permit: permits.Permit
+    ) -> ServiceAnswer:
         excluded: frozenset[str] = frozenset()
+        earlier = verdict.Verdict.NOT_RUN
         for attempt in range(1, MAX_ATTEMPTS + 1):
             with connection.watch(environ[connection.SOCKET_KEY]):
-                grant = self._router.acquire_service(req.demand, excluded)
+                grant = self._router.acquire_service(
+                    req.demand, excluded, earlier
+                )
             try:
-                reply = self._send(grant, req)
+                permit.confirm()
+                return _exchange(grant, req, not permit.repeatable)
             except errors.AttemptError as exc:
-                self._router.release_service(grant)
                 excluded |= {grant.endpoint.name}
-                retryable = exc.verdict.allows_retry(req.idempotent)
+                earlier = earlier.combine(exc.verdict)
+                retryable = exc.verdict.allows_retry(permit.repeatable)
                 if not retryable or attempt == MAX_ATTEMPTS:
-                    raise _refusal(exc) from exc
-                continue
-            yield from self._relay(grant, req, reply, start_response)
-            return
-
-    def _send(
-        self, grant: tickets.Grant, req: ServiceRequest
-    ) -> exchange.Exchange:
-        reply = grant.endpoint.peer.send(
-            exchange.OutgoingRequest(
-                req.method,
-                req.path,
-                (*req.headers, ("X-Request-Id", req.demand.request_id)),
-                req.body,
-                fresh=not req.idempotent,
-            )
+                    raise _refusal(exc, earlier) from exc
+            finally:
+                self._router.release_service(grant)
+        raise AssertionError("the last attempt returns or raises")
+
+
+def _exchange(
+    grant: tickets.Grant, req: ServiceRequest, fresh: bool
+) -> ServiceAnswer:
+    """Sends a request once and reads the whole answer."""
+    reply = grant.endpoint.peer.send(
+        exchange.OutgoingRequest(
+            req.method,
+            req.path,
+            (*req.headers, ("X-Request-Id", req.demand.request_id)),
+            req.body,
+            fresh=fresh,
         )
+    )
+    try:
         if reply.status in NOT_RUN_STATUSES:
-            status = reply.status
-            reply.close()
             raise errors.AttemptError(
-                f"the service answered {status}",
+                f"the service answered {reply.status}",
                 verdict.Verdict.NOT_RUN,
                 leaving=True,
             )
-        return reply
-
-    def _relay(
-        self,
-        grant: tickets.Grant,
-        req: ServiceRequest,
-        reply: exchange.Exchange,
-        start_response,
-    ) -> Iterator[bytes]:
-        try:
-            body = reply.read()
-        except errors.AttemptError as exc:
-            raise _refusal(exc) from exc
-        finally:
-            reply.close()
-            self._router.release_service(grant)
-        headers = [
-            (name, value)
-            for name, value in reply.headers()
-            if name.lower() not in HOP_HEADERS
-        ]
-        headers.append(("Content-Length", str(len(body))))
-        headers.append(("X-Request-Id", req.demand.request_id))
-        start_response(wsgi.status_line(reply.status), headers)
-        yield body
+        return ServiceAnswer(reply.status, tuple(reply.headers()), reply.read())
+    finally:
+        reply.close()
 
 
 def forwarded_headers(environ) -> tuple[tuple[str, str], ...]:
@@ -158,12 +170,14 @@
     return route == pattern
 
 
-def _refusal(exc: errors.AttemptError) -> errors.RefusalError:
-    not_run = exc.verdict is verdict.Verdict.NOT_RUN
+def _refusal(
+    exc: errors.AttemptError, run: verdict.Verdict
+) -> errors.RefusalError:
+    not_run = run is verdict.Verdict.NOT_RUN
     return errors.RefusalError(
         503 if not_run else 502,
         errors.RefusalCode.ENDPOINT_FAILED,
         str(exc),
-        exc.verdict,
+        run,
         RETRY_AFTER_MS if not_run else None,
     )
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -21,6 +21,8 @@
 from hornbeampier.operators import follower
 from hornbeampier.operators import history
 from hornbeampier.operators import report
+from hornbeampier.platform import claim_writer
+from hornbeampier.platform import claims
 from hornbeampier.platform import log as platform_log
 from hornbeampier.platform import vm_list
 from hornbeampier.policy import choice
@@ -72,6 +74,15 @@
             clk,
             platform.vm_list_interval_ms,
         )
+        self.claim_writer = claim_writer.ClaimWriter(
+            self._settings.vm, self._platform_log, clk
+        )
+        self.claims = claims.Claims(
+            self._platform_log,
+            self._env,
+            self.claim_writer,
+            platform.timeout_ms,
+        )
         self._catch_up = catch_up.CatchUpClient(self._settings.vm, clk)
         self._follower = follower.ConfigurationFollower(
             self._platform_log,
@@ -145,6 +156,7 @@
             lambda: self._follower.accepted,
             self._router,
             self.metrics,
+            self.claims,
         )
         self.caller_server = wsgi.HttpServer(
             callers.host,
@@ -173,6 +185,8 @@
         self.app.add(self._load)
         self.app.add(self._follower)
         self.app.add(self._planner)
+        self.app.add(self.claim_writer)
+        self.app.add(self.claims)
         self.app.add(self.caller_server)
         self.app.add(
             drain.Drain(
--- a/hornbeampier/endpoints/engine.py
+++ b/hornbeampier/endpoints/engine.py
@@ -44,6 +44,7 @@
         resume_text: The part of the answer that the router already has.
         resume_tokens: The number of events in `resume_text`.
         attempt: Tells the attempts of a request apart, from 1 on.
+        fresh: Whether an idle connection must not be used.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     resume_text: str = ""
     resume_tokens: int = 0
     attempt: int = 1
+    fresh: bool = False
 
     def headers(self) -> tuple[tuple[str, str], ...]:
         """Returns the HTTP headers of the request."""
@@ -126,6 +128,7 @@
                 CHAT_PATH,
                 req.headers(),
                 req.full_body(),
+                req.fresh,
                 timeout_ms=req.timeouts.first_token_ms,
             )
         )
--- a/hornbeampier/endpoints/standin_engine.py
+++ b/hornbeampier/endpoints/standin_engine.py
@@ -21,6 +21,8 @@
 from hornbeampier.endpoints import standin_models
 
 DEFAULT_TOKENS = 20
+# A run keeps this much of its prompt.
+PROMPT_CHARS = 100
 TOKENS_PATTERN = re.compile(r"tokens=(\d+)")
 CANCEL_PATH = re.compile(r"^/cancel/([^/]+)/(\d+)$")
 SSE_HEADERS = [("Content-Type", "text/event-stream")]
@@ -72,6 +74,7 @@
 
     request_id: str
     priority: int
+    prompt: str = ""
     start: int = 0
     resume_text: str = ""
     tokens: int = 0
@@ -179,7 +182,7 @@
             return wsgi.json_answer(start_response, 499, {})
         sequence = self._batch.submit(
             run.request_id,
-            "\n".join(m.content for m in body.messages),
+            _prompt(body),
             _answer_length(order, body.max_tokens),
             run.priority,
             run.start,
@@ -194,6 +197,7 @@
         run = EngineRun(
             request_id=environ.get("HTTP_X_REQUEST_ID", ""),
             priority=int(environ.get("HTTP_X_PRIORITY", "1")),
+            prompt=_prompt(body)[:PROMPT_CHARS],
         )
         if not self.control.no_resume:
             run.start = int(environ.get("HTTP_X_RESUME_TOKENS", "0"))
@@ -316,6 +320,10 @@
     return [*SSE_HEADERS, ("X-Resume-Tokens", str(run.start))]
 
 
+def _prompt(body: _Body) -> str:
+    return "\n".join(m.content for m in body.messages)
+
+
 def _answer_length(order: str, max_tokens: int | None) -> int:
     match = TOKENS_PATTERN.search(order)
     length = int(match[1]) if match else DEFAULT_TOKENS
--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -34,6 +34,7 @@
     CRASHES_ENDPOINTS = "crashes_endpoints"
     IN_PROGRESS = "in_progress"
     ALREADY_RAN = "already_ran"
+    MAY_HAVE_RUN = "may_have_run"
     KEY_REUSED = "key_reused"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CALLER_GONE = "caller_gone"
--- /dev/null
+++ b/hornbeampier/platform/claim_writer.py
@@ -0,0 +1,139 @@
+"""The task that appends a VM's claims, releases and outcomes in groups."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from gevent import event
+import msgspec
+import structlog
+
+from hornbeampier import application
+from hornbeampier import clock
+from hornbeampier import errors
+from hornbeampier.platform import claim_records
+from hornbeampier.platform import log as platform_log
+
+MAX_BATCH_ENTRIES = 64
+# The log's appends are shared by all VMs; entries that arrive sooner wait for
+# the next append.
+APPEND_INTERVAL_MS = 25.0
+RETRY_MS = 250.0
+DRAIN_TIMEOUT_MS = 5_000.0
+DRAIN_POLL_MS = 10.0
+
+OnRefused = Callable[[], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pending:
+    """An entry to append; `on_refused` marks one that is not repeated."""
+
+    entry: claim_records.Entry
+    on_refused: OnRefused | None = None
+
+
+class ClaimWriter(application.TaskComponent):
+    """Groups entries into appends, one append at a time.
+
+    A claim is appended once. A release or an outcome is appended again until
+    the log has confirmed it; the fold ignores its repeats.
+    """
+
+    def __init__(self, vm: str, log: platform_log.Log, clock: clock.Clock):
+        super().__init__()
+        self._vm = vm
+        self._platform_log = log
+        self._clock = clock
+        self._log = structlog.get_logger(task="claim_writer")
+        self._pending: collections.deque[_Pending] = collections.deque()
+        self._work = event.Event()
+        self._writing = False
+        self.appends = 0
+
+    @property
+    def backlog(self) -> int:
+        """Entries that wait for their append."""
+        return len(self._pending)
+
+    def submit_claim(
+        self, claim: claim_records.Claim, on_refused: OnRefused
+    ) -> None:
+        """Queues a claim; calls `on_refused` if it is surely not in the log."""
+        self._submit(_Pending(claim, on_refused))
+
+    def submit(self, entry: claim_records.Release | claim_records.Outcome):
+        """Queues a release or an outcome."""
+        self._submit(_Pending(entry))
+
+    def withdraw(self, claim: claim_records.Claim) -> bool:
+        """Takes back a claim; returns False if its append was begun."""
+        for pending in self._pending:
+            if pending.entry is claim:
+                self._pending.remove(pending)
+                return True
+        return False
+
+    def run(self) -> None:
+        """Appends groups until killed."""
+        while True:
+            self._work.wait()
+            started_ms = self._clock.now()
+            pause_ms = APPEND_INTERVAL_MS if self.write() else RETRY_MS
+            elapsed_ms = self._clock.now() - started_ms
+            self._clock.sleep(pause_ms - elapsed_ms)
+
+    def write(self) -> bool:
+        """Appends one group; returns whether the log confirmed it."""
+        group = [
+            self._pending.popleft()
+            for _ in range(min(len(self._pending), MAX_BATCH_ENTRIES))
+        ]
+        if not self._pending:
+            self._work.clear()
+        if not group:
+            return True
+        self._writing = True
+        try:
+            return self._append(group)
+        finally:
+            self._writing = False
+
+    def drain(self) -> None:
+        """Waits a bounded time until the log has all entries."""
+        end_ms = self._clock.now() + DRAIN_TIMEOUT_MS
+        while self._pending or self._writing:
+            if self._clock.now() > end_ms:
+                self._log.error("claims_not_flushed", entries=self.backlog)
+                return
+            self._clock.sleep(DRAIN_POLL_MS)
+
+    def _submit(self, pending: _Pending) -> None:
+        self._pending.append(pending)
+        self._work.set()
+
+    def _append(self, group: list[_Pending]) -> bool:
+        batch = claim_records.ClaimBatch(
+            self._vm, tuple(p.entry for p in group)
+        )
+        self.appends += 1
+        try:
+            self._platform_log.append(
+                claim_records.STREAM, msgspec.json.encode(batch)
+            )
+        except errors.AppendUnknownError as exc:
+            self._log.warning("claim_append_unknown", error=str(exc))
+        except errors.PlatformError as exc:
+            self._log.warning("claim_append_refused", error=str(exc))
+            for pending in group:
+                if pending.on_refused:
+                    pending.on_refused()
+        else:
+            return True
+        self._queue_again([p for p in group if p.on_refused is None])
+        return False
+
+    def _queue_again(self, group: list[_Pending]) -> None:
+        self._pending.extendleft(reversed(group))
+        if group:
+            self._work.set()
--- /dev/null
+++ b/hornbeampier/platform/claims.py
@@ -0,0 +1,196 @@
+"""Claims of idempotency keys through the platform's log."""
+
+import gevent
+from gevent import event
+import structlog
+
+from hornbeampier import application
+from hornbeampier import clock
+from hornbeampier import environment
+from hornbeampier import errors
+from hornbeampier import verdict
+from hornbeampier.platform import claim_index
+from hornbeampier.platform import claim_records
+from hornbeampier.platform import claim_writer
+from hornbeampier.platform import log as platform_log
+
+LONG_POLL_MS = 1_500.0
+RETRY_MS = 250.0
+# New keys are refused above this number of known keys and releases.
+MAX_KEYS = 50_000
+MAX_BACKLOG = 5_000
+
+
+class ClaimsUnavailableError(errors.PlatformError):
+    """The key could not be claimed; its request must not be dispatched."""
+
+
+class Claims(application.TaskComponent):
+    """Follows the stream of claims and claims keys for this VM."""
+
+    def __init__(
+        self,
+        log: platform_log.Log,
+        env: environment.Environment,
+        writer: claim_writer.ClaimWriter,
+        claim_timeout_ms: float,
+    ):
+        super().__init__()
+        self._platform_log = log
+        self._env = env
+        self._writer = writer
+        self._claim_timeout_ms = claim_timeout_ms
+        self._log = structlog.get_logger(task="claims")
+        self._next = 0
+        self._waiters: dict[str, event.AsyncResult] = {}
+        self._index = claim_index.ClaimIndex()
+        self.available = False
+
+    @property
+    def size(self) -> int:
+        """The number of keys and released claims that are known."""
+        return self._index.size
+
+    @property
+    def position(self) -> int:
+        """The offset of the next record to read."""
+        return self._next
+
+    def find(self, key: str) -> claim_index.KeyEntry | None:
+        """Returns the claim that holds a key, as far as the log was read."""
+        return self._index.find(key)
+
+    def claim(self, key: str, fingerprint: str) -> str | None:
+        """Claims a key; returns the claim's id, or None if the key is held.
+
+        Raises:
+            ClaimsUnavailableError: The claim is given up and released.
+        """
+        if not self.available or self._is_full():
+            raise ClaimsUnavailableError("keys cannot be claimed now")
+        claim = claim_records.Claim(
+            key,
+            self._env.new_id("claim"),
+            fingerprint,
+            self._env.clock.unix(),
+        )
+        waiter = event.AsyncResult()
+        self._waiters[claim.claim_id] = waiter
+        refused = False
+
+        def on_refused():
+            nonlocal refused
+            refused = True
+            waiter.set(None)
+
+        self._writer.submit_claim(claim, on_refused)
+        held = None
+        try:
+            held = waiter.get(
+                timeout=self._claim_timeout_ms / clock.MS_PER_SECOND
+            )
+        except gevent.Timeout:
+            pass
+        finally:
+            self._waiters.pop(claim.claim_id, None)
+            if held is None and not refused:
+                self._give_up(claim)
+        if held is None:
+            raise ClaimsUnavailableError("the log did not take the claim")
+        return claim.claim_id if held else None
+
+    def release(self, key: str, claim_id: str) -> None:
+        """Frees a key whose request was not run; never dispatch it after."""
+        self._writer.submit(claim_records.Release(key, claim_id))
+
+    def record(
+        self,
+        key: str,
+        claim_id: str,
+        verdict: verdict.Verdict,
+        answer: claim_records.StoredAnswer | None = None,
+    ) -> None:
+        """Records the end of a run."""
+        self._writer.submit(
+            claim_records.Outcome(key, claim_id, verdict, answer)
+        )
+
+    def read_answer(
+        self, entry: claim_index.KeyEntry
+    ) -> claim_records.StoredAnswer | None:
+        """Returns the stored answer, or None if the log cannot give it."""
+        if entry.answer_offset is None:
+            return None
+        try:
+            answer = self._platform_log.read(
+                claim_records.STREAM, entry.answer_offset, limit=1
+            )
+        except errors.PlatformError as exc:
+            self._log.warning("answer_unavailable", error=str(exc))
+            return None
+        for record in answer.records[:1]:
+            batch = claim_records.decode(record.data)
+            for row in batch.entries if batch else ():
+                if _is_answer_of(row, entry):
+                    return row.answer
+        return None
+
+    def run(self) -> None:
+        """Follows the stream until killed."""
+        while True:
+            # A long poll of a stream without news would delay the first claim.
+            if not self.step(LONG_POLL_MS if self.available else 0):
+                self._env.clock.sleep(RETRY_MS)
+
+    def step(self, wait_ms: float = 0) -> bool:
+        """Reads the log once; returns whether it could be read."""
+        try:
+            answer = self._platform_log.read(
+                claim_records.STREAM, self._next, wait_ms
+            )
+        except errors.OffsetForgottenError as exc:
+            self._start_over(exc.first)
+            return True
+        except errors.PlatformError as exc:
+            self.available = False
+            self._log.warning("log_unavailable", error=str(exc))
+            return False
+        for record in answer.records:
+            for judgement in self._index.fold(record):
+                waiter = self._waiters.get(judgement.claim_id)
+                if waiter:
+                    waiter.set(judgement.held)
+        self._next = answer.next
+        if len(answer.records) < platform_log.READ_LIMIT:
+            self.available = True
+        return True
+
+    def _start_over(self, first: int) -> None:
+        """Reads all that the log keeps; gives up the claims that wait."""
+        self._log.warning("claims_read_again", first=first)
+        self._next = first
+        self._index = claim_index.ClaimIndex()
+        self.available = False
+        waiters, self._waiters = self._waiters, {}
+        for waiter in waiters.values():
+            waiter.set(None)
+
+    def _give_up(self, claim: claim_records.Claim) -> None:
+        if self._writer.withdraw(claim):
+            return
+        self._log.warning("claim_given_up", claim_id=claim.claim_id)
+        self.release(claim.key, claim.claim_id)
+
+    def _is_full(self) -> bool:
+        return (
+            self._index.size >= MAX_KEYS or self._writer.backlog >= MAX_BACKLOG
+        )
+
+
+def _is_answer_of(
+    row: claim_records.Entry, entry: claim_index.KeyEntry
+) -> bool:
+    return (
+        isinstance(row, claim_records.Outcome)
+        and row.claim_id == entry.claim_id
+    )
--- a/hornbeampier/platform/standin.py
+++ b/hornbeampier/platform/standin.py
@@ -29,9 +29,11 @@
             lose their connection.
         hang_appends: How many coming appends never answer nor take effect.
         vm_list_lag_ms: Age of the list that is served.
+        faulty_stream: The stream whose appends have faults; empty for all.
         late_appends: How many coming appends lose their connection and take
             effect only when they are landed.
-        held_stream: Reads of this stream wait until the fault ends.
+        refuse_appends: The log refuses every append with 503.
+        held_stream: Long polls of this stream wait until the fault ends.
     """
 
     log_down: bool = False
@@ -39,7 +41,9 @@
     lose_append_answers: int = 0
     hang_appends: int = 0
     vm_list_lag_ms: float = 0
+    faulty_stream: str = ""
     late_appends: int = 0
+    refuse_appends: bool = False
     held_stream: str = ""
 
 
@@ -179,7 +183,7 @@
         limit = int(query.get("limit", ["500"])[0])
         wait_ms = float(query.get("wait_ms", ["0"])[0])
         answer = self._platform.read(name, offset, limit, wait_ms)
-        while self._platform.faults.held_stream == name:
+        while wait_ms and self._platform.faults.held_stream == name:
             gevent.sleep(HOLD_POLL_MS / clock.MS_PER_SECOND)
         if self._platform.faults.log_down:
             return wsgi.json_answer(start_response, 503, {})
@@ -191,6 +195,8 @@
         data = wsgi.read_body(environ).decode()
         if len(data) > MAX_RECORD_BYTES:
             return wsgi.json_answer(start_response, 413, {})
+        if faults.faulty_stream not in ("", name):
+            faults = Faults()
         if faults.hang_appends > 0:
             faults.hang_appends -= 1
             event.Event().wait()
@@ -198,6 +204,8 @@
             faults.late_appends -= 1
             self._platform.append_late(name, data)
             raise wsgi.DropConnectionError("the append is late on purpose")
+        if faults.refuse_appends:
+            return wsgi.json_answer(start_response, 503, {})
         offset = self._platform.append(name, data)
         if faults.lose_append_answers > 0:
             faults.lose_append_answers -= 1
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -10,6 +10,7 @@
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import models
+from hornbeampier import permits
 from hornbeampier import verdict
 from hornbeampier.endpoints import engine
 from hornbeampier.endpoints import probe
@@ -39,6 +40,7 @@
         may_have_run: Whether an attempt may have run at an endpoint.
         finished: Whether the last event with text has arrived.
         resumable: Whether the text alone lets another engine go on.
+        permit: Decides on each dispatch.
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
@@ -49,6 +51,7 @@
     may_have_run: bool = False
     finished: bool = False
     resumable: bool = True
+    permit: permits.Permit = permits.OPEN
 
     @property
     def text(self) -> str:
@@ -109,7 +112,10 @@
         self._log = structlog.get_logger(task="router")
 
     def run_chat(
-        self, demand: models.Demand, body: bytes, progress: Progress
+        self,
+        demand: models.Demand,
+        body: bytes,
+        progress: Progress,
     ) -> Iterator[engine.EngineEvent]:
         """Yields the whole answer of a model, over several attempts if needed.
 
@@ -138,14 +144,22 @@
             self._back_off(demand, progress)
 
     def acquire_service(
-        self, demand: models.Demand, excluded: frozenset[str]
+        self,
+        demand: models.Demand,
+        excluded: frozenset[str],
+        earlier: verdict.Verdict,
     ) -> tickets.Grant:
-        """Waits for an endpoint of a plain service."""
+        """Waits for an endpoint of a plain service.
+
+        Raises:
+            errors.RefusalError: With `earlier`, the verdict of the attempts
+                so far, in its verdict.
+            errors.ShutdownError: The same.
+        """
         try:
             return self._acquire(demand, excluded)
-        except errors.ShutdownError as exc:
-            if excluded:
-                exc.verdict = verdict.Verdict.MAY_HAVE_RUN
+        except (errors.RefusalError, errors.ShutdownError) as exc:
+            exc.verdict = earlier.combine(exc.verdict)
             raise
 
     def release_service(self, grant: tickets.Grant) -> None:
@@ -180,6 +194,7 @@
         state = grant.endpoint
         progress.attempts += 1
         try:
+            progress.permit.confirm()
             with self._suspects.running(demand.fingerprint, state):
                 try:
                     yield from self._attempt(state, demand, body, progress)
@@ -220,6 +235,7 @@
             progress.text,
             len(progress.texts),
             progress.attempts,
+            fresh=not progress.permit.repeatable,
         )
         client = engine.EngineClient(state.peer, self._clock)
         waiting_ms = None
@@ -328,7 +344,10 @@
         """
         self._suspects.check(demand.fingerprint)
         late = not progress.texts and self._clock.now() >= demand.deadline_ms
-        allowed = exc.verdict.allows_retry(True) and progress.resumable
+        allowed = (
+            exc.verdict.allows_retry(progress.permit.repeatable)
+            and progress.resumable
+        )
         if (
             late
             or not allowed
--- a/hornbeampier/verdict.py
+++ b/hornbeampier/verdict.py
@@ -15,6 +15,13 @@
         """Whether an execution cannot be ruled out."""
         return self is not Verdict.NOT_RUN
 
+    def combine(self, other: "Verdict") -> "Verdict":
+        """Returns the verdict of a request with both of these attempts."""
+        for known in (Verdict.RAN, Verdict.MAY_HAVE_RUN):
+            if known in (self, other):
+                return known
+        return Verdict.NOT_RUN
+
     def allows_retry(self, idempotent: bool) -> bool:
         """Returns whether another attempt cannot repeat an effect."""
         if self is Verdict.NOT_RUN:
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -64,7 +64,7 @@
             availability_zone="zone-1",
             callers=settings.CallerSettings(port=0),
             platform=settings.PlatformSettings(
-                log_port=port, vm_list_port=port, timeout_ms=500
+                log_port=port, vm_list_port=port, timeout_ms=1_000
             ),
             drain=settings.DrainSettings(notice_ms=1),
         )
@@ -83,11 +83,24 @@
             vm.forget_failures()
             processes.wait_until(lambda vm=vm: self._has_settled(vm))
 
+    def wait_read(self):
+        """Waits until all VMs have read all claims."""
+        for vm in self.vms:
+            processes.wait_until(lambda vm=vm: self._has_read(vm))
+
+    def wait_open(self):
+        """Waits until all VMs know that no endpoint is leaving."""
+        for vm in self.vms:
+            processes.wait_until(lambda vm=vm: not vm.leaving())
+
+    def _has_read(self, vm):
+        end = self.platform.stream_end("claims")
+        return vm.daemon.claims.position == end
+
     def _has_settled(self, vm):
-        claims = vm.daemon.claims
-        if vm.daemon.claim_writer.backlog or not claims.available:
+        if vm.daemon.claim_writer.backlog or not vm.daemon.claims.available:
             return False
-        return claims.position == self.platform.stream_end("claims")
+        return self._has_read(vm)
 
     def _publish(self):
         text = processes.configuration(
@@ -108,9 +121,14 @@
     def port(self):
         return self.daemon.ports.callers
 
+    def leaving(self):
+        """The endpoints that report that they are leaving."""
+        states = self.daemon._endpoints.all()
+        return [s for s in states if s.report and s.report.leaving]
+
     def forget_failures(self):
         """Lets ejected endpoints take requests again."""
-        for state in self.daemon.endpoints.all():
+        for state in self.daemon._endpoints.all():
             state.ejected_until_ms = 0.0
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,8 @@
 """The real code of outside systems on small fakes, within one process."""
 
 from hornbeampier import errors
+from hornbeampier.platform import claim_writer
+from hornbeampier.platform import claims
 from hornbeampier.platform import standin
 
 
@@ -24,11 +26,18 @@
             raise errors.AppendUnknownError("the answer was lost")
         return offset
 
-    def read(self, stream, offset, wait_ms=0):
+    def read(self, stream, offset, wait_ms=0, limit=500):
         del wait_ms
         if self.down:
             raise errors.PlatformError("the log is down")
-        answer = self.platform.read(stream, offset, 500, 0)
+        answer = self.platform.read(stream, offset, limit, 0)
         if offset < answer.first:
             raise errors.OffsetForgottenError(answer.first)
         return answer
+
+
+def unread_claims(env):
+    """Claims whose stream is not read, so that no key can be claimed."""
+    log = MemoryLog(env.clock)
+    writer = claim_writer.ClaimWriter("vm", log, env.clock)
+    return claims.Claims(log, env, writer, 1_000)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -163,20 +163,25 @@
         return call(self.port, "GET", "/runs").json()
 
 
+def chat_body(text, stream=False):
+    """The body of a chat request with one message."""
+    body = {
+        "model": "notes",
+        "stream": stream,
+        "messages": [{"role": "user", "content": text}],
+    }
+    return json.dumps(body)
+
+
 class Caller:
     """Sends requests to a VM's port."""
 
     def chat(self, text, key="key-1", stream=False, headers=()):
-        body = {
-            "model": "notes",
-            "stream": stream,
-            "messages": [{"role": "user", "content": text}],
-        }
         return call(
             self.port,
             "POST",
             "/v1/chat/completions",
-            json.dumps(body).encode(),
+            chat_body(text, stream).encode(),
             [("Authorization", f"Bearer {key}"), *headers],
         )
 
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -24,6 +24,7 @@
 from hornbeampier.policy import choice
 from hornbeampier.policy import scheduler
 from hornbeampier.policy import suspects
+from tests import fakes
 from tests import processes
 
 CHAT = "/v1/chat/completions"
@@ -97,6 +98,7 @@
             lambda: history.Accepted(1, "test", "", cfg),
             self.router,
             self.metrics,
+            fakes.unread_claims(self.env),
         )
         self.server = wsgi.HttpServer(
             processes.HOST, 0, self.app, 200, connection.CallerHandler
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,304 @@
+"""Requests that run at most once, counted at the endpoints."""
+
+import struct
+
+import gevent
+from gevent import socket
+import testtools
+
+from hornbeampier.endpoints import standin_service
+from hornbeampier.platform import standin
+from tests import embedded
+from tests import golden
+from tests import processes
+
+ROUTE = "/services/entry/fees/1"
+SHORT_WAIT_MS = 1_000
+# The option by which a closed socket resets its connection.
+RESET = struct.pack("ii", 1, 0)
+
+
+def shorten_wait(text):
+    return text.replace("max_wait_ms = 10000", f"max_wait_ms = {SHORT_WAIT_MS}")
+
+
+def describe(answer):
+    """The status of an answer, and its code and verdict if it is refused."""
+    if b'"verdict"' in answer.body and answer.status != 200:
+        text = "{} {} {}".format(*embedded.refusal(answer))
+        return text + (" retry" if "retry-after" in answer.headers else "")
+    replayed = answer.headers.get("idempotent-replayed")
+    return f"{answer.status}" + (" replayed" if replayed else "")
+
+
+class Session:
+    """Sends requests and writes down each answer with the runs so far."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._count = 0
+        self.lines = []
+        self.most_runs = 0
+
+    @property
+    def body(self):
+        return f"fee {self._count:02}"
+
+    def begin(self, title):
+        """Starts a new key with a body of its own."""
+        self._deployment.settle()
+        for service in self._deployment.services:
+            service.app.control = standin_service.ServiceControl()
+        self._count += 1
+        self.lines.append(f"\n{title}")
+
+    def break_log(self, **faults):
+        self._deployment.platform.faults = standin.Faults(
+            faulty_stream="claims", **faults
+        )
+
+    def break_services(self, **faults):
+        for service in self._deployment.services:
+            service.app.control = standin_service.ServiceControl(**faults)
+
+    def settle(self):
+        self._deployment.settle()
+
+    def land(self):
+        """Lets late appends take effect; waits until all VMs read them."""
+        self._deployment.platform.land()
+        self._deployment.wait_read()
+
+    def open_services(self):
+        """Ends the faults of the services; waits for their reports."""
+        self.break_services()
+        self._deployment.wait_open()
+
+    def wait_known(self):
+        """Waits until both VMs know how the run ended."""
+        for vm in self._deployment.vms:
+            processes.wait_until(
+                lambda vm=vm: not vm.daemon.make_report().open_requests
+            )
+        self.settle()
+
+    def send_and_close(self, number, method, path, body):
+        """Sends a request and resets the connection during its run."""
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: x\r\n"
+            "Authorization: Bearer key-1\r\n"
+            f"Idempotency-Key: key-{self._count}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        port = self._deployment.vms[number - 1].port
+        with socket.create_connection((processes.HOST, port)) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.sendall((head + body).encode())
+            processes.wait_until(self.runs)
+        self.note(f"vm-{number}: the caller has gone")
+
+    def send(self, number, body=None, key=True, account="key-1"):
+        """Sends the request of the scenario and notes its answer."""
+        answer = self.ask(number, body, key, account)
+        self.note(f"vm-{number}: {describe(answer)}")
+
+    def ask(self, number, body=None, key=True, account="key-1"):
+        """Sends the request of the scenario through a VM."""
+        headers = embedded.keyed(f"key {self._count}".replace(" ", "-"))
+        return self._deployment.vms[number - 1].call(
+            "PUT",
+            ROUTE,
+            (body or self.body).encode(),
+            key=account,
+            headers=headers if key else [],
+        )
+
+    def chat(self, number, order, stream):
+        """Sends a chat with the scenario's key; engines may drop it."""
+        headers = embedded.keyed(f"key-{self._count}")
+        answer = self._deployment.vms[number - 1].chat(
+            f"{self.body} {order}", stream=stream, headers=headers
+        )
+        text = describe(answer)
+        if "event: error" in answer.body.decode():
+            text += " with an error event"
+        self.note(f"vm-{number}: {text}")
+
+    def break_engines(self, drop_after):
+        for engine in self._deployment.engines:
+            engine.app.control.drop_after = drop_after
+
+    def note(self, text):
+        runs = self.runs()
+        self.most_runs = max(self.most_runs, runs)
+        self.lines.append(f"  {text}; runs: {runs}")
+
+    def runs(self):
+        return sum(
+            run.body.startswith(self.body)
+            for service in self._deployment.services
+            for run in service.app.runs
+        ) + sum(
+            self.body in run.prompt
+            for engine in self._deployment.engines
+            for run in engine.app.runs
+        )
+
+    def text(self):
+        return "\n".join(self.lines).strip() + "\n"
+
+
+def repeat(session):
+    session.begin("A repeat gets the stored answer, through any VM")
+    session.send(1)
+    session.settle()
+    session.send(2)
+    session.send(1)
+    session.send(2, body="another body")
+
+
+def own_keys(session):
+    session.begin("Two accounts use the same key")
+    session.send(1)
+    session.settle()
+    session.send(2, body="fee of the other account", account="key-2")
+
+
+def concurrent(session):
+    session.begin("Repeats at the same moment through both VMs")
+    session.break_services(delay_ms=100)
+    tasks = [gevent.spawn(session.ask, number) for number in (1, 2, 1, 2, 1, 2)]
+    gevent.joinall(tasks, raise_error=True)
+    texts = sorted(describe(task.value) for task in tasks)
+    session.note(", ".join(texts))
+
+
+def lost_append(session):
+    session.begin("The answer to the append of the claim is lost")
+    session.break_log(lose_append_answers=1)
+    session.send(1)
+    session.settle()
+    session.send(2)
+
+
+def late_claim(session):
+    session.begin("A claim that was given up lands after its release")
+    session.break_log(late_appends=1)
+    session.send(1)
+    session.settle()
+    session.send(2)
+    session.settle()
+    session.send(1)
+
+
+def late_before_release(session):
+    session.begin("A claim that was given up lands before its release")
+    session.break_log(late_appends=1, refuse_appends=True)
+    session.send(1)
+    session.land()
+    session.send(2)
+    session.settle()
+    session.send(2)
+
+
+def outage(session):
+    session.begin("The log is down: a known key")
+    session.send(1)
+    session.settle()
+    session.break_log(log_down=True)
+    session.send(2)
+    session.begin("The log is down: a new key")
+    session.break_log(log_down=True)
+    session.send(2)
+    session.settle()
+    session.send(2)
+
+
+def endpoint_faults(session):
+    for title, faults in (
+        ("The endpoint drops the request before its run", "refuse_before_run"),
+        ("The endpoint drops the request after its run", "lose_answers"),
+        ("The endpoint cuts its answer", "cut_answers"),
+    ):
+        session.begin(title)
+        session.break_services(**{faults: 1})
+        session.send(1)
+        session.settle()
+        session.send(2)
+    session.begin("Without a key")
+    session.break_services(lose_answers=1)
+    session.send(1, key=False)
+
+
+def endpoint_answers(session):
+    session.begin("Every endpoint is busy, then free")
+    session.break_services(leaving=True)
+    session.send(1)
+    session.settle()
+    session.open_services()
+    session.send(2)
+    session.begin("An error is an answer")
+    session.break_services(status=500)
+    session.send(1)
+    session.settle()
+    session.send(2)
+    session.begin("An answer too large to be stored")
+    big = session.body + "x" * 5_000
+    session.send(1, body=big)
+    session.settle()
+    session.send(2, body=big)
+
+
+def caller_gone(session):
+    session.begin("The caller goes away during the run")
+    session.break_services(delay_ms=150)
+    session.send_and_close(1, "PUT", ROUTE, session.body)
+    session.wait_known()
+    session.send(2)
+    session.begin("The caller goes away during a streamed chat")
+    body = processes.chat_body(f"{session.body} tokens=20", stream=True)
+    session.send_and_close(1, "POST", "/v1/chat/completions", body)
+    session.wait_known()
+    session.chat(2, "tokens=20", stream=True)
+
+
+def chats(session):
+    for stream in (True, False):
+        session.begin(f"A chat, streamed: {stream}")
+        session.chat(1, "tokens=5", stream)
+        session.settle()
+        session.chat(2, "tokens=5", stream)
+        session.chat(2, "tokens=5", not stream)
+        session.begin(f"A chat breaks off, streamed: {stream}")
+        session.break_engines(drop_after=2)
+        session.chat(1, "tokens=5", stream)
+        session.settle()
+        session.break_engines(drop_after=0)
+        session.chat(2, "tokens=5", stream)
+
+
+SCENARIOS = (
+    repeat,
+    own_keys,
+    concurrent,
+    lost_append,
+    late_claim,
+    late_before_release,
+    outage,
+    endpoint_faults,
+    endpoint_answers,
+    caller_gone,
+    chats,
+)
+
+
+class AtMostOnceTest(testtools.TestCase):
+    def test_session_under_faults(self):
+        with embedded.Embedded(
+            2, engines=2, services=2, change=shorten_wait
+        ) as deployment:
+            session = Session(deployment)
+            for scenario in SCENARIOS:
+                scenario(session)
+        self.assertEqual(1, session.most_runs)
+        golden.verify("at_most_once", session.text())
--- /dev/null
+++ b/tests/test_at_most_once_processes.py
@@ -0,0 +1,116 @@
+"""At most one run although processes are killed or frozen."""
+
+import gevent
+import testtools
+
+from hornbeampier import errors
+from hornbeampier.platform import claim_records
+from tests import embedded
+from tests import processes
+
+ROUTE = "/services/entry/fees/1"
+PAST_CLAIM_TIMEOUT_S = 2.2
+RUN_MS = 20_000
+
+
+class KilledAndFrozenProcessesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.deployment = processes.Deployment(vms=3, engines=0, services=2)
+        self.addCleanup(self.deployment.close)
+        self.deployment.__enter__()
+        self.services = list(self.deployment.services)
+        for vm in self.deployment.vms:
+            body = f"first through {vm.name}"
+            processes.wait_until(
+                lambda vm=vm, body=body: self._send(vm, body).status == 200
+            )
+
+    def _send(self, vm, body):
+        headers = embedded.keyed(body.replace(" ", "-"))
+        return vm.call("PUT", ROUTE, body.encode(), headers=headers)
+
+    def _send_or_lose(self, vm, body):
+        try:
+            return self._send(vm, body)
+        except errors.AttemptError:
+            return None
+
+    def _runs(self, body):
+        runs = [run for service in self.services for run in service.runs()]
+        return sum(run["body"] == body for run in runs)
+
+    def _claims(self):
+        path = f"/streams/{claim_records.STREAM}/records?from=0"
+        port = self.deployment.platform.port
+        rows = processes.call(port, "GET", path).json()["records"]
+        return sum(row["data"].count('"type":"claim"') for row in rows)
+
+    def _begin(self, vm, body):
+        """Sends a request whose claim is in the log but not read back."""
+        before = self._claims()
+        self.deployment.platform.control(held_stream=claim_records.STREAM)
+        task = gevent.spawn(self._send_or_lose, vm, body)
+        processes.wait_until(lambda: self._claims() > before)
+        return task
+
+    def _read_on(self):
+        self.deployment.platform.control()
+
+    def _repeat(self, vm, body):
+        """Repeats the request until its answer is final."""
+        answers = []
+
+        def is_final():
+            answers.append(self._send(vm, body))
+            return b"in_progress" not in answers[-1].body
+
+        processes.wait_until(is_final)
+        return answers[-1]
+
+    def _check_frozen(self, body, frozen_s):
+        """Freezes a VM between claim and dispatch while another repeats."""
+        first, second, third = self.deployment.vms
+        task = self._begin(first, body)
+        first.process.freeze()
+        self._read_on()
+        processes.wait_until(
+            lambda: b"in_progress" in self._send(second, body).body
+        )
+        self.assertEqual(0, self._runs(body))
+        gevent.sleep(frozen_s)
+        first.process.thaw()
+        task.join()
+        self.assertEqual(200, self._repeat(third, body).status)
+        self.assertEqual(200, self._repeat(first, body).status)
+        self.assertEqual(1, self._runs(body))
+
+    def test_frozen_vm_and_its_repeat_run_once(self):
+        self._check_frozen("thawed in time", 0)
+        self._check_frozen("thawed too late", PAST_CLAIM_TIMEOUT_S)
+
+    def test_kills_leave_no_second_run(self):
+        first, second, third = self.deployment.vms
+        task = self._begin(first, "vm killed")
+        first.process.kill()
+        self._read_on()
+        task.join()
+        processes.wait_until(
+            lambda: b"in_progress" in self._send(second, "vm killed").body
+        )
+        self.assertEqual(0, self._runs("vm killed"))
+        for service in self.services:
+            service.control(delay_ms=RUN_MS)
+        body = "endpoint killed"
+        task = gevent.spawn(self._send, second, body)
+        processes.wait_until(lambda: self._runs(body))
+        for service in self.services:
+            if body in [run["body"] for run in service.runs()]:
+                service.process.kill()
+                self.services.remove(service)
+                break
+        refused = embedded.refusal(task.get())
+        self.assertEqual((502, "endpoint_failed", "may_have_run"), refused)
+        refused = embedded.refusal(self._repeat(third, body))
+        self.assertEqual((409, "may_have_run", "may_have_run"), refused)
+        self.assertEqual(0, self._runs(body))
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,245 @@
+"""Claims of idempotency keys: the fold, the writer and the permit."""
+
+import random
+
+import gevent
+from gevent import socket
+import msgspec
+import testtools
+
+from hornbeampier import clock
+from hornbeampier import environment
+from hornbeampier import errors
+from hornbeampier import models
+from hornbeampier import verdict
+from hornbeampier.callers import connection
+from hornbeampier.callers import idempotency
+from hornbeampier.platform import claim_index
+from hornbeampier.platform import claim_records
+from hornbeampier.platform import claim_writer
+from hornbeampier.platform import claims
+from hornbeampier.platform import log as platform_log
+from hornbeampier.platform import records
+from tests import fakes
+
+RAN = verdict.Verdict.RAN
+HOUR_MS = 3_600_000.0
+CLAIM_TIMEOUT_MS = 50.0
+CLAIM = claim_records.Claim
+RELEASE = claim_records.Release
+OUTCOME = claim_records.Outcome
+
+
+class Stream:
+    """Feeds entries to an index as records of the log."""
+
+    def __init__(self):
+        self.index = claim_index.ClaimIndex()
+        self.records = []
+
+    def add(self, *entries, at_ms=0.0):
+        """Folds one record; returns which of its claims hold their key."""
+        batch = claim_records.ClaimBatch("vm", entries)
+        data = msgspec.json.encode(batch).decode()
+        record = records.LogRecord(len(self.records), at_ms, data)
+        self.records.append(record)
+        return [j.held for j in self.index.fold(record)]
+
+    def claim(self, claim_id, key="key", at_ms=0.0):
+        """Folds a claim; returns whether it holds the key."""
+        return self.add(CLAIM(key, claim_id, "print", 0), at_ms=at_ms)[0]
+
+
+class ClaimIndexTest(testtools.TestCase):
+    def test_first_claim_holds_the_key_until_it_is_released(self):
+        stream = Stream()
+        held = [stream.claim("a"), stream.claim("b"), stream.claim("a")]
+        stream.add(RELEASE("key", "a"))
+        held += [stream.claim("a"), stream.claim("c"), stream.claim("b")]
+        self.assertEqual([True, False, True, False, True, False], held)
+
+    def test_claim_released_before_it_arrives_is_void(self):
+        stream = Stream()
+        stream.add(RELEASE("key", "late"))
+        self.assertFalse(stream.claim("late"))
+        self.assertTrue(stream.claim("next"))
+
+    def test_first_outcome_counts(self):
+        stream = Stream()
+        stream.claim("a")
+        answer = claim_records.StoredAnswer(200, "text/plain", b"\xff")
+        stream.add(OUTCOME("key", "b", RAN, answer))
+        self.assertIsNone(stream.index.find("key").run)
+        stream.add(OUTCOME("key", "a", RAN, answer))
+        stream.add(OUTCOME("key", "a", verdict.Verdict.MAY_HAVE_RUN))
+        entry = stream.index.find("key")
+        self.assertEqual((RAN, 2), (entry.run, entry.answer_offset))
+
+    def test_key_is_kept_for_its_window_after_its_last_record(self):
+        stream = Stream()
+        stream.claim("a")
+        self.assertFalse(stream.claim("b", at_ms=23 * HOUR_MS))
+        self.assertFalse(stream.claim("c", at_ms=46 * HOUR_MS))
+        stream.add(RELEASE("other", "x"), at_ms=47 * HOUR_MS)
+        self.assertEqual(2, stream.index.size)
+        self.assertTrue(stream.claim("d", at_ms=72 * HOUR_MS))
+        self.assertEqual(1, stream.index.size)
+
+    def test_only_one_claim_holds_a_key_at_any_time(self):
+        """Random records, and indexes that read them in other groups."""
+        for seed in range(200):
+            rng = random.Random(seed)
+            stream, holder = Stream(), None
+            for _ in range(60):
+                claim_id = f"claim-{rng.randrange(8)}"
+                if rng.random() < 0.6:
+                    if stream.claim(claim_id):
+                        self.assertIn(holder, (None, claim_id))
+                        holder = claim_id
+                else:
+                    stream.add(RELEASE("key", claim_id))
+                    holder = None if holder == claim_id else holder
+            replica = claim_index.ClaimIndex()
+            for record in stream.records:
+                replica.fold(record)
+            self.assertEqual(
+                stream.index.find("key"), replica.find("key"), seed
+            )
+
+    def test_foreign_records_change_nothing(self):
+        index = claim_index.ClaimIndex()
+        for data in ("", "{}", "[1]", '{"vm":1,"entries":[]}', "\x00"):
+            self.assertEqual([], index.fold(records.LogRecord(0, 0, data)))
+        self.assertEqual(0, index.size)
+
+
+class ClaimsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock.ManualClock()
+        self.log = fakes.MemoryLog(self.clock)
+        self.env = environment.Environment(
+            clock=self.clock, rng=random.Random(1)
+        )
+        self.writer = claim_writer.ClaimWriter("vm-1", self.log, self.clock)
+        self.claims = claims.Claims(
+            self.log, self.env, self.writer, CLAIM_TIMEOUT_MS
+        )
+        self.claims.step()
+
+    def _claim(self, *steps, key="key"):
+        """Runs `steps` while a claim waits; returns its greenlet."""
+        task = gevent.spawn(self.claims.claim, key, "print")
+        gevent.sleep(0)
+        for step in steps:
+            step()
+        task.join()
+        return task
+
+    def _entries(self):
+        stream = self.log.platform.read(claim_records.STREAM, 0, 500, 0)
+        batches = [claim_records.decode(r.data) for r in stream.records]
+        return [[type(e) for e in batch.entries] for batch in batches]
+
+    def test_claims_share_an_append(self):
+        tasks = [
+            gevent.spawn(self.claims.claim, f"key-{i}", "") for i in range(5)
+        ]
+        gevent.sleep(0)
+        self.writer.write()
+        self.claims.step()
+        gevent.joinall(tasks)
+        self.assertEqual(5, len({task.value for task in tasks} - {None}))
+        self.assertEqual([[CLAIM] * 5], self._entries())
+
+    def test_claim_that_is_not_read_back_is_released(self):
+        task = self._claim(self.writer.write)
+        self.assertIsInstance(task.exception, claims.ClaimsUnavailableError)
+        self.writer.write()
+        self.assertEqual([[CLAIM], [RELEASE]], self._entries())
+
+    def test_release_is_repeated_until_the_log_has_it(self):
+        self._claim(self.writer.write)
+        self.log.down = True
+        self.assertFalse(self.writer.write())
+        self.log.down, self.log.lose_answers = False, 1
+        self.assertFalse(self.writer.write())
+        self.assertTrue(self.writer.write())
+        self.assertEqual([[CLAIM], [RELEASE], [RELEASE]], self._entries())
+
+    def test_claim_that_was_not_sent_leaves_no_record(self):
+        task = self._claim()
+        self.assertIsInstance(task.exception, claims.ClaimsUnavailableError)
+        self.writer.write()
+        self.assertEqual([], self._entries())
+
+    def test_refused_append_ends_the_claim_at_once(self):
+        self.log.down = True
+        task = self._claim(self.writer.write)
+        self.assertIsInstance(task.exception, claims.ClaimsUnavailableError)
+        self.assertEqual(0, self.writer.backlog)
+
+    def test_forgotten_position_gives_up_the_claims_that_wait(self):
+        self.log.append(claim_records.STREAM, b"other")
+        self.log.append(claim_records.STREAM, b"other")
+        self.log.platform.forget(claim_records.STREAM, 1)
+        task = self._claim(
+            self.writer.write, self.claims.step, self.claims.step
+        )
+        self.assertIsInstance(task.exception, claims.ClaimsUnavailableError)
+        self.assertTrue(self.claims.available)
+        self.writer.write()
+        self.claims.step()
+        task = self._claim(self.writer.write, self.claims.step)
+        self.assertIsNotNone(task.value)
+
+    def test_no_claim_before_the_stream_was_read(self):
+        for _ in range(platform_log.READ_LIMIT):
+            self.log.append(claim_records.STREAM, b"other")
+        self.claims = claims.Claims(self.log, self.env, self.writer, 50)
+        self.claims.step()
+        self._claim(self.writer.write)
+        self.assertEqual(0, self.writer.appends)
+        self.claims.step()
+        self._claim(self.writer.write)
+        self.assertEqual(1, self.writer.appends)
+
+    def test_no_claim_above_the_bound_of_known_keys(self):
+        self.patch(claims, "MAX_KEYS", 1)
+        self._claim(self.writer.write, self.claims.step)
+        task = self._claim(self.writer.write, self.claims.step, key="key-2")
+        self.assertIsInstance(task.exception, claims.ClaimsUnavailableError)
+
+    def test_late_holder_does_not_dispatch_after_the_deadline(self):
+        demand = models.Demand("req", "", None, None, 0, 100, "")
+        permit = idempotency.KeyedPermit(
+            self.claims, self.env, demand, "key", "print"
+        )
+        task = gevent.spawn(permit.confirm)
+        gevent.sleep(0)
+        self.writer.write()
+        self.clock.advance(101)
+        self.claims.step()
+        task.join()
+        self.assertEqual(errors.RefusalCode.WAIT_TIMEOUT, task.exception.code)
+        permit.finish(None)
+        self.writer.write()
+        self.assertEqual([[CLAIM], [RELEASE]], self._entries())
+
+
+class CallerWatchTest(testtools.TestCase):
+    def test_nothing_is_raised_after_the_watch_was_stopped(self):
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        with connection.watch(near) as watch:
+            watch.abort()
+        gevent.sleep(0)
+        far.close()
+
+    def test_caller_that_goes_away_is_noticed(self):
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        with testtools.ExpectedException(connection.CallerGoneError):
+            with connection.watch(near):
+                far.close()
+                gevent.sleep(5)
