--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -10,6 +10,7 @@
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import models
+from hornbeampier import permits
 from hornbeampier import verdict
 from hornbeampier.endpoints import engine
 from hornbeampier.endpoints import probe
@@ -43,6 +44,7 @@
         finished: Whether the last event with text has arrived.
         resumable: Whether the text alone lets another engine go on.
         preempted: Whether the last attempt ended by preemption.
+        permit: Decides on each dispatch.
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
@@ -54,6 +56,7 @@
     finished: bool = False
     resumable: bool = True
     preempted: bool = False
+    permit: permits.Permit = permits.OPEN
 
     @property
     def text(self) -> str:
@@ -114,7 +117,10 @@
         self._log = structlog.get_logger(task="router")
 
     def run_chat(
-        self, demand: models.Demand, body: bytes, progress: Progress
+        self,
+        demand: models.Demand,
+        body: bytes,
+        progress: Progress,
     ) -> Iterator[engine.EngineEvent]:
         """Yields the whole answer of a model, over several attempts if needed.
 
@@ -146,14 +152,22 @@
             self._back_off(demand, progress)
 
     def acquire_service(
-        self, demand: models.Demand, excluded: frozenset[str]
+        self,
+        demand: models.Demand,
+        excluded: frozenset[str],
+        earlier: verdict.Verdict,
     ) -> tickets.Grant:
-        """Waits for an endpoint of a plain service."""
+        """Waits for an endpoint of a plain service.
+
+        Raises:
+            errors.RefusalError: With `earlier`, the verdict of the attempts
+                so far, in its verdict.
+            errors.ShutdownError: The same.
+        """
         try:
             return self._acquire(demand, excluded)
-        except errors.ShutdownError as exc:
-            if excluded:
-                exc.verdict = verdict.Verdict.MAY_HAVE_RUN
+        except (errors.RefusalError, errors.ShutdownError) as exc:
+            exc.verdict = earlier.combine(exc.verdict)
             raise
 
     def release_service(self, grant: tickets.Grant) -> None:
@@ -208,6 +222,7 @@
         progress.attempts += 1
         was_down = state.down
         try:
+            progress.permit.confirm()
             with self._suspects.running(demand.fingerprint, state):
                 try:
                     yield from self._attempt(grant, demand, body, progress)
@@ -252,6 +267,7 @@
             progress.text,
             len(progress.texts),
             progress.attempts,
+            fresh=not progress.permit.repeatable,
         )
         client = engine.EngineClient(state.peer, self._clock)
         waiting_ms = None
@@ -367,7 +383,10 @@
         """
         self._suspects.check(demand.fingerprint)
         late = not progress.texts and self._clock.now() >= demand.deadline_ms
-        allowed = exc.verdict.allows_retry(True) and progress.resumable
+        allowed = (
+            exc.verdict.allows_retry(progress.permit.repeatable)
+            and progress.resumable
+        )
         if (
             late
             or not allowed
@@ -436,4 +455,6 @@
 
 def _is_preemptible(demand: models.Demand, progress: Progress) -> bool:
     begun = bool(progress.texts) and not progress.finished
-    return begun and progress.resumable and preemption.is_preemptible(demand)
+    # A request that may run once only must not be dispatched again.
+    resumable = progress.resumable and progress.permit.repeatable
+    return begun and resumable and preemption.is_preemptible(demand)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -168,7 +168,34 @@
         return call(self.port, "GET", "/runs").json()
 
 
-class Vm:
+def chat_body(text, stream=False):
+    """The body of a chat request with one message."""
+    body = {
+        "model": "notes",
+        "stream": stream,
+        "messages": [{"role": "user", "content": text}],
+    }
+    return json.dumps(body)
+
+
+class Caller:
+    """Sends requests to a VM's port."""
+
+    def chat(self, text, key="key-1", stream=False, headers=()):
+        return call(
+            self.port,
+            "POST",
+            "/v1/chat/completions",
+            chat_body(text, stream).encode(),
+            [("Authorization", f"Bearer {key}"), *headers],
+        )
+
+    def call(self, method, path, body=b"", key="key-1", headers=()):
+        auth = ("Authorization", f"Bearer {key}")
+        return call(self.port, method, path, body, [auth, *headers])
+
+
+class Vm(Caller):
     """A `serve` process."""
 
     def __init__(
@@ -214,24 +241,6 @@
             "admin_port": self.admin,
         }
 
-    def chat(self, text, key="key-1", stream=False, headers=()):
-        body = {
-            "model": "notes",
-            "stream": stream,
-            "messages": [{"role": "user", "content": text}],
-        }
-        return call(
-            self.port,
-            "POST",
-            "/v1/chat/completions",
-            json.dumps(body).encode(),
-            [("Authorization", f"Bearer {key}"), *headers],
-        )
-
-    def call(self, method, path, body=b"", key="key-1", headers=()):
-        auth = ("Authorization", f"Bearer {key}")
-        return call(self.port, method, path, body, [auth, *headers])
-
     def report(self):
         return call(self.admin, "GET", "/report").json()
 
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -6,6 +6,8 @@
 import gevent
 import testtools
 
+from hornbeampier import permits
+from hornbeampier import router
 from hornbeampier.policy import preemption
 from hornbeampier.policy import queues
 from hornbeampier.policy import tickets
@@ -42,6 +44,14 @@
         again = dataclasses.replace(demand, preemptions=1)
         self.assertFalse(preemption.is_preemptible(again))
 
+    def test_request_that_may_run_only_once_is_not_preempted(self):
+        demand = test_tiers.make_demand(BULK)
+        for permit in (permits.OPEN, permits.OpenPermit(repeatable=False)):
+            progress = router.Progress(texts=["a"], permit=permit)
+            self.assertEqual(
+                permit.repeatable, router._is_preemptible(demand, progress)
+            )
+
     def test_preempted_request_goes_before_the_others_of_its_class(self):
         queue = queues.TargetQueue()
         queue.push(test_tiers.make_ticket(BULK))
