Hold a plain service to its timeout_ms

Cause: services.timeout_ms had no effect; every endpoint was given 30 s. Ruled out: a limit on the whole answer, which would cut long downloads. Change: the exchange gets the service's own timeout; a silent service ends in 504 endpoint_timeout. Before / After: tests/test_services.py failed with 502 endpoint_failed after 31 s and passes in under 1 s.

--- a/hornbeampier/callers/services.py
+++ b/hornbeampier/callers/services.py
@@ -138,6 +138,7 @@
             (*req.headers, ("X-Request-Id", req.demand.request_id)),
             req.body,
             fresh=fresh,
+            timeout_ms=req.service.timeout_ms,
         )
     )
     try:
@@ -174,9 +175,14 @@
     exc: errors.AttemptError, run: verdict.Verdict
 ) -> errors.RefusalError:
     not_run = run is verdict.Verdict.NOT_RUN
+    code = errors.RefusalCode.ENDPOINT_FAILED
+    status = 503 if not_run else 502
+    if exc.timed_out:
+        code = errors.RefusalCode.ENDPOINT_TIMEOUT
+        status = 504
     return errors.RefusalError(
-        503 if not_run else 502,
-        errors.RefusalCode.ENDPOINT_FAILED,
+        status,
+        code,
         str(exc),
         run,
         RETRY_AFTER_MS if not_run else None,
