Read streams of the log to their end in one place

Cause: the lease and the load permits each had the same loop over the log, and Exchange.blocks had no caller left. Ruled out: the configuration follower and the claims, which start over in ways of their own. Change: platform.log.read_to_end; blocks is gone. Before / After: the tests of placement, exchange and the whole path pass before and after.

--- a/hornbeampier/exchange.py
+++ b/hornbeampier/exchange.py
@@ -103,21 +103,6 @@
                 return
             yield bytes(line)
 
-    def blocks(self) -> Iterator[bytes]:
-        """Yields the body in blocks.
-
-        Raises:
-            errors.AttemptError: The connection failed before its end.
-        """
-        while True:
-            try:
-                block = self._answer.read(BLOCK_BYTES)
-            except TRANSPORT_ERRORS as exc:
-                raise _lost(exc) from exc
-            if not block:
-                return
-            yield bytes(block)
-
     def close(self) -> None:
         """Keeps a clean connection for reuse and closes any other."""
         if self._sock is None:
--- a/hornbeampier/platform/lease.py
+++ b/hornbeampier/platform/lease.py
@@ -151,15 +151,7 @@
 
     def _catch_up(self) -> None:
         """Folds the stream up to its end."""
-        while True:
-            try:
-                answer = self._log.read(STREAM, self._next)
-            except errors.OffsetForgottenError as exc:
-                # Leases are far shorter than the log's retention.
-                self._next = exc.first
-                continue
-            if not answer.records:
-                return
-            for record in answer.records:
-                self._state = fold(self._state, record)
-                self._next = record.offset + 1
+        # Leases are far shorter than the log's retention.
+        for record in platform_log.read_to_end(self._log, STREAM, self._next):
+            self._state = fold(self._state, record)
+            self._next = record.offset + 1
--- a/hornbeampier/platform/load_permits.py
+++ b/hornbeampier/platform/load_permits.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from hornbeampier import errors
 from hornbeampier.platform import log as platform_log
 from hornbeampier.platform import records
 
@@ -46,17 +45,9 @@
         return record.permit_id in self._granted
 
     def _catch_up(self, per_minute: int) -> None:
-        while True:
-            try:
-                answer = self._log.read(STREAM, self._next)
-            except errors.OffsetForgottenError as exc:
-                self._next = exc.first
-                continue
-            if not answer.records:
-                return
-            for record in answer.records:
-                self._fold(record, per_minute)
-                self._next = record.offset + 1
+        for record in platform_log.read_to_end(self._log, STREAM, self._next):
+            self._fold(record, per_minute)
+            self._next = record.offset + 1
 
     def _fold(self, record: records.LogRecord, per_minute: int) -> None:
         try:
--- a/hornbeampier/platform/log.py
+++ b/hornbeampier/platform/log.py
@@ -1,5 +1,6 @@
 """Client of the platform's append-only log service."""
 
+from collections.abc import Iterator
 from typing import Protocol
 
 import msgspec
@@ -103,3 +104,23 @@
         """Closes idle connections."""
         self._peer.close()
         self._poller.close()
+
+
+def read_to_end(
+    log: Log, stream: str, offset: int
+) -> Iterator[records.LogRecord]:
+    """Yields the records from `offset` on that the log still keeps.
+
+    Raises:
+        errors.PlatformError: The log could not be read.
+    """
+    while True:
+        try:
+            answer = log.read(stream, offset)
+        except errors.OffsetForgottenError as exc:
+            offset = exc.first
+            continue
+        if not answer.records:
+            return
+        yield from answer.records
+        offset = answer.next
