--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -7,7 +7,7 @@
 MAX_SUSPICIONS = 16
 MAX_CRASHES_TOLD = 8
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
-AgeMs = Annotated[float, msgspec.Meta(ge=0)]
+AgeMs = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 Digest = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 CrashId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 
--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -316,7 +316,7 @@
             processes.HOST,
             0,
             clock.SystemClock(),
-            lambda n: messages.Hint("vm-1", 1, n, 0, {}, {}, ()),
+            lambda n: messages.Hint("vm-1", 1, n, 0, {}, {}, {}),
             heard.append,
             100.0,
         )
@@ -331,7 +331,7 @@
         subject, heard = self.make()
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(sock.close)
-        good = messages.Hint("vm-2", 1, 1, 0, {"e": 3}, {}, ())
+        good = messages.Hint("vm-2", 1, 1, 0, {"e": 3}, {}, {})
         rows = msgspec.to_builtins(good)
         values = strategies.recursive(
             strategies.none()
