Admit answers that were preempted whatever the queue

Cause: a preempted answer went through admission again; with a predicted wait above its 120 s it was refused, and its caller got an error event in a stream that nothing had broken. Ruled out: marking it as retried, which would put it before new requests. Change: no admission check for a request that was preempted. Before / After: AdmissionTest fails without the change, passes with it.

--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -127,7 +127,7 @@
         cost_ms = self.durations.expect_ms(
             demand.request_class.name, demand.account.name
         )
-        if not demand.retried:
+        if not demand.retried and not demand.preemptions:
             self._admit(demand)
         ticket = tickets.Ticket(
             demand,
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -1,12 +1,15 @@
 """Whole answers and own answers under faults in the middle of a stream."""
 
+import dataclasses
 import random
 import socket
 
 import gevent
 import testtools
 
+from hornbeampier import errors
 from hornbeampier import exchange
+from hornbeampier import models
 from hornbeampier import router
 from hornbeampier.callers import connection
 from hornbeampier.endpoints import standin_engine
@@ -261,3 +264,18 @@
             )
             task.join()
             self.assertEqual(256, peer._pool._semaphore.counter)
+
+
+class AdmissionTest(testtools.TestCase):
+    def test_an_answer_that_began_is_not_refused_at_admission(self):
+        with sites.Site(engines=1) as site:
+            subject = site.vm.scheduler
+            self.patch(subject, "_predict_wait_ms", lambda _: 1e12)
+            account = site.cfg.accounts[0]
+            demand = models.Demand(
+                "req", "notes", site.cfg.classes[1], account, 0.0, 1e12, "f"
+            )
+            self.assertRaises(errors.RefusalError, subject.acquire, demand)
+            for begun in ({"retried": True}, {"preemptions": 1}):
+                begun = dataclasses.replace(demand, **begun)
+                subject.release(subject.acquire(begun))
