Ask peers less often when they cannot help, and forget stale versions

Cause: a version named once in a hint was waited for for ever. If its VM was replaced before anybody fetched it, a VM that started in the outage never became ready; and a version that no peer can give made a VM ask three peers every 0.5 s.

Change: a version counts while a peer has named it within 10 s; rounds without help are spaced up to 5 s.

Before / After: with either mechanism off in a scratch copy, one test of `tests/test_configuration_log.py` fails; with channels kept open, `tests/test_catch_up.py` fails.

Conclusion: a VM that starts in an outage becomes ready as soon as it has the newest version that a living peer names.

--- a/hornbeampier/operators/follower.py
+++ b/hornbeampier/operators/follower.py
@@ -33,6 +33,9 @@
 # How long the log has to deliver a version that a peer already has.
 PATIENCE_MS = 500.0
 START_RETRY_MS = 500.0
+MAX_PEER_RETRY_MS = 5_000.0
+# A version that no peer has named for so long may be gone with its VM.
+MAX_HEARD_AGE_MS = 10_000.0
 # How long a VM that started from its peers listens for a newer version.
 SETTLE_MS = 1_500.0
 
@@ -68,6 +71,7 @@
         self._judgement_listeners: list[JudgementListener] = []
         self._announced = history.NO_VERSION
         self._heard_version = history.NO_VERSION
+        self._heard_at_ms = clk.now()
         self._peer_news = event.Event()
         self._adopted_ms: float | None = None
         self._settled = False
@@ -102,7 +106,9 @@
 
     def note_version(self, version: int) -> None:
         """Learns that a peer has `version` in force."""
-        self._heard_version = max(self._heard_version, version)
+        if version >= self._newest_heard():
+            self._heard_version = version
+            self._heard_at_ms = self._clock.now()
         if version > self.history.version:
             self._peer_news.set()
 
@@ -119,9 +125,15 @@
         if self._adopted_ms is None:
             return False
         listened_ms = self._clock.now() - self._adopted_ms
-        behind = self.history.version < self._heard_version
+        behind = self.history.version < self._newest_heard()
         return listened_ms >= SETTLE_MS and not behind
 
+    def _newest_heard(self) -> int:
+        """Returns the newest version that a peer has named recently."""
+        if self._clock.now() - self._heard_at_ms > MAX_HEARD_AGE_MS:
+            return history.NO_VERSION
+        return self._heard_version
+
     def _follow_log(self) -> None:
         retry_ms = MIN_RETRY_MS
         while True:
@@ -142,13 +154,17 @@
             return False
 
     def _follow_peers(self) -> None:
+        retry_ms = PATIENCE_MS
         while True:
             timeout_ms = START_RETRY_MS if self.accepted is None else None
             self._peer_news.wait(timeout_ms and timeout_ms / 1000.0)
             self._peer_news.clear()
-            self._clock.sleep(PATIENCE_MS)
-            if self.history.version < max(0, self._heard_version):
-                self.adopt_from_peers()
+            self._clock.sleep(retry_ms)
+            behind = self.history.version < max(0, self._newest_heard())
+            if behind and not self.adopt_from_peers() and self.accepted:
+                retry_ms = min(2 * retry_ms, MAX_PEER_RETRY_MS)
+            else:
+                retry_ms = PATIENCE_MS
 
     def step(self, wait_ms: float = 0) -> bool:
         """Reads the log once; returns whether it could be read."""
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -1,5 +1,6 @@
 """Catch-up from peers over gRPC."""
 
+import grpc
 import testtools
 
 from hornbeampier import clock
@@ -14,7 +15,7 @@
 class CatchUpTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.client = catch_up.CatchUpClient("vm-0", clock.SystemClock())
+        self.client = catch_up.CatchUpClient("own", clock.SystemClock())
 
     def serve(self, answer):
         server = catch_up.CatchUpServer(HOST, 0, lambda: answer)
@@ -42,6 +43,28 @@
         found = [one for _ in ports for one in self.client.fetch()]
         self.assertEqual({snapshot}, set(found))
 
+    def test_every_channel_is_closed(self):
+        channels = []
+
+        class Tracked:
+            def __init__(self, address):
+                self.channel = insecure_channel(address)
+                self.closed = False
+                channels.append(self)
+
+            def __enter__(self):
+                return self.channel.__enter__()
+
+            def __exit__(self, *exc_info):
+                self.closed = True
+                return self.channel.__exit__(*exc_info)
+
+        insecure_channel = grpc.insecure_channel
+        self.patch(grpc, "insecure_channel", Tracked)
+        self.list_peers([1, self.serve(None), self.serve({"not": "a record"})])
+        self.client.fetch()
+        self.assertEqual([True] * 3, [c.closed for c in channels])
+
     def test_dead_peers_at_the_head_of_the_list_are_passed(self):
         asked = []
         self.patch(
@@ -50,7 +73,7 @@
         self.list_peers(range(1, 10))
         for _ in range(3):
             self.client.fetch()
-        self.assertEqual({f"vm-{i}" for i in range(1, 9)}, set(asked))
+        self.assertEqual({f"vm-{i}" for i in range(9)}, set(asked))
 
     def test_a_peer_known_to_be_ahead_is_asked_first(self):
         asked = []
--- a/tests/test_configuration_log.py
+++ b/tests/test_configuration_log.py
@@ -305,6 +305,35 @@
         new.note_version(2)
         self.assertTrue(new.is_settled())
 
+    def test_a_version_that_no_peer_names_any_more_is_not_waited_for(self):
+        site = configurations.Site(vms=1)
+        site.append(configurations.record(-1))
+        site.step()
+        new = self.start_in_outage(site, site.vms)
+        new.adopt_from_peers()
+        new.note_version(9)
+        site.clock.advance(follower.MAX_HEARD_AGE_MS)
+        new.note_version(0)
+        self.assertFalse(new.is_settled())
+        site.clock.advance(1)
+        new.note_version(0)
+        self.assertTrue(new.is_settled())
+
+    def test_peers_that_cannot_help_are_asked_less_often(self):
+        site = configurations.Site(vms=1)
+        site.append(configurations.record(-1))
+        site.step()
+        vm = site.vms[0]
+        asked = []
+        self.patch(vm.peers, "fetch", lambda: asked.append(1) or [])
+        task = gevent.spawn(vm._follow_peers)
+        self.addCleanup(task.kill)
+        began_ms = site.clock.now()
+        while site.clock.now() - began_ms < 60_000:
+            vm.note_version(9)
+            gevent.sleep(0)
+        self.assertLess(len(asked), 20)
+
     def test_a_peers_newer_version_is_fetched_at_once(self):
         site = configurations.Site(vms=2)
         site.append(configurations.record(-1))
