Let an ejected straggler return on trial with one request at a time

Cause: an ejected straggler came back after 10 s with an unknown token gap, which scored as 1 ms, twenty times better than every measured endpoint. Each VM then sent it all new requests, urgent ones too, until 32 tokens had arrived at a tenth of the speed.

Change: an ejected straggler returns on trial: one request of each VM at a time, of the highest tier only when no other came for another 10 s, and its slots do not count as capacity. An unmeasured endpoint scores with the median gap of the others.

--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -26,6 +26,10 @@
         leaving: The VM list, a peer or the endpoint says it is leaving.
         ejected_until_ms: No new work before this time, monotonic.
         down: It crashed and has not shown life since.
+        failures: Failures since the last success.
+        token_gap_ms: Mean time between two tokens; 0 if not measured.
+        gap_samples: Times between tokens that were measured.
+        on_trial: It was slow and has not been measured since.
     """
 
     cfg: schema.Endpoint
@@ -40,6 +44,7 @@
     token_gap_ms: float = 0.0
     gap_samples: int = 0
     down: bool = False
+    on_trial: bool = False
 
     @property
     def name(self) -> str:
--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from hornbeampier.endpoints import registry
+from hornbeampier.policy import health
 from hornbeampier.policy import tickets
 
 REPORT_MAX_AGE_MS = 10_000.0
@@ -67,9 +68,13 @@
                 open_states.append(state)
         if not open_states:
             return Choice(None, tuple(passed_over))
+        typical_ms = health.median_gap_ms(states)
         best = min(
             open_states,
-            key=lambda s: (self._score(s, now_ms), self._random.random()),
+            key=lambda s: (
+                self._score(s, now_ms, typical_ms),
+                self._random.random(),
+            ),
         )
         passed_over += [
             tickets.PassedOver(s.name, "busier")
@@ -79,8 +84,8 @@
         return Choice(best, tuple(passed_over))
 
     def is_usable(self, state: registry.EndpointState, now_ms: float) -> bool:
-        """Returns whether an endpoint may get new work at all."""
-        return not _is_leaving(state) and now_ms >= state.ejected_until_ms
+        """Returns whether an endpoint gets work without limits."""
+        return health.is_open(state, now_ms) and not state.on_trial
 
     def occupancy(self, state: registry.EndpointState, now_ms: float) -> int:
         """Returns the estimated requests at an endpoint, from all VMs."""
@@ -90,9 +95,11 @@
             others = max(others, state.foreign)
         return state.in_flight + others
 
-    def _score(self, state: registry.EndpointState, now_ms: float) -> float:
+    def _score(
+        self, state: registry.EndpointState, now_ms: float, typical_ms: float
+    ) -> float:
         busy = (self.occupancy(state, now_ms) + 1) / state.cfg.slots
-        return busy * max(1.0, state.token_gap_ms)
+        return busy * max(1.0, state.token_gap_ms or typical_ms)
 
     def _find_obstacle(
         self,
@@ -105,6 +112,8 @@
             return "leaving"
         if now_ms < state.ejected_until_ms:
             return "ejected"
+        if state.on_trial and not health.may_try(state, top, now_ms):
+            return "on_trial"
         if state.name in excluded:
             return "failed_before"
         if self.occupancy(state, now_ms) >= slot_limit(state.cfg.slots, top):
--- a/hornbeampier/policy/health.py
+++ b/hornbeampier/policy/health.py
@@ -15,6 +15,7 @@
 STRAGGLER_EJECTION_MS = 10_000.0
 MAX_STRAGGLER_SHARE = 1 / 3
 MIN_GAP_SAMPLES = 20
+STRAGGLER_CHECK_TOKENS = 32
 
 
 def is_open(state: registry.EndpointState, now_ms: float) -> bool:
@@ -92,8 +93,9 @@
 ) -> bool:
     """Ejects an endpoint whose tokens come far slower than its peers'.
 
-    It returns by itself and is judged by new samples. At most
-    `MAX_STRAGGLER_SHARE` of the target's endpoints are out at a time.
+    It returns on trial, with one request at a time, until new samples judge
+    it. At most `MAX_STRAGGLER_SHARE` of the target's endpoints are out at a
+    time.
 
     Returns:
         Whether the endpoint was ejected.
@@ -103,9 +105,12 @@
         for s in states
         if s is not state and s.gap_samples >= MIN_GAP_SAMPLES
     ]
-    if not gaps or state.gap_samples < MIN_GAP_SAMPLES:
+    if state.gap_samples < MIN_GAP_SAMPLES:
         return False
-    if state.token_gap_ms <= STRAGGLER_FACTOR * statistics.median(gaps):
+    if not gaps or state.token_gap_ms <= STRAGGLER_FACTOR * statistics.median(
+        gaps
+    ):
+        state.on_trial = False
         return False
     out = sum(not is_open(s, now_ms) for s in states)
     if not is_open(state, now_ms) or out + 1 > len(states) * (
@@ -113,6 +118,28 @@
     ):
         return False
     state.ejected_until_ms = now_ms + STRAGGLER_EJECTION_MS
+    state.on_trial = True
     state.gap_samples = 0
     state.token_gap_ms = 0.0
     return True
+
+
+def is_check_due(state: registry.EndpointState) -> bool:
+    """Returns whether `eject_straggler` has enough new samples."""
+    return state.gap_samples % STRAGGLER_CHECK_TOKENS == 0
+
+
+def may_try(state: registry.EndpointState, top: bool, now_ms: float) -> bool:
+    """Returns whether an endpoint on trial may get a request.
+
+    The highest tier takes part only if no other has done so for long.
+    """
+    if state.in_flight:
+        return False
+    return not top or now_ms >= state.ejected_until_ms + STRAGGLER_EJECTION_MS
+
+
+def median_gap_ms(states: Sequence[registry.EndpointState]) -> float:
+    """Returns the median time between tokens, or 0 if none is known."""
+    gaps = [s.token_gap_ms for s in states if s.token_gap_ms > 0]
+    return statistics.median(gaps) if gaps else 0.0
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -27,7 +27,6 @@
 RETRY_AFTER_MS = 1_000.0
 # Wait before an attempt at an endpoint that has just failed.
 BACKOFF_MS = 100.0
-STRAGGLER_CHECK_TOKENS = 32
 # How long a preempted answer may wait for its next slot.
 PREEMPTED_WAIT_MS = 120_000.0
 
@@ -308,7 +307,7 @@
         if waiting_ms is None:
             return
         health.record_gap(state, now_ms - waiting_ms)
-        if state.gap_samples % STRAGGLER_CHECK_TOKENS == 0:
+        if health.is_check_due(state):
             states = self._endpoints.serving(demand.target)
             if health.eject_straggler(state, now_ms, states):
                 self._log.warning("straggler_ejected", endpoint=state.name)
--- /dev/null
+++ b/tests/test_stragglers.py
@@ -0,0 +1,80 @@
+"""Endpoints far slower than the others get little work, and come back."""
+
+import random
+
+import testtools
+
+from hornbeampier import clock
+from hornbeampier.endpoints import registry
+from hornbeampier.operators import schema
+from hornbeampier.policy import choice
+from hornbeampier.policy import health
+from tests import processes
+from tests import test_tiers
+
+NORMAL_MS = 20.0
+SLOW_MS = 200.0
+OUT_MS = health.STRAGGLER_EJECTION_MS
+
+
+class StragglerTest(testtools.TestCase):
+    """Four endpoints, of which the first was ejected as a straggler."""
+
+    def setUp(self):
+        super().setUp()
+        rows = [(f"engine-{i}", 9100 + i) for i in range(1, 5)]
+        endpoints = registry.Registry(clock.ManualClock())
+        endpoints.apply(schema.parse(processes.configuration(rows, slots=4)))
+        self.states = endpoints.all()
+        self.straggler = self.states[0]
+        self.chooser = choice.EndpointChooser(
+            test_tiers.SilentPeers(), random.Random(1)
+        )
+        for state in self.states[1:]:
+            self.measure(state, NORMAL_MS, 0.0)
+        self.measure(self.straggler, SLOW_MS, 0.0)
+
+    def measure(self, state, gap_ms, now_ms):
+        """Records tokens until the endpoint's speed is judged."""
+        for _ in range(health.STRAGGLER_CHECK_TOKENS):
+            health.record_gap(state, gap_ms)
+            if health.is_check_due(state):
+                health.eject_straggler(state, now_ms, self.states)
+
+    def choose(self, now_ms, top=False):
+        found = self.chooser.choose(self.states, top, frozenset(), now_ms)
+        if found.endpoint is not None:
+            found.endpoint.in_flight += 1
+        return found.endpoint
+
+    def test_straggler_gets_no_work_while_it_is_out(self):
+        chosen = [self.choose(0.0) for _ in range(13)]
+        self.assertNotIn(self.straggler, chosen)
+        self.assertIsNone(chosen[-1])
+
+    def test_straggler_returns_with_one_request_of_a_lower_tier(self):
+        self.assertIsNot(self.straggler, self.choose(OUT_MS, top=True))
+        chosen = [self.choose(OUT_MS) for _ in range(12)]
+        self.assertEqual(1, chosen.count(self.straggler))
+
+    def test_highest_tier_tries_it_when_no_other_does(self):
+        self.assertIs(self.straggler, self.choose(2 * OUT_MS, top=True))
+
+    def test_straggler_that_is_still_slow_goes_out_again(self):
+        self.measure(self.straggler, SLOW_MS, OUT_MS)
+        self.assertEqual(2 * OUT_MS, self.straggler.ejected_until_ms)
+
+    def test_straggler_that_has_recovered_is_used_as_the_others(self):
+        self.measure(self.straggler, NORMAL_MS, OUT_MS)
+        chosen = [self.choose(OUT_MS) for _ in range(16)]
+        self.assertEqual(4, chosen.count(self.straggler))
+
+    def test_tokens_of_requests_sent_before_do_not_end_the_trial(self):
+        self.measure(self.straggler, SLOW_MS, OUT_MS / 2)
+        chosen = [self.choose(OUT_MS) for _ in range(14)]
+        self.assertEqual(1, chosen.count(self.straggler))
+
+    def test_unmeasured_endpoint_is_not_preferred(self):
+        self.states[3].token_gap_ms = 0.0
+        chosen = [self.choose(0.0) for _ in range(6)]
+        self.assertEqual(2, chosen.count(self.states[3]))
