Order tiers over all models, and preempt on shared endpoints

Cause: each model had a queue of its own. On kauri 3 of 9 engines serve both models; a freed slot went to the queues in the order of their first request, and a waiting request preempted only requests of its own model. Change: candidates of all models are taken in one order; requests are preempted at any endpoint that serves the waiting one's model; a dispatch adds credit in the other models that its endpoint serves.

--- a/hornbeampier/policy/preemption.py
+++ b/hornbeampier/policy/preemption.py
@@ -6,6 +6,9 @@
 each at most `MAX_PREEMPTIONS` times, so that no request is put off for ever.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+
 from hornbeampier import models
 from hornbeampier.policy import tickets
 
@@ -28,33 +31,29 @@
 
     def add(self, grant: tickets.Grant) -> None:
         """Adds a request that was granted an endpoint."""
-        self._grants.setdefault(grant.demand.target, set()).add(grant)
+        self._grants.setdefault(grant.endpoint.name, set()).add(grant)
 
     def discard(self, grant: tickets.Grant) -> None:
         """Takes out a request whose grant ended."""
-        self._grants.get(grant.demand.target, set()).discard(grant)
+        self._grants.get(grant.endpoint.name, set()).discard(grant)
 
-    def pending(self, target: str) -> int:
+    def pending(self, endpoints: Iterable[str]) -> int:
         """Returns how many preempted requests still hold their slots."""
-        return sum(g.preempted for g in self._grants.get(target, ()))
+        return sum(grant.preempted for grant in self._at(endpoints))
 
-    def preempt(
-        self, target: str, tier: int, endpoint: str | None = None
-    ) -> bool:
+    def preempt(self, endpoints: Iterable[str], tier: int) -> bool:
         """Preempts the request that has most time left.
 
         Args:
-            target: What the waiting request asks for.
-            tier: Its tier; only requests of lower tiers are preempted.
-            endpoint: Where room is needed; None for anywhere.
+            endpoints: Where room is needed, at any of them.
+            tier: That of the waiting request; only lower ones make room.
         """
         found = [
             grant
-            for grant in self._grants.get(target, ())
+            for grant in self._at(endpoints)
             if grant.resumable
             and not grant.preempted
             and grant.demand.request_class.tier > tier
-            and endpoint in (None, grant.endpoint.name)
         ]
         if not found:
             return False
@@ -62,6 +61,10 @@
         victim.preempted = True
         return True
 
+    def _at(self, endpoints: Iterable[str]) -> Iterator[tickets.Grant]:
+        for name in endpoints:
+            yield from self._grants.get(name, ())
+
 
 def _order(grant: tickets.Grant) -> tuple[int, float]:
     demand = grant.demand
--- a/hornbeampier/policy/queues.py
+++ b/hornbeampier/policy/queues.py
@@ -1,12 +1,31 @@
 """The queue of one target: tiers and guaranteed shares."""
 
 from collections.abc import Iterator
+import dataclasses
 
 from hornbeampier.operators import schema
 from hornbeampier.policy import fairness
 from hornbeampier.policy import tickets
 
 
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """A request that may go next.
+
+    Attributes:
+        entitled: Whether its class may use its guaranteed share.
+    """
+
+    ticket: tickets.Ticket
+    entitled: bool
+
+    @property
+    def rank(self) -> tuple[bool, int, bool]:
+        """Sorts candidates, also of several targets, in order of dispatch."""
+        demand = self.ticket.demand
+        return not self.entitled, demand.request_class.tier, not demand.retried
+
+
 class ClassQueue:
     """The waiting requests of one class.
 
@@ -96,7 +115,6 @@
         """Adds a request to the queue of its class."""
         if ticket.demand.retried:
             self._retried.append(ticket)
-            self._retried.sort(key=_tier)
             return
         request_class = ticket.demand.request_class
         queue = self._classes.get(request_class.name)
@@ -114,36 +132,15 @@
         queue = self._classes.get(ticket.demand.request_class.name)
         return queue is not None and queue.remove(ticket)
 
-    def candidates(self, now_ms: float) -> Iterator[tickets.Ticket]:
-        """Yields the requests that may go next, in order of dispatch.
-
-        These are the next request of each class and all that are retried.
-        """
-        heads = list(self._heads(now_ms))
-        first = _tier(heads[0]) if heads else 0
-        retried = list(self._retried)
-        yield from (t for t in retried if not heads or _tier(t) <= first)
-        yield from heads
-        yield from (t for t in retried if heads and _tier(t) > first)
-
-    def _heads(self, now_ms: float) -> Iterator[tickets.Ticket]:
-        heads = [
-            (not self._entitled(queue, now_ms), queue.request_class.tier, queue)
-            for queue in self._classes.values()
-            if len(queue)
-        ]
-        heads.sort(key=lambda row: row[:2])
-        for _, _, queue in heads:
+    def candidates(self, now_ms: float) -> list[Candidate]:
+        """Returns the next request of each class and all that are retried."""
+        found = [Candidate(ticket, entitled=False) for ticket in self._retried]
+        for queue in self._classes.values():
             head = queue.head(now_ms)
             if head is not None:
-                yield head
-
-    def is_entitled(self, ticket: tickets.Ticket, now_ms: float) -> bool:
-        """Returns whether the request's class may use its guaranteed share."""
-        if ticket.demand.retried:
-            return True
-        queue = self._classes.get(ticket.demand.request_class.name)
-        return queue is not None and self._entitled(queue, now_ms)
+                entitled = 0 < head.cost_ms <= queue.credit_ms
+                found.append(Candidate(head, entitled))
+        return found
 
     def dispatch(self, ticket: tickets.Ticket) -> None:
         """Removes a request that was granted an endpoint."""
@@ -154,10 +151,13 @@
         own = self._classes[ticket.demand.request_class.name]
         own.charge(ticket)
         own.credit_ms = max(0.0, own.credit_ms - ticket.cost_ms)
+        self.earn(ticket.cost_ms, own)
+
+    def earn(self, cost_ms: float, own: ClassQueue | None = None) -> None:
+        """Adds credit to the waiting classes but the one that was served."""
         for queue in self._classes.values():
             if len(queue) and queue is not own:
-                share = queue.request_class.min_share
-                queue.credit_ms += ticket.cost_ms * share
+                queue.credit_ms += cost_ms * queue.request_class.min_share
 
     def cost_ahead_ms(
         self, request_class: schema.RequestClass, account: schema.ClientAccount
@@ -187,12 +187,3 @@
             name = ticket.demand.request_class.name
             counts[name] = counts.get(name, 0) + 1
         return counts
-
-    @staticmethod
-    def _entitled(queue: ClassQueue, now_ms: float) -> bool:
-        head = queue.head(now_ms)
-        return head is not None and 0 < head.cost_ms <= queue.credit_ms
-
-
-def _tier(ticket: tickets.Ticket) -> int:
-    return ticket.demand.request_class.tier
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -57,7 +57,7 @@
             errors.ShutdownError: The VM stops; this wait sent nothing.
         """
         ticket = self._enqueue(demand, excluded)
-        self._pump_target(demand.target)
+        self.pump()
         try:
             remaining_ms = demand.deadline_ms - self._clock.now()
             ticket.result.wait(max(0.0, remaining_ms) / clocks.MS_PER_SECOND)
@@ -86,8 +86,8 @@
 
     def pump(self) -> None:
         """Grants endpoints to as many waiting requests as fit."""
-        for target in list(self._queues):
-            self._pump_target(target)
+        while self._grant_next():
+            pass
 
     def run(self) -> None:
         """Makes room for requests that have waited long, until killed."""
@@ -99,10 +99,11 @@
         """Preempts a lower-tier request for each one that waited long."""
         now_ms = self._clock.now()
         for target, queue in self._queues.items():
+            names = [s.name for s in self._endpoints.serving(target)]
             overdue = queue.overdue(now_ms)
-            for ticket in overdue[self._running.pending(target) :]:
+            for ticket in overdue[self._running.pending(names) :]:
                 tier = ticket.demand.request_class.tier
-                if not self._running.preempt(target, tier):
+                if not self._running.preempt(names, tier):
                     break
 
     def counts(self) -> dict[str, int]:
@@ -127,7 +128,7 @@
         cost_ms = self.durations.expect_ms(
             demand.request_class.name, demand.account.name
         )
-        if not demand.retried and not demand.preemptions:
+        if _is_first_try(demand):
             self._admit(demand)
         ticket = tickets.Ticket(
             demand,
@@ -177,31 +178,49 @@
     def _retry_after_ms(self, demand: models.Demand) -> float:
         return max(MIN_RETRY_AFTER_MS, self._predict_wait_ms(demand))
 
-    def _pump_target(self, target: str) -> None:
-        queue = self._queues.get(target)
-        if queue is None or not len(queue):
-            return
-        states = self._endpoints.serving(target)
-        while self._grant_one(queue, states):
-            pass
-
-    def _grant_one(
-        self, queue: queues.TargetQueue, states: list[registry.EndpointState]
-    ) -> bool:
+    def _grant_next(self) -> bool:
         """Grants an endpoint to the first request that fits."""
         now_ms = self._clock.now()
-        for ticket in queue.candidates(now_ms):
-            if not self._may_take_slot(queue, ticket, states, now_ms):
+        full: set[str] = set()
+        for candidate in self._candidates(now_ms):
+            ticket = candidate.ticket
+            target = ticket.demand.target
+            if target in full:
+                continue
+            states = self._endpoints.serving(target)
+            if not self._may_take_slot(candidate, states):
                 continue
             top = ticket.demand.request_class.tier == self._top_tier
             chosen = self._chooser.choose(states, top, ticket.excluded, now_ms)
-            if chosen.endpoint is None:
-                continue
-            queue.dispatch(ticket)
-            self._grant(ticket, chosen, now_ms)
-            return True
+            if chosen.endpoint is not None:
+                self._queues[target].dispatch(ticket)
+                self._share_credit(ticket, chosen.endpoint)
+                self._grant(ticket, chosen, now_ms)
+                return True
+            # Lower candidates of the target would find no slot either.
+            if not top and _is_first_try(ticket.demand):
+                full.add(target)
         return False
 
+    def _share_credit(
+        self, ticket: tickets.Ticket, state: registry.EndpointState
+    ) -> None:
+        """Adds credit for the other targets that the endpoint serves."""
+        if ticket.demand.retried:
+            return
+        for target, queue in self._queues.items():
+            if target != ticket.demand.target and state.serves(target):
+                queue.earn(ticket.cost_ms)
+
+    def _candidates(self, now_ms: float) -> list[queues.Candidate]:
+        """Returns the candidates of all targets in order of dispatch."""
+        found = [
+            candidate
+            for queue in self._queues.values()
+            for candidate in queue.candidates(now_ms)
+        ]
+        return sorted(found, key=lambda candidate: candidate.rank)
+
     def _grant(
         self, ticket: tickets.Ticket, chosen: choice.Choice, now_ms: float
     ) -> None:
@@ -209,7 +228,7 @@
         demand = ticket.demand
         if self._chooser.occupancy(state, now_ms) >= state.cfg.slots:
             tier = demand.request_class.tier
-            self._running.preempt(demand.target, tier, state.name)
+            self._running.preempt([state.name], tier)
         state.in_flight += 1
         wait_ms = now_ms - ticket.enqueued_ms
         grant = tickets.Grant(demand, state, chosen.passed_over, wait_ms)
@@ -218,13 +237,12 @@
 
     def _may_take_slot(
         self,
-        queue: queues.TargetQueue,
-        ticket: tickets.Ticket,
+        candidate: queues.Candidate,
         states: list[registry.EndpointState],
-        now_ms: float,
     ) -> bool:
-        tier = ticket.demand.request_class.tier
-        if tier == self._top_tier or queue.is_entitled(ticket, now_ms):
+        demand = candidate.ticket.demand
+        tier = demand.request_class.tier
+        if tier == self._top_tier or candidate.entitled or demand.retried:
             return True
         return self._capacity.leaves_room(states, tier)
 
@@ -235,6 +253,10 @@
             self.release(ticket.result.get())
 
 
+def _is_first_try(demand: models.Demand) -> bool:
+    return not demand.retried and not demand.preemptions
+
+
 def _preempt_ms(demand: models.Demand) -> float:
     """Returns from when on a waiting request may preempt lower tiers."""
     target_ms = demand.request_class.first_token_ms
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -34,9 +34,9 @@
         queue.push(ticket)
         self.assertEqual([], queue.overdue(274.0))
         self.assertEqual([ticket], queue.overdue(275.0))
-        self.assertTrue(running.preempt("notes", URGENT.tier))
-        self.assertEqual(1, running.pending("notes"))
-        self.assertFalse(running.preempt("notes", URGENT.tier))
+        self.assertTrue(running.preempt(["engine-1"], URGENT.tier))
+        self.assertEqual(1, running.pending(["engine-1"]))
+        self.assertFalse(running.preempt(["engine-1"], URGENT.tier))
 
     def test_each_request_is_preempted_at_most_once(self):
         demand = test_tiers.make_demand(BULK)
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -1,7 +1,9 @@
 """Tiers, guaranteed shares and fairness between client accounts."""
 
+import dataclasses
 import random
 
+import gevent
 import testtools
 
 from hornbeampier import clock
@@ -59,7 +61,8 @@
     """Dispatches `count` requests in the queue's order."""
     taken = []
     for _ in range(count):
-        ticket = next(queue.candidates(0.0))
+        found = queue.candidates(0.0)
+        ticket = min(found, key=lambda candidate: candidate.rank).ticket
         queue.dispatch(ticket)
         taken.append(ticket)
     return taken
@@ -174,3 +177,45 @@
             grant.resumable = True
         self.scheduler.acquire(make_demand(URGENT))
         self.assertFalse(any(g.preempted for g in grants))
+
+
+class SharedPreemptionTest(testtools.TestCase):
+    """Two models share engine-1; one of them is on engine-2, too."""
+
+    def setUp(self):
+        super().setUp()
+        text = processes.configuration(
+            [("engine-1", 9101), ("engine-2", 9102)], slots=2
+        )
+        text = text.replace('"notes"]', '"notes", "guidance"]', 1)
+        text += '[[models]]\nname = "guidance"\n'
+        self.clock = clock.ManualClock()
+        self.endpoints = registry.Registry(self.clock)
+        self.endpoints.apply(schema.parse(text))
+        self.scheduler = scheduler.Scheduler(
+            self.endpoints,
+            choice.EndpointChooser(SilentPeers(), random.Random(1)),
+            SilentPeers(),
+            self.clock,
+        )
+        # A tier above both, so that neither may exceed the slots.
+        self.scheduler._top_tier = 0
+        self.grants = [
+            self.scheduler.acquire(make_demand(BULK)) for _ in range(4)
+        ]
+
+    def wait_for(self, target, request_class):
+        demand = dataclasses.replace(make_demand(request_class), target=target)
+        task = gevent.spawn(self.scheduler.acquire, demand)
+        self.addCleanup(task.kill)
+        gevent.sleep(0)
+        return task
+
+    def test_waiting_request_preempts_another_target_where_both_run(self):
+        for grant in self.grants:
+            grant.resumable = True
+        self.wait_for("guidance", URGENT)
+        self.clock.advance(URGENT.first_token_ms / 2)
+        self.scheduler.preempt()
+        preempted = [g.endpoint.name for g in self.grants if g.preempted]
+        self.assertEqual(["engine-1"], preempted)
