Order tiers over all models that share endpoints

Cause: each target had a queue of its own, and a freed slot was offered to the queues in the order of their first request. On kauri, where 3 of 9 engines serve guidance beside drafting, bulk drafting took slots for which a higher tier waited: installer-question attained 58.2% in the burst with one router.

Ruled out: lagging hints (one router has none and was the worst).

Change: the scheduler goes by rank over all queues; a class that uses its guaranteed share has rank 0. A dispatch adds credit in the other targets that its endpoint serves, so that a low class does not starve behind another model.

--- a/hornbeampier/policy/queues.py
+++ b/hornbeampier/policy/queues.py
@@ -154,10 +154,24 @@
         own = self._classes[ticket.demand.request_class.name]
         own.charge(ticket)
         own.credit_ms = max(0.0, own.credit_ms - ticket.cost_ms)
+        self.earn(ticket.cost_ms, own)
+
+    def earn(self, cost_ms: float, own: ClassQueue | None = None) -> None:
+        """Adds credit to the waiting classes but the one that was served."""
         for queue in self._classes.values():
             if len(queue) and queue is not own:
-                share = queue.request_class.min_share
-                queue.credit_ms += ticket.cost_ms * share
+                queue.credit_ms += cost_ms * queue.request_class.min_share
+
+    def rank(self, ticket: tickets.Ticket, now_ms: float) -> int:
+        """Returns the ticket's tier, or 0 if its class uses its share."""
+        queue = self._classes.get(ticket.demand.request_class.name)
+        if ticket.demand.retried or queue is None:
+            return _tier(ticket)
+        return 0 if self._entitled(queue, now_ms) else _tier(ticket)
+
+    def ranks(self, now_ms: float) -> set[int]:
+        """Returns the ranks of the requests that may go next."""
+        return {self.rank(t, now_ms) for t in self.candidates(now_ms)}
 
     def cost_ahead_ms(
         self, request_class: schema.RequestClass, account: schema.ClientAccount
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -57,7 +57,7 @@
             errors.ShutdownError: The VM stops; this wait sent nothing.
         """
         ticket = self._enqueue(demand, excluded)
-        self._pump_target(demand.target)
+        self.pump()
         try:
             remaining_ms = demand.deadline_ms - self._clock.now()
             ticket.result.wait(max(0.0, remaining_ms) / clocks.MS_PER_SECOND)
@@ -85,9 +85,15 @@
         self.pump()
 
     def pump(self) -> None:
-        """Grants endpoints to as many waiting requests as fit."""
-        for target in list(self._queues):
-            self._pump_target(target)
+        """Grants endpoints to as many waiting requests as fit.
+
+        Targets may share endpoints, so ranks go in order over all of them.
+        """
+        now_ms = self._clock.now()
+        ranks = {r for q in self._queues.values() for r in q.ranks(now_ms)}
+        for rank in sorted(ranks):
+            for target in list(self._queues):
+                self._pump_target(target, rank)
 
     def run(self) -> None:
         """Makes room for requests that have waited long, until killed."""
@@ -177,20 +183,25 @@
     def _retry_after_ms(self, demand: models.Demand) -> float:
         return max(MIN_RETRY_AFTER_MS, self._predict_wait_ms(demand))
 
-    def _pump_target(self, target: str) -> None:
+    def _pump_target(self, target: str, rank: int) -> None:
         queue = self._queues.get(target)
         if queue is None or not len(queue):
             return
         states = self._endpoints.serving(target)
-        while self._grant_one(queue, states):
+        while self._grant_one(queue, states, rank):
             pass
 
     def _grant_one(
-        self, queue: queues.TargetQueue, states: list[registry.EndpointState]
+        self,
+        queue: queues.TargetQueue,
+        states: list[registry.EndpointState],
+        rank: int,
     ) -> bool:
-        """Grants an endpoint to the first request that fits."""
+        """Grants an endpoint to the first request up to `rank` that fits."""
         now_ms = self._clock.now()
         for ticket in queue.candidates(now_ms):
+            if queue.rank(ticket, now_ms) > rank:
+                continue
             if not self._may_take_slot(queue, ticket, states, now_ms):
                 continue
             top = ticket.demand.request_class.tier == self._top_tier
@@ -198,10 +209,24 @@
             if chosen.endpoint is None:
                 continue
             queue.dispatch(ticket)
+            self._share_credit(queue, ticket, chosen.endpoint)
             self._grant(ticket, chosen, now_ms)
             return True
         return False
 
+    def _share_credit(
+        self,
+        queue: queues.TargetQueue,
+        ticket: tickets.Ticket,
+        state: registry.EndpointState,
+    ) -> None:
+        """Adds credit for the other targets that the endpoint serves."""
+        if ticket.demand.retried:
+            return
+        for target, other in self._queues.items():
+            if other is not queue and state.serves(target):
+                other.earn(ticket.cost_ms)
+
     def _grant(
         self, ticket: tickets.Ticket, chosen: choice.Choice, now_ms: float
     ) -> None:
