Tell a pause of this VM from the silence of an engine

Cause: after a pause longer than a timeout the timer fires although the engine's bytes wait in the socket; the engine was ejected and the retry budget spent, for all streams of the VM at once. Ruled out: longer timeouts (a silent engine then costs more). Change: a timeout that fires a second too late counts as a lost connection: the engine is probed, found alive and resumed. Before / After: PausedVmTest fails with the check off, passes with it.

--- a/hornbeampier/endpoints/engine.py
+++ b/hornbeampier/endpoints/engine.py
@@ -26,6 +26,8 @@
 CALLER_STATUSES = frozenset({400, 413, 422})
 CANCEL_TIMEOUT_MS = 1_000.0
 END_TIMEOUT_MS = 200.0
+# A timeout that fires so much too late says that this VM was paused.
+PAUSE_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,6 +97,22 @@
     resumable: bool = True
 
 
+@dataclasses.dataclass
+class _Silence:
+    """The wait for an engine's next event."""
+
+    since_ms: float
+    limit_ms: float
+
+    def is_over(self, now_ms: float) -> bool:
+        """Returns whether the engine was silent for too long."""
+        return now_ms - self.since_ms > self.limit_ms
+
+    def was_paused(self, now_ms: float) -> bool:
+        """Returns whether this VM rather than the engine was silent."""
+        return self.is_over(now_ms - PAUSE_MS)
+
+
 class EngineClient:
     """Sends chat requests to one engine."""
 
@@ -113,17 +131,22 @@
             errors.RefusalError: The engine finds the caller's request wrong.
         """
         ended = False
+        silence = _Silence(self._clock.now(), req.timeouts.first_token_ms)
         try:
-            yield from self._exchange(req)
+            yield from self._exchange(req, silence)
             ended = True
         except errors.AttemptError as exc:
             ended = exc.verdict is verdict.Verdict.NOT_RUN
+            if exc.timed_out and silence.was_paused(self._clock.now()):
+                raise _paused() from exc
             raise
         finally:
             if not ended:
                 gevent.spawn(self._cancel, req)
 
-    def _exchange(self, req: EngineRequest) -> Iterator[EngineEvent]:
+    def _exchange(
+        self, req: EngineRequest, silence: _Silence
+    ) -> Iterator[EngineEvent]:
         reply = self._peer.send(
             exchange.OutgoingRequest(
                 "POST",
@@ -136,20 +159,21 @@
         )
         try:
             _check_status(req, reply)
-            yield from self._events(req, reply)
+            yield from self._events(req, reply, silence)
         finally:
             reply.close()
 
     def _events(
-        self, req: EngineRequest, reply: exchange.Exchange
+        self,
+        req: EngineRequest,
+        reply: exchange.Exchange,
+        silence: _Silence,
     ) -> Iterator[EngineEvent]:
-        limit_ms = req.timeouts.first_token_ms
-        since_ms = self._clock.now()
         finished = False
         for line in reply.lines():
             line = line.rstrip()
             if not line or line.startswith(COMMENT):
-                if self._clock.now() - since_ms > limit_ms:
+                if silence.is_over(self._clock.now()):
                     raise _stalled()
                 continue
             if line == messages.DONE_LINE:
@@ -158,11 +182,11 @@
                 return
             event = _parse(req.request_id, line)
             finished = finished or event.finish_reason is not None
-            if limit_ms != req.timeouts.between_tokens_ms:
-                limit_ms = req.timeouts.between_tokens_ms
-                reply.set_read_timeout(limit_ms)
+            if silence.limit_ms != req.timeouts.between_tokens_ms:
+                silence.limit_ms = req.timeouts.between_tokens_ms
+                reply.set_read_timeout(silence.limit_ms)
             yield event
-            since_ms = self._clock.now()
+            silence.since_ms = self._clock.now()
         raise _corrupt("the answer ended without its end marker")
 
     def _cancel(self, req: EngineRequest) -> None:
@@ -250,3 +274,10 @@
         verdict.Verdict.MAY_HAVE_RUN,
         timed_out=True,
     )
+
+
+def _paused() -> errors.AttemptError:
+    """Returns the error of a connection that nobody could read in time."""
+    return errors.AttemptError(
+        "this VM was paused", verdict.Verdict.MAY_HAVE_RUN, crashed=True
+    )
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,10 @@
 import msgspec
 import testtools
 
+from hornbeampier import clock
+from hornbeampier import errors
+from hornbeampier import exchange
+from hornbeampier.endpoints import engine
 from hornbeampier.endpoints import messages
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import schema
@@ -87,6 +91,42 @@
             self.assertGreater(state.ejected_until_ms, site.vm.clock.now())
 
 
+class LeapingClock(clock.SystemClock):
+    """The clock of a VM that was paused when `leap_ms` is set."""
+
+    leap_ms = 0.0
+
+    def now(self):
+        return super().now() + self.leap_ms
+
+
+class PausedVmTest(testtools.TestCase):
+    def time_out(self, leap_ms):
+        """An engine stalls after 3 tokens; the clock leaps meanwhile."""
+        with sites.Site(engines=1) as site:
+            site.control(0, fault="stall", fault_after=3, fault_count=1)
+            port = site.engines[0].server.port
+            peer = exchange.HttpPeer(processes.HOST, port, 10_000)
+            self.addCleanup(peer.close)
+            clk = LeapingClock()
+            body = b'{"messages": [{"role": "user", "content": "x"}]}'
+            req = engine.EngineRequest(
+                "req", body, 1, engine.Timeouts(100.0, 100.0)
+            )
+            events = engine.EngineClient(peer, clk).stream(req)
+            for _ in range(3):
+                next(events)
+            gevent.spawn_later(0.05, setattr, clk, "leap_ms", leap_ms)
+            return self.assertRaises(errors.AttemptError, next, events)
+
+    def test_a_pause_of_the_vm_is_no_silence_of_the_engine(self):
+        self.assertTrue(self.time_out(0.0).timed_out)
+        paused = self.time_out(60_000.0)
+        self.assertFalse(paused.timed_out)
+        # Probed, found alive and resumed there; see `Router`.
+        self.assertTrue(paused.crashed)
+
+
 class PartitionTest(testtools.TestCase):
     def test_reports_stand_in_for_hints_that_are_missing(self):
         peers = sites.LinkedPeers()
