Move the progress of attempts and the refusals out of the router

Change: attempts.Progress and refusals are modules of their own; behaviour is unchanged. test_preemption.py uses the new name and checks the same.

--- a/hornbeampier/callers/chat.py
+++ b/hornbeampier/callers/chat.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from hornbeampier import attempts
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import metrics
@@ -40,7 +41,7 @@
         Raises:
             errors.RefusalError: Nothing was answered yet.
         """
-        progress = router.Progress(permit=permit)
+        progress = attempts.Progress(permit=permit)
         events = self._router.run_chat(req.demand, req.body, progress)
         outcome = models.Outcome.CANCELLED
         try:
@@ -81,7 +82,7 @@
         self,
         req: requests.ChatRequest,
         events: Iterator[engine.EngineEvent],
-        progress: router.Progress,
+        progress: attempts.Progress,
         start_response,
     ) -> Iterator[bytes]:
         reason = "stop"
@@ -99,7 +100,7 @@
     def _record_end(
         self,
         req: requests.ChatRequest,
-        progress: router.Progress,
+        progress: attempts.Progress,
         outcome: models.Outcome,
     ) -> None:
         wanted = req.demand.request_class
--- /dev/null
+++ b/hornbeampier/refusals.py
@@ -0,0 +1,54 @@
+"""Refusals that are true of all attempts at a request."""
+
+from hornbeampier import attempts
+from hornbeampier import errors
+from hornbeampier import verdict
+
+RETRY_AFTER_MS = 1_000.0
+
+
+def with_history(
+    exc: errors.RefusalError, progress: attempts.Progress
+) -> errors.RefusalError:
+    """Returns the refusal with the verdict of all attempts."""
+    if progress.texts:
+        return _incomplete()
+    if progress.may_have_run and exc.verdict is verdict.Verdict.NOT_RUN:
+        return errors.RefusalError(
+            exc.status,
+            exc.code,
+            exc.message,
+            verdict.Verdict.MAY_HAVE_RUN,
+            exc.retry_after_ms,
+        )
+    return exc
+
+
+def make_final(
+    exc: errors.AttemptError, progress: attempts.Progress
+) -> errors.RefusalError:
+    """Returns the refusal after the last failed attempt."""
+    if progress.texts:
+        return _incomplete()
+    run = verdict.Verdict.NOT_RUN
+    if progress.may_have_run:
+        run = verdict.Verdict.MAY_HAVE_RUN
+    return errors.RefusalError(
+        504 if exc.timed_out else 503,
+        errors.RefusalCode.ENDPOINT_TIMEOUT
+        if exc.timed_out
+        else errors.RefusalCode.ENDPOINT_FAILED,
+        str(exc),
+        run,
+        RETRY_AFTER_MS,
+    )
+
+
+def _incomplete() -> errors.RefusalError:
+    return errors.RefusalError(
+        502,
+        errors.RefusalCode.INCOMPLETE_ANSWER,
+        "the answer broke off and could not be resumed",
+        verdict.Verdict.MAY_HAVE_RUN,
+        RETRY_AFTER_MS,
+    )
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -7,10 +7,11 @@
 import gevent
 import structlog
 
+from hornbeampier import attempts
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import models
-from hornbeampier import permits
+from hornbeampier import refusals
 from hornbeampier import verdict
 from hornbeampier.endpoints import engine
 from hornbeampier.endpoints import probe
@@ -24,52 +25,19 @@
 from hornbeampier.policy import timeouts
 
 MAX_ATTEMPTS = 6
-RETRY_AFTER_MS = 1_000.0
 # Wait before an attempt at an endpoint that has just failed.
 BACKOFF_MS = 100.0
 # How long a preempted answer may wait for its next slot.
 PREEMPTED_WAIT_MS = 120_000.0
 
 
-@dataclasses.dataclass
-class Progress:
-    """The part of an answer that has arrived so far.
-
-    Attributes:
-        attempts: Attempts made at endpoints.
-        failed: Endpoints that are passed over while others are open.
-        preferred: The endpoint that still holds the answer's KV cache.
-        may_have_run: Whether an attempt may have run at an endpoint.
-        finished: Whether the last event with text has arrived.
-        resumable: Whether the text alone lets another engine go on.
-        preempted: Whether the last attempt ended by preemption.
-        permit: Decides on each dispatch.
-    """
-
-    texts: list[str] = dataclasses.field(default_factory=list)
-    first_token_ms: float | None = None
-    attempts: int = 0
-    failed: frozenset[str] = frozenset()
-    preferred: registry.EndpointState | None = None
-    may_have_run: bool = False
-    finished: bool = False
-    resumable: bool = True
-    preempted: bool = False
-    permit: permits.Permit = permits.OPEN
-
-    @property
-    def text(self) -> str:
-        """The text received so far."""
-        return "".join(self.texts)
-
-
 class _Barred:
     """The endpoints that a request must not use at present."""
 
     def __init__(
         self,
         demand: models.Demand,
-        progress: Progress,
+        progress: attempts.Progress,
         suspects: suspects.Suspects,
         has_alternative: Callable[[str, frozenset[str]], bool],
     ):
@@ -119,7 +87,7 @@
         self,
         demand: models.Demand,
         body: bytes,
-        progress: Progress,
+        progress: attempts.Progress,
     ) -> Iterator[engine.EngineEvent]:
         """Yields the whole answer of a model, over several attempts if needed.
 
@@ -143,7 +111,7 @@
                 progress.may_have_run |= exc.verdict.may_have_run
                 self._check_retry(demand, exc, progress)
             except errors.RefusalError as exc:
-                raise _with_history(exc, progress) from exc
+                raise refusals.with_history(exc, progress) from exc
             except errors.ShutdownError as exc:
                 if progress.may_have_run or progress.texts:
                     exc.verdict = verdict.Verdict.MAY_HAVE_RUN
@@ -174,7 +142,7 @@
         self._scheduler.release(grant)
 
     def _prepare(
-        self, demand: models.Demand, progress: Progress
+        self, demand: models.Demand, progress: attempts.Progress
     ) -> models.Demand:
         """Checks for a conviction; gives a broken-off answer more time."""
         self._suspects.check(demand.fingerprint)
@@ -194,7 +162,7 @@
         )
 
     def _requeue(
-        self, demand: models.Demand, progress: Progress
+        self, demand: models.Demand, progress: attempts.Progress
     ) -> models.Demand:
         """Returns the demand of a preempted request, with new time to wait."""
         progress.preempted = False
@@ -211,7 +179,7 @@
         )
 
     def _grant_and_run(
-        self, demand: models.Demand, body: bytes, progress: Progress
+        self, demand: models.Demand, body: bytes, progress: attempts.Progress
     ) -> Iterator[engine.EngineEvent]:
         barred = _Barred(
             demand, progress, self._suspects, self._has_alternative
@@ -254,7 +222,7 @@
         grant: tickets.Grant,
         demand: models.Demand,
         body: bytes,
-        progress: Progress,
+        progress: attempts.Progress,
     ) -> Iterator[engine.EngineEvent]:
         state = grant.endpoint
         started_ms = self._clock.now()
@@ -293,7 +261,7 @@
         state: registry.EndpointState,
         demand: models.Demand,
         event: engine.EngineEvent,
-        progress: Progress,
+        progress: attempts.Progress,
         waiting_ms: float | None,
     ) -> None:
         now_ms = self._clock.now()
@@ -317,7 +285,7 @@
         state: registry.EndpointState,
         demand: models.Demand,
         exc: errors.AttemptError,
-        progress: Progress,
+        progress: attempts.Progress,
     ) -> bool:
         """Returns whether the endpoint crashed."""
         crashed = self._eject(state, demand, exc)
@@ -373,7 +341,7 @@
         self,
         demand: models.Demand,
         exc: errors.AttemptError,
-        progress: Progress,
+        progress: attempts.Progress,
     ) -> None:
         """Raises the final refusal unless another attempt is due.
 
@@ -392,9 +360,11 @@
             or progress.attempts >= MAX_ATTEMPTS
             or not (exc.crashed or progress.texts or self._budget.take())
         ):
-            raise _final_refusal(exc, progress) from exc
+            raise refusals.make_final(exc, progress) from exc
 
-    def _back_off(self, demand: models.Demand, progress: Progress) -> None:
+    def _back_off(
+        self, demand: models.Demand, progress: attempts.Progress
+    ) -> None:
         if not self._has_alternative(demand.target, progress.failed):
             self._clock.sleep(BACKOFF_MS * 2 ** (progress.attempts - 1))
 
@@ -406,53 +376,7 @@
         )
 
 
-def _with_history(
-    exc: errors.RefusalError, progress: Progress
-) -> errors.RefusalError:
-    """Returns the refusal with the verdict of all attempts."""
-    if progress.texts:
-        return _incomplete()
-    if progress.may_have_run and exc.verdict is verdict.Verdict.NOT_RUN:
-        return errors.RefusalError(
-            exc.status,
-            exc.code,
-            exc.message,
-            verdict.Verdict.MAY_HAVE_RUN,
-            exc.retry_after_ms,
-        )
-    return exc
-
-
-def _final_refusal(
-    exc: errors.AttemptError, progress: Progress
-) -> errors.RefusalError:
-    if progress.texts:
-        return _incomplete()
-    run = verdict.Verdict.NOT_RUN
-    if progress.may_have_run:
-        run = verdict.Verdict.MAY_HAVE_RUN
-    return errors.RefusalError(
-        504 if exc.timed_out else 503,
-        errors.RefusalCode.ENDPOINT_TIMEOUT
-        if exc.timed_out
-        else errors.RefusalCode.ENDPOINT_FAILED,
-        str(exc),
-        run,
-        RETRY_AFTER_MS,
-    )
-
-
-def _incomplete() -> errors.RefusalError:
-    return errors.RefusalError(
-        502,
-        errors.RefusalCode.INCOMPLETE_ANSWER,
-        "the answer broke off and could not be resumed",
-        verdict.Verdict.MAY_HAVE_RUN,
-        RETRY_AFTER_MS,
-    )
-
-
-def _is_preemptible(demand: models.Demand, progress: Progress) -> bool:
+def _is_preemptible(demand: models.Demand, progress: attempts.Progress) -> bool:
     begun = bool(progress.texts) and not progress.finished
     # A request that may run once only must not be dispatched again.
     resumable = progress.resumable and progress.permit.repeatable
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -6,6 +6,7 @@
 import gevent
 import testtools
 
+from hornbeampier import attempts
 from hornbeampier import permits
 from hornbeampier import router
 from hornbeampier.policy import preemption
@@ -47,7 +48,7 @@
     def test_request_that_may_run_only_once_is_not_preempted(self):
         demand = test_tiers.make_demand(BULK)
         for permit in (permits.OPEN, permits.OpenPermit(repeatable=False)):
-            progress = router.Progress(texts=["a"], permit=permit)
+            progress = attempts.Progress(texts=["a"], permit=permit)
             self.assertEqual(
                 permit.repeatable, router._is_preemptible(demand, progress)
             )
