Test three mechanisms that could be switched off unnoticed

Cause: with the mechanisms of at-most-once switched off one after the other on a scratch copy, three changes passed all tests: an internal error told as `not_run`, a long poll before a VM's first claim (which refuses keys for 1.5 s after a start), and a keyed request on an idle connection.

Ruled out: seeing them in the golden session: none changes an answer there.

Change: a test for each: a fault raised in the router, the waits of the first two reads, and `fresh` of the requests that reach an engine and a service; one more shows that a fresh request has a connection of its own.

Before / After: `pytest tests/test_claims.py tests/test_at_most_once.py tests/test_verdicts.py` with each mechanism off: passed before, now fails in test_an_internal_error_may_have_run, test_first_read_does_not_wait_for_news and test_what_must_not_repeat_uses_no_idle_connection.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,6 +6,7 @@
 from gevent import socket
 import testtools
 
+from hornbeampier import exchange
 from hornbeampier.endpoints import standin_service
 from hornbeampier.platform import standin
 from tests import embedded
@@ -13,6 +14,7 @@
 from tests import processes
 
 ROUTE = "/services/entry/fees/1"
+PIECES = "/services/entry/pieces"
 SHORT_WAIT_MS = 1_000
 # The option by which a closed socket resets its connection.
 RESET = struct.pack("ii", 1, 0)
@@ -302,3 +304,29 @@
                 scenario(session)
         self.assertEqual(1, session.most_runs)
         golden.verify("at_most_once", session.text())
+
+    def test_what_must_not_repeat_uses_no_idle_connection(self):
+        sent = []
+        send = exchange.HttpPeer.send
+
+        def record(peer, req):
+            sent.append((peer.port, req.path, req.fresh))
+            return send(peer, req)
+
+        with embedded.Embedded(1, engines=1, services=1) as deployment:
+            vm = deployment.vms[0]
+            self.patch(exchange.HttpPeer, "send", record)
+            vm.chat("tokens=1")
+            vm.chat("tokens=1", headers=embedded.keyed("chat"))
+            vm.call("PUT", PIECES)
+            vm.call("PUT", PIECES, headers=embedded.keyed("piece"))
+            vm.call("PUT", ROUTE)
+        fresh = {
+            path: [
+                row[2] for row in sent if row[0] != vm.port and row[1] == path
+            ]
+            for path in ("/v1/chat/completions", "/pieces", "/fees/1")
+        }
+        self.assertEqual([False, True], fresh["/v1/chat/completions"])
+        self.assertEqual([False, True], fresh["/pieces"])
+        self.assertEqual([True], fresh["/fees/1"])
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -206,6 +206,23 @@
         self._claim(self.writer.write)
         self.assertEqual(1, self.writer.appends)
 
+    def test_first_read_does_not_wait_for_news(self):
+        waits_ms = []
+        read = self.log.read
+
+        def record_wait(stream, offset, wait_ms=0, limit=500):
+            waits_ms.append(wait_ms)
+            gevent.sleep(0)
+            return read(stream, offset, wait_ms, limit)
+
+        self.patch(self.log, "read", record_wait)
+        fresh = claims.Claims(self.log, self.env, self.writer, 50)
+        fresh.start()
+        while len(waits_ms) < 2:
+            gevent.sleep(0)
+        fresh.stop()
+        self.assertEqual([0, claims.LONG_POLL_MS], waits_ms[:2])
+
     def test_no_claim_above_the_bound_of_known_keys(self):
         self.patch(claims, "MAX_KEYS", 1)
         self._claim(self.writer.write, self.claims.step)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -29,6 +29,7 @@
         self._answer_first = answer_first
         self._server = server.StreamServer((processes.HOST, 0), self._serve)
         self.requests = []
+        self.connections = 0
 
     def __enter__(self):
         self._server.start()
@@ -42,6 +43,7 @@
         return self._server.server_port
 
     def _serve(self, sock, _):
+        self.connections += 1
         while data := sock.recv(65_536):
             self.requests.append(data)
             if self._answer_first and len(self.requests) == 1:
@@ -82,6 +84,18 @@
                 self.assertRaises(errors.AttemptError, self._send, peer, method)
             self.assertEqual(2, len(dropping.requests))
 
+    def test_fresh_request_has_a_connection_of_its_own(self):
+        with DroppingServer(answer_first=True) as dropping:
+            peer = exchange.HttpPeer(
+                processes.HOST, dropping.port, READ_TIMEOUT_MS
+            )
+            self.addCleanup(peer.close)
+            self._send(peer, "GET")
+            self.assertRaises(
+                errors.AttemptError, self._send, peer, "PUT", fresh=True
+            )
+        self.assertEqual(2, dropping.connections)
+
     def test_the_library_alone_would_repeat(self):
         """The control: the server sees the repeats of the library."""
         for method in ("PUT", "DELETE"):
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -6,6 +6,7 @@
 import gevent
 import testtools
 
+from hornbeampier.callers import services
 from hornbeampier.endpoints import standin_engine
 from hornbeampier.endpoints import standin_service
 from hornbeampier.platform import standin
@@ -168,3 +169,14 @@
             "may_have_run may_have_run",
         ):
             self.assertIn(needed, seen)
+
+    def test_an_internal_error_may_have_run(self):
+        def fail(grant, req, fresh):
+            raise ValueError("a fault in the router")
+
+        self.patch(services, "_exchange", fail)
+        with embedded.Embedded(1, services=1) as deployment:
+            answer = deployment.vms[0].call("PUT", "/services/entry/fees/1")
+        self.assertEqual(
+            (500, "internal", "may_have_run"), embedded.refusal(answer)
+        )
