--- /dev/null
+++ b/tests/test_configuration_seeds.py
@@ -0,0 +1,114 @@
+"""Many folds of one stream over days of faults."""
+
+import functools
+
+import testtools
+
+from hornbeampier.operators import history
+from hornbeampier.operators import schema
+from tests import configurations
+
+
+class SeededFoldTest(testtools.TestCase):
+    """Many VMs over days of publishes, races, trims, restarts and outages."""
+
+    TICK_MS = 600_000.0
+    TICKS = 432
+    VMS = 9
+
+    def test_all_vms_agree_and_none_goes_back(self):
+        self.patch(schema, "parse", functools.cache(schema.parse))
+        for seed in range(6):
+            run = _SeededRun(self, seed)
+            for _ in range(self.TICKS):
+                run.tick()
+            run.heal()
+
+
+class _SeededRun:
+    def __init__(self, case, seed):
+        self.case = case
+        self.site = configurations.Site(vms=case.VMS, seed=seed)
+        self.rng = self.site.rng
+        self.frozen = {}
+        self.texts = {}
+        self.newest = {}
+        self.count = 0
+        self.results = []
+        self.judged = {}
+        self.oracle = self.site.start_vm()
+        self.oracle.subscribe_judgements(self.note)
+
+    def note(self, judgement):
+        self.judged.setdefault(judgement.publish_id, judgement)
+
+    def tick(self):
+        rng = self.rng
+        if rng.random() < 0.3:
+            self.publish()
+        if rng.random() < 0.05:
+            data = rng.choice(["{", configurations.record(-1, "bad", "x")])
+            self.site.append(data)
+        for index in range(len(self.site.vms)):
+            self.disturb(index)
+        for vm in rng.sample(self.site.vms, len(self.site.vms)):
+            if self.frozen.get(vm, 0) <= 0:
+                vm.step() or vm.adopt_from_peers()
+            self.frozen[vm] = self.frozen.get(vm, 0) - 1
+            self.check(vm)
+        self.oracle.step()
+        self.site.clock.advance(self.case.TICK_MS)
+
+    def publish(self):
+        """One or two operators publish; answers are lost at times."""
+        known = self.oracle.history.version
+        for _ in range(self.rng.choice([1, 1, 2])):
+            self.count += 1
+            log = self.site.log()
+            log.lose_answers = self.rng.randrange(2)
+            publisher = self.site.publisher(log)
+            if self.rng.random() < 0.3:
+                racer = configurations.record(
+                    known, configurations.text(self.count), f"r{self.count}"
+                )
+                log.on_append = lambda data=racer: self.site.append(data)
+            self.results.append(
+                publisher.publish(configurations.text(self.count))
+            )
+
+    def disturb(self, index):
+        """Restarts, freezes or cuts off a VM now and then."""
+        vm = self.site.vms[index]
+        chance = self.rng.random()
+        if chance < 0.01:
+            self.site.vms[index] = vm = self.site.start_vm()
+            vm.log.down = self.rng.random() < 0.5
+        elif chance < 0.015 and index % 2:
+            self.frozen[vm] = self.rng.choice([10, 200])
+        elif chance < 0.05:
+            vm.log.down = not vm.log.down and index > 0
+        others = [v for v in self.site.vms if v is not vm]
+        vm.peers.followers = self.rng.sample(others, 3)
+
+    def check(self, vm):
+        version = vm.history.version
+        self.case.assertGreaterEqual(version, self.newest.get(vm, -1))
+        self.newest[vm] = version
+        if vm.accepted:
+            known = self.texts.setdefault(version, vm.accepted.text)
+            self.case.assertEqual(known, vm.accepted.text)
+
+    def heal(self):
+        for vm in self.site.vms:
+            vm.log.down = False
+            for _ in range(20):
+                vm.step()
+        self.oracle.step()
+        wanted = self.oracle.history.version
+        self.case.assertGreater(wanted, 50)
+        self.case.assertEqual({wanted}, set(self.site.versions()))
+        for result in self.results:
+            judged = self.judged[result.publish_id]
+            self.case.assertEqual(judged.accepted_version, result.version)
+            won = judged.outcome is history.Outcome.ACCEPTED
+            self.case.assertEqual(won, result.outcome == "accepted")
