Survive a deeply nested record in the stream of claims

Cause: `claim_records.decode` caught msgspec's errors only; a record nested 100,000 deep raises RecursionError, which ends the task that follows the stream, and the VM claims no key any more.

Ruled out: a limit on the record's size; the log's own limit admits it.

Change: it catches `errors.DECODE_ERRORS`, as the other decoders do.

Conclusion: a foreign record changes nothing.

--- a/hornbeampier/platform/claim_records.py
+++ b/hornbeampier/platform/claim_records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hornbeampier import errors
 from hornbeampier import verdict
 
 STREAM = "claims"
@@ -61,5 +62,5 @@
     """Returns the batch in a record, or None if it is not one."""
     try:
         return msgspec.json.decode(data, type=ClaimBatch)
-    except msgspec.MsgspecError:
+    except errors.DECODE_ERRORS:
         return None
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -110,7 +110,8 @@
 
     def test_foreign_records_change_nothing(self):
         index = claim_index.ClaimIndex()
-        for data in ("", "{}", "[1]", '{"vm":1,"entries":[]}', "\x00"):
+        nested = '{"x":' + "[" * 100_000
+        for data in ("", "{}", "[1]", '{"vm":1,"entries":[]}', "\x00", nested):
             self.assertEqual([], index.fold(records.LogRecord(0, 0, data)))
         self.assertEqual(0, index.size)
 
