Read deeply nested records and answers as unreadable everywhere

Cause: msgspec raises RecursionError for deep nesting, which the lease, the load permits, the order client, the catch-up client and two decoders of operators' data did not catch; one such record in a stream stopped the planner. Ruled out: nothing. Change: errors.DECODE_ERRORS in all of them.

--- a/hornbeampier/endpoints/orders.py
+++ b/hornbeampier/endpoints/orders.py
@@ -60,7 +60,7 @@
         )
     try:
         return msgspec.json.decode(body, type=messages.ModelState)
-    except msgspec.MsgspecError as exc:
+    except errors.DECODE_ERRORS as exc:
         raise errors.AttemptError(
             "unreadable model state", verdict.Verdict.MAY_HAVE_RUN
         ) from exc
--- a/hornbeampier/operators/history.py
+++ b/hornbeampier/operators/history.py
@@ -152,7 +152,7 @@
         return None
     try:
         return msgspec.json.decode(data, type=ConfigurationRecord)
-    except (msgspec.MsgspecError, UnicodeEncodeError):
+    except (*errors.DECODE_ERRORS, UnicodeEncodeError):
         return None
 
 
--- a/hornbeampier/operators/overview.py
+++ b/hornbeampier/operators/overview.py
@@ -105,7 +105,7 @@
     try:
         status, body = peer.call(exchange.OutgoingRequest("GET", "/report"))
         found = msgspec.json.decode(body, type=report.VmReport)
-    except (errors.AttemptError, msgspec.MsgspecError):
+    except (errors.AttemptError, *errors.DECODE_ERRORS):
         return VmOverview(vm.name, vm.state, None)
     finally:
         peer.close()
--- a/hornbeampier/platform/lease.py
+++ b/hornbeampier/platform/lease.py
@@ -57,7 +57,7 @@
     """Returns the lease after a record."""
     try:
         entry = msgspec.json.decode(record.data, type=LeaseRecord)
-    except msgspec.MsgspecError:
+    except errors.DECODE_ERRORS:
         return state
     current = record.at_ms < state.expires_unix_ms
     own = current and (entry.holder, entry.fencing) == (
--- a/hornbeampier/platform/load_permits.py
+++ b/hornbeampier/platform/load_permits.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hornbeampier import errors
 from hornbeampier.platform import log as platform_log
 from hornbeampier.platform import records
 
@@ -52,7 +53,7 @@
     def _fold(self, record: records.LogRecord, per_minute: int) -> None:
         try:
             entry = msgspec.json.decode(record.data, type=PermitRecord)
-        except msgspec.MsgspecError:
+        except errors.DECODE_ERRORS:
             return
         oldest = record.at_ms - WINDOW_MS
         while self._granted_unix_ms and self._granted_unix_ms[0] <= oldest:
--- a/hornbeampier/vms/catch_up.py
+++ b/hornbeampier/vms/catch_up.py
@@ -10,6 +10,7 @@
 
 from hornbeampier import application
 from hornbeampier import clock
+from hornbeampier import errors
 from hornbeampier.operators import history
 from hornbeampier.platform import records
 from hornbeampier.vms import messages
@@ -113,7 +114,7 @@
                     messages.CatchUpRequest(self._vm),
                     timeout=TIMEOUT_MS / clock.MS_PER_SECOND,
                 )
-        except (grpc.RpcError, msgspec.MsgspecError) as exc:
+        except (grpc.RpcError, *errors.DECODE_ERRORS) as exc:
             self._log.info("peer_unavailable", vm=peer.name, error=str(exc))
             return None
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -21,6 +21,7 @@
 V1 = messages.HeldModel("notes", "v1")
 V2 = messages.HeldModel("notes", "v2")
 ROUND_MS = 2_000.0
+NESTED = b'{"unknown": ' + b"[" * 100_000
 
 
 def make_cfg(
@@ -45,8 +46,11 @@
         self.memory = standin_models.ModelMemory(clock)
         self.down = False
         self.before_order = None
+        self.raw_answer = None
 
     def call(self, req):
+        if self.raw_answer:
+            return 200, self.raw_answer
         if self.down:
             raise planner.errors.AttemptError("down", "not_run")
         if req.method == "PUT" and self.before_order:
@@ -138,6 +142,11 @@
             [False, True], [self.first.is_held(), self.second.is_held()]
         )
 
+    def test_unreadable_record_is_passed_over(self):
+        for data in (b"x", b"[" * 100_000, NESTED):
+            self.log.append(lease.STREAM, data)
+        self.assertTrue(self.first.try_hold())
+
     def test_renewal_keeps_the_fencing_number(self):
         self.first.try_hold()
         fencing = self.first.fencing
@@ -159,6 +168,12 @@
 
 
 class LoadPermitsTest(testtools.TestCase):
+    def test_unreadable_record_is_passed_over(self):
+        log = fakes.MemoryLog(clocks.ManualClock(1e6))
+        log.append(load_permits.STREAM, NESTED)
+        record = load_permits.PermitRecord("load-1", "engine-1", 0)
+        self.assertTrue(load_permits.LoadPermits(log).acquire(record, 1))
+
     def test_limit_holds_over_two_vms(self):
         clock = clocks.ManualClock(1e6)
         log = fakes.MemoryLog(clock)
@@ -196,6 +211,13 @@
 
 
 class PlannerTest(testtools.TestCase):
+    def test_unreadable_state_of_an_engine_counts_as_unseen(self):
+        fleet = Fleet(make_cfg("v2", share=0.5))
+        fleet.peers[0].raw_answer = NESTED
+        fleet.run(12)
+        held = [p.memory.state.models for p in fleet.peers]
+        self.assertEqual([(V1,), (V2,), (V2,), (V2,)], held)
+
     def test_rollout_keeps_the_stated_share_serving(self):
         fleet = Fleet(make_cfg("v2"), load_ms=3_000)
         counts = fleet.run(12)
