Name blocked requests by the field's terms

Cause: the module on crashing requests spoke of conviction, blame and company. Ruled out: nothing. Change: blocked, attributed, shared and inconclusive; no behaviour changed. The field 'convicted' of the hints is 'blocked' now. Before / After: tests/test_suspects.py, 11 passed before and after. Conclusion: kept.

--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -2,9 +2,9 @@
 
 A crash casts suspicion on every request that ran there. A suspect runs apart
 from other suspects; one with a second crash runs alone on an endpoint. Only a
-crash under a request that ran alone convicts it, or `MAX_CRASHES` in all. A
-crash in spoiled company, where another request joined such a run, is blamed
-on the other.
+crash under a request that ran alone blocks it, or `MAX_CRASHES` in all. A
+crash in a shared run, where another request joined the one alone, is attributed
+to the other.
 """
 
 import collections
@@ -68,9 +68,9 @@
 @dataclasses.dataclass
 class _Record:
     crashes: set[int] = dataclasses.field(default_factory=set)
-    spoiled: int = 0
+    inconclusive: int = 0
     endpoint: str = ""
-    convicted: bool = False
+    blocked: bool = False
     expires_ms: float = 0.0
     tell_until_ms: float = 0.0
 
@@ -120,10 +120,10 @@
         """Refuses a request that crashes endpoints.
 
         Raises:
-            errors.RefusalError: The request is convicted.
+            errors.RefusalError: The request is blocked.
         """
         record = self._find(fingerprint)
-        if record is not None and record.convicted:
+        if record is not None and record.blocked:
             raise errors.RefusalError(
                 422,
                 errors.RefusalCode.CRASHES_ENDPOINTS,
@@ -172,7 +172,7 @@
         self, fingerprint: str, state: registry.EndpointState
     ) -> Iterator[None]:
         """Marks an endpoint while a suspected request runs there."""
-        self._note_company(state.name)
+        self._mark_shared(state.name)
         level = self.level(fingerprint)
         if level is Level.NONE:
             yield
@@ -217,12 +217,12 @@
         trial = self._trials.get(state.name)
         on_trial = trial is not None and trial.fingerprint == fingerprint
         if on_trial and not self._was_alone(trial, state):
-            record.spoiled += 1
+            record.inconclusive += 1
         else:
             record.crashes.add(self._random.getrandbits(CRASH_ID_BITS))
-            record.convicted = on_trial
-        if len(record.crashes) + record.spoiled >= MAX_CRASHES:
-            record.convicted = True
+            record.blocked = on_trial
+        if len(record.crashes) + record.inconclusive >= MAX_CRASHES:
+            record.blocked = True
         record.endpoint = state.name
         self._touch(record)
         self._announce()
@@ -239,13 +239,13 @@
                 fingerprint,
                 tuple(sorted(r.crashes))[: messages.MAX_CRASHES_TOLD],
                 r.endpoint,
-                r.convicted,
+                r.blocked,
             )
             for fingerprint, r in reversed(self._records.items())
             if now_ms < r.tell_until_ms
         ]
-        # A conviction goes before the suspicions of its bystanders.
-        recent.sort(key=lambda s: (not s.convicted, -len(s.crashes)))
+        # Blocked requests go before those that ran beside them.
+        recent.sort(key=lambda s: (not s.blocked, -len(s.crashes)))
         return tuple(recent[: messages.MAX_SUSPICIONS])
 
     def suspects_at(self) -> tuple[str, ...]:
@@ -265,7 +265,7 @@
             if not record.crashes.issuperset(told.crashes):
                 self._peer_crashes_ms[told.endpoint] = self._clock.now()
             record.crashes |= set(told.crashes)
-            record.convicted = record.convicted or told.convicted
+            record.blocked = record.blocked or told.blocked
             record.expires_ms = self._clock.now() + EXPIRY_MS
 
     def _find(self, fingerprint: str) -> _Record | None:
@@ -321,7 +321,7 @@
             if s is not state
         )
 
-    def _note_company(self, name: str) -> None:
+    def _mark_shared(self, name: str) -> None:
         trial = self._trials.get(name)
         if trial is not None:
             trial.shared = True
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -144,7 +144,7 @@
     def _prepare(
         self, demand: models.Demand, progress: attempts.Progress
     ) -> models.Demand:
-        """Checks for a conviction; gives a broken-off answer more time."""
+        """Refuses a blocked request; gives a broken-off answer more time."""
         self._suspects.check(demand.fingerprint)
         if progress.preempted:
             return self._requeue(demand, progress)
@@ -196,7 +196,7 @@
                     health.record_success(state)
                 except errors.AttemptError as exc:
                     crashed = self._record_failure(state, demand, exc, progress)
-                    # No request is blamed for an endpoint that was down.
+                    # No request is suspected for an endpoint that was down.
                     if crashed and not was_down:
                         self._suspects.record_crash(demand.fingerprint, state)
                     raise
--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -19,7 +19,7 @@
         fingerprint: Digest of the account and the body.
         crashes: Identifies each crash, so that none is counted twice.
         endpoint: Where the last of them happened.
-        convicted: Whether the request is refused from now on.
+        blocked: Whether the request is refused from now on.
     """
 
     fingerprint: Digest
@@ -27,7 +27,7 @@
         tuple[CrashId, ...], msgspec.Meta(max_length=MAX_CRASHES_TOLD)
     ]
     endpoint: str
-    convicted: bool
+    blocked: bool
 
 
 class Hint(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -65,7 +65,7 @@
     def count_down(self, site):
         return sum(e.app._down_until_ms > 0 for e in site.engines)
 
-    def test_no_request_is_blamed_for_an_endpoint_that_was_down(self):
+    def test_no_request_is_suspected_for_an_endpoint_that_was_down(self):
         self.patch(standin_engine, "RESTART_MS", FOREVER_MS)
         with sites.Site(engines=1) as site:
             self.assertEqual(503, site.vm.chat("poison crash").status)
@@ -144,24 +144,24 @@
             subject.record_crash(fingerprint, state)
         state.in_flight = 0
 
-    def is_convicted(self, subject, fingerprint):
+    def is_blocked(self, subject, fingerprint):
         try:
             subject.check(fingerprint)
         except errors.RefusalError:
             return True
         return False
 
-    def test_only_a_crash_alone_after_two_others_convicts(self):
+    def test_only_a_crash_alone_after_two_others_blocks(self):
         subject = self.make()
         for name in "ab":
             self.crash(subject, "x", name)
-            self.assertFalse(self.is_convicted(subject, "x"))
+            self.assertFalse(self.is_blocked(subject, "x"))
         self.crash(subject, "x", "c", alone=False)
-        self.assertFalse(self.is_convicted(subject, "x"))
+        self.assertFalse(self.is_blocked(subject, "x"))
         self.crash(subject, "x", "a")
-        self.assertTrue(self.is_convicted(subject, "x"))
+        self.assertTrue(self.is_blocked(subject, "x"))
 
-    def test_company_that_comes_later_spoils_the_proof(self):
+    def test_later_request_makes_a_run_alone_inconclusive(self):
         subject = self.make()
         for name in "ab":
             self.crash(subject, "x", name)
@@ -170,17 +170,17 @@
         with subject.running("x", state):
             with subject.running("newcomer", state):
                 subject.record_crash("x", state)
-        self.assertFalse(self.is_convicted(subject, "x"))
+        self.assertFalse(self.is_blocked(subject, "x"))
 
-    def test_company_at_another_vm_spoils_the_proof(self):
+    def test_request_of_another_vm_makes_it_inconclusive(self):
         subject = self.make()
         for name in "ab":
             self.crash(subject, "x", name)
         told = messages.Suspicion("y", (7,), "c", False)
-        # The peer's hint arrives while the conviction is held back.
+        # The peer's hint arrives while the block is held back.
         self.patch(self.clock, "sleep", lambda _: subject.merge((told,)))
         self.crash(subject, "x", "c")
-        self.assertFalse(self.is_convicted(subject, "x"))
+        self.assertFalse(self.is_blocked(subject, "x"))
 
     def test_suspects_keep_apart_from_each_other(self):
         subject = self.make()
