Leave shared endpoints to those that can go nowhere else

Cause: on kauri three of nine engines serve both models; requests for the model that all nine serve took their slots as readily as the others. Ruled out: a bar on shared endpoints, which would leave them idle. Change: the score of an endpoint grows by 0.6 for each other target it serves.

--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -16,6 +16,9 @@
 OVERCOMMIT = 0.125
 # The highest tier may wait inside an engine, which orders by priority.
 TOP_OVERCOMMIT = 0.25
+# Added to the score of an endpoint for each other target that it serves, so
+# that its slots are left to those that can go nowhere else.
+SHARED_PENALTY = 0.6
 
 
 class PeerLoads(Protocol):
@@ -102,6 +105,7 @@
         self, state: registry.EndpointState, now_ms: float, typical_ms: float
     ) -> float:
         busy = (self.occupancy(state, now_ms) + 1) / state.cfg.slots
+        busy *= 1 + SHARED_PENALTY * (len(state.cfg.serves) - 1)
         return busy * max(1.0, state.token_gap_ms or typical_ms)
 
     def _find_obstacle(
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -211,6 +211,14 @@
         gevent.sleep(0)
         return task
 
+    def test_endpoint_of_one_target_goes_before_a_shared_one(self):
+        for grant in self.grants:
+            self.scheduler.release(grant)
+        for _ in range(8):
+            grant = self.scheduler.acquire(make_demand(BULK))
+            self.assertEqual("engine-2", grant.endpoint.name)
+            self.scheduler.release(grant)
+
     def test_waiting_request_preempts_another_target_where_both_run(self):
         for grant in self.grants:
             grant.resumable = True
