Drop connections in one way in all stand-ins

Cause: the engine's model memory still raised ConnectionAbortedError, which the server answers with 500, so as a process it lost no answer; the engine had an error of its own for the same end. The retry budget kept its limit twice. Ruled out: nothing. Change: wsgi.DropConnectionError everywhere; RetryBudget has one constant. Before / After: tests of placement, whole answers and stand-ins: 36 passed. Conclusion: kept.

--- a/hornbeampier/endpoints/standin_engine.py
+++ b/hornbeampier/endpoints/standin_engine.py
@@ -7,7 +7,6 @@
 
 import collections
 import enum
-import errno
 import re
 
 import gevent
@@ -126,7 +125,7 @@
         """Serves one request."""
         path = environ["PATH_INFO"]
         if self._clock.now() < self._down_until_ms:
-            raise _dropped()
+            raise wsgi.DropConnectionError("dropped on purpose")
         if match := CANCEL_PATH.match(path):
             self._cancel(match[1], match[2])
             return wsgi.json_answer(start_response, 200, {})
@@ -240,7 +239,7 @@
             return
         control.fault_count -= 1
         if control.fault is StreamFault.DROP:
-            raise _dropped()
+            raise wsgi.DropConnectionError("dropped on purpose")
         if control.fault is StreamFault.TRUNCATE:
             raise _EndOfStreamError
         if control.fault is StreamFault.STALL:
@@ -261,15 +260,17 @@
     def _drop_if_told(self, run: EngineRun) -> None:
         limit = self.control.drop_after
         if limit and run.tokens >= limit:
-            raise _dropped()
+            raise wsgi.DropConnectionError("dropped on purpose")
 
     def _crash(self) -> None:
         """Drops all connections, as a process that ends and restarts."""
         self._boots += 1
         self._down_until_ms = self._clock.now() + RESTART_MS
         for stream in list(self._streams):
-            stream.kill(_dropped(), block=False)
-        raise _dropped()
+            stream.kill(
+                wsgi.DropConnectionError("dropped on purpose"), block=False
+            )
+        raise wsgi.DropConnectionError("dropped on purpose")
 
 
 class _EndOfStreamError(Exception):
@@ -303,15 +304,10 @@
             self._task.kill()
 
 
-def _dropped() -> OSError:
-    """Returns an error on which the server closes without an answer."""
-    return BrokenPipeError(errno.EPIPE, "dropped on purpose")
-
-
 def _wait_cancelled(sequence: batch.Sequence) -> None:
     while not sequence.cancelled:
         gevent.sleep(CANCEL_POLL_S)
-    raise _dropped()
+    raise wsgi.DropConnectionError("dropped on purpose")
 
 
 def _headers(run: EngineRun) -> list[tuple[str, str]]:
--- a/hornbeampier/endpoints/standin_models.py
+++ b/hornbeampier/endpoints/standin_models.py
@@ -82,7 +82,7 @@
         self._apply(order, state)
         if self.faults.lose_order_answers > 0:
             self.faults.lose_order_answers -= 1
-            raise ConnectionAbortedError("the answer is lost on purpose")
+            raise wsgi.DropConnectionError("the answer is lost on purpose")
         return wsgi.json_answer(start_response, 200, self.state)
 
     def _apply(
--- a/hornbeampier/policy/retries.py
+++ b/hornbeampier/policy/retries.py
@@ -1,7 +1,7 @@
 """The budget that keeps retries from adding to an overload."""
 
 BUDGET_RATIO = 0.1
-MIN_TOKENS = 10.0
+MAX_TOKENS = 10.0
 
 
 class RetryBudget:
@@ -9,13 +9,11 @@
 
     def __init__(self, ratio: float = BUDGET_RATIO):
         self._ratio = ratio
-        self._tokens = MIN_TOKENS
-        self._max_tokens = MIN_TOKENS
+        self._tokens = MAX_TOKENS
 
     def record_request(self) -> None:
         """Earns a part of a retry for each first attempt."""
-        limit = max(self._max_tokens, MIN_TOKENS)
-        self._tokens = min(limit, self._tokens + self._ratio)
+        self._tokens = min(MAX_TOKENS, self._tokens + self._ratio)
 
     def take(self) -> bool:
         """Returns whether a retry may be made, and spends it."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,6 +8,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import environment
 from hornbeampier import planner
+from hornbeampier import wsgi
 from hornbeampier.endpoints import messages
 from hornbeampier.endpoints import registry
 from hornbeampier.endpoints import standin_models
@@ -65,7 +66,7 @@
             body = self.memory.serve(
                 environ, lambda status, headers: answered.append(status)
             )
-        except ConnectionAbortedError as exc:
+        except wsgi.DropConnectionError as exc:
             raise planner.errors.AttemptError("lost", "may_have_run") from exc
         return int(answered[0][:3]), body[0]
 
