Split the callers' part from the tests' processes

Cause: tests/processes.py had 440 lines and two jobs: processes of a deployment, and requests as callers send them. Ruled out: nothing. Change: tests/calls.py; no check changed. Conclusion: kept.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -23,6 +23,7 @@
 from hornbeampier.platform import claim_index
 from hornbeampier.platform import claim_records
 from hornbeampier.platform import records
+from tests import calls
 from tests import processes
 
 VMS = 3
@@ -106,7 +107,7 @@
 
     def _read_stream(self) -> list[str]:
         port = self._deployment.platform.port
-        answer = processes.call(port, "GET", STREAM_PATH)
+        answer = calls.call(port, "GET", STREAM_PATH)
         return [row["data"] for row in json.loads(answer.body)["records"]]
 
 
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -11,6 +11,7 @@
 from bench import configuration
 from bench import scenarios
 from bench import sites
+from tests import calls
 from tests import processes
 
 ONE_ROUTER = "one-router"
@@ -150,7 +151,7 @@
 
     def _remove(self, vm: processes.Vm) -> None:
         vm.process.wait()
-        processes.call(self.platform.port, "DELETE", f"/vms/{vm.name}")
+        calls.call(self.platform.port, "DELETE", f"/vms/{vm.name}")
 
     def _record_usage(self, vm: processes.Vm) -> None:
         cpu_s, at_s = _cpu_and_time(vm)
@@ -201,7 +202,7 @@
 
     def _list(self, vm: processes.Vm, state: str = "live") -> None:
         row = vm.listing(state)
-        processes.call(
+        calls.call(
             self.platform.port,
             "PUT",
             f"/vms/{vm.name}",
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -14,6 +14,7 @@
 from hornbeampier.operators import publish
 from hornbeampier.platform import log as platform_log
 from hornbeampier.platform import standin
+from tests import calls
 from tests import processes
 
 HOST = processes.HOST
@@ -111,7 +112,7 @@
         publish.Publisher(log, self._env).publish(self._change(text))
 
 
-class EmbeddedVm(processes.Caller):
+class EmbeddedVm(calls.Caller):
     """A VM's daemon inside the test's process."""
 
     def __init__(self, vm_daemon):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,12 +13,11 @@
 
 import gevent
 
-from hornbeampier import exchange
+from tests import calls
 
-HOST = "127.0.0.1"
+HOST = calls.HOST
 START_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 30
-CALL_TIMEOUT_MS = 60_000
 PORTS = re.compile(r"(\d+)(?= \(|$|,)")
 
 
@@ -26,56 +25,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """An HTTP answer as a caller sees it."""
-
-    status: int
-    headers: dict
-    body: bytes
-
-    def json(self):
-        return json.loads(self.body)
-
-    def events(self):
-        """The data of each server-sent event."""
-        return [
-            line.removeprefix("data: ")
-            for line in self.body.decode().split("\n")
-            if line.startswith("data: ")
-        ]
-
-    def text(self):
-        """The text of a chat answer, streamed or whole."""
-        if self.headers.get("content-type") == "text/event-stream":
-            chunks = [json.loads(e) for e in self.events() if e != "[DONE]"]
-            choices = [c["choices"][0] for c in chunks if "choices" in c]
-            return "".join(c["delta"]["content"] for c in choices)
-        return self.json()["choices"][0]["message"]["content"]
-
-
-def call(port, method, path, body=b"", headers=()):
-    """Sends one HTTP request and returns its whole answer."""
-    peer = exchange.HttpPeer(HOST, port, CALL_TIMEOUT_MS)
-    try:
-        return exchange_with(peer, method, path, body, headers)
-    finally:
-        peer.close()
-
-
-def exchange_with(peer, method, path, body=b"", headers=()):
-    """Sends one HTTP request over a peer's connections."""
-    reply = peer.send(
-        exchange.OutgoingRequest(method, path, tuple(headers), body)
-    )
-    try:
-        data = reply.read()
-        rows = {k.lower(): v for k, v in reply.headers()}
-        return Answer(reply.status, rows, data)
-    finally:
-        reply.close()
-
-
 class Process:
     """One process of this program, or of another module or checkout."""
 
@@ -162,40 +111,13 @@
 
     def control(self, **faults):
         path = "/faults" if "platform" in self.process.line else "/control"
-        call(self.port, "POST", path, json.dumps(faults).encode())
+        calls.call(self.port, "POST", path, json.dumps(faults).encode())
 
     def runs(self):
-        return call(self.port, "GET", "/runs").json()
-
-
-def chat_body(text, stream=False):
-    """The body of a chat request with one message."""
-    body = {
-        "model": "notes",
-        "stream": stream,
-        "messages": [{"role": "user", "content": text}],
-    }
-    return json.dumps(body)
-
-
-class Caller:
-    """Sends requests to a VM's port."""
-
-    def chat(self, text, key="key-1", stream=False, headers=()):
-        return call(
-            self.port,
-            "POST",
-            "/v1/chat/completions",
-            chat_body(text, stream).encode(),
-            [("Authorization", f"Bearer {key}"), *headers],
-        )
-
-    def call(self, method, path, body=b"", key="key-1", headers=()):
-        auth = ("Authorization", f"Bearer {key}")
-        return call(self.port, method, path, body, [auth, *headers])
+        return calls.call(self.port, "GET", "/runs").json()
 
 
-class Vm(Caller):
+class Vm(calls.Caller):
     """A `serve` process."""
 
     def __init__(
@@ -242,7 +164,7 @@
         }
 
     def report(self):
-        return call(self.admin, "GET", "/report").json()
+        return calls.call(self.admin, "GET", "/report").json()
 
 
 CLASSES = """\
@@ -369,7 +291,7 @@
         )
 
     def put_listing(self, row):
-        call(
+        calls.call(
             self.platform.port,
             "PUT",
             f"/vms/{row['name']}",
--- a/tests/rolling.py
+++ b/tests/rolling.py
@@ -9,6 +9,7 @@
 from hornbeampier import errors
 from hornbeampier import exchange
 from hornbeampier import verdict
+from tests import calls
 from tests import processes
 
 POLL_S = 0.03
@@ -112,19 +113,19 @@
         """Uses a kept connection for chats and a new one for fees."""
         headers = [("Authorization", "Bearer key-1")]
         if method == "PUT":
-            return processes.call(vm.port, method, path, body, headers)
+            return calls.call(vm.port, method, path, body, headers)
         peer = self._peers.get(vm.name)
         if peer is None:
             peer = exchange.HttpPeer(
-                processes.HOST, vm.port, processes.CALL_TIMEOUT_MS
+                processes.HOST, vm.port, calls.CALL_TIMEOUT_MS
             )
             self._peers[vm.name] = peer
-        return processes.exchange_with(peer, method, path, body, headers)
+        return calls.exchange_with(peer, method, path, body, headers)
 
 
 def _is_ready(vm):
     try:
-        answer = processes.call(vm.admin, "GET", "/readyz")
+        answer = calls.call(vm.admin, "GET", "/readyz")
     except errors.AttemptError:
         return False
     return answer.status == 200
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -25,6 +25,7 @@
 from hornbeampier.policy import choice
 from hornbeampier.policy import scheduler
 from hornbeampier.policy import suspects
+from tests import calls
 from tests import fakes
 from tests import processes
 
@@ -128,7 +129,7 @@
             "stream": stream,
             "messages": [{"role": "user", "content": text}],
         }
-        return processes.call(
+        return calls.call(
             self.server.port, "POST", CHAT, json.dumps(body).encode(), headers
         )
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -9,6 +9,7 @@
 from hornbeampier import exchange
 from hornbeampier.endpoints import standin_service
 from hornbeampier.platform import standin
+from tests import calls
 from tests import embedded
 from tests import golden
 from tests import processes
@@ -258,7 +259,7 @@
     session.wait_known()
     session.send(2)
     session.begin("The caller goes away during a streamed chat")
-    body = processes.chat_body(f"{session.body} tokens=20", stream=True)
+    body = calls.chat_body(f"{session.body} tokens=20", stream=True)
     session.send_and_close(1, "POST", "/v1/chat/completions", body)
     session.wait_known()
     session.chat(2, "tokens=20", stream=True)
--- a/tests/test_at_most_once_processes.py
+++ b/tests/test_at_most_once_processes.py
@@ -5,6 +5,7 @@
 
 from hornbeampier import errors
 from hornbeampier.platform import claim_records
+from tests import calls
 from tests import embedded
 from tests import processes
 
@@ -43,7 +44,7 @@
     def _claims(self):
         path = f"/streams/{claim_records.STREAM}/records?from=0"
         port = self.deployment.platform.port
-        rows = processes.call(port, "GET", path).json()["records"]
+        rows = calls.call(port, "GET", path).json()["records"]
         return sum(row["data"].count('"type":"claim"') for row in rows)
 
     def _begin(self, vm, body):
--- a/tests/test_configuration_session.py
+++ b/tests/test_configuration_session.py
@@ -5,6 +5,7 @@
 import testtools
 
 from hornbeampier.operators import history
+from tests import calls
 from tests import configurations
 from tests import golden
 from tests import processes
@@ -42,7 +43,7 @@
     def append(self, text, base):
         body = configurations.record(base, text, "by-hand").encode()
         path = f"/streams/{history.STREAM}/records"
-        processes.call(self.deployment.platform.port, "POST", path, body)
+        calls.call(self.deployment.platform.port, "POST", path, body)
 
     def text(self, newest):
         """The session; the snapshots before `newest` vary in number."""
@@ -76,7 +77,7 @@
             session.vms.append(deployment.start_vm())
             session.versions(6)
             session.note("the log is back but has forgotten the records")
-            processes.call(platform.port, "POST", "/forget/configuration/7")
+            calls.call(platform.port, "POST", "/forget/configuration/7")
             platform.control()
             newest = int(session.publish(6).stdout.split()[2].rstrip(","))
             session.versions(newest)
@@ -98,7 +99,7 @@
                 processes.wait_until(lambda v=vm: v.report()["version"] > 0)
             newest = live[0].report()["version"]
             path = f"/forget/configuration/{newest}"
-            processes.call(deployment.platform.port, "POST", path)
+            calls.call(deployment.platform.port, "POST", path)
             frozen.process.thaw()
             processes.wait_until(lambda: frozen.report()["version"] == newest)
             self.assertTrue(frozen.report()["ready"])
--- a/tests/test_dev.py
+++ b/tests/test_dev.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from tests import calls
 from tests import processes
 
 README = pathlib.Path(__file__).parent.parent / "README.md"
@@ -28,7 +29,7 @@
             words[i + 1].split(": ") for i, w in enumerate(words) if w == "-H"
         ]
         port, path = re.search(r":(\d+)(/\S+)", words[2]).groups()
-        answer = processes.call(
+        answer = calls.call(
             int(port), "POST", path, words[-1].encode(), headers
         )
         self.assertEqual((200, "[DONE]"), (answer.status, answer.events()[-1]))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -17,6 +17,7 @@
 from hornbeampier.operators import schema
 from hornbeampier.policy import choice
 from hornbeampier.policy import health
+from tests import calls
 from tests import golden
 from tests import processes
 from tests import sites
@@ -234,7 +235,7 @@
 
     def running(self, site):
         loads = [
-            processes.call(e.port, "GET", "/load").json() for e in site.engines
+            calls.call(e.port, "GET", "/load").json() for e in site.engines
         ]
         return sum(x["running"] for x in loads)
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,6 +3,7 @@
 import gevent
 import testtools
 
+from tests import calls
 from tests import processes
 
 ROLLOUT = """
@@ -48,7 +49,7 @@
             answers.append(vm.chat("tokens=10").status)
 
     def call(self, engine, method, path, body=b""):
-        return processes.call(engine.port, method, path, body).json()
+        return calls.call(engine.port, method, path, body).json()
 
     def wait_held(self, deployment, version):
         def holds(engine):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,14 +5,14 @@
 import testtools
 
 from hornbeampier import errors
+from tests import calls
 from tests import embedded
-from tests import processes
 
 
 class DroppedConnectionsTest(testtools.TestCase):
     def _assert_dropped(self, port, method, path, body):
         exc = self.assertRaises(
-            errors.AttemptError, processes.call, port, method, path, body
+            errors.AttemptError, calls.call, port, method, path, body
         )
         self.assertTrue(exc.crashed)
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -120,7 +120,7 @@
             marker = answer.body.rfind(b'{"error"')
             body = answer.body[marker:].split(b"\n")[0]
             _, code, verdict = embedded.refusal(
-                embedded.processes.Answer(answer.status, {}, body)
+                embedded.calls.Answer(answer.status, {}, body)
             )
         self.seen[f"{code} {verdict}"] += 1
         own = self._runs(ids[-1:])
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -15,6 +15,7 @@
 from hornbeampier.endpoints import standin_engine
 from hornbeampier.policy import health
 from hornbeampier.policy import timeouts
+from tests import calls
 from tests import processes
 from tests import sites
 
@@ -107,7 +108,7 @@
                 b' "messages": [{"role": "user", "content": []}]}'
             )
             port = site.vm.server.port
-            answer = processes.call(port, "POST", sites.CHAT, body, [sites.KEY])
+            answer = calls.call(port, "POST", sites.CHAT, body, [sites.KEY])
             self.assertEqual(400, answer.status)
             self.assertEqual("not_run", answer.json()["error"]["verdict"])
             state = site.vm.endpoints.find("engine-1")
--- a/tests/test_wsgi.py
+++ b/tests/test_wsgi.py
@@ -5,6 +5,7 @@
 
 from hornbeampier import wsgi
 from hornbeampier.callers import connection
+from tests import calls
 from tests import processes
 
 
@@ -20,4 +21,4 @@
         )
         server.start()
         self.addCleanup(server.stop)
-        self.assertTrue(processes.call(server.port, "GET", "/").json())
+        self.assertTrue(calls.call(server.port, "GET", "/").json())
