Read the arguments of the overhead measurement with typer

Cause: bench/overhead.py used argparse, everything else typer; psutil came with another package and was not declared. Ruled out: nothing.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -7,15 +7,16 @@
 # The entry module patches the standard library and must come first.
 from hornbeampier import core  # isort: skip
 
-import argparse
 import dataclasses
 import json
 import statistics
 import time
+from typing import Annotated
 
 import gevent
 from gevent import pool
 import psutil
+import typer
 
 from hornbeampier import exchange
 from tests import processes
@@ -156,14 +157,13 @@
     )
 
 
-def main() -> None:
+def main(
+    repetitions: Annotated[int, typer.Option(help="Measurements.")] = 5,
+) -> None:
     """Prints the median and the spread over the repetitions."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--repetitions", type=int, default=5)
-    count = parser.parse_args().repetitions
     with FastDeployment() as deployment:
         measure(deployment)
-        rows = [measure(deployment) for _ in range(count)]
+        rows = [measure(deployment) for _ in range(repetitions)]
     for percent in (50, 95):
         direct = [_percentile(r.direct_ms, percent) for r in rows]
         routed = [_percentile(r.routed_ms, percent) for r in rows]
@@ -178,4 +178,4 @@
 
 if __name__ == "__main__":
     del core
-    main()
+    typer.run(main)
