Leave room only for what waits for the same endpoints

Cause: hints told the waiting requests by tier alone. A VM whose requests for one model cannot be placed (its engines are down, say) kept the lower tiers of all other models on its peers out of as many free slots, until those requests were given up. Found by reading. Change: hints carry the waiting requests by target and tier. Before / After: tests/test_hints.py asks for another target and gets 0; the former interface had no target and counted 4. A hint grows by the name of each target that has waiting requests.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -125,6 +125,10 @@
             for ticket in waiting
         )
 
+    def waiting(self) -> dict[str, dict[int, int]]:
+        """Returns nothing; the baselines tell their peers of no queue."""
+        return {}
+
     def _grant(self, target: str, ticket: tickets.Ticket) -> bool:
         now_ms = self._clock.now()
         free = [
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -92,7 +92,7 @@
 def make_hint(vm: str, endpoints: int) -> messages.Hint:
     """Returns a hint that names up to `BUSY_ENDPOINTS` endpoints."""
     busy = {f"engine-{i}": 2 for i in range(min(BUSY_ENDPOINTS, endpoints))}
-    return messages.Hint(vm, 1, 1, 7, busy, {1: 2, 3: 9}, {})
+    return messages.Hint(vm, 1, 1, 7, busy, {"notes": {1: 2, 3: 9}}, {})
 
 
 def make_peers(count: int) -> Peers:
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -275,22 +275,13 @@
         self._scheduler.apply(accepted.cfg)
 
     def _make_hint(self, sequence: int) -> messages.Hint:
-        accepted = self._follower.accepted
-        tiers = (
-            {c.name: c.tier for c in accepted.cfg.classes} if accepted else {}
-        )
-        waiting: dict[int, int] = {}
-        for name, count in self._scheduler.counts().items():
-            if count and name in tiers:
-                tier = tiers[name]
-                waiting[tier] = waiting.get(tier, 0) + count
         return messages.Hint(
             self._settings.vm,
             self._boot,
             sequence,
             self._follower.history.version,
             {s.name: s.in_flight for s in self._endpoints.all() if s.in_flight},
-            waiting,
+            self._scheduler.waiting(),
             self._endpoints.marks.own_ages_ms(),
             self._suspects.tell(),
             self._suspects.suspects_at(),
--- a/hornbeampier/policy/capacity.py
+++ b/hornbeampier/policy/capacity.py
@@ -21,10 +21,10 @@
         self._clock = clock
 
     def leaves_room(
-        self, states: list[registry.EndpointState], tier: int
+        self, states: list[registry.EndpointState], target: str, tier: int
     ) -> bool:
         """Returns whether peers' waiting requests of higher tiers fit too."""
-        waiting = self._peers.waiting_above(tier)
+        waiting = self._peers.waiting_above(target, tier)
         if waiting == 0:
             return True
         _, free = self._count_slots(states)
--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -28,7 +28,7 @@
         """Returns the peers' requests at an endpoint."""
         ...
 
-    def waiting_above(self, tier: int) -> int:
+    def waiting_above(self, target: str, tier: int) -> int:
         """Returns the peers' waiting requests of more urgent tiers."""
         ...
 
--- a/hornbeampier/policy/queues.py
+++ b/hornbeampier/policy/queues.py
@@ -1,5 +1,6 @@
 """The queue of one target: tiers and guaranteed shares."""
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 
@@ -180,6 +181,13 @@
             if ticket.preempt_ms <= now_ms
         ]
 
+    def tier_counts(self) -> dict[int, int]:
+        """Returns the number of waiting requests of each tier that has any."""
+        tiers = [t.demand.request_class.tier for t in self._retried]
+        for queue in self._classes.values():
+            tiers += [queue.request_class.tier] * len(queue)
+        return dict(collections.Counter(tiers))
+
     def counts(self) -> dict[str, int]:
         """Returns the number of waiting requests of each class."""
         counts = {name: len(q) for name, q in self._classes.items()}
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -114,6 +114,11 @@
                 totals[name] = totals.get(name, 0) + count
         return totals
 
+    def waiting(self) -> dict[str, dict[int, int]]:
+        """Returns the waiting requests of each target and tier."""
+        found = {name: q.tier_counts() for name, q in self._queues.items()}
+        return {name: tiers for name, tiers in found.items() if tiers}
+
     def _enqueue(
         self, demand: models.Demand, excluded: Container[str]
     ) -> tickets.Ticket:
@@ -244,7 +249,7 @@
         tier = demand.request_class.tier
         if tier == self._top_tier or candidate.entitled or demand.retried:
             return True
-        return self._capacity.leaves_room(states, tier)
+        return self._capacity.leaves_room(states, demand.target, tier)
 
     def _abandon(self, ticket: tickets.Ticket) -> None:
         """Takes back a ticket whose caller no longer waits for it."""
--- a/hornbeampier/vms/hints.py
+++ b/hornbeampier/vms/hints.py
@@ -34,7 +34,7 @@
 
     vms: frozenset[str]
     in_flight: collections.Counter[str]
-    waiting: collections.Counter[int]
+    waiting: collections.Counter[tuple[str, int]]
     suspects_at: frozenset[str]
     reserved: frozenset[str]
     complete: bool
@@ -97,10 +97,13 @@
         """Returns the requests of all recently heard peers there."""
         return self._summary.in_flight[endpoint]
 
-    def waiting_above(self, tier: int) -> int:
+    def waiting_above(self, target: str, tier: int) -> int:
         """Returns the peers' waiting requests of more urgent tiers."""
-        waiting = self._summary.waiting
-        return sum(n for other, n in waiting.items() if other < tier)
+        return sum(
+            count
+            for (other, other_tier), count in self._summary.waiting.items()
+            if other == target and other_tier < tier
+        )
 
     def count(self) -> int:
         """Returns how many peers were heard recently."""
@@ -180,10 +183,11 @@
     recent: list[_Heard], listed: Set[str], window_ms: float
 ) -> _Summary:
     in_flight: collections.Counter[str] = collections.Counter()
-    waiting: collections.Counter[int] = collections.Counter()
+    waiting: collections.Counter[tuple[str, int]] = collections.Counter()
     for heard in recent:
         in_flight.update(heard.hint.in_flight)
-        waiting.update(heard.hint.waiting)
+        for target, tiers in heard.hint.waiting.items():
+            waiting.update({(target, t): n for t, n in tiers.items()})
     vms = frozenset(heard.hint.vm for heard in recent)
     return _Summary(
         vms,
--- a/hornbeampier/vms/messages.py
+++ b/hornbeampier/vms/messages.py
@@ -39,7 +39,7 @@
         sequence: Grows with each hint of a process.
         version: The accepted configuration version.
         in_flight: The sender's requests at each endpoint.
-        waiting: The sender's waiting requests of each tier.
+        waiting: The sender's waiting requests of each target and tier.
         leaving: Endpoints that the sender itself saw leaving, with the age
             of that evidence in ms.
         suspicions: Recent crashes under the sender's requests.
@@ -52,7 +52,7 @@
     sequence: int
     version: int
     in_flight: dict[str, Count]
-    waiting: dict[int, Count]
+    waiting: dict[str, dict[int, Count]]
     leaving: dict[str, AgeMs]
     suspicions: Annotated[
         tuple[Suspicion, ...], msgspec.Meta(max_length=MAX_SUSPICIONS)
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -44,7 +44,7 @@
     def in_flight(self, name):
         return sum(vm.in_flight(name) for vm in self._heard())
 
-    def waiting_above(self, tier):
+    def waiting_above(self, target, tier):
         return 0
 
     def complete(self):
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -36,7 +36,8 @@
         self.exchange.apply_vm_list(listed("own", "a", "b"))
 
     def hear(self, vm, sequence, in_flight, **more):
-        hint = messages.Hint(vm, 1, sequence, 0, in_flight, {1: 2}, {}, **more)
+        waiting = {"notes": {1: 2}}
+        hint = messages.Hint(vm, 1, sequence, 0, in_flight, waiting, {}, **more)
         data = msgspec.msgpack.encode(hint)
         self.exchange._accept(msgspec.msgpack.decode(data, type=messages.Hint))
 
@@ -52,7 +53,9 @@
         self.clock.advance(WINDOW_MS / 2)
         self.hear("b", 1, {"e": 4}, reserved=("e",))
         self.assertEqual((7, 2, True), self.view())
-        self.assertEqual(4, self.exchange.waiting_above(2))
+        self.assertEqual(4, self.exchange.waiting_above("notes", 2))
+        # Waiting for other endpoints keeps nobody from these.
+        self.assertEqual(0, self.exchange.waiting_above("guidance", 2))
         self.hear("b", 1, {"e": 9})
         self.assertEqual((7, 2, True), self.view())
         self.hear("b", 2, {"e": 5})
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -30,8 +30,8 @@
         del endpoint
         return 0
 
-    def waiting_above(self, tier):
-        del tier
+    def waiting_above(self, target, tier):
+        del target, tier
         return 0
 
     def complete(self):
