Let requests that missed their target preempt lower tiers, too

A request past its latest start goes behind those that can still meet the target, and only the latter preempted. Not looked into: a request is preempted only by its own VM and at most once, so bulk that was resumed, or runs for another VM, keeps the three shared engines. Change: all waiting requests of a class count as overdue.

--- a/hornbeampier/policy/queues.py
+++ b/hornbeampier/policy/queues.py
@@ -66,9 +66,10 @@
         self._demote(now_ms)
         return self._on_time.head() or self._late.head()
 
-    def on_time(self) -> Iterator[tickets.Ticket]:
-        """Yields the requests that can still meet the target."""
+    def first_tries(self) -> Iterator[tickets.Ticket]:
+        """Yields the requests whose answers have not begun."""
         yield from self._on_time
+        yield from self._late
 
     def charge(self, ticket: tickets.Ticket) -> None:
         """Counts a dispatched request against its account."""
@@ -177,7 +178,7 @@
         return [
             ticket
             for queue in self._classes.values()
-            for ticket in queue.on_time()
+            for ticket in queue.first_tries()
             if ticket.preempt_ms <= now_ms
         ]
 
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -39,6 +39,15 @@
         self.assertEqual(1, running.pending(["engine-1"]))
         self.assertFalse(running.preempt(["engine-1"], URGENT.tier))
 
+    def test_request_that_missed_its_target_still_preempts_lower_tiers(self):
+        queue = queues.TargetQueue()
+        ticket = test_tiers.make_ticket(URGENT)
+        ticket.preempt_ms = 275.0
+        ticket.latest_start_ms = 900.0
+        queue.push(ticket)
+        queue.candidates(1_000.0)
+        self.assertEqual([ticket], queue.overdue(1_000.0))
+
     def test_each_request_is_preempted_at_most_once(self):
         demand = test_tiers.make_demand(BULK)
         self.assertTrue(preemption.is_preemptible(demand))
