Ask in one place whether an endpoint is leaving

Cause: policy/choice.py and policy/health.py held the same rule, and two constants (STOP_TIMEOUT_MS, BODY_METHODS) had no use. Ruled out: nothing. Change: health.is_leaving; the constants are gone. No behaviour changed. Before / After: tests of stragglers, leaving, tiers and suspects, 42 passed. Conclusion: kept.

--- a/hornbeampier/application.py
+++ b/hornbeampier/application.py
@@ -6,8 +6,6 @@
 import gevent.event
 import structlog
 
-STOP_TIMEOUT_MS = 30_000
-
 
 class Component(Protocol):
     """A part of a process with a life cycle of its own."""
--- a/hornbeampier/callers/requests.py
+++ b/hornbeampier/callers/requests.py
@@ -14,7 +14,6 @@
 BEARER = "Bearer "
 # A tab is allowed inside a header's value.
 CONTROL_BYTES = frozenset(map(chr, range(32))) - {"\t"} | {"\x7f"}
-BODY_METHODS = frozenset({"POST", "PUT", "PATCH", "DELETE"})
 
 
 class ChatMessage(msgspec.Struct, frozen=True):
--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -115,7 +115,7 @@
         excluded: Container[str],
         now_ms: float,
     ) -> str | None:
-        if _is_leaving(state):
+        if health.is_leaving(state):
             return "leaving"
         if now_ms < state.ejected_until_ms:
             return "ejected"
@@ -134,7 +134,3 @@
     if top:
         limit += math.ceil(slots * TOP_OVERCOMMIT)
     return limit
-
-
-def _is_leaving(state: registry.EndpointState) -> bool:
-    return state.leaving or bool(state.report and state.report.leaving)
--- a/hornbeampier/policy/health.py
+++ b/hornbeampier/policy/health.py
@@ -18,11 +18,14 @@
 STRAGGLER_CHECK_TOKENS = 32
 
 
+def is_leaving(state: registry.EndpointState) -> bool:
+    """Returns whether an endpoint is marked or reports itself as leaving."""
+    return state.leaving or bool(state.report and state.report.leaving)
+
+
 def is_open(state: registry.EndpointState, now_ms: float) -> bool:
     """Returns whether an endpoint may receive new work."""
-    if state.leaving or (state.report and state.report.leaving):
-        return False
-    return now_ms >= state.ejected_until_ms
+    return not is_leaving(state) and now_ms >= state.ejected_until_ms
 
 
 def record_failure(
