--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -70,7 +70,7 @@
         queue.push(resumed)
         self.assertIs(resumed, test_tiers.drain(queue, 1)[0])
 
-    def test_preempted_answer_is_whole_and_nothing_is_computed_twice(self):
+    def test_preempted_answer_is_whole_and_goes_on_where_it_stopped(self):
         with sites.Site(engines=1, slots=1) as site:
             bulk = (sites.KEY, ("X-Request-Class", "bulk"))
             text = "a long list tokens=400"
