--- a/bench/claims.py
+++ b/bench/claims.py
@@ -20,9 +20,9 @@
 import msgspec
 import typer
 
-from hornbeampier.platform import claim_index
-from hornbeampier.platform import claim_records
-from hornbeampier.platform import records
+from hornbeampier.coordination import claim_index
+from hornbeampier.coordination import claim_records
+from hornbeampier.coordination import records
 from tests import calls
 from tests import processes
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,11 +22,11 @@
 from bench import idle
 from hornbeampier import clock
 from hornbeampier.callers import requests
+from hornbeampier.coordination import records
 from hornbeampier.endpoints import messages as endpoint_messages
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import history
 from hornbeampier.operators import schema
-from hornbeampier.platform import records
 from hornbeampier.policy import choice
 from hornbeampier.vms import catch_up
 from hornbeampier.vms import hints
--- a/hornbeampier/callers/idempotency.py
+++ b/hornbeampier/callers/idempotency.py
@@ -13,9 +13,9 @@
 from hornbeampier import permits
 from hornbeampier import verdict
 from hornbeampier import wsgi
-from hornbeampier.platform import claim_index
-from hornbeampier.platform import claim_records
-from hornbeampier.platform import claims
+from hornbeampier.coordination import claim_index
+from hornbeampier.coordination import claim_records
+from hornbeampier.coordination import claims
 
 KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
 KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,255}$")
--- a/hornbeampier/callers/server.py
+++ b/hornbeampier/callers/server.py
@@ -24,9 +24,9 @@
 from hornbeampier.callers import idempotency
 from hornbeampier.callers import requests
 from hornbeampier.callers import services
+from hornbeampier.coordination import claims
 from hornbeampier.operators import history
 from hornbeampier.operators import schema
-from hornbeampier.platform import claims
 
 REQUEST_ID_HEADER = "X-Request-Id"
 SERVICE_PATH = re.compile(r"^/services/([A-Za-z0-9_.-]+)(/.*)$")
--- a/hornbeampier/commands.py
+++ b/hornbeampier/commands.py
@@ -17,6 +17,9 @@
 from hornbeampier import status
 from hornbeampier import toml
 from hornbeampier import wsgi
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import standin as platform_standin
+from hornbeampier.coordination import vm_list as platform_vm_list
 from hornbeampier.endpoints import batch
 from hornbeampier.endpoints import standin_engine as engine_standin
 from hornbeampier.endpoints import standin_service as service_standin
@@ -24,9 +27,6 @@
 from hornbeampier.operators import overview
 from hornbeampier.operators import publish as publishing
 from hornbeampier.operators import schema
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import standin as platform_standin
-from hornbeampier.platform import vm_list as platform_vm_list
 
 CALL_TIMEOUT_MS = 2_000.0
 PUBLISH_STATUS = {
--- a/hornbeampier/platform/claim_index.py
+++ b/hornbeampier/coordination/claim_index.py
@@ -4,8 +4,8 @@
 import dataclasses
 
 from hornbeampier import verdict
-from hornbeampier.platform import claim_records
-from hornbeampier.platform import records
+from hornbeampier.coordination import claim_records
+from hornbeampier.coordination import records
 
 # A key is known for this long after its last record. The log has to keep
 # records for at least twice as long.
--- a/hornbeampier/platform/claim_writer.py
+++ b/hornbeampier/coordination/claim_writer.py
@@ -11,8 +11,8 @@
 from hornbeampier import application
 from hornbeampier import clock
 from hornbeampier import errors
-from hornbeampier.platform import claim_records
-from hornbeampier.platform import log as platform_log
+from hornbeampier.coordination import claim_records
+from hornbeampier.coordination import log as platform_log
 
 MAX_BATCH_ENTRIES = 64
 # The log's appends are shared by all VMs. A VM makes one in each interval on
--- a/hornbeampier/platform/claims.py
+++ b/hornbeampier/coordination/claims.py
@@ -9,10 +9,10 @@
 from hornbeampier import environment
 from hornbeampier import errors
 from hornbeampier import verdict
-from hornbeampier.platform import claim_index
-from hornbeampier.platform import claim_records
-from hornbeampier.platform import claim_writer
-from hornbeampier.platform import log as platform_log
+from hornbeampier.coordination import claim_index
+from hornbeampier.coordination import claim_records
+from hornbeampier.coordination import claim_writer
+from hornbeampier.coordination import log as platform_log
 
 LONG_POLL_MS = 1_500.0
 RETRY_MS = 250.0
--- a/hornbeampier/platform/lease.py
+++ b/hornbeampier/coordination/lease.py
@@ -13,8 +13,8 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import records
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import records
 
 STREAM = "leases"
 LEASE_MS = 10_000.0
--- a/hornbeampier/platform/load_permits.py
+++ b/hornbeampier/coordination/load_permits.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from hornbeampier import errors
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import records
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import records
 
 STREAM = "loads"
 WINDOW_MS = 60_000.0
--- a/hornbeampier/platform/log.py
+++ b/hornbeampier/coordination/log.py
@@ -8,7 +8,7 @@
 from hornbeampier import errors
 from hornbeampier import exchange
 from hornbeampier import verdict
-from hornbeampier.platform import records
+from hornbeampier.coordination import records
 
 READ_LIMIT = 500
 
--- a/hornbeampier/platform/standin.py
+++ b/hornbeampier/coordination/standin.py
@@ -10,7 +10,7 @@
 
 from hornbeampier import clock
 from hornbeampier import wsgi
-from hornbeampier.platform import records
+from hornbeampier.coordination import records
 
 HOLD_POLL_MS = 10.0
 DEFAULT_RETENTION_MS = 7 * 24 * 3_600_000.0
--- a/hornbeampier/platform/vm_list.py
+++ b/hornbeampier/coordination/vm_list.py
@@ -9,7 +9,7 @@
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import exchange
-from hornbeampier.platform import records
+from hornbeampier.coordination import records
 
 VmListener = Callable[[tuple[records.ListedVm, ...]], None]
 
--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -15,16 +15,16 @@
 from hornbeampier import wsgi
 from hornbeampier.callers import connection
 from hornbeampier.callers import server
+from hornbeampier.coordination import claim_writer
+from hornbeampier.coordination import claims
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import vm_list
 from hornbeampier.endpoints import load
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import admin
 from hornbeampier.operators import follower
 from hornbeampier.operators import history
 from hornbeampier.operators import report
-from hornbeampier.platform import claim_writer
-from hornbeampier.platform import claims
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import vm_list
 from hornbeampier.policy import choice
 from hornbeampier.policy import scheduler
 from hornbeampier.policy import suspects
--- a/hornbeampier/dev.py
+++ b/hornbeampier/dev.py
@@ -8,13 +8,13 @@
 from hornbeampier import errors
 from hornbeampier import settings
 from hornbeampier import wsgi
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import records
+from hornbeampier.coordination import standin
 from hornbeampier.endpoints import batch
 from hornbeampier.endpoints import standin_engine
 from hornbeampier.endpoints import standin_service
 from hornbeampier.operators import publish
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import records
-from hornbeampier.platform import standin
 
 HOST = "127.0.0.1"
 VM_NAME = "dev-1"
--- a/hornbeampier/endpoints/leaving.py
+++ b/hornbeampier/endpoints/leaving.py
@@ -11,7 +11,7 @@
 import enum
 
 from hornbeampier import clock
-from hornbeampier.platform import records
+from hornbeampier.coordination import records
 
 # The longest lag of the VM list between two VMs: older evidence of a peer is
 # void if this VM's own list is fresh and does not show the endpoint leaving.
--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -6,10 +6,10 @@
 from hornbeampier import clock
 from hornbeampier import exchange
 from hornbeampier import models
+from hornbeampier.coordination import records
 from hornbeampier.endpoints import leaving
 from hornbeampier.endpoints import messages
 from hornbeampier.operators import schema
-from hornbeampier.platform import records
 
 READ_TIMEOUT_MS = 30_000.0
 
--- a/hornbeampier/operators/follower.py
+++ b/hornbeampier/operators/follower.py
@@ -13,9 +13,9 @@
 from hornbeampier import application
 from hornbeampier import clock
 from hornbeampier import errors
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import records
 from hornbeampier.operators import history
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import records
 
 LONG_POLL_MS = 1_500.0
 # Files are large, so few records are read at a time.
--- a/hornbeampier/operators/history.py
+++ b/hornbeampier/operators/history.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from hornbeampier import errors
+from hornbeampier.coordination import records
 from hornbeampier.operators import schema
-from hornbeampier.platform import records
 
 STREAM = "configuration"
 NO_VERSION = -1
--- a/hornbeampier/operators/overview.py
+++ b/hornbeampier/operators/overview.py
@@ -5,8 +5,8 @@
 
 from hornbeampier import errors
 from hornbeampier import exchange
+from hornbeampier.coordination import records
 from hornbeampier.operators import report
-from hornbeampier.platform import records
 
 REPORT_TIMEOUT_MS = 2_000.0
 # A VM polls the log more often than this.
--- a/hornbeampier/operators/publish.py
+++ b/hornbeampier/operators/publish.py
@@ -8,10 +8,10 @@
 from hornbeampier import clock
 from hornbeampier import environment
 from hornbeampier import errors
+from hornbeampier.coordination import log as platform_log
 from hornbeampier.operators import follower
 from hornbeampier.operators import history
 from hornbeampier.operators import schema
-from hornbeampier.platform import log as platform_log
 
 DEFAULT_TIMEOUT_MS = 15_000.0
 POLL_MS = 100.0
--- a/hornbeampier/planner.py
+++ b/hornbeampier/planner.py
@@ -13,13 +13,13 @@
 from hornbeampier import application
 from hornbeampier import environment
 from hornbeampier import errors
+from hornbeampier.coordination import lease
+from hornbeampier.coordination import load_permits
+from hornbeampier.coordination import log as platform_log
 from hornbeampier.endpoints import messages
 from hornbeampier.endpoints import orders
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import history
-from hornbeampier.platform import lease
-from hornbeampier.platform import load_permits
-from hornbeampier.platform import log as platform_log
 from hornbeampier.policy import placement
 
 INTERVAL_MS = 2_000.0
--- a/hornbeampier/vms/catch_up.py
+++ b/hornbeampier/vms/catch_up.py
@@ -11,8 +11,8 @@
 from hornbeampier import application
 from hornbeampier import clock
 from hornbeampier import errors
+from hornbeampier.coordination import records
 from hornbeampier.operators import history
-from hornbeampier.platform import records
 from hornbeampier.vms import messages
 
 SERVICE = "hornbeampier.CatchUp"
--- a/hornbeampier/vms/hints.py
+++ b/hornbeampier/vms/hints.py
@@ -14,7 +14,7 @@
 from hornbeampier import application
 from hornbeampier import clock
 from hornbeampier import errors
-from hornbeampier.platform import records
+from hornbeampier.coordination import records
 from hornbeampier.vms import messages
 
 MAX_DATAGRAM_BYTES = 8_192
--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -7,10 +7,10 @@
 from hornbeampier import clock
 from hornbeampier import environment
 from hornbeampier import errors
+from hornbeampier.coordination import standin
 from hornbeampier.operators import follower
 from hornbeampier.operators import history
 from hornbeampier.operators import publish
-from hornbeampier.platform import standin
 from tests import processes
 
 HOUR_MS = 3_600_000.0
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -8,12 +8,12 @@
 from hornbeampier import environment
 from hornbeampier import settings
 from hornbeampier import wsgi
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import standin
 from hornbeampier.endpoints import batch
 from hornbeampier.endpoints import standin_engine
 from hornbeampier.endpoints import standin_service
 from hornbeampier.operators import publish
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import standin
 from tests import calls
 from tests import processes
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,9 +1,9 @@
 """The real code of outside systems on small fakes, within one process."""
 
 from hornbeampier import errors
-from hornbeampier.platform import claim_writer
-from hornbeampier.platform import claims
-from hornbeampier.platform import standin
+from hornbeampier.coordination import claim_writer
+from hornbeampier.coordination import claims
+from hornbeampier.coordination import standin
 
 
 class MemoryLog:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,8 +7,8 @@
 import testtools
 
 from hornbeampier import exchange
+from hornbeampier.coordination import standin
 from hornbeampier.endpoints import standin_service
-from hornbeampier.platform import standin
 from tests import calls
 from tests import embedded
 from tests import golden
--- a/tests/test_at_most_once_processes.py
+++ b/tests/test_at_most_once_processes.py
@@ -4,7 +4,7 @@
 import testtools
 
 from hornbeampier import errors
-from hornbeampier.platform import claim_records
+from hornbeampier.coordination import claim_records
 from tests import calls
 from tests import embedded
 from tests import processes
--- a/tests/test_bad_bytes.py
+++ b/tests/test_bad_bytes.py
@@ -14,10 +14,10 @@
 from hornbeampier import errors
 from hornbeampier import exchange
 from hornbeampier.callers import connection
+from hornbeampier.coordination import log
+from hornbeampier.coordination import records
+from hornbeampier.coordination import vm_list
 from hornbeampier.endpoints import engine
-from hornbeampier.platform import log
-from hornbeampier.platform import records
-from hornbeampier.platform import vm_list
 from hornbeampier.vms import hints
 from hornbeampier.vms import messages
 from tests import processes
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -4,8 +4,8 @@
 import testtools
 
 from hornbeampier import clock
+from hornbeampier.coordination import records
 from hornbeampier.operators import history
-from hornbeampier.platform import records
 from hornbeampier.vms import catch_up
 from tests import configurations
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,13 +15,13 @@
 from hornbeampier import verdict
 from hornbeampier.callers import connection
 from hornbeampier.callers import idempotency
+from hornbeampier.coordination import claim_index
+from hornbeampier.coordination import claim_records
+from hornbeampier.coordination import claim_writer
+from hornbeampier.coordination import claims
+from hornbeampier.coordination import log as platform_log
+from hornbeampier.coordination import records
 from hornbeampier.operators import schema
-from hornbeampier.platform import claim_index
-from hornbeampier.platform import claim_records
-from hornbeampier.platform import claim_writer
-from hornbeampier.platform import claims
-from hornbeampier.platform import log as platform_log
-from hornbeampier.platform import records
 from tests import fakes
 
 RAN = verdict.Verdict.RAN
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -4,7 +4,7 @@
 import testtools
 
 from hornbeampier import clock
-from hornbeampier.platform import records
+from hornbeampier.coordination import records
 from hornbeampier.vms import hints
 from hornbeampier.vms import messages
 from tests import processes
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,11 +6,11 @@
 import testtools
 
 from hornbeampier import clock
+from hornbeampier.coordination import records
 from hornbeampier.endpoints import leaving
 from hornbeampier.endpoints import messages
 from hornbeampier.endpoints import registry
 from hornbeampier.operators import schema
-from hornbeampier.platform import records
 from hornbeampier.policy import health
 from tests import configurations
 from tests import processes
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -8,11 +8,11 @@
 
 from hornbeampier import errors
 from hornbeampier import wsgi
+from hornbeampier.coordination import records
+from hornbeampier.coordination import standin
 from hornbeampier.operators import overview
 from hornbeampier.operators import report
 from hornbeampier.operators import schema
-from hornbeampier.platform import records
-from hornbeampier.platform import standin
 from tests import configurations
 from tests import programs
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,12 +9,12 @@
 from hornbeampier import environment
 from hornbeampier import planner
 from hornbeampier import wsgi
+from hornbeampier.coordination import lease
+from hornbeampier.coordination import load_permits
 from hornbeampier.endpoints import messages
 from hornbeampier.endpoints import registry
 from hornbeampier.endpoints import standin_models
 from hornbeampier.operators import schema
-from hornbeampier.platform import lease
-from hornbeampier.platform import load_permits
 from hornbeampier.policy import placement
 from tests import fakes
 from tests import processes
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -7,9 +7,9 @@
 import testtools
 
 from hornbeampier.callers import services
+from hornbeampier.coordination import standin
 from hornbeampier.endpoints import standin_engine
 from hornbeampier.endpoints import standin_service
-from hornbeampier.platform import standin
 from tests import embedded
 
 SEEDS = (1, 2, 3)
