--- a/hornbeampier/core.py
+++ b/hornbeampier/core.py
@@ -5,22 +5,16 @@
 
 monkey.patch_all()
 
-import grpc.experimental.gevent  # noqa: E402
-
-grpc.experimental.gevent.init_gevent()
-
 from collections.abc import Sequence  # noqa: E402
 import sys  # noqa: E402
 
-import typer  # noqa: E402
-
-from hornbeampier import cli  # noqa: E402
 from hornbeampier import environment  # noqa: E402
 from hornbeampier import errors  # noqa: E402
 from hornbeampier import status  # noqa: E402
 
-# The base of every error that typer reports about the arguments.
-UsageError = typer.BadParameter.__base__
+# Runs without the libraries of the command line: on the users' platform the
+# memory of each process counts.
+NODE_COMMAND = "node"
 
 
 def main(
@@ -32,9 +26,27 @@
         args = sys.argv[1:]
     if env is None:
         env = environment.Environment()
+    if list(args) == [NODE_COMMAND]:
+        from hornbeampier import node
+
+        return node.main(env)
+    return _run_command(args, env)
+
+
+def _run_command(
+    args: Sequence[str], env: environment.Environment
+) -> status.ExitStatus:
+    from grpc.experimental import gevent as grpc_gevent
+    import typer
+
+    grpc_gevent.init_gevent()
+    from hornbeampier import cli
+
+    # The base of every error that typer reports about the arguments.
+    usage_error = typer.BadParameter.__base__
     try:
         return cli.run(list(args), env)
-    except UsageError as exc:
+    except usage_error as exc:
         env.log_error(exc.format_message(), f"see {env.program_name} --help")
         return status.ExitStatus.USAGE
     except errors.InvalidFileError as exc:
--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -90,6 +90,7 @@
         leaving: Whether the endpoint refused because it is leaving or full.
         refuses_all: Whether it refuses all new work for now.
         timed_out: Whether the endpoint was silent for too long.
+        unsent: Whether no byte of the request reached the endpoint.
     """
 
     def __init__(
@@ -100,9 +101,11 @@
         leaving: bool = False,
         refuses_all: bool = False,
         timed_out: bool = False,
+        unsent: bool = False,
     ):
         super().__init__(message)
         self.verdict = verdict
+        self.unsent = unsent
         self.crashed = crashed
         self.leaving = leaving
         self.refuses_all = refuses_all
--- /dev/null
+++ b/hornbeampier/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Carries accepted requests to endpoints and their answers back."""
--- /dev/null
+++ b/hornbeampier/forwarding/exchange.py
@@ -0,0 +1,121 @@
+"""One attempt at one endpoint."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier import verdict
+from hornbeampier.forwarding import connections
+from hornbeampier.http1 import client
+from hornbeampier.http1 import messages
+from hornbeampier.platform import headers
+from hornbeampier.platform import names
+from hornbeampier.routing import fleet
+from hornbeampier.routing import requests
+
+# An answer may arrive a little after the endpoint stopped to work on it.
+ANSWER_SLACK_MS = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An endpoint's answer whose body has been read whole."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Exchange:
+    """Sends a request to an endpoint and reads the response.
+
+    Attributes:
+        answer: What the head of the response says, after `open`.
+        head: That head.
+    """
+
+    def __init__(
+        self,
+        pool: connections.Connections,
+        state: fleet.EndpointState,
+        clock: clocks.Clock,
+    ):
+        self._pool = pool
+        self._state = state
+        self._clock = clock
+        self._conn: client.ClientConnection | None = None
+        self._deadline_ms = 0.0
+        self.answer: headers.EndpointAnswer | None = None
+        self.head: messages.ResponseHead | None = None
+
+    def open(
+        self, req: requests.Request, last_event_id: str | None = None
+    ) -> None:
+        """Sends the request and waits for the head of its response.
+
+        Raises:
+            errors.AttemptError: No usable response came.
+        """
+        self._deadline_ms = req.deadline_ms
+        self._connect()
+        remaining_ms = req.deadline_ms - self._clock.now()
+        head = headers.encode_request(
+            req, self._state.endpoint, remaining_ms, last_event_id
+        )
+        try:
+            self._conn.send(head, req.body)
+            self.head = self._conn.read_head(
+                self._deadline_ms + ANSWER_SLACK_MS, names.REQUEST_ID
+            )
+        except client.TRANSPORT_ERRORS as exc:
+            raise self._lost(exc) from exc
+        self.answer = headers.decode_answer(self.head, self._clock.now())
+        if self.answer.load is not None:
+            self._state.report = self.answer.load
+
+    def blocks(self) -> Iterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            errors.AttemptError: The response was cut short.
+        """
+        try:
+            yield from self._conn.read_body(self._deadline_ms + ANSWER_SLACK_MS)
+        except client.TRANSPORT_ERRORS as exc:
+            raise self._lost(exc) from exc
+
+    def finish(self) -> None:
+        """Keeps the connection of a response that was read whole."""
+        if self.answer.closing:
+            self._conn.close()
+        else:
+            self._pool.release(
+                self._state.endpoint, self._conn, self.answer.keep_idle_ms
+            )
+        self._conn = None
+
+    def close(self) -> None:
+        """Closes the connection unless `finish` took it back."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    def _connect(self) -> None:
+        try:
+            self._conn = self._pool.acquire(self._state.endpoint)
+        except OSError as exc:
+            raise errors.AttemptError(
+                f"cannot connect: {exc}",
+                verdict.Verdict.NOT_RUN,
+                unsent=True,
+            ) from exc
+
+    def _lost(self, exc: Exception) -> errors.AttemptError:
+        timed_out = isinstance(exc, TimeoutError)
+        return errors.AttemptError(
+            f"response lost: {exc or type(exc).__name__}",
+            verdict.Verdict.MAY_HAVE_RUN,
+            crashed=not timed_out,
+            timed_out=timed_out,
+        )
--- /dev/null
+++ b/hornbeampier/http1/client.py
@@ -0,0 +1,181 @@
+"""The client's side of one HTTP/1.1 connection."""
+
+from collections.abc import Iterator
+
+import gevent
+from gevent import socket
+import h11
+
+from hornbeampier import clock as clocks
+from hornbeampier.http1 import messages
+from hornbeampier.http1 import sockets
+
+BLOCK_BYTES = 65_536
+# Bodies up to this size are written before the response is awaited.
+INLINE_BODY_BYTES = 16_384
+TRANSPORT_ERRORS = (OSError, h11.ProtocolError)
+
+
+class ConnectionLostError(OSError):
+    """The server closed the connection before the response was complete."""
+
+
+class MismatchedResponseError(OSError):
+    """A response belongs to another request."""
+
+
+class ClientConnection:
+    """One connection to a server, used for one request at a time.
+
+    Attributes:
+        used_at_ms: End of the last response.
+        responded: Whether a byte arrived since the request was sent.
+    """
+
+    def __init__(self, sock: socket.socket, clock: clocks.Clock):
+        self._sock = sock
+        self._clock = clock
+        self._http = h11.Connection(h11.CLIENT)
+        self._sender: gevent.Greenlet | None = None
+        self._request: h11.Request | None = None
+        self.used_at_ms = clock.now()
+        self.responded = False
+
+    def send(self, head: messages.RequestHead, body: bytes) -> None:
+        """Writes a request; raises OSError.
+
+        A long body goes on being written while the response is awaited, since
+        a server may respond before it has read all of it.
+        """
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        self.responded = False
+        self._request = h11.Request(
+            method=head.method, target=head.target, headers=list(head.headers)
+        )
+        data = self._http.send(self._request)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        if len(data) <= INLINE_BODY_BYTES:
+            self._sock.sendall(data)
+            self._sender = None
+        else:
+            self._sender = gevent.spawn(self._send_rest, data)
+
+    def read_head(
+        self, deadline_ms: float, id_header: bytes | None = None
+    ) -> messages.ResponseHead:
+        """Waits for the head of the response.
+
+        Args:
+            deadline_ms: When to give up, on the monotonic clock.
+            id_header: A header that the response repeats from the request; a
+                response with another value is skipped.
+
+        Raises:
+            OSError, h11.ProtocolError: There is no response.
+        """
+        while True:
+            event = self._next_event(deadline_ms)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ConnectionLostError("no response")
+            head = self._to_head(event)
+            if id_header is None or self._is_own(head, id_header):
+                return head
+            self._skip_response(deadline_ms)
+
+    def read_body(self, deadline_ms: float) -> Iterator[bytes]:
+        """Yields the body in blocks; raises as `read_head` does."""
+        while True:
+            event = self._next_event(deadline_ms)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.used_at_ms = self._clock.now()
+                return
+            else:
+                raise ConnectionLostError("response cut short")
+
+    def is_reusable(self) -> bool:
+        """Whether another request may follow: nothing is left unread."""
+        if not self._is_sent():
+            return False
+        return (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+        )
+
+    def is_quiet(self) -> bool:
+        """Whether the idle connection is open and has received nothing."""
+        return not sockets.is_readable(self._sock)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._sender is not None:
+            self._sender.kill(block=False)
+        self._sock.close()
+
+    def _is_sent(self) -> bool:
+        """Whether all of the last request has been written."""
+        if self._sender is None:
+            return True
+        return self._sender.ready() and self._sender.value is True
+
+    def _send_rest(self, data: bytes) -> bool:
+        try:
+            self._sock.sendall(data)
+        except OSError:
+            # The reader of the response finds the connection lost.
+            return False
+        return True
+
+    def _next_event(self, deadline_ms: float):
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._receive(deadline_ms)
+
+    def _receive(self, deadline_ms: float) -> None:
+        remaining_ms = deadline_ms - self._clock.now()
+        if remaining_ms <= 0:
+            raise TimeoutError("deadline reached")
+        self._sock.settimeout(remaining_ms / clocks.MS_PER_SECOND)
+        data = self._sock.recv(BLOCK_BYTES)
+        self.responded = self.responded or bool(data)
+        self._http.receive_data(data)
+
+    def _to_head(self, event: h11.Response) -> messages.ResponseHead:
+        headers = tuple(event.headers)
+        length = messages.get(headers, b"content-length")
+        return messages.ResponseHead(
+            status=event.status_code,
+            headers=headers,
+            length=int(length) if length is not None else None,
+        )
+
+    def _is_own(self, head: messages.ResponseHead, id_header: bytes) -> bool:
+        sent = messages.get(tuple(self._request.headers), id_header)
+        received = head.get(id_header)
+        return received is None or received == sent
+
+    def _skip_response(self, deadline_ms: float) -> None:
+        """Reads past a response that belongs to an earlier request."""
+        for _ in self.read_body(deadline_ms):
+            pass
+        rest, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(self._request)
+        if self._http.our_state is h11.SEND_BODY:
+            length = messages.get(
+                tuple(self._request.headers), b"content-length"
+            )
+            if length is not None and int(length):
+                self._http.send(h11.Data(data=bytes(int(length))))
+            self._http.send(h11.EndOfMessage())
+        if rest:
+            self._http.receive_data(rest)
--- /dev/null
+++ b/hornbeampier/http1/server.py
@@ -0,0 +1,262 @@
+"""The server's side of one HTTP/1.1 connection."""
+
+import contextlib
+import http
+import struct
+
+import gevent
+from gevent import socket
+import h11
+
+from hornbeampier import clock as clocks
+from hornbeampier.http1 import messages
+from hornbeampier.http1 import sockets
+
+BLOCK_BYTES = 65_536
+# Value of SO_LINGER: on, with no time.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class BadRequestError(Exception):
+    """The caller sent what cannot be served.
+
+    Attributes:
+        status: The HTTP status that says so.
+    """
+
+    def __init__(self, status: int, message: str):
+        super().__init__(message)
+        self.status = status
+
+
+class CallerGoneError(BaseException):
+    """The caller closed its connection before it had its answer.
+
+    Not an `Exception`, so that no handler of ordinary errors swallows it.
+    """
+
+
+class ServerConnection:
+    """One connection of a caller, used for one request at a time.
+
+    Attributes:
+        busy: Whether a request is being read or answered.
+        answered: Whether the answer to the last request has begun.
+        closes_after: Whether the next answer is the last on this connection.
+    """
+
+    def __init__(
+        self, sock: socket.socket, clock: clocks.Clock, header_bytes: int
+    ):
+        self._sock = sock
+        self._clock = clock
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=header_bytes
+        )
+        self.busy = False
+        self.answered = False
+        self.closes_after = False
+
+    def read_head(
+        self, idle_timeout_ms: float, header_timeout_ms: float
+    ) -> messages.RequestHead | None:
+        """Waits for a request; returns None if the connection ended first.
+
+        Raises:
+            BadRequestError: The caller sent no valid head, or too slowly.
+        """
+        self.busy = False
+        self.answered = False
+        if not self._await_request(idle_timeout_ms):
+            return None
+        self.busy = True
+        event = self._next_event(self._clock.now() + header_timeout_ms)
+        if isinstance(event, h11.Request):
+            return messages.RequestHead(
+                event.method, event.target, tuple(event.headers)
+            )
+        return None
+
+    def read_body(self, limit_bytes: int, timeout_ms: float) -> bytes:
+        """Returns the whole body of the request.
+
+        Raises:
+            BadRequestError: It is too large, malformed or too slow.
+            CallerGoneError: The connection ended before the body.
+        """
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(
+                self._http.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            )
+        blocks = []
+        size = 0
+        while True:
+            event = self._next_event(self._clock.now() + timeout_ms)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(blocks)
+            if not isinstance(event, h11.Data):
+                raise CallerGoneError
+            size += len(event.data)
+            if size > limit_bytes:
+                raise BadRequestError(413, "the body is too large")
+            blocks.append(bytes(event.data))
+
+    def start_response(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
+    ) -> None:
+        """Writes the head of the answer and the first bytes of its body."""
+        data = self._send_head(status, headers)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        self._write(data)
+
+    def write_body(self, data: bytes) -> None:
+        """Writes more of the answer's body."""
+        self._write(self._http.send(h11.Data(data=data)))
+
+    def end_response(self) -> None:
+        """Marks the answer as complete."""
+        self._write(self._http.send(h11.EndOfMessage()))
+
+    def respond(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Writes a whole answer in one piece."""
+        data = self._send_head(status, headers)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        self._write(data)
+
+    def can_continue(self) -> bool:
+        """Prepares for the next request; returns False if none may follow."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    def watch_caller(self) -> "CallerWatch":
+        """Returns a guard that raises `CallerGoneError` in this greenlet."""
+        return CallerWatch(self._sock)
+
+    def is_quiet(self) -> bool:
+        """Whether nothing of another request has arrived."""
+        return not sockets.is_readable(self._sock)
+
+    def end_idle(self) -> None:
+        """Ends the wait for the next request of an idle connection."""
+        if not self.busy and self.is_quiet():
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def abort(self) -> None:
+        """Resets the connection; an unfinished answer stays unfinished."""
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self._sock.close()
+
+    def linger(self) -> None:
+        """Reads what the caller still sends, so that it sees the answer."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+            while self._sock.recv(BLOCK_BYTES):
+                pass
+
+    def close(self) -> None:
+        """Closes the connection after the answers written so far."""
+        self._sock.close()
+
+    def _await_request(self, timeout_ms: float) -> bool:
+        if self._http.trailing_data[0]:
+            return True
+        try:
+            self._sock.settimeout(timeout_ms / clocks.MS_PER_SECOND)
+            data = self._sock.recv(BLOCK_BYTES)
+        except OSError:
+            # An idle connection that times out or breaks held no request.
+            return False
+        if data:
+            self._http.receive_data(data)
+        return bool(data)
+
+    def _next_event(self, deadline_ms: float):
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._http.receive_data(self._receive(deadline_ms))
+        except h11.RemoteProtocolError as exc:
+            raise BadRequestError(exc.error_status_hint, str(exc)) from exc
+
+    def _receive(self, deadline_ms: float) -> bytes:
+        remaining_ms = deadline_ms - self._clock.now()
+        if remaining_ms <= 0:
+            raise BadRequestError(408, "the request took too long to arrive")
+        self._sock.settimeout(remaining_ms / clocks.MS_PER_SECOND)
+        try:
+            return self._sock.recv(BLOCK_BYTES)
+        except TimeoutError as exc:
+            raise BadRequestError(408, "the request took too long") from exc
+        except OSError as exc:
+            raise CallerGoneError from exc
+
+    def _send_head(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> bytes:
+        self.answered = True
+        if self.closes_after:
+            headers = [*headers, (b"Connection", b"close")]
+        return self._http.send(
+            h11.Response(
+                status_code=status, headers=headers, reason=_reason(status)
+            )
+        )
+
+    def _write(self, data: bytes | None) -> None:
+        if not data:
+            return
+        try:
+            self._sock.sendall(data)
+        except OSError as exc:
+            raise CallerGoneError from exc
+
+
+class CallerWatch:
+    """Raises `CallerGoneError` in a greenlet when its caller leaves."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._target = gevent.getcurrent()
+        self._watcher: gevent.Greenlet | None = None
+
+    def __enter__(self) -> "CallerWatch":
+        self._watcher = gevent.spawn(self._run)
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._watcher.kill(block=False)
+
+    def _run(self) -> None:
+        try:
+            socket.wait_read(self._sock.fileno())
+            data = self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        # Bytes that arrive belong to a request sent ahead.
+        if not data:
+            self._target.kill(CallerGoneError, block=False)
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- /dev/null
+++ b/hornbeampier/http1/sockets.py
@@ -0,0 +1,39 @@
+"""Options and checks of TCP sockets."""
+
+import select
+import socket as stdlib_socket
+
+from gevent import socket
+
+from hornbeampier import clock as clocks
+
+# A peer that lost power or its path is noticed after about three seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+def connect(host: str, port: int, timeout_ms: float) -> socket.socket:
+    """Opens a connection; raises OSError."""
+    sock = socket.create_connection(
+        (host, port), timeout=timeout_ms / clocks.MS_PER_SECOND
+    )
+    configure(sock)
+    return sock
+
+
+def configure(sock: socket.socket) -> None:
+    """Sends small writes at once and probes a silent peer."""
+    tcp = stdlib_socket.IPPROTO_TCP
+    sock.setsockopt(tcp, stdlib_socket.TCP_NODELAY, 1)
+    sock.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, stdlib_socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, stdlib_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, stdlib_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Returns whether bytes, the end or an error wait on the socket."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/hornbeampier/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""The side of callers: connections, requests and refusals."""
--- /dev/null
+++ b/hornbeampier/ingress/admission.py
@@ -0,0 +1,130 @@
+"""Decides which requests are accepted, by the configuration in force."""
+
+import hashlib
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.http1 import messages
+from hornbeampier.platform import headers
+from hornbeampier.routing import catalog
+from hornbeampier.routing import model
+from hornbeampier.routing import requests
+from hornbeampier.routing import table
+
+NOT_READY_RETRY_MS = 500.0
+FINGERPRINT_BYTES = 16
+
+
+class Admission:
+    """Turns what callers send into accepted requests."""
+
+    def __init__(self, catalog: catalog.Catalog, clock: clocks.Clock):
+        self._catalog = catalog
+        self._clock = clock
+
+    def check(
+        self, head: messages.RequestHead, arrived_ms: float
+    ) -> "AcceptedHead":
+        """Finds route and client account of a request.
+
+        Raises:
+            errors.RefusalError: The request is not allowed, or no
+                configuration is known yet.
+        """
+        cfg = self._catalog.cfg
+        if cfg is None:
+            raise errors.RefusalError(
+                503,
+                errors.RefusalCode.NOT_READY,
+                "no configuration is known yet",
+                retry_after_ms=NOT_READY_RETRY_MS,
+            )
+        route = self._catalog.table.match(head.host, head.path)
+        if route is None:
+            raise errors.RefusalError(
+                404, errors.RefusalCode.NOT_FOUND, "no route matches"
+            )
+        caller = headers.decode_caller(head)
+        account = _find_account(cfg, route, caller.key)
+        return AcceptedHead(head, arrived_ms, cfg, route, caller, account)
+
+
+class AcceptedHead:
+    """The head of an accepted request whose body is still to be read."""
+
+    def __init__(
+        self,
+        head: messages.RequestHead,
+        arrived_ms: float,
+        cfg: model.Configuration,
+        route: model.Route,
+        caller: headers.CallerHeaders,
+        account: model.ClientAccount | None,
+    ):
+        self._head = head
+        self._arrived_ms = arrived_ms
+        self._cfg = cfg
+        self._route = route
+        self._caller = caller
+        self._account = account
+
+    @property
+    def limits(self) -> model.Limits:
+        """The bounds that the rest of the request must keep."""
+        return self._cfg.limits
+
+    def with_body(self, body: bytes) -> requests.Request:
+        """Returns the whole request."""
+        wait_ms = self._route.timeout_ms
+        if self._caller.deadline_ms is not None:
+            wait_ms = min(wait_ms, self._caller.deadline_ms)
+        service = table.choose_service(self._route, self._caller.request_id)
+        return requests.Request(
+            id=self._caller.request_id,
+            method=self._head.method,
+            target=self._head.target,
+            host=self._head.get(b"host") or b"",
+            headers=headers.forwardable(
+                self._head, with_key=self._cfg.accounts is None
+            ),
+            body=body,
+            route=self._route,
+            service=service,
+            account=self._account,
+            arrived_ms=self._arrived_ms,
+            deadline_ms=self._arrived_ms + wait_ms,
+            fingerprint=_fingerprint(self._head, self._account, body),
+            prompt=self._prompt(service),
+        )
+
+    def _prompt(self, service: str) -> model.Prompt | None:
+        declared = self._cfg.services.get(service)
+        if declared is None or declared.engine is None:
+            return None
+        return self._caller.prompt
+
+
+def _find_account(
+    cfg: model.Configuration, route: model.Route, key: str | None
+) -> model.ClientAccount | None:
+    if cfg.accounts is None:
+        return None
+    account = cfg.accounts.get(key) if key is not None else None
+    if account is None and not route.anonymous:
+        raise errors.RefusalError(
+            401, errors.RefusalCode.UNAUTHENTICATED, "the key is unknown"
+        )
+    return account
+
+
+def _fingerprint(
+    head: messages.RequestHead,
+    account: model.ClientAccount | None,
+    body: bytes,
+) -> str:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    name = account.name if account is not None else ""
+    for part in (head.method, head.target, name.encode(), body):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/hornbeampier/ingress/callers.py
@@ -0,0 +1,123 @@
+"""Answers the requests of callers."""
+
+import json
+
+import structlog
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.forwarding import forwarder
+from hornbeampier.forwarding import streams
+from hornbeampier.http1 import messages
+from hornbeampier.http1 import server
+from hornbeampier.ingress import admission
+from hornbeampier.routing import catalog
+from hornbeampier.routing import model
+
+# Bounds until a configuration is known.
+INITIAL_LIMITS = model.Limits(
+    header_bytes=16_384,
+    body_bytes=1_048_576,
+    header_timeout_ms=3_000.0,
+    idle_timeout_ms=15_000.0,
+)
+
+
+class CallerHandler:
+    """Reads, checks, forwards and answers requests.
+
+    Attributes:
+        draining: Whether callers are asked to close their connections.
+        refusing: Whether new requests are refused because the VM stops.
+        open_requests: Requests that have been read and not yet answered.
+    """
+
+    def __init__(
+        self,
+        catalog: catalog.Catalog,
+        admission: admission.Admission,
+        forwarder: forwarder.Forwarder,
+        clock: clocks.Clock,
+    ):
+        self._catalog = catalog
+        self._admission = admission
+        self._forwarder = forwarder
+        self._clock = clock
+        self._log = structlog.get_logger(task="callers")
+        self.draining = False
+        self.refusing = False
+        self.open_requests = 0
+
+    def limits(self) -> model.Limits:
+        """Returns the bounds of the configuration in force."""
+        cfg = self._catalog.cfg
+        return INITIAL_LIMITS if cfg is None else cfg.limits
+
+    def handle(
+        self, conn: server.ServerConnection, head: messages.RequestHead
+    ) -> bool:
+        """Answers a request; returns whether the connection may go on."""
+        arrived_ms = self._clock.now()
+        self.open_requests += 1
+        conn.closes_after = self.draining
+        try:
+            self._answer(conn, head, arrived_ms)
+        except errors.RefusalError as exc:
+            self._refuse(conn, head, exc)
+        except streams.BrokenStreamError as exc:
+            self._log.warning("stream_broken", error=str(exc))
+            conn.abort()
+            return False
+        finally:
+            self.open_requests -= 1
+        return not self.draining
+
+    def _answer(
+        self,
+        conn: server.ServerConnection,
+        head: messages.RequestHead,
+        arrived_ms: float,
+    ) -> None:
+        try:
+            accepted = self._admission.check(head, arrived_ms)
+        except errors.RefusalError:
+            limits = self.limits()
+            conn.read_body(limits.body_bytes, limits.header_timeout_ms)
+            raise
+        limits = accepted.limits
+        body = conn.read_body(limits.body_bytes, limits.header_timeout_ms)
+        if self.refusing:
+            raise errors.RefusalError(
+                503,
+                errors.RefusalCode.DRAINING,
+                "this VM is shutting down",
+                retry_after_ms=0.0,
+            )
+        with conn.watch_caller():
+            self._forwarder.forward(accepted.with_body(body), conn)
+
+    def _refuse(
+        self,
+        conn: server.ServerConnection,
+        head: messages.RequestHead,
+        exc: errors.RefusalError,
+    ) -> None:
+        self._log.info(
+            "refused",
+            status=exc.status,
+            code=exc.code.value,
+            verdict=exc.verdict.value,
+            error=exc.message,
+            host=head.host,
+            path=head.path,
+            version=self._catalog.version,
+        )
+        body = json.dumps({"error": exc.code.value, "message": exc.message})
+        fields = [
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        if exc.retry_after_ms is not None:
+            seconds = exc.retry_after_ms / clocks.MS_PER_SECOND
+            fields.append((b"Retry-After", b"%.3f" % seconds))
+        conn.respond(exc.status, fields, body.encode())
--- /dev/null
+++ b/hornbeampier/ingress/listener.py
@@ -0,0 +1,133 @@
+"""Accepts connections and serves one request after the other on each."""
+
+import contextlib
+from typing import Protocol
+
+import gevent
+from gevent import pool
+from gevent import server as gevent_server
+from gevent import socket
+import structlog
+
+from hornbeampier import application
+from hornbeampier import clock as clocks
+from hornbeampier.http1 import messages
+from hornbeampier.http1 import server
+from hornbeampier.http1 import sockets
+from hornbeampier.platform import settings
+from hornbeampier.routing import model
+
+BACKLOG = 1_024
+# How long a caller may go on sending after it was refused.
+LINGER_MS = 500.0
+BLOCK_BYTES = 65_536
+
+
+class Handler(Protocol):
+    """What answers the requests of a listener."""
+
+    def limits(self) -> model.Limits:
+        """Returns the bounds on the next request."""
+        ...
+
+    def handle(
+        self, conn: server.ServerConnection, head: messages.RequestHead
+    ) -> bool:
+        """Answers a request; returns whether the connection may go on."""
+        ...
+
+
+class Listener(application.BaseComponent):
+    """One listening socket and its connections."""
+
+    def __init__(
+        self,
+        address: settings.Address,
+        handler: Handler,
+        clock: clocks.Clock,
+        max_connections: int,
+    ):
+        self._address = address
+        self._handler = handler
+        self._clock = clock
+        self._pool = pool.Pool(max_connections)
+        self._server: gevent_server.StreamServer | None = None
+        self._open: set[server.ServerConnection] = set()
+        self._log = structlog.get_logger(task="listener", address=str(address))
+
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._open)
+
+    @property
+    def port(self) -> int:
+        """The port in use, known after `start`."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Binds the address and begins to accept connections."""
+        self._server = gevent_server.StreamServer(
+            (self._address.host, self._address.port),
+            self._serve,
+            backlog=BACKLOG,
+            spawn=self._pool,
+        )
+        self._server.start()
+
+    def close_listener(self) -> None:
+        """Accepts no more connections and keeps those that are open."""
+        self._server.close()
+
+    def end_idle(self) -> None:
+        """Closes the connections that wait for a request."""
+        for conn in list(self._open):
+            with contextlib.suppress(OSError):
+                conn.end_idle()
+
+    def stop(self) -> None:
+        """Closes the listener and ends the remaining connections."""
+        if self._server is not None:
+            self._server.close()
+        self._pool.kill(block=True, timeout=1)
+
+    def _serve(self, sock: socket.socket, address) -> None:
+        limits = self._handler.limits()
+        sockets.configure(sock)
+        conn = server.ServerConnection(sock, self._clock, limits.header_bytes)
+        self._open.add(conn)
+        try:
+            while self._serve_next(conn):
+                pass
+        except server.CallerGoneError:
+            self._log.info("caller_gone", peer=address[0])
+        finally:
+            self._open.discard(conn)
+            conn.close()
+
+    def _serve_next(self, conn: server.ServerConnection) -> bool:
+        """Serves one request; returns whether another may follow."""
+        limits = self._handler.limits()
+        try:
+            head = conn.read_head(
+                limits.idle_timeout_ms, limits.header_timeout_ms
+            )
+            if head is None:
+                return False
+            goes_on = self._handler.handle(conn, head)
+        except server.BadRequestError as exc:
+            self._log.info("bad_request", status=exc.status, error=str(exc))
+            self._refuse(conn, exc)
+            return False
+        return goes_on and conn.can_continue()
+
+    def _refuse(
+        self, conn: server.ServerConnection, exc: server.BadRequestError
+    ) -> None:
+        conn.respond(
+            exc.status,
+            [(b"Content-Length", b"0"), (b"Connection", b"close")],
+            b"",
+        )
+        with gevent.Timeout(LINGER_MS / clocks.MS_PER_SECOND, False):
+            conn.linger()
--- /dev/null
+++ b/hornbeampier/node.py
@@ -0,0 +1,212 @@
+"""The router process of one VM on the users' platform."""
+
+from collections.abc import Callable
+import os
+import pathlib
+import signal
+
+import gevent
+import structlog
+
+from hornbeampier import application
+from hornbeampier import clock as clocks
+from hornbeampier import environment
+from hornbeampier import errors
+from hornbeampier import logs
+from hornbeampier import status
+from hornbeampier.forwarding import connections
+from hornbeampier.forwarding import forwarder
+from hornbeampier.ingress import admission
+from hornbeampier.ingress import callers
+from hornbeampier.ingress import listener
+from hornbeampier.ingress import readiness
+from hornbeampier.ingress import shutdown
+from hornbeampier.platform import names
+from hornbeampier.platform import settings
+from hornbeampier.platform import store
+from hornbeampier.replication import entries
+from hornbeampier.replication import follower
+from hornbeampier.routing import budget
+from hornbeampier.routing import catalog
+from hornbeampier.routing import choice
+from hornbeampier.routing import fleet
+from hornbeampier.routing import peer_loads
+from hornbeampier.routing import pools
+
+MAINTENANCE_MS = 250.0
+# Part of the file descriptors that callers' connections may use.
+CALLER_FILES_SHARE = 0.5
+
+
+class Node(application.BaseComponent):
+    """Builds and owns the components of one router."""
+
+    def __init__(
+        self, env: environment.Environment, cfg: settings.NodeSettings
+    ):
+        self._env = env
+        self._cfg = cfg
+        self._clock = env.clock
+        self.app = application.Application(cfg.vm)
+        self.catalog = catalog.Catalog()
+        self._fleet = fleet.Fleet(self.catalog, self._clock)
+        self._peer_loads = peer_loads.PeerLoads(self._clock)
+        self._endpoint_entries = entries.EndpointEntries(
+            self.catalog, self._clock
+        )
+        self._build_followers()
+        self._build_forwarder()
+        self._build_listeners()
+
+    def _build_followers(self) -> None:
+        self._configuration = self._follow(
+            names.OPERATOR_TOPIC,
+            entries.ConfigurationEntries(self.catalog, names.CONFIGURATION_KEY),
+        )
+        self._endpoints = self._follow(
+            names.ENDPOINT_TOPIC, self._endpoint_entries
+        )
+
+    def _follow(self, topic: str, applier) -> follower.TopicFollower:
+        found = follower.TopicFollower(
+            topic,
+            store.StoreClient(self._cfg.store, self._clock),
+            applier,
+            self._clock,
+            self._env.rng,
+        )
+        self.app.add(found)
+        return found
+
+    def _build_forwarder(self) -> None:
+        cfg = self._cfg
+        engine_pools = pools.Pools(self._clock)
+        self._connections = connections.Connections(self._fleet, self._clock)
+        self._forwarder = forwarder.Forwarder(
+            self._connections,
+            choice.LeastLoaded(
+                self._fleet, self._peer_loads, self._clock, self._env.rng
+            ),
+            choice.EngineChooser(
+                self._fleet, self._peer_loads, engine_pools, self._clock
+            ),
+            engine_pools,
+            budget.RetryBudget(
+                cfg.retry_ratio,
+                cfg.retry_extra,
+                cfg.retry_window_ms,
+                self._count_vms,
+                self._clock,
+            ),
+            self._clock,
+        )
+
+    def _build_listeners(self) -> None:
+        cfg = self._cfg
+        self._handler = callers.CallerHandler(
+            self.catalog,
+            admission.Admission(self.catalog, self._clock),
+            self._forwarder,
+            self._clock,
+        )
+        caller_listener = listener.Listener(
+            cfg.callers,
+            self._handler,
+            self._clock,
+            round(cfg.max_files * CALLER_FILES_SHARE),
+        )
+        self.app.add(
+            listener.Listener(
+                cfg.readiness,
+                readiness.ReadinessHandler(self.is_ready),
+                self._clock,
+                max_connections=100,
+            )
+        )
+        self.app.add(caller_listener)
+        self.app.add(
+            shutdown.GracefulShutdown(
+                self._handler, caller_listener, self._clock, cfg.grace_ms
+            )
+        )
+        self.app.add(_Maintenance(self._clock, self._maintain))
+
+    def start(self) -> None:
+        """Starts all components."""
+        self.app.start()
+
+    def drain(self) -> None:
+        """Finishes the requests in flight."""
+        self.app.drain()
+
+    def stop(self) -> None:
+        """Stops all components."""
+        self.app.stop()
+        self._connections.close()
+
+    def is_ready(self) -> bool:
+        """Whether this VM can serve: it knows what to serve and where."""
+        return (
+            not self._handler.draining
+            and self.catalog.cfg is not None
+            and self._endpoints.offset is not None
+        )
+
+    def _count_vms(self) -> int:
+        return 1 + self._peer_loads.fresh_count()
+
+    def _maintain(self) -> None:
+        self._endpoint_entries.expire()
+        self._connections.expire()
+
+
+class _Maintenance(application.TaskComponent):
+    """Calls a function at a steady pace."""
+
+    def __init__(self, clock: clocks.Clock, work: Callable[[], None]):
+        super().__init__()
+        self._clock = clock
+        self._work = work
+
+    def run(self) -> None:
+        """Runs until it is killed."""
+        while True:
+            self._clock.sleep(MAINTENANCE_MS)
+            self._work()
+
+
+def main(env: environment.Environment) -> status.ExitStatus:
+    """Runs the router until SIGTERM or SIGINT."""
+    path = os.environ.get(names.SETTINGS_VARIABLE)
+    if not path:
+        env.log_error(
+            f"{names.SETTINGS_VARIABLE} is not set",
+            "set it to the path of the settings file",
+        )
+        return status.ExitStatus.USAGE
+    try:
+        cfg = settings.load(pathlib.Path(path))
+    except errors.InvalidFileError as exc:
+        for problem in exc.problems:
+            env.log_error(problem)
+        return status.ExitStatus.INVALID_FILE
+    logs.configure(env.stdout, "info", json_lines=True)
+    log = structlog.get_logger(vm=cfg.vm)
+    app = application.Application(cfg.vm)
+    app.add(Node(env, cfg))
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signum, app.request_stop)
+    gevent.signal_handler(signal.SIGHUP, _reload, pathlib.Path(path), log)
+    log.info("started", callers=str(cfg.callers), store=str(cfg.store))
+    app.run()
+    return status.ExitStatus.OK
+
+
+def _reload(path: pathlib.Path, log) -> None:
+    """Checks the changed settings; addresses stay as they are."""
+    try:
+        settings.load(path)
+    except errors.InvalidFileError as exc:
+        log.error("settings_unreadable", problems=exc.problems)
+        return
+    log.info("settings_reloaded")
--- /dev/null
+++ b/hornbeampier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/hornbeampier/platform/headers.py
@@ -0,0 +1,205 @@
+"""The platform's headers: what callers ask and endpoints answer."""
+
+import dataclasses
+
+from hornbeampier.http1 import messages
+from hornbeampier.platform import names
+from hornbeampier.routing import fleet
+from hornbeampier.routing import model
+from hornbeampier.routing import requests
+
+KEY_SCHEME = b"token"
+MAX_URGENCY = 9
+# Request headers that this program writes itself or answers by itself.
+_REWRITTEN = frozenset({b"host", b"content-length", b"expect", *names.RESERVED})
+# Headers that `Connection` must not make hop-by-hop.
+_PROTECTED = frozenset(
+    {
+        b"content-type",
+        names.REQUEST_ID,
+        names.MODEL,
+        names.TOKENS,
+        names.PROMPT_PARTS,
+        names.LENGTH_HINT,
+        names.LAST_EVENT_ID,
+    }
+)
+_HIDDEN_FROM_CALLERS = frozenset({names.LOAD, b"content-length"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """What the head of a caller's request says.
+
+    Attributes:
+        deadline_ms: How long the caller will wait, or None.
+        key: The key of a client account, or None.
+    """
+
+    request_id: str
+    deadline_ms: float | None
+    key: str | None
+    prompt: model.Prompt | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointAnswer:
+    """What the head of an endpoint's response says.
+
+    Attributes:
+        is_signed: Whether it carries the endpoint's signature.
+        not_executed: Whether the endpoint promises not to run the request.
+        is_encoded: Whether the body is not as the endpoint made it.
+        keep_idle_ms: How long the endpoint keeps an idle connection, or None.
+        closing: Whether the endpoint will close the connection.
+    """
+
+    status: int
+    is_signed: bool
+    not_executed: bool
+    is_encoded: bool
+    load: fleet.LoadReport | None
+    keep_idle_ms: float | None
+    closing: bool
+
+
+def decode_caller(head: messages.RequestHead) -> CallerHeaders:
+    """Decodes the head of a caller's request; unreadable parts are None."""
+    request_id = head.get(names.REQUEST_ID) or b""
+    return CallerHeaders(
+        request_id=request_id.decode("latin-1"),
+        deadline_ms=_decode_number(head.get(names.DEADLINE)),
+        key=_decode_key(head.get(b"authorization")),
+        prompt=_decode_prompt(head),
+    )
+
+
+def forwardable(head: messages.RequestHead, with_key: bool) -> messages.Headers:
+    """Returns the headers that are passed on as the caller sent them."""
+    named = messages.named_by_connection(head.headers) - _PROTECTED
+    dropped = messages.HOP_BY_HOP | _REWRITTEN | named
+    if not with_key:
+        dropped = dropped | {b"authorization"}
+    return tuple(
+        (key, value) for key, value in head.headers if key not in dropped
+    )
+
+
+def encode_request(
+    req: requests.Request,
+    endpoint: model.Endpoint,
+    remaining_ms: float,
+    last_event_id: str | None = None,
+) -> messages.RequestHead:
+    """Returns the head of a request as an endpoint gets it."""
+    headers = [(b"Host", req.host)]
+    for key, value in req.headers:
+        if key != names.LAST_EVENT_ID or last_event_id is None:
+            headers.append((key, value))
+    headers.append((names.DEADLINE, b"%d" % max(1, remaining_ms)))
+    headers.append((names.EXPECT_INSTANCE, endpoint.id.encode()))
+    if req.account is not None:
+        headers.append((names.ACCOUNT, req.account.name.encode()))
+    if req.prompt is not None:
+        urgency = min(max(0, req.tier), MAX_URGENCY)
+        headers.append((names.URGENCY, b"%d" % urgency))
+    if last_event_id is not None:
+        headers.append((names.LAST_EVENT_ID, last_event_id.encode()))
+    if req.body or req.method not in (b"GET", b"HEAD"):
+        headers.append((b"Content-Length", b"%d" % len(req.body)))
+    return messages.RequestHead(req.method, req.target, tuple(headers))
+
+
+def decode_answer(head: messages.ResponseHead, now_ms: float) -> EndpointAnswer:
+    """Decodes the head of an endpoint's response."""
+    connection = (head.get(b"connection") or b"").lower()
+    encoding = (head.get(b"content-encoding") or b"identity").lower()
+    # 421 says the same without the header: the address has another endpoint.
+    not_executed = (
+        head.get(names.NOT_EXECUTED) is not None or head.status == 421
+    )
+    return EndpointAnswer(
+        status=head.status,
+        is_signed=head.get(names.SIGNATURE) is not None,
+        not_executed=not_executed,
+        is_encoded=encoding != b"identity",
+        load=_decode_load(head.get(names.LOAD), now_ms),
+        keep_idle_ms=_decode_keep_alive(head.get(b"keep-alive")),
+        closing=b"close" in connection,
+    )
+
+
+def returnable(head: messages.ResponseHead) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a response that the caller gets, unframed."""
+    named = messages.named_by_connection(head.headers)
+    dropped = (messages.HOP_BY_HOP | _HIDDEN_FROM_CALLERS | named) - {
+        names.SIGNATURE,
+        names.REQUEST_ID,
+    }
+    return [(key, value) for key, value in head.headers if key not in dropped]
+
+
+def _decode_number(value: bytes | None) -> float | None:
+    try:
+        number = float(value) if value is not None else None
+    except ValueError:
+        return None
+    if number is None or not number >= 0:
+        return None
+    return number
+
+
+def _decode_key(value: bytes | None) -> str | None:
+    scheme, _, key = (value or b"").partition(b" ")
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    return key.strip().decode("latin-1") or None
+
+
+def _decode_prompt(head: messages.RequestHead) -> model.Prompt | None:
+    tokens = head.get(names.TOKENS)
+    if tokens is None:
+        return None
+    try:
+        input_tokens, output_tokens = (int(n) for n in tokens.split(b","))
+    except ValueError:
+        return None
+    expected = _decode_number(head.get(names.LENGTH_HINT))
+    return model.Prompt(
+        model=(head.get(names.MODEL) or b"").decode("latin-1"),
+        input_tokens=input_tokens,
+        output_tokens=output_tokens,
+        expected_tokens=output_tokens if expected is None else int(expected),
+        parts=_decode_parts(head.get(names.PROMPT_PARTS)),
+    )
+
+
+def _decode_parts(value: bytes | None) -> tuple[model.PromptPart, ...]:
+    """Decodes ID:TOKENS entries; an unreadable list has no parts."""
+    if not value:
+        return ()
+    parts = []
+    for entry in value.decode("latin-1").split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if not tokens.isdigit():
+            return ()
+        parts.append(model.PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _decode_load(value: bytes | None, now_ms: float) -> fleet.LoadReport | None:
+    """Decodes the numbers of running and waiting requests and of slots."""
+    try:
+        running, waiting, slots = (int(n) for n in (value or b"").split(b","))
+    except ValueError:
+        return None
+    return fleet.LoadReport(running, waiting, slots, now_ms)
+
+
+def _decode_keep_alive(value: bytes | None) -> float | None:
+    for parameter in (value or b"").split(b","):
+        name, _, seconds = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            number = _decode_number(seconds)
+            return None if number is None else number * 1000.0
+    return None
--- /dev/null
+++ b/hornbeampier/platform/names.py
@@ -0,0 +1,52 @@
+"""Names that the platform uses on the wire."""
+
+SETTINGS_VARIABLE = "HORNBEAMPIER_SETTINGS"
+
+OPERATOR_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+ENDPOINT_TOPIC = "keyed.servers"
+
+READY_PATH = "/readiness"
+REPORT_PATH = "/report"
+
+PREFIX = "x-hornbeampier-"
+REQUEST_ID = b"x-hornbeampier-attempt-id"
+DEADLINE = b"x-hornbeampier-deadline-ms"
+ACCOUNT = b"x-hornbeampier-tenant"
+INSTANCE = b"x-hornbeampier-instance-id"
+EXPECT_INSTANCE = b"x-hornbeampier-expect-instance"
+EXPECT_VERSION = b"x-hornbeampier-expect-version"
+SIGNATURE = b"x-hornbeampier-server-seal"
+NOT_EXECUTED = b"x-hornbeampier-not-executed"
+LOAD = b"x-hornbeampier-server-load"
+MODEL = b"x-hornbeampier-model"
+TOKENS = b"x-hornbeampier-token-usage"
+PROMPT_PARTS = b"x-hornbeampier-prompt-prefix"
+LENGTH_HINT = b"x-hornbeampier-length-hint"
+URGENCY = b"x-hornbeampier-request-urgency"
+HOLD = b"x-hornbeampier-hold"
+PIN = b"x-hornbeampier-pin-ms"
+KV_BACKUP = b"x-hornbeampier-kv-backup"
+KV_FROM = b"kv-from"
+KV_FETCH = b"kv-fetch"
+LAST_EVENT_ID = b"last-event-id"
+
+# Set by the system alone; what a caller sends under these names is dropped.
+RESERVED = frozenset(
+    {
+        ACCOUNT,
+        DEADLINE,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        URGENCY,
+        HOLD,
+        PIN,
+        KV_BACKUP,
+        KV_FROM,
+        KV_FETCH,
+        INSTANCE,
+        SIGNATURE,
+        NOT_EXECUTED,
+        LOAD,
+    }
+)
--- /dev/null
+++ b/hornbeampier/platform/records.py
@@ -0,0 +1,200 @@
+"""The records that operators and endpoints keep in the platform's store."""
+
+from typing import Literal
+
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier.platform import settings
+from hornbeampier.routing import model
+
+_KINDS = {
+    "safe": model.Repeat.IDEMPOTENT,
+    "unsafe": model.Repeat.ONCE,
+    "streaming": model.Repeat.STREAM,
+}
+DEFAULT_PAUSE_TARGET_MS = 1_000.0
+# What decoding a record may raise.
+_ERRORS = (*errors.DECODE_ERRORS, ValueError, KeyError)
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """A route; `sloMs` is a target for the first event, not a deadline."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: Literal["safe", "unsafe", "streaming"]
+    timeout_ms: float
+    slo_ms: float
+    priority: int
+    max_attempts: int = 1
+    service: str | None = None
+    split: list[_Share] | None = None
+    anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = DEFAULT_PAUSE_TARGET_MS
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    """The engines of a service; `stride` counts the tokens of an event."""
+
+    slots: int
+    kv_tokens: int
+    stride: float = 1.0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str
+    max_conns: int
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Account(msgspec.Struct, rename="camel"):
+    """A client account; the platform says tenant."""
+
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Account] | None = None
+
+
+class _Endpoint(msgspec.Struct, rename="camel"):
+    """An endpoint's entry; `born` is the Unix ms of its start."""
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: Literal["ready", "draining"]
+    cold_left_ms: float
+    sequence: int
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_endpoint_decoder = msgspec.json.Decoder(_Endpoint)
+
+
+def decode_configuration(value: bytes) -> model.Configuration:
+    """Returns the configuration in a record.
+
+    Raises:
+        errors.PlatformError: The record cannot be read.
+    """
+    try:
+        record = _configuration_decoder.decode(value)
+        return model.Configuration(
+            version=record.version,
+            routes=tuple(_to_route(r) for r in record.routes),
+            services={s.name: _to_service(s) for s in record.services},
+            accounts=_to_accounts(record.tenants),
+            limits=_to_limits(record.limits),
+        )
+    except _ERRORS as exc:
+        raise errors.PlatformError(f"unreadable configuration: {exc}") from exc
+
+
+def decode_endpoint(endpoint_id: str, value: bytes) -> model.Endpoint:
+    """Returns the endpoint that an entry names.
+
+    Raises:
+        errors.PlatformError: The entry cannot be read.
+    """
+    try:
+        record = _endpoint_decoder.decode(value)
+        address = settings.parse_address(record.address)
+    except _ERRORS as exc:
+        raise errors.PlatformError(f"unreadable entry: {exc}") from exc
+    return model.Endpoint(
+        id=endpoint_id,
+        service=record.service,
+        host=address.host,
+        port=address.port,
+        availability_zone=record.zone,
+        slots=record.slots,
+        leaving=record.state == "draining",
+        cold_ms=record.cold_left_ms,
+        started_ms=record.born,
+    )
+
+
+def _to_route(record: _Route) -> model.Route:
+    if record.split:
+        shares = tuple(model.Share(s.service, s.weight) for s in record.split)
+    elif record.service is not None:
+        shares = (model.Share(record.service, 1.0),)
+    else:
+        raise ValueError(f"route {record.name} names no service")
+    return model.Route(
+        name=record.name,
+        host=record.host,
+        path_prefix=record.path_prefix,
+        repeat=_KINDS[record.kind],
+        shares=shares,
+        timeout_ms=record.timeout_ms,
+        target_ms=record.slo_ms,
+        pause_target_ms=record.gap_aim_ms,
+        tier=record.priority,
+        max_attempts=record.max_attempts,
+        anonymous=record.anonymous,
+        resumable=record.stream_resume,
+    )
+
+
+def _to_service(record: _Service) -> model.Service:
+    engine = None
+    if record.engine is not None:
+        engine = model.EngineTraits(
+            slots=record.engine.slots,
+            kv_tokens=record.engine.kv_tokens,
+            tokens_per_event=record.engine.stride,
+        )
+    return model.Service(
+        name=record.name,
+        health_path=record.health_path,
+        max_connections=record.max_conns,
+        engine=engine,
+    )
+
+
+def _to_accounts(
+    records: list[_Account] | None,
+) -> dict[str, model.ClientAccount] | None:
+    if records is None:
+        return None
+    accounts = {}
+    for record in records:
+        account = model.ClientAccount(record.name, record.priority)
+        accounts.update(dict.fromkeys(record.api_keys, account))
+    return accounts
+
+
+def _to_limits(record: _Limits) -> model.Limits:
+    return model.Limits(
+        header_bytes=record.header_bytes,
+        body_bytes=record.max_body_bytes,
+        header_timeout_ms=record.header_timeout_ms,
+        idle_timeout_ms=record.idle_timeout_ms,
+    )
--- /dev/null
+++ b/hornbeampier/platform/settings.py
@@ -0,0 +1,111 @@
+"""The settings file that the platform writes for each process."""
+
+import dataclasses
+import pathlib
+
+import yaml
+
+from hornbeampier import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a process is told at its start.
+
+    Attributes:
+        callers: Where callers connect.
+        readiness: Where the balancer asks whether this VM takes connections.
+        control: Where peers ask; the same on no two VMs.
+        seeds: `control` addresses of some VMs, which may be gone.
+        peer_port: Port of messages between VMs, equal on all of them.
+        store: Address of the platform's store.
+        drain_ms: How long an endpoint serves after it said it is leaving.
+        grace_ms: Time between the signal to stop and the end.
+        in_force_ms: Time within which a configuration is in force.
+        retry_ratio: Repeated attempts allowed for each request of a service.
+        retry_extra: Repeated attempts allowed besides, by all VMs together.
+        retry_window_ms: The span over which repeated attempts are counted.
+    """
+
+    vm: str
+    availability_zone: str
+    host: str
+    callers: Address
+    readiness: Address
+    control: Address | None
+    seeds: tuple[Address, ...]
+    peer_port: int
+    store: Address
+    max_files: int
+    drain_ms: float
+    grace_ms: float
+    in_force_ms: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_ms: float
+
+
+def load(path: pathlib.Path) -> NodeSettings:
+    """Reads a settings file.
+
+    Raises:
+        errors.InvalidFileError: It cannot be read or a key is missing.
+    """
+    try:
+        fields = yaml.load(path.read_text(), Loader=_loader())
+        return _decode(fields)
+    except (OSError, yaml.YAMLError) as exc:
+        raise errors.InvalidFileError((f"{path}: {exc}",)) from exc
+    except KeyError as exc:
+        raise errors.InvalidFileError(
+            (f"{path}: key {exc} is missing",)
+        ) from exc
+    except (TypeError, ValueError) as exc:
+        raise errors.InvalidFileError((f"{path}: {exc}",)) from exc
+
+
+def _loader():
+    return getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+def _decode(fields: dict) -> NodeSettings:
+    listen = fields["listen"]
+    bounds = fields["bounds"]
+    control = listen.get("control")
+    return NodeSettings(
+        vm=str(fields["nodeId"]),
+        availability_zone=str(fields["zone"]),
+        host=str(fields["ip"]),
+        callers=parse_address(listen["front"]),
+        readiness=parse_address(listen["readyAddr"]),
+        control=parse_address(control) if control else None,
+        seeds=tuple(parse_address(a) for a in fields.get("seeds") or ()),
+        peer_port=int(fields["portRange"][0]),
+        store=parse_address(fields["platform"]["address"]),
+        max_files=int(fields["limits"]["maxFds"]),
+        drain_ms=float(bounds["drainMs"]),
+        grace_ms=float(bounds["graceS"]) * 1000.0,
+        in_force_ms=float(bounds["configApplyMs"]),
+        retry_ratio=float(bounds["retryBudgetRatio"]),
+        retry_extra=float(bounds["budgetExtra"]),
+        retry_window_ms=float(bounds["budgetWindowS"]) * 1000.0,
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Parses IP:PORT; raises ValueError."""
+    host, separator, port = str(text).rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"{text!r} is not IP:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/hornbeampier/platform/store.py
@@ -0,0 +1,160 @@
+"""Calls of the platform's store."""
+
+import base64
+import struct
+from urllib import parse
+
+import msgspec
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.http1 import client
+from hornbeampier.http1 import messages as http
+from hornbeampier.http1 import sockets
+from hornbeampier.platform import settings
+from hornbeampier.replication import messages
+
+CONNECT_TIMEOUT_MS = 1_000.0
+CALL_TIMEOUT_MS = 3_000.0
+PARTITION = 0
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Page(msgspec.Struct, rename="camel"):
+    """A page of newest records; `end` is the topic's next offset."""
+
+    items: list[_Item]
+    end: int
+    has_more: bool = False
+
+
+_page_decoder = msgspec.json.Decoder(_Page)
+
+
+class StoreClient:
+    """One connection to the store; a call waits for the one before it."""
+
+    def __init__(self, address: settings.Address, clock: clocks.Clock):
+        self._address = address
+        self._clock = clock
+        self._conn: client.ClientConnection | None = None
+
+    def newest(self, topic: str) -> messages.Snapshot:
+        """Returns the newest record of each key.
+
+        The pages are not of one moment: records are read again from the end
+        that the first page tells.
+        """
+        records = []
+        end = None
+        query = {"topic": topic, "part": PARTITION}
+        while True:
+            page = self._newest_page(query)
+            end = page.end if end is None else end
+            records += [_to_record(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return messages.Snapshot(tuple(records), end)
+            query["after"] = page.items[-1].key
+
+    def read(self, topic: str, offset: int, wait_ms: float) -> messages.Batch:
+        """Returns records from `offset` on, waiting for the first of them."""
+        query = {
+            "topic": topic,
+            "part": PARTITION,
+            "from": offset,
+            "waitMs": round(wait_ms),
+        }
+        status, body = self._call("/log-read", query, wait_ms)
+        if status == 410:
+            raise messages.RecordsForgottenError("records are deleted")
+        if status != 200:
+            raise errors.PlatformError(f"log-read answered {status}")
+        return _decode_batch(body, offset)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    def _newest_page(self, query: dict) -> _Page:
+        status, body = self._call("/log-newest", query, 0.0)
+        if status != 200:
+            raise errors.PlatformError(f"log-newest answered {status}")
+        try:
+            return _page_decoder.decode(body)
+        except errors.DECODE_ERRORS as exc:
+            raise errors.PlatformError(f"log-newest: {exc}") from exc
+
+    def _call(
+        self, path: str, query: dict, wait_ms: float
+    ) -> tuple[int, bytes]:
+        deadline_ms = self._clock.now() + wait_ms + CALL_TIMEOUT_MS
+        head = http.RequestHead(
+            b"GET",
+            f"{path}?{parse.urlencode(query)}".encode(),
+            ((b"host", str(self._address).encode()),),
+        )
+        try:
+            conn = self._connect()
+            conn.send(head, b"")
+            response = conn.read_head(deadline_ms)
+            body = b"".join(conn.read_body(deadline_ms))
+        except client.TRANSPORT_ERRORS as exc:
+            self.close()
+            raise errors.PlatformError(f"store: {exc}") from exc
+        except BaseException:
+            self.close()
+            raise
+        if not conn.is_reusable():
+            self.close()
+        return response.status, body
+
+    def _connect(self) -> client.ClientConnection:
+        if self._conn is not None and not self._conn.is_quiet():
+            self.close()
+        if self._conn is None:
+            sock = sockets.connect(
+                self._address.host, self._address.port, CONNECT_TIMEOUT_MS
+            )
+            self._conn = client.ClientConnection(sock, self._clock)
+        return self._conn
+
+
+def _to_record(item: _Item) -> messages.Record:
+    try:
+        value = base64.b64decode(item.value)
+    except ValueError as exc:
+        raise errors.PlatformError(f"record {item.key}: {exc}") from exc
+    return messages.Record(item.key, value, item.offset)
+
+
+def _decode_batch(body: bytes, offset: int) -> messages.Batch:
+    """Decodes the end, the first offset and the records that follow."""
+    try:
+        end, _ = _OFFSETS.unpack_from(body)
+        records = []
+        position = _OFFSETS.size
+        while position < len(body):
+            (length,) = _LENGTH.unpack_from(body, position)
+            position += _LENGTH.size
+            record = body[position : position + length]
+            records.append(_decode_record(record, offset + len(records)))
+            position += length
+    except (struct.error, IndexError) as exc:
+        raise errors.PlatformError(f"log-read: {exc}") from exc
+    return messages.Batch(tuple(records), end)
+
+
+def _decode_record(record: bytes, offset: int) -> messages.Record:
+    key_length = record[0]
+    key = record[1 : 1 + key_length].decode(errors="replace")
+    value = record[1 + key_length :]
+    return messages.Record(key, value or None, offset)
--- /dev/null
+++ b/hornbeampier/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps what operators and endpoints published in step on every VM."""
--- /dev/null
+++ b/hornbeampier/replication/entries.py
@@ -0,0 +1,100 @@
+"""Turns the entries of endpoints into the catalogue of the living ones."""
+
+import structlog
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.platform import records
+from hornbeampier.replication import messages
+from hornbeampier.routing import catalog
+
+# Entries that lapsed in an outage of the store return within two seconds.
+RETURN_MS = 2_000.0
+
+
+class EndpointEntries:
+    """Applies the topic of the endpoints' entries."""
+
+    def __init__(self, catalog: catalog.Catalog, clock: clocks.Clock):
+        self._catalog = catalog
+        self._clock = clock
+        self._settled_at_ms = 0.0
+        self._missing: set[str] = set()
+        self._log = structlog.get_logger(task="entries")
+
+    def note_regained(self) -> None:
+        """Keeps endpoints whose entries lapsed in the outage for a while."""
+        self._settled_at_ms = self._clock.now() + RETURN_MS
+
+    def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
+        """Takes over all entries."""
+        for record in snapshot.records:
+            self.apply_record(record)
+        listed = {record.key for record in snapshot.records}
+        for endpoint_id in set(self._catalog.endpoints) - listed:
+            self._drop(endpoint_id)
+
+    def apply_record(self, record: messages.Record) -> None:
+        """Takes over one entry; an unreadable one names no endpoint."""
+        if record.value is None:
+            self._drop(record.key)
+            return
+        try:
+            endpoint = records.decode_endpoint(record.key, record.value)
+        except errors.PlatformError as exc:
+            self._log.warning(
+                "entry_unreadable",
+                endpoint=record.key,
+                offset=record.offset,
+                error=str(exc),
+            )
+            self._catalog.remove_endpoint(record.key)
+            return
+        self._missing.discard(record.key)
+        self._catalog.apply_endpoint(endpoint)
+
+    def expire(self) -> None:
+        """Removes endpoints whose entries did not return in time."""
+        if self._clock.now() < self._settled_at_ms:
+            return
+        for endpoint_id in self._missing:
+            self._catalog.remove_endpoint(endpoint_id)
+        self._missing.clear()
+
+    def _drop(self, endpoint_id: str) -> None:
+        if self._clock.now() < self._settled_at_ms:
+            self._missing.add(endpoint_id)
+        else:
+            self._catalog.remove_endpoint(endpoint_id)
+
+
+class ConfigurationEntries:
+    """Applies the topic in which operators keep the configuration."""
+
+    def __init__(self, catalog: catalog.Catalog, key: str):
+        self._catalog = catalog
+        self._key = key
+        self._log = structlog.get_logger(task="configuration")
+
+    def note_regained(self) -> None:
+        """Needs nothing: configurations never lapse."""
+
+    def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
+        """Takes over the newest configuration."""
+        for record in snapshot.records:
+            self.apply_record(record)
+
+    def apply_record(self, record: messages.Record) -> None:
+        """Takes over a configuration; an unreadable one changes nothing."""
+        if record.key != self._key or record.value is None:
+            return
+        try:
+            cfg = records.decode_configuration(record.value)
+        except errors.PlatformError as exc:
+            self._log.error(
+                "configuration_unreadable",
+                offset=record.offset,
+                error=str(exc),
+            )
+            return
+        self._catalog.apply_configuration(cfg)
--- /dev/null
+++ b/hornbeampier/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests, as modules that need no network."""
--- /dev/null
+++ b/hornbeampier/routing/choice.py
@@ -0,0 +1,155 @@
+"""Chooses the endpoint of a request."""
+
+from collections.abc import Container
+import dataclasses
+import random
+from typing import Protocol
+
+from hornbeampier import clock as clocks
+from hornbeampier.routing import affinity
+from hornbeampier.routing import fleet
+from hornbeampier.routing import model
+from hornbeampier.routing import peer_loads
+from hornbeampier.routing import pools
+from hornbeampier.routing import requests
+
+# Prompt tokens that an engine reads in a millisecond, before it is measured.
+PREFILL_TOKENS_PER_MS = 50.0
+# What one more running request adds to the time of all others, in ms of wait.
+CROWDING_MS = 4.0
+# How much of its target a request may wait before it leaves its pool.
+POOL_WAIT_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """An endpoint and why it was chosen.
+
+    Attributes:
+        wait_ms: Expected time until the prompt is read.
+        prefill_tokens: Prompt tokens that the endpoint has to read.
+    """
+
+    state: fleet.EndpointState
+    wait_ms: float = 0.0
+    prefill_tokens: float = 0.0
+
+
+class Chooser(Protocol):
+    """Chooses among the endpoints of a service."""
+
+    def choose(
+        self, req: requests.Request, tried: Container[str]
+    ) -> Choice | None:
+        """Returns an endpoint outside `tried`, or None if there is none."""
+        ...
+
+
+class _Candidates:
+    """Finds the endpoints that may get a request."""
+
+    def __init__(self, fleet: fleet.Fleet, clock: clocks.Clock):
+        self._fleet = fleet
+        self._clock = clock
+
+    def find(
+        self, service: str, tried: Container[str]
+    ) -> list[fleet.EndpointState]:
+        """Returns the open endpoints; if none is open, the next to be."""
+        now_ms = self._clock.now()
+        serving = [
+            state
+            for state in self._fleet.serving(service)
+            if state.id not in tried
+        ]
+        open_states = [state for state in serving if state.is_open(now_ms)]
+        if open_states or not serving:
+            return open_states
+        return [min(serving, key=lambda state: state.ejected_until_ms)]
+
+
+class LeastLoaded:
+    """Chooses for services whose requests are alike."""
+
+    def __init__(
+        self,
+        fleet: fleet.Fleet,
+        peers: peer_loads.PeerLoads,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ):
+        self._candidates = _Candidates(fleet, clock)
+        self._peers = peers
+        self._rng = rng
+
+    def choose(
+        self, req: requests.Request, tried: Container[str]
+    ) -> Choice | None:
+        """Returns the endpoint with the fewest requests for its slots."""
+        found = self._candidates.find(req.service, tried)
+        if not found:
+            return None
+        state = min(found, key=lambda s: (self._load(s), self._rng.random()))
+        return Choice(state)
+
+    def _load(self, state: fleet.EndpointState) -> float:
+        total = state.in_flight + self._peers.total(state.id).in_flight
+        return total / max(1, state.endpoint.slots)
+
+
+class EngineChooser:
+    """Chooses for generations, by cached prompt parts and by load."""
+
+    def __init__(
+        self,
+        fleet: fleet.Fleet,
+        peers: peer_loads.PeerLoads,
+        pools: pools.Pools,
+        clock: clocks.Clock,
+    ):
+        self._candidates = _Candidates(fleet, clock)
+        self._peers = peers
+        self._pools = pools
+
+    def choose(
+        self, req: requests.Request, tried: Container[str]
+    ) -> Choice | None:
+        """Returns the engine that is expected to read the prompt first."""
+        found = self._candidates.find(req.service, tried)
+        if not found:
+            return None
+        pool, others = self._pools.split(req, found)
+        best = self._best(req.prompt, pool)
+        if best is None:
+            return self._best(req.prompt, others)
+        is_late = best.wait_ms > req.route.target_ms * POOL_WAIT_SHARE
+        if is_late and self._pools.may_leave(req):
+            elsewhere = self._best(req.prompt, others)
+            if elsewhere and elsewhere.wait_ms * 2 < best.wait_ms:
+                return elsewhere
+        return best
+
+    def _best(
+        self, prompt: model.Prompt, states: list[fleet.EndpointState]
+    ) -> Choice | None:
+        if not states:
+            return None
+        preferred = affinity.preferred(prompt, [s.id for s in states])
+        choices = [self._estimate(prompt, s, preferred) for s in states]
+        return min(choices, key=lambda c: (c.wait_ms, c.state.id != preferred))
+
+    def _estimate(
+        self,
+        prompt: model.Prompt,
+        state: fleet.EndpointState,
+        preferred: str,
+    ) -> Choice:
+        peers = self._peers.total(state.id)
+        cached = affinity.shared_tokens(prompt) if state.id == preferred else 0
+        own_tokens = max(0.0, prompt.input_tokens - cached)
+        ahead = state.prefill_tokens + peers.prefill_tokens
+        running = state.in_flight + peers.in_flight
+        wait_ms = (
+            ahead + own_tokens
+        ) / PREFILL_TOKENS_PER_MS + running * CROWDING_MS
+        return Choice(state, wait_ms, own_tokens)
--- /dev/null
+++ b/hornbeampier/routing/fleet.py
@@ -0,0 +1,112 @@
+"""What this VM knows of each endpoint from its own requests and reports."""
+
+import dataclasses
+
+from hornbeampier import clock as clocks
+from hornbeampier.routing import catalog
+from hornbeampier.routing import model
+
+# Time for which an endpoint gets no requests after its first failure.
+FIRST_EJECTION_MS = 250.0
+MAX_EJECTION_MS = 4_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that an endpoint told with a response.
+
+    Attributes:
+        at_ms: When the response arrived, on the monotonic clock.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    at_ms: float
+
+
+@dataclasses.dataclass
+class EndpointState:
+    """One incarnation of an endpoint, as seen from this VM.
+
+    Attributes:
+        in_flight: This VM's open requests there.
+        prefill_tokens: Prompt tokens of this VM's requests that have no event
+            yet.
+        failures: Failures since the last success.
+        ejected_until_ms: Until when it gets no requests.
+    """
+
+    endpoint: model.Endpoint
+    in_flight: int = 0
+    prefill_tokens: float = 0.0
+    report: LoadReport | None = None
+    failures: int = 0
+    ejected_until_ms: float = 0.0
+
+    @property
+    def id(self) -> str:
+        """The endpoint's id."""
+        return self.endpoint.id
+
+    def is_open(self, now_ms: float) -> bool:
+        """Whether it may get requests: not leaving, not ejected."""
+        return not self.endpoint.leaving and now_ms >= self.ejected_until_ms
+
+    def record_success(self) -> None:
+        """Notes a whole response."""
+        self.failures = 0
+        self.ejected_until_ms = 0.0
+
+    def record_failure(self, now_ms: float) -> None:
+        """Ejects the endpoint, longer after each failure in a row."""
+        self.failures += 1
+        out_ms = min(
+            FIRST_EJECTION_MS * 2 ** (self.failures - 1), MAX_EJECTION_MS
+        )
+        self.ejected_until_ms = now_ms + out_ms
+
+
+class Fleet:
+    """The states of all endpoints, by service."""
+
+    def __init__(self, catalog: catalog.Catalog, clock: clocks.Clock):
+        self._catalog = catalog
+        self._clock = clock
+        self._states: dict[str, EndpointState] = {}
+        self._by_service: dict[str, list[EndpointState]] = {}
+        catalog.subscribe(self.refresh)
+
+    def refresh(self) -> None:
+        """Follows the catalogue; a new incarnation starts afresh."""
+        states = {}
+        for endpoint in self._catalog.endpoints.values():
+            state = self._states.get(endpoint.id)
+            if state and state.endpoint.incarnation == endpoint.incarnation:
+                state.endpoint = endpoint
+            else:
+                state = EndpointState(endpoint)
+            states[endpoint.id] = state
+        self._states = states
+        self._by_service = {}
+        for state in states.values():
+            group = self._by_service.setdefault(state.endpoint.service, [])
+            group.append(state)
+        for group in self._by_service.values():
+            group.sort(key=lambda state: state.id)
+
+    def serving(self, service: str) -> list[EndpointState]:
+        """Returns the endpoints of a service that are not leaving."""
+        return [
+            state
+            for state in self._by_service.get(service, ())
+            if not state.endpoint.leaving
+        ]
+
+    def all(self) -> list[EndpointState]:
+        """Returns all endpoints."""
+        return list(self._states.values())
+
+    def get(self, endpoint_id: str) -> EndpointState | None:
+        """Returns an endpoint by its id, or None."""
+        return self._states.get(endpoint_id)
--- /dev/null
+++ b/hornbeampier/routing/peer_loads.py
@@ -0,0 +1,55 @@
+"""What the other VMs have in flight at each endpoint."""
+
+import dataclasses
+
+from hornbeampier import clock as clocks
+
+# A VM that was silent for longer no longer counts.
+FRESH_MS = 1_500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Open requests at an endpoint and their prompt tokens not yet read."""
+
+    in_flight: int = 0
+    prefill_tokens: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerLoads:
+    at_ms: float
+    loads: dict[str, Load]
+
+
+NO_LOAD = Load()
+
+
+class PeerLoads:
+    """The newest loads that each peer told."""
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._peers: dict[str, _PeerLoads] = {}
+
+    def record(self, vm: str, loads: dict[str, Load]) -> None:
+        """Takes over what a peer tells of its own requests."""
+        self._peers[vm] = _PeerLoads(self._clock.now(), loads)
+
+    def total(self, endpoint_id: str) -> Load:
+        """Returns the sum over all peers heard lately."""
+        oldest = self._clock.now() - FRESH_MS
+        in_flight = 0
+        tokens = 0.0
+        for peer in self._peers.values():
+            if peer.at_ms < oldest:
+                continue
+            load = peer.loads.get(endpoint_id, NO_LOAD)
+            in_flight += load.in_flight
+            tokens += load.prefill_tokens
+        return Load(in_flight, tokens)
+
+    def fresh_count(self) -> int:
+        """Returns how many peers were heard lately."""
+        oldest = self._clock.now() - FRESH_MS
+        return sum(peer.at_ms >= oldest for peer in self._peers.values())
