Tell peers loads and cached prompt parts; size the pool of short prompts

Change: each VM tells in-flight load and which parts went to which engine; the choice weighs wait and reading again; the pool is sized by utilization.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -120,6 +120,10 @@
     """The platform could not be reached or refused the call."""
 
 
+class PeerError(Exception):
+    """A message of another VM cannot be used."""
+
+
 class AppendUnknownError(PlatformError):
     """An append may have taken effect although its answer was lost."""
 
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from hornbeampier.routing import budget
 from hornbeampier.routing import choice
 from hornbeampier.routing import model
+from hornbeampier.routing import placements
 from hornbeampier.routing import pools
 from hornbeampier.routing import requests
 
@@ -31,6 +32,7 @@
         plain: choice.Chooser,
         engines: choice.Chooser,
         pools: pools.Pools,
+        placements: placements.Placements,
         budget: budget.RetryBudget,
         clock: clocks.Clock,
     ):
@@ -38,6 +40,7 @@
         self._plain = plain
         self._engines = engines
         self._pools = pools
+        self._placements = placements
         self._budget = budget
         self._clock = clock
         self._log = structlog.get_logger(task="forwarder")
@@ -52,16 +55,19 @@
             streams.BrokenStreamError: An answer that had begun broke off.
         """
         self._budget.record_request(req.service)
-        if req.prompt is not None:
-            self._pools.record(req)
         _Forwarding(self, req, caller).run()
 
     def choose(
         self, req: requests.Request, tried: set[str]
     ) -> choice.Choice | None:
         """Returns the endpoint of the next attempt, or None."""
-        chooser = self._plain if req.prompt is None else self._engines
-        return chooser.choose(req, tried)
+        if req.prompt is None:
+            return self._plain.choose(req, tried)
+        chosen = self._engines.choose(req, tried)
+        if chosen is not None:
+            self._pools.record(req, chosen.prefill_tokens)
+            self._placements.record(chosen.state, req.prompt)
+        return chosen
 
 
 class _Forwarding:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -18,24 +18,34 @@
 from hornbeampier.forwarding import forwarder
 from hornbeampier.ingress import admission
 from hornbeampier.ingress import callers
+from hornbeampier.ingress import control
 from hornbeampier.ingress import listener
 from hornbeampier.ingress import readiness
 from hornbeampier.ingress import shutdown
+from hornbeampier.peers import gossip
+from hornbeampier.peers import membership
+from hornbeampier.peers import messages
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
+from hornbeampier.replication import catch_up
 from hornbeampier.replication import entries
 from hornbeampier.replication import follower
+from hornbeampier.replication import relay
+from hornbeampier.replication import replica
 from hornbeampier.routing import budget
 from hornbeampier.routing import catalog
 from hornbeampier.routing import choice
 from hornbeampier.routing import fleet
+from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
+from hornbeampier.routing import placements
 from hornbeampier.routing import pools
 
 MAINTENANCE_MS = 250.0
 # Part of the file descriptors that callers' connections may use.
 CALLER_FILES_SHARE = 0.5
+CONTROL_CONNECTIONS = 100
 
 
 class Node(application.BaseComponent):
@@ -54,33 +64,102 @@
         self._endpoint_entries = entries.EndpointEntries(
             self.catalog, self._clock
         )
-        self._build_followers()
+        self._pools = pools.Pools(self._clock)
+        self._placements = placements.Placements(self._fleet, self.catalog)
+        self._boot = env.rng.getrandbits(32)
+        self._build_replication()
+        self._build_peers()
         self._build_forwarder()
         self._build_listeners()
 
-    def _build_followers(self) -> None:
-        self._configuration = self._follow(
-            names.OPERATOR_TOPIC,
-            entries.ConfigurationEntries(self.catalog, names.CONFIGURATION_KEY),
+    def _build_replication(self) -> None:
+        configuration = entries.ConfigurationEntries(
+            self.catalog, names.CONFIGURATION_KEY
         )
-        self._endpoints = self._follow(
-            names.ENDPOINT_TOPIC, self._endpoint_entries
+        self._replicas = {
+            topic: replica.TopicReplica(topic, applier)
+            for topic, applier in (
+                (names.OPERATOR_TOPIC, configuration),
+                (names.ENDPOINT_TOPIC, self._endpoint_entries),
+            )
+        }
+        for found in self._replicas.values():
+            source = store.StoreClient(self._cfg.store, self._clock)
+            self.app.add(
+                follower.TopicFollower(
+                    found, source, self._clock, self._env.rng
+                )
+            )
+
+    def _build_peers(self) -> None:
+        cfg = self._cfg
+        if cfg.control is None:
+            return
+        self._catch_up = catch_up.CatchUp(
+            self._replicas, cfg.control.port, self._clock
+        )
+        members = membership.Membership(
+            cfg.host, [seed.host for seed in cfg.seeds], self._clock
+        )
+        handler = control.ControlHandler(relay.RelayHandler(self._replicas))
+        self.app.add(
+            listener.Listener(
+                cfg.control, handler, self._clock, CONTROL_CONNECTIONS
+            )
+        )
+        self.app.add(
+            gossip.Gossip(
+                cfg.host,
+                cfg.peer_port,
+                members,
+                self._make_state,
+                self._take_state,
+                self._clock,
+            )
         )
+        self.app.add(self._catch_up)
 
-    def _follow(self, topic: str, applier) -> follower.TopicFollower:
-        found = follower.TopicFollower(
-            topic,
-            store.StoreClient(self._cfg.store, self._clock),
-            applier,
-            self._clock,
-            self._env.rng,
+    def _make_state(
+        self, sequence: int, members: tuple[str, ...]
+    ) -> messages.State:
+        return messages.State(
+            vm=self._cfg.vm,
+            boot=self._boot,
+            sequence=sequence,
+            offsets={
+                topic: found.offset
+                for topic, found in self._replicas.items()
+                if found.offset is not None
+            },
+            loads={
+                state.id: messages.EndpointLoad(
+                    state.in_flight, round(state.prefill_tokens)
+                )
+                for state in self._fleet.all()
+                if state.in_flight
+            },
+            work=self._pools.own_work(),
+            placements=tuple(
+                messages.Placement(endpoint_id, part.id, part.tokens)
+                for endpoint_id, part in self._placements.take()
+            ),
+            members=members,
         )
-        self.app.add(found)
-        return found
+
+    def _take_state(self, host: str, state: messages.State) -> None:
+        loads = {
+            endpoint_id: peer_loads.Load(load.in_flight, load.prefill_tokens)
+            for endpoint_id, load in state.loads.items()
+        }
+        self._peer_loads.record(state.vm, loads)
+        self._pools.record_peer(state.vm, state.work)
+        for placement in state.placements:
+            part = model.PromptPart(placement.part, placement.tokens)
+            self._placements.record_peer(placement.endpoint, part)
+        self._catch_up.note_peer(host, state.offsets)
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
-        engine_pools = pools.Pools(self._clock)
         self._connections = connections.Connections(self._fleet, self._clock)
         self._forwarder = forwarder.Forwarder(
             self._connections,
@@ -88,9 +167,10 @@
                 self._fleet, self._peer_loads, self._clock, self._env.rng
             ),
             choice.EngineChooser(
-                self._fleet, self._peer_loads, engine_pools, self._clock
+                self._fleet, self._peer_loads, self._pools, self._clock
             ),
-            engine_pools,
+            self._pools,
+            self._placements,
             budget.RetryBudget(
                 cfg.retry_ratio,
                 cfg.retry_extra,
@@ -149,7 +229,7 @@
         return (
             not self._handler.draining
             and self.catalog.cfg is not None
-            and self._endpoints.offset is not None
+            and self._replicas[names.ENDPOINT_TOPIC].offset is not None
         )
 
     def _count_vms(self) -> int:
--- /dev/null
+++ b/hornbeampier/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What VMs tell each other all the time, in datagrams."""
--- /dev/null
+++ b/hornbeampier/peers/membership.py
@@ -0,0 +1,48 @@
+"""Which other VMs are there, from seeds and from what peers tell."""
+
+from collections.abc import Iterable
+
+from hornbeampier import clock as clocks
+
+# A VM that was silent for longer is no longer told anything.
+FORGET_MS = 8_000.0
+# How often a seed that was never heard is tried.
+SEED_INTERVAL_MS = 1_000.0
+
+
+class Membership:
+    """The hosts of the other VMs."""
+
+    def __init__(self, own: str, seeds: Iterable[str], clock: clocks.Clock):
+        self._own = own
+        self._seeds = tuple(host for host in seeds if host != own)
+        self._clock = clock
+        self._heard_ms: dict[str, float] = {}
+        self._tried_ms = -SEED_INTERVAL_MS
+
+    def note_heard(self, host: str) -> None:
+        """A datagram came from this host."""
+        if host != self._own:
+            self._heard_ms[host] = self._clock.now()
+
+    def note_told(self, hosts: Iterable[str]) -> None:
+        """A peer heard these hosts lately."""
+        for host in hosts:
+            if host != self._own:
+                self._heard_ms.setdefault(host, self._clock.now())
+
+    def alive(self) -> list[str]:
+        """Returns the hosts that were heard lately."""
+        oldest = self._clock.now() - FORGET_MS
+        for host in [h for h, at in self._heard_ms.items() if at < oldest]:
+            del self._heard_ms[host]
+        return sorted(self._heard_ms)
+
+    def targets(self) -> list[str]:
+        """Returns the hosts that the next datagram goes to."""
+        hosts = self.alive()
+        now_ms = self._clock.now()
+        if now_ms - self._tried_ms >= SEED_INTERVAL_MS:
+            self._tried_ms = now_ms
+            hosts += [seed for seed in self._seeds if seed not in hosts]
+        return hosts
--- /dev/null
+++ b/hornbeampier/peers/messages.py
@@ -0,0 +1,64 @@
+"""The datagrams between VMs."""
+
+import msgspec
+
+from hornbeampier import errors
+
+
+class EndpointLoad(msgspec.Struct, array_like=True, frozen=True):
+    """A VM's own open requests at an endpoint."""
+
+    in_flight: int
+    prefill_tokens: float
+
+
+class Placement(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has read a part of a prompt."""
+
+    endpoint: str
+    part: str
+    tokens: int
+
+
+class State(msgspec.Struct, array_like=True, frozen=True):
+    """What a VM tells its peers.
+
+    Attributes:
+        boot: Drawn at the start of the process.
+        sequence: Counts the datagrams of a process.
+        offsets: How far the VM has read each topic.
+        loads: Load by endpoint id; endpoints without load are left out.
+        work: Short and long work of late by service, in prompt tokens.
+        placements: Prompt parts that were sent to endpoints lately.
+        members: Hosts that the VM heard lately.
+    """
+
+    vm: str
+    boot: int
+    sequence: int
+    offsets: dict[str, int]
+    loads: dict[str, EndpointLoad]
+    work: dict[str, tuple[float, float]]
+    placements: tuple[Placement, ...] = ()
+    members: tuple[str, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(State)
+
+
+def encode(state: State) -> bytes:
+    """Returns the datagram of a state."""
+    return _encoder.encode(state)
+
+
+def decode(data: bytes) -> State:
+    """Returns the state in a datagram.
+
+    Raises:
+        errors.PeerError: It cannot be read.
+    """
+    try:
+        return _decoder.decode(data)
+    except errors.DECODE_ERRORS as exc:
+        raise errors.PeerError(f"unreadable datagram: {exc}") from exc
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -139,7 +139,8 @@
 def _decode_batch(body: bytes, offset: int) -> messages.Batch:
     """Decodes the end, the first offset and the records that follow."""
     try:
-        end, _ = _OFFSETS.unpack_from(body)
+        # The end of the topic may lie beyond the records of this answer.
+        _OFFSETS.unpack_from(body)
         records = []
         position = _OFFSETS.size
         while position < len(body):
@@ -150,7 +151,7 @@
             position += length
     except (struct.error, IndexError) as exc:
         raise errors.PlatformError(f"log-read: {exc}") from exc
-    return messages.Batch(tuple(records), end)
+    return messages.Batch(tuple(records), offset + len(records))
 
 
 def _decode_record(record: bytes, offset: int) -> messages.Record:
--- /dev/null
+++ b/hornbeampier/replication/catch_up.py
@@ -0,0 +1,78 @@
+"""Fetches records from peers that are ahead of this VM."""
+
+import structlog
+
+from hornbeampier import application
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.replication import relay
+from hornbeampier.replication import replica
+
+POLL_MS = 100.0
+# How long the store may take to tell this VM what a peer already knows.
+STORE_LEAD_MS = 300.0
+
+
+class CatchUp(application.TaskComponent):
+    """Asks a peer whenever one has been ahead for a while."""
+
+    def __init__(
+        self,
+        replicas: dict[str, replica.TopicReplica],
+        port: int,
+        clock: clocks.Clock,
+    ):
+        super().__init__()
+        self._replicas = replicas
+        self._port = port
+        self._clock = clock
+        self._ahead: dict[str, dict[str, int]] = {t: {} for t in replicas}
+        self._since_ms: dict[str, float] = {}
+        self._log = structlog.get_logger(task="catch_up")
+
+    def note_peer(self, host: str, offsets: dict[str, int]) -> None:
+        """Takes over how far a peer is."""
+        for topic, offset in offsets.items():
+            if topic in self._ahead:
+                self._ahead[topic][host] = offset
+
+    def run(self) -> None:
+        """Looks for peers that are ahead, until it is killed."""
+        while True:
+            self._clock.sleep(POLL_MS)
+            for topic in self._replicas:
+                self._check(topic)
+
+    def _check(self, topic: str) -> None:
+        own = self._replicas[topic].offset
+        ahead = {
+            host: offset
+            for host, offset in self._ahead[topic].items()
+            if own is None or offset > own
+        }
+        if not ahead:
+            self._since_ms.pop(topic, None)
+            return
+        now_ms = self._clock.now()
+        since_ms = self._since_ms.setdefault(topic, now_ms)
+        if now_ms - since_ms >= STORE_LEAD_MS:
+            self._fetch(topic, max(ahead, key=ahead.get))
+
+    def _fetch(self, topic: str, host: str) -> None:
+        found = self._replicas[topic]
+        try:
+            batch = relay.fetch(
+                host, self._port, topic, found.offset or 0, self._clock
+            )
+        except errors.PlatformError as exc:
+            self._log.info("peer_failed", peer=host, error=str(exc))
+            self._ahead[topic].pop(host, None)
+            return
+        found.apply_batch(batch)
+        self._log.info(
+            "caught_up",
+            peer=host,
+            topic=topic,
+            records=len(batch.records),
+            offset=found.offset,
+        )
--- a/hornbeampier/replication/entries.py
+++ b/hornbeampier/replication/entries.py
@@ -26,14 +26,6 @@
         """Keeps endpoints whose entries lapsed in the outage for a while."""
         self._settled_at_ms = self._clock.now() + RETURN_MS
 
-    def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
-        """Takes over all entries."""
-        for record in snapshot.records:
-            self.apply_record(record)
-        listed = {record.key for record in snapshot.records}
-        for endpoint_id in set(self._catalog.endpoints) - listed:
-            self._drop(endpoint_id)
-
     def apply_record(self, record: messages.Record) -> None:
         """Takes over one entry; an unreadable one names no endpoint."""
         if record.value is None:
@@ -79,11 +71,6 @@
     def note_regained(self) -> None:
         """Needs nothing: configurations never lapse."""
 
-    def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
-        """Takes over the newest configuration."""
-        for record in snapshot.records:
-            self.apply_record(record)
-
     def apply_record(self, record: messages.Record) -> None:
         """Takes over a configuration; an unreadable one changes nothing."""
         if record.key != self._key or record.value is None:
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -1,6 +1,5 @@
 """Follows a topic and applies its records in order."""
 
-from collections.abc import Callable
 import random
 
 import structlog
@@ -9,6 +8,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier.replication import messages
+from hornbeampier.replication import replica
 
 # Long enough that an unchanged topic costs few calls.
 POLL_WAIT_MS = 20_000.0
@@ -20,29 +20,24 @@
     """Reads one topic for as long as the process lives.
 
     Attributes:
-        offset: Where the next record begins, or None before the first read.
         lost: Whether the last call failed.
     """
 
     def __init__(
         self,
-        topic: str,
+        replica: replica.TopicReplica,
         source: messages.Source,
-        applier: messages.Applier,
         clock: clocks.Clock,
         rng: random.Random,
-        on_loaded: Callable[[], None] | None = None,
     ):
         super().__init__()
-        self._topic = topic
+        self._replica = replica
         self._source = source
-        self._applier = applier
         self._clock = clock
         self._rng = rng
-        self._on_loaded = on_loaded
-        self._log = structlog.get_logger(task="follower", topic=topic)
+        self._log = structlog.get_logger(task="follower", topic=replica.topic)
         self._backoff_ms = FIRST_BACKOFF_MS
-        self.offset: int | None = None
+        self._offset: int | None = None
         self.lost = False
 
     def run(self) -> None:
@@ -51,8 +46,8 @@
             try:
                 self._step()
             except messages.RecordsForgottenError:
-                self._log.warning("records_forgotten", offset=self.offset)
-                self.offset = None
+                self._log.warning("records_forgotten", offset=self._offset)
+                self._offset = None
             except errors.PlatformError as exc:
                 self._note_lost(exc)
                 self._back_off()
@@ -63,24 +58,17 @@
         self._source.close()
 
     def _step(self) -> None:
-        if self.offset is None:
-            self._load()
+        if self._offset is None:
+            snapshot = self._source.newest(self._replica.topic)
+            self._note_regained()
+            self._replica.apply_snapshot(snapshot)
+            self._offset = snapshot.end
             return
         wait_ms = 0.0 if self.lost else POLL_WAIT_MS
-        batch = self._source.read(self._topic, self.offset, wait_ms)
+        batch = self._source.read(self._replica.topic, self._offset, wait_ms)
         self._note_regained()
-        for record in batch.records:
-            self._applier.apply_record(record)
-        if batch.records:
-            self.offset = batch.records[-1].offset + 1
-
-    def _load(self) -> None:
-        snapshot = self._source.newest(self._topic)
-        self._note_regained()
-        self._applier.apply_snapshot(snapshot)
-        self.offset = snapshot.end
-        if self._on_loaded is not None:
-            self._on_loaded()
+        self._replica.apply_batch(batch)
+        self._offset = batch.end
 
     def _note_lost(self, exc: errors.PlatformError) -> None:
         if not self.lost:
@@ -92,8 +80,8 @@
         if not self.lost:
             return
         self.lost = False
-        self._log.info("source_regained", offset=self.offset)
-        self._applier.note_regained()
+        self._log.info("source_regained", offset=self._offset)
+        self._replica.note_regained()
 
     def _back_off(self) -> None:
         self._clock.sleep(self._backoff_ms * (0.5 + self._rng.random()))
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Records that follow one another; the next one has offset `end`."""
+    """Records that follow one another; later ones begin at `end`."""
 
     records: tuple[Record, ...]
     end: int
@@ -59,10 +59,6 @@
 class Applier(Protocol):
     """What the records of a topic change."""
 
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Takes over all keys; those that are missing are gone."""
-        ...
-
     def apply_record(self, record: Record) -> None:
         """Takes over one change."""
         ...
--- /dev/null
+++ b/hornbeampier/replication/relay.py
@@ -0,0 +1,78 @@
+"""Passes records on between VMs, for those that the store does not serve."""
+
+from urllib import parse
+
+import msgspec
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.http1 import client
+from hornbeampier.http1 import messages as http
+from hornbeampier.http1 import server
+from hornbeampier.http1 import sockets
+from hornbeampier.replication import messages
+from hornbeampier.replication import replica
+
+PATH = "/records"
+CONNECT_TIMEOUT_MS = 500.0
+CALL_TIMEOUT_MS = 2_000.0
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(messages.Batch)
+
+
+class RelayHandler:
+    """Answers peers that ask for the records of a topic."""
+
+    def __init__(self, replicas: dict[str, replica.TopicReplica]):
+        self._replicas = replicas
+
+    def respond(
+        self, conn: server.ServerConnection, head: http.RequestHead
+    ) -> None:
+        """Answers `GET /records?topic=TOPIC&from=OFFSET`."""
+        query = parse.parse_qs(parse.urlsplit(head.target.decode()).query)
+        found = self._replicas.get(query.get("topic", [""])[0])
+        offset = query.get("from", ["0"])[0]
+        if found is None or found.offset is None or not offset.isdigit():
+            conn.respond(404, [(b"Content-Length", b"0")], b"")
+            return
+        body = _encoder.encode(found.since(int(offset)))
+        conn.respond(200, [(b"Content-Length", b"%d" % len(body))], body)
+
+
+def fetch(
+    host: str, port: int, topic: str, offset: int, clock: clocks.Clock
+) -> messages.Batch:
+    """Asks a peer for the records of a topic from `offset` on.
+
+    Raises:
+        errors.PlatformError: The peer has no answer.
+    """
+    query = parse.urlencode({"topic": topic, "from": offset})
+    head = http.RequestHead(
+        b"GET", f"{PATH}?{query}".encode(), ((b"host", host.encode()),)
+    )
+    deadline_ms = clock.now() + CALL_TIMEOUT_MS
+    try:
+        sock = sockets.connect(host, port, CONNECT_TIMEOUT_MS)
+    except OSError as exc:
+        raise errors.PlatformError(f"peer {host}: {exc}") from exc
+    conn = client.ClientConnection(sock, clock)
+    try:
+        conn.send(head, b"")
+        response = conn.read_head(deadline_ms)
+        body = b"".join(conn.read_body(deadline_ms))
+    except client.TRANSPORT_ERRORS as exc:
+        raise errors.PlatformError(f"peer {host}: {exc}") from exc
+    finally:
+        conn.close()
+    return _decode(host, response.status, body)
+
+
+def _decode(host: str, status: int, body: bytes) -> messages.Batch:
+    if status != 200:
+        raise errors.PlatformError(f"peer {host} answered {status}")
+    try:
+        return _decoder.decode(body)
+    except errors.DECODE_ERRORS as exc:
+        raise errors.PlatformError(f"peer {host}: {exc}") from exc
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container
 import dataclasses
+import math
 import random
 from typing import Protocol
 
@@ -15,6 +16,10 @@
 
 # Prompt tokens that an engine reads in a millisecond, before it is measured.
 PREFILL_TOKENS_PER_MS = 50.0
+# What a token that is read again costs all others, beside its own wait.
+REREAD_WEIGHT = 1.0
+# Bonus of the engine that all VMs prefer, as a part of the shared tokens.
+PREFERENCE = 0.3
 # What one more running request adds to the time of all others, in ms of wait.
 CROWDING_MS = 4.0
 # How much of its target a request may wait before it leaves its pool.
@@ -135,18 +140,28 @@
         if not states:
             return None
         preferred = affinity.preferred(prompt, [s.id for s in states])
-        choices = [self._estimate(prompt, s, preferred) for s in states]
-        return min(choices, key=lambda c: (c.wait_ms, c.state.id != preferred))
+        found = None
+        lowest_cost = math.inf
+        for state in states:
+            chosen = self._estimate(prompt, state)
+            cost = chosen.wait_ms + REREAD_WEIGHT * (
+                chosen.prefill_tokens / PREFILL_TOKENS_PER_MS
+            )
+            if state.id == preferred:
+                cost -= PREFERENCE * (
+                    affinity.shared_tokens(prompt) / PREFILL_TOKENS_PER_MS
+                )
+            if cost < lowest_cost:
+                found, lowest_cost = chosen, cost
+        return found
 
     def _estimate(
-        self,
-        prompt: model.Prompt,
-        state: fleet.EndpointState,
-        preferred: str,
+        self, prompt: model.Prompt, state: fleet.EndpointState
     ) -> Choice:
         peers = self._peers.total(state.id)
-        cached = affinity.shared_tokens(prompt) if state.id == preferred else 0
-        own_tokens = max(0.0, prompt.input_tokens - cached)
+        own_tokens = max(
+            0, prompt.input_tokens - state.cached.leading_tokens(prompt)
+        )
         ahead = state.prefill_tokens + peers.prefill_tokens
         running = state.in_flight + peers.in_flight
         wait_ms = (
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import cached_parts
 from hornbeampier.routing import catalog
 from hornbeampier.routing import model
 
@@ -35,9 +36,11 @@
             yet.
         failures: Failures since the last success.
         ejected_until_ms: Until when it gets no requests.
+        cached: Prompt parts that it is believed to keep.
     """
 
     endpoint: model.Endpoint
+    cached: cached_parts.CachedParts
     in_flight: int = 0
     prefill_tokens: float = 0.0
     report: LoadReport | None = None
@@ -85,7 +88,9 @@
             if state and state.endpoint.incarnation == endpoint.incarnation:
                 state.endpoint = endpoint
             else:
-                state = EndpointState(endpoint)
+                state = EndpointState(
+                    endpoint, cached_parts.CachedParts(self._clock)
+                )
             states[endpoint.id] = state
         self._states = states
         self._by_service = {}
--- /dev/null
+++ b/hornbeampier/routing/placements.py
@@ -0,0 +1,45 @@
+"""Which prompt parts went to which engine, by this VM and by its peers."""
+
+from hornbeampier.routing import cached_parts
+from hornbeampier.routing import catalog
+from hornbeampier.routing import fleet
+from hornbeampier.routing import model
+
+# News that wait for the next datagram; older ones are left out.
+MAX_NEWS = 200
+
+
+class Placements:
+    """Keeps what engines cache in step on all VMs."""
+
+    def __init__(self, fleet: fleet.Fleet, catalog: catalog.Catalog):
+        self._fleet = fleet
+        self._catalog = catalog
+        self._news: list[tuple[str, model.PromptPart]] = []
+
+    def record(self, state: fleet.EndpointState, prompt: model.Prompt) -> None:
+        """Notes that a prompt goes to an engine."""
+        self._set_capacity(state)
+        for part in state.cached.record(prompt):
+            self._news.append((state.id, part))
+        del self._news[:-MAX_NEWS]
+
+    def record_peer(self, endpoint_id: str, part: model.PromptPart) -> None:
+        """Notes that a peer sent a prompt with this part to an engine."""
+        state = self._fleet.get(endpoint_id)
+        if state is not None:
+            self._set_capacity(state)
+            state.cached.record_peer(part)
+
+    def take(self) -> list[tuple[str, model.PromptPart]]:
+        """Returns what the peers have not been told yet."""
+        news, self._news = self._news, []
+        return news
+
+    def _set_capacity(self, state: fleet.EndpointState) -> None:
+        cfg = self._catalog.cfg
+        service = cfg.services.get(state.endpoint.service) if cfg else None
+        if service is not None and service.engine is not None:
+            state.cached.capacity_tokens = round(
+                service.engine.kv_tokens * cached_parts.CACHE_SHARE
+            )
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -9,6 +9,8 @@
 import dataclasses
 import math
 
+import structlog
+
 from hornbeampier import clock as clocks
 from hornbeampier.routing import fleet
 from hornbeampier.routing import requests
@@ -17,11 +19,15 @@
 # Prompts up to one prefill chunk count as short.
 SHORT_PROMPT_TOKENS = 2_048
 # Work of a generated token, in prompt tokens.
-OUTPUT_TOKEN_WORK = 20.0
+OUTPUT_TOKEN_WORK = 3.0
 # Time constant of the average over past work.
-MEMORY_MS = 10_000.0
-# Room that the pool of short prompts keeps for bursts.
+MEMORY_MS = 6_000.0
+# Share of its time that an engine of the pool for short prompts may read.
+SHORT_UTILIZATION = 0.3
+# Room that this pool keeps when engines are scarce.
 SHORT_HEADROOM = 1.5
+# Prompt tokens that an engine reads in a millisecond.
+PREFILL_TOKENS_PER_MS = 50.0
 # A change of less than this part of an engine moves none.
 HYSTERESIS = 0.3
 
@@ -48,19 +54,33 @@
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._work: dict[str, Work] = {}
+        self._peers: dict[str, _PeerWork] = {}
         self._sizes: dict[str, int] = {}
+        self._log = structlog.get_logger(task="pools")
 
-    def record(self, req: requests.Request) -> None:
-        """Counts the work of a request that arrived."""
+    def record(self, req: requests.Request, prefill_tokens: float) -> None:
+        """Counts the work of a request that was sent to an engine."""
         work = self._work_of(req.service)
-        amount = (
-            req.prompt.parts[-1].tokens if req.prompt.parts else 0.0
-        ) + OUTPUT_TOKEN_WORK * req.prompt.expected_tokens
+        generated = OUTPUT_TOKEN_WORK * req.prompt.expected_tokens
+        amount = prefill_tokens + generated
         if is_short(req):
             work.short += amount
         else:
             work.long += amount
 
+    def own_work(self) -> dict[str, tuple[float, float]]:
+        """Returns short and long work of late by service."""
+        return {
+            service: (round(work.short), round(work.long))
+            for service, work in self._work.items()
+        }
+
+    def record_peer(
+        self, vm: str, work: dict[str, tuple[float, float]]
+    ) -> None:
+        """Takes over the work that a peer saw."""
+        self._peers[vm] = _PeerWork(self._clock.now(), work)
+
     def split(
         self, req: requests.Request, states: list[fleet.EndpointState]
     ) -> tuple[list[fleet.EndpointState], list[fleet.EndpointState]]:
@@ -81,23 +101,49 @@
 
     def _short_size(self, service: str, count: int) -> int:
         """Returns how many engines serve short prompts."""
-        work = self._work_of(service)
-        if not work.short or count < 2:
+        short, long = self._total_work(service)
+        if not short or count < 2:
             return 0
-        if not work.long:
+        if not long:
             return count
-        wanted = (
-            count
-            * SHORT_HEADROOM
-            * work.short
-            / (SHORT_HEADROOM * work.short + work.long)
-        )
+        weighted = SHORT_HEADROOM * short
+        share = count * weighted / (weighted + long)
+        busy = short / MEMORY_MS / PREFILL_TOKENS_PER_MS
+        wanted = min(share, busy / SHORT_UTILIZATION)
         size = self._sizes.get(service)
         if size is None or abs(wanted - size) > 0.5 + HYSTERESIS:
             size = round(wanted)
             self._sizes[service] = size
+            self._log.info(
+                "pool_resized",
+                service=service,
+                short_endpoints=size,
+                endpoints=count,
+                short_work=round(short),
+                long_work=round(long),
+            )
         return min(max(1, size), count - 1)
 
+    def _total_work(self, service: str) -> tuple[float, float]:
+        """Returns short and long work that all VMs saw."""
+        own = self._work_of(service)
+        short, long = own.short, own.long
+        oldest = self._clock.now() - MEMORY_MS
+        for peer in self._peers.values():
+            if peer.at_ms >= oldest:
+                more_short, more_long = peer.work.get(service, (0.0, 0.0))
+                short += more_short
+                long += more_long
+        return short, long
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerWork:
+    """Short and long work by service that a peer told."""
+
+    at_ms: float
+    work: dict[str, tuple[float, float]]
+
 
 def is_short(req: requests.Request) -> bool:
     """Whether a prompt is short enough not to delay others."""
