Size the pool of short prompts by utilization; weigh reading again double

Cause: the share of short work was taken against work that was inflated by cold caches, so the pool had one engine in a burst; parts were read again too easily.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,9 @@
 bench: $(VENV)/.bench
 	$(VENV)/bin/python -m bench
 
-$(VENV)/.run: requirements/run.txt pyproject.toml
+$(VENV)/.run: requirements/node.txt requirements/run.txt pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install -q -r requirements/run.txt -e .
+	$(VENV)/bin/pip install -q -r requirements/node.txt -r requirements/run.txt -e .
 	touch $@
 
 $(VENV)/.test: $(VENV)/.run requirements/test.txt
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -83,7 +83,7 @@
         self._req = req
         self._clock = owner._clock
         self._log = owner._log.bind(request_id=req.id)
-        self._relay = streams.StreamRelay(caller)
+        self._relay = streams.StreamRelay(caller, owner._clock)
         self._caller = caller
         self._tried: set[str] = set()
         self._attempts = 0
@@ -109,6 +109,7 @@
             raise self._refuse(
                 errors.RefusalCode.ENDPOINT_FAILED, "no other endpoint is left"
             )
+        prompt = self._req.prompt
         self._log.info(
             "routed",
             endpoint=chosen.state.id,
@@ -116,30 +117,30 @@
             attempt=self._attempts + 1,
             wait_ms=round(chosen.wait_ms),
             prefill_tokens=round(chosen.prefill_tokens),
+            prompt_tokens=prompt.input_tokens if prompt else None,
             in_flight=chosen.state.in_flight,
         )
         return chosen
 
     def _attempt(self, chosen: choice.Choice) -> None:
-        state = chosen.state
-        state.in_flight += 1
-        load = _PrefillLoad(chosen)
+        load = _AttemptLoad(chosen)
         attempt = exchange.Exchange(
-            self._owner._connections, state, self._clock
+            self._owner._connections, chosen.state, self._clock
         )
         try:
             attempt.open(self._req, self._relay.last_event_id)
             self._attempts += 1
             self._check_answer(attempt)
             self._deliver(attempt, load)
-            state.record_success()
+            load.note_answer()
+            chosen.state.record_success()
         except errors.AttemptError as exc:
             if not exc.unsent and attempt.answer is None:
                 self._attempts += 1
+            load.note_failure()
             raise
         finally:
             load.end()
-            state.in_flight -= 1
             attempt.close()
 
     def _check_answer(self, attempt: exchange.Exchange) -> None:
@@ -174,11 +175,11 @@
         )
 
     def _deliver(
-        self, attempt: exchange.Exchange, load: "_PrefillLoad"
+        self, attempt: exchange.Exchange, load: "_AttemptLoad"
     ) -> None:
         is_stream = self._req.route.repeat is model.Repeat.STREAM
         if is_stream and attempt.answer.status < 300:
-            self._relay.relay(attempt, load.end)
+            self._relay.relay(attempt, load.note_answer)
             attempt.finish()
             self._relay.end()
             self._log_served(attempt)
@@ -198,9 +199,14 @@
             "served",
             status=attempt.answer.status,
             attempts=self._attempts,
-            took_ms=round(self._clock.now() - self._req.arrived_ms),
+            events=self._relay.events,
+            first_ms=self._since_arrival(self._relay.first_event_ms),
+            took_ms=self._since_arrival(self._clock.now()),
         )
 
+    def _since_arrival(self, at_ms: float | None) -> int | None:
+        return None if at_ms is None else round(at_ms - self._req.arrived_ms)
+
     def _note_failure(
         self, chosen: choice.Choice, exc: errors.AttemptError
     ) -> None:
@@ -252,15 +258,31 @@
         )
 
 
-class _PrefillLoad:
-    """Counts a prompt at its engine until the first event."""
+class _AttemptLoad:
+    """Counts an attempt at its endpoint for as long as it lasts."""
 
     def __init__(self, chosen: choice.Choice):
         self._state = chosen.state
         self._tokens = chosen.prefill_tokens
+        self._ticket = chosen.state.speed.begin(chosen.expected_ms)
+        self._state.in_flight += 1
         self._state.prefill_tokens += self._tokens
 
+    def note_answer(self) -> None:
+        """The answer has begun: the prompt has been read."""
+        self._state.speed.end(self._ticket)
+        self._end_prefill()
+
+    def note_failure(self) -> None:
+        """The attempt has failed."""
+        self._state.speed.end(self._ticket, failed=True)
+
     def end(self) -> None:
-        """The prompt has been read, or the attempt has ended."""
+        """The attempt is over."""
+        self._state.speed.forget(self._ticket)
+        self._state.in_flight -= 1
+        self._end_prefill()
+
+    def _end_prefill(self) -> None:
         self._state.prefill_tokens -= self._tokens
         self._tokens = 0.0
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import verdict
 from hornbeampier.forwarding import events
@@ -23,10 +24,13 @@
         started: Whether the caller has the head of the answer.
         last_event_id: Id of the last event passed on, or None.
         events: How many events were passed on.
+        first_event_ms: When the first of them was, on the monotonic clock.
     """
 
-    def __init__(self, caller: server.ServerConnection):
+    def __init__(self, caller: server.ServerConnection, clock: clocks.Clock):
         self._caller = caller
+        self._clock = clock
+        self.first_event_ms: float | None = None
         self.started = False
         self.last_event_id: str | None = None
         self.events = 0
@@ -66,6 +70,8 @@
             if self._is_repeated(event.id):
                 return b""
             self.last_event_id = event.id
+        if not self.events:
+            self.first_event_ms = self._clock.now()
         self.events += 1
         return event.data
 
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -41,6 +41,7 @@
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
+from hornbeampier.routing import speed
 
 MAINTENANCE_MS = 250.0
 # Part of the file descriptors that callers' connections may use.
@@ -131,13 +132,7 @@
                 for topic, found in self._replicas.items()
                 if found.offset is not None
             },
-            loads={
-                state.id: messages.EndpointLoad(
-                    state.in_flight, round(state.prefill_tokens)
-                )
-                for state in self._fleet.all()
-                if state.in_flight
-            },
+            loads=self._own_loads(),
             work=self._pools.own_work(),
             placements=tuple(
                 messages.Placement(endpoint_id, part.id, part.tokens)
@@ -146,9 +141,26 @@
             members=members,
         )
 
+    def _own_loads(self) -> dict[str, messages.EndpointLoad]:
+        loads = {}
+        for state in self._fleet.all():
+            sample = state.speed.sample()
+            if state.in_flight or sample.measured_ms >= 1.0:
+                loads[state.id] = messages.EndpointLoad(
+                    state.in_flight,
+                    round(state.prefill_tokens),
+                    round(sample.measured_ms),
+                    round(sample.expected_ms),
+                )
+        return loads
+
     def _take_state(self, host: str, state: messages.State) -> None:
         loads = {
-            endpoint_id: peer_loads.Load(load.in_flight, load.prefill_tokens)
+            endpoint_id: peer_loads.Load(
+                load.in_flight,
+                load.prefill_tokens,
+                speed.Sample(load.measured_ms, load.expected_ms),
+            )
             for endpoint_id, load in state.loads.items()
         }
         self._peer_loads.record(state.vm, loads)
--- a/hornbeampier/peers/gossip.py
+++ b/hornbeampier/peers/gossip.py
@@ -88,7 +88,7 @@
         return (
             last is not None
             and not state.placements
-            and last.loads == state.loads
+            and _in_flight(last) == _in_flight(state)
             and last.offsets == state.offsets
         )
 
@@ -118,3 +118,12 @@
             return
         self._newest[host] = (state.boot, state.sequence)
         self._on_state(host, state)
+
+
+def _in_flight(state: messages.State) -> dict[str, tuple[int, int]]:
+    """Returns the part of the loads that other VMs need at once."""
+    return {
+        endpoint_id: (load.in_flight, load.prefill_tokens)
+        for endpoint_id, load in state.loads.items()
+        if load.in_flight
+    }
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -6,10 +6,18 @@
 
 
 class EndpointLoad(msgspec.Struct, array_like=True, frozen=True):
-    """A VM's own open requests at an endpoint."""
+    """A VM's own open requests at an endpoint, and how fast it answered.
+
+    Attributes:
+        prefill_tokens: Prompt tokens of the requests without an event yet.
+        measured_ms: Time that answers of late took.
+        expected_ms: Time that they were expected to take.
+    """
 
     in_flight: int
-    prefill_tokens: float
+    prefill_tokens: int
+    measured_ms: int
+    expected_ms: int
 
 
 class Placement(msgspec.Struct, array_like=True, frozen=True):
@@ -27,7 +35,7 @@
         boot: Drawn at the start of the process.
         sequence: Counts the datagrams of a process.
         offsets: How far the VM has read each topic.
-        loads: Load by endpoint id; endpoints without load are left out.
+        loads: Load by endpoint id; endpoints without any are left out.
         work: Short and long work of late by service, in prompt tokens.
         placements: Prompt parts that were sent to endpoints lately.
         members: Hosts that the VM heard lately.
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 import random
+import statistics
 from typing import Protocol
 
 from hornbeampier import clock as clocks
@@ -13,17 +14,23 @@
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import pools
 from hornbeampier.routing import requests
+from hornbeampier.routing import speed
 
 # Prompt tokens that an engine reads in a millisecond, before it is measured.
 PREFILL_TOKENS_PER_MS = 50.0
+# Time to the first event of a prompt that needs no reading.
+FIRST_EVENT_MS = 40.0
+# Time of an answer of a plain service, before it is measured; only the
+# differences between endpoints count.
+PLAIN_ANSWER_MS = 20.0
 # What a token that is read again costs all others, beside its own wait.
-REREAD_WEIGHT = 1.0
+REREAD_WEIGHT = 2.0
 # Bonus of the engine that all VMs prefer, as a part of the shared tokens.
 PREFERENCE = 0.3
 # What one more running request adds to the time of all others, in ms of wait.
 CROWDING_MS = 4.0
 # How much of its target a request may wait before it leaves its pool.
-POOL_WAIT_SHARE = 0.5
+POOL_WAIT_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,12 +38,14 @@
     """An endpoint and why it was chosen.
 
     Attributes:
-        wait_ms: Expected time until the prompt is read.
+        wait_ms: Expected time until the first event.
+        expected_ms: The same of an endpoint of ordinary speed.
         prefill_tokens: Prompt tokens that the endpoint has to read.
     """
 
     state: fleet.EndpointState
     wait_ms: float = 0.0
+    expected_ms: float = 0.0
     prefill_tokens: float = 0.0
 
 
@@ -95,11 +104,13 @@
         if not found:
             return None
         state = min(found, key=lambda s: (self._load(s), self._rng.random()))
-        return Choice(state)
+        return Choice(state, expected_ms=PLAIN_ANSWER_MS)
 
     def _load(self, state: fleet.EndpointState) -> float:
-        total = state.in_flight + self._peers.total(state.id).in_flight
-        return total / max(1, state.endpoint.slots)
+        peers = self._peers.total(state.id)
+        total = 1 + state.in_flight + peers.in_flight
+        slowness = speed.slowness(state.speed.sample(), peers.answered)
+        return slowness * total / max(1, state.endpoint.slots)
 
 
 class EngineChooser:
@@ -140,10 +151,11 @@
         if not states:
             return None
         preferred = affinity.preferred(prompt, [s.id for s in states])
+        usual = statistics.median_low(self._slowness(s) for s in states)
         found = None
         lowest_cost = math.inf
         for state in states:
-            chosen = self._estimate(prompt, state)
+            chosen = self._estimate(prompt, state, usual)
             cost = chosen.wait_ms + REREAD_WEIGHT * (
                 chosen.prefill_tokens / PREFILL_TOKENS_PER_MS
             )
@@ -156,15 +168,23 @@
         return found
 
     def _estimate(
-        self, prompt: model.Prompt, state: fleet.EndpointState
+        self, prompt: model.Prompt, state: fleet.EndpointState, usual: float
     ) -> Choice:
+        """Returns what to expect; `usual` is the slowness of its peers."""
         peers = self._peers.total(state.id)
         own_tokens = max(
             0, prompt.input_tokens - state.cached.leading_tokens(prompt)
         )
         ahead = state.prefill_tokens + peers.prefill_tokens
         running = state.in_flight + peers.in_flight
-        wait_ms = (
-            ahead + own_tokens
-        ) / PREFILL_TOKENS_PER_MS + running * CROWDING_MS
-        return Choice(state, wait_ms, own_tokens)
+        expected_ms = (
+            FIRST_EVENT_MS
+            + (ahead + own_tokens) / PREFILL_TOKENS_PER_MS
+            + running * CROWDING_MS
+        )
+        wait_ms = expected_ms
+        return Choice(state, wait_ms, expected_ms, own_tokens)
+
+    def _slowness(self, state: fleet.EndpointState) -> float:
+        peers = self._peers.total(state.id)
+        return speed.slowness(state.speed.sample(), peers.answered)
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -6,6 +6,7 @@
 from hornbeampier.routing import cached_parts
 from hornbeampier.routing import catalog
 from hornbeampier.routing import model
+from hornbeampier.routing import speed
 
 # Time for which an endpoint gets no requests after its first failure.
 FIRST_EJECTION_MS = 250.0
@@ -37,10 +38,12 @@
         failures: Failures since the last success.
         ejected_until_ms: Until when it gets no requests.
         cached: Prompt parts that it is believed to keep.
+        speed: How fast it answered this VM.
     """
 
     endpoint: model.Endpoint
     cached: cached_parts.CachedParts
+    speed: speed.SpeedMeter
     in_flight: int = 0
     prefill_tokens: float = 0.0
     report: LoadReport | None = None
@@ -89,7 +92,9 @@
                 state.endpoint = endpoint
             else:
                 state = EndpointState(
-                    endpoint, cached_parts.CachedParts(self._clock)
+                    endpoint,
+                    cached_parts.CachedParts(self._clock),
+                    speed.SpeedMeter(self._clock),
                 )
             states[endpoint.id] = state
         self._states = states
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import speed
 
 # A VM that was silent for longer no longer counts.
 FRESH_MS = 1_500.0
@@ -10,10 +11,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """Open requests at an endpoint and their prompt tokens not yet read."""
+    """Open requests at an endpoint and how fast it answered.
+
+    Attributes:
+        prefill_tokens: Prompt tokens of the requests without an event yet.
+        answered: How long answers of late took.
+    """
 
     in_flight: int = 0
     prefill_tokens: float = 0.0
+    answered: speed.Sample = speed.Sample()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,13 +48,17 @@
         oldest = self._clock.now() - FRESH_MS
         in_flight = 0
         tokens = 0.0
+        measured_ms = 0.0
+        expected_ms = 0.0
         for peer in self._peers.values():
             if peer.at_ms < oldest:
                 continue
             load = peer.loads.get(endpoint_id, NO_LOAD)
             in_flight += load.in_flight
             tokens += load.prefill_tokens
-        return Load(in_flight, tokens)
+            measured_ms += load.answered.measured_ms
+            expected_ms += load.answered.expected_ms
+        return Load(in_flight, tokens, speed.Sample(measured_ms, expected_ms))
 
     def fresh_count(self) -> int:
         """Returns how many peers were heard lately."""
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -23,13 +23,19 @@
 # Time constant of the average over past work.
 MEMORY_MS = 6_000.0
 # Share of its time that an engine of the pool for short prompts may read.
-SHORT_UTILIZATION = 0.3
-# Room that this pool keeps when engines are scarce.
-SHORT_HEADROOM = 1.5
+SHORT_UTILIZATION = 0.35
+# Share of the engines in this pool until both kinds of prompts were seen.
+INITIAL_SHORT_SHARE = 0.25
+# Time after the first request for which that share stays.
+INITIAL_MS = 2_000.0
+# The same for the pool of long prompts.
+LONG_UTILIZATION = 0.6
 # Prompt tokens that an engine reads in a millisecond.
 PREFILL_TOKENS_PER_MS = 50.0
-# A change of less than this part of an engine moves none.
-HYSTERESIS = 0.3
+# The pool grows when it lacks this part of an engine, and shrinks when it has
+# so many too many: an engine that changes sides loses its cached parts.
+GROW_AT = 0.15
+SHRINK_AT = 1.3
 
 
 @dataclasses.dataclass
@@ -39,6 +45,11 @@
     short: float = 0.0
     long: float = 0.0
     at_ms: float = 0.0
+    first_ms: float | None = None
+
+    def age_ms(self, now_ms: float) -> float:
+        """Returns the time since the first request."""
+        return 0.0 if self.first_ms is None else now_ms - self.first_ms
 
     def decay(self, now_ms: float) -> None:
         """Lets past work fade."""
@@ -63,6 +74,8 @@
         work = self._work_of(req.service)
         generated = OUTPUT_TOKEN_WORK * req.prompt.expected_tokens
         amount = prefill_tokens + generated
+        if work.first_ms is None:
+            work.first_ms = work.at_ms
         if is_short(req):
             work.short += amount
         else:
@@ -102,17 +115,21 @@
     def _short_size(self, service: str, count: int) -> int:
         """Returns how many engines serve short prompts."""
         short, long = self._total_work(service)
-        if not short or count < 2:
+        age_ms = self._work_of(service).age_ms(self._clock.now())
+        if count < 2:
             return 0
-        if not long:
-            return count
-        weighted = SHORT_HEADROOM * short
-        share = count * weighted / (weighted + long)
-        busy = short / MEMORY_MS / PREFILL_TOKENS_PER_MS
-        wanted = min(share, busy / SHORT_UTILIZATION)
+        if not short or not long or age_ms < INITIAL_MS:
+            return max(1, round(count * INITIAL_SHORT_SHARE))
+        # The averages start at zero and reach the rate only with time.
+        span_ms = MEMORY_MS * (1.0 - math.exp(-age_ms / MEMORY_MS))
+        engine_work = span_ms * PREFILL_TOKENS_PER_MS
+        wanted = short / engine_work / SHORT_UTILIZATION
+        wanted_long = long / engine_work / LONG_UTILIZATION
+        # Scarce engines are shared in proportion.
+        wanted *= min(1.0, count / (wanted + wanted_long))
         size = self._sizes.get(service)
-        if size is None or abs(wanted - size) > 0.5 + HYSTERESIS:
-            size = round(wanted)
+        if size is None or not size - SHRINK_AT < wanted <= size + GROW_AT:
+            size = math.ceil(wanted - GROW_AT)
             self._sizes[service] = size
             self._log.info(
                 "pool_resized",
