Classify prompts by their route's mean size

Cause: a fifth of the short route's prompts exceed one prefill chunk and went among the long ones, where their pauses grew past the target.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -200,6 +200,7 @@
             status=attempt.answer.status,
             attempts=self._attempts,
             events=self._relay.events,
+            pause_ms=round(self._relay.longest_pause_ms),
             first_ms=self._since_arrival(self._relay.first_event_ms),
             took_ms=self._since_arrival(self._clock.now()),
         )
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -25,12 +25,15 @@
         last_event_id: Id of the last event passed on, or None.
         events: How many events were passed on.
         first_event_ms: When the first of them was, on the monotonic clock.
+        longest_pause_ms: The longest time between two of them.
     """
 
     def __init__(self, caller: server.ServerConnection, clock: clocks.Clock):
         self._caller = caller
         self._clock = clock
         self.first_event_ms: float | None = None
+        self.longest_pause_ms = 0.0
+        self._event_at_ms = 0.0
         self.started = False
         self.last_event_id: str | None = None
         self.events = 0
@@ -70,11 +73,19 @@
             if self._is_repeated(event.id):
                 return b""
             self.last_event_id = event.id
-        if not self.events:
-            self.first_event_ms = self._clock.now()
+        self._note_time()
         self.events += 1
         return event.data
 
+    def _note_time(self) -> None:
+        now_ms = self._clock.now()
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        else:
+            pause_ms = now_ms - self._event_at_ms
+            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        self._event_at_ms = now_ms
+
     def _is_repeated(self, event_id: str) -> bool:
         last = self.last_event_id
         if last is None or not (event_id.isdigit() and last.isdigit()):
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -24,7 +24,7 @@
 # differences between endpoints count.
 PLAIN_ANSWER_MS = 20.0
 # What a token that is read again costs all others, beside its own wait.
-REREAD_WEIGHT = 2.0
+REREAD_WEIGHT = 4.0
 # Bonus of the engine that all VMs prefer, as a part of the shared tokens.
 PREFERENCE = 0.3
 # What one more running request adds to the time of all others, in ms of wait.
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -16,8 +16,12 @@
 from hornbeampier.routing import requests
 from hornbeampier.routing import table
 
-# Prompts up to one prefill chunk count as short.
-SHORT_PROMPT_TOKENS = 2_048
+# Routes with prompts up to this mean size count as short.
+SHORT_MEAN_TOKENS = 4_096
+# A longer prompt counts as long whatever its route.
+MAX_SHORT_TOKENS = 8_192
+# Weight of the newest prompt in a route's mean.
+MEAN_WEIGHT = 0.1
 # Work of a generated token, in prompt tokens.
 OUTPUT_TOKEN_WORK = 3.0
 # Time constant of the average over past work.
@@ -66,17 +70,19 @@
         self._clock = clock
         self._work: dict[str, Work] = {}
         self._peers: dict[str, _PeerWork] = {}
+        self._mean_tokens: dict[str, float] = {}
         self._sizes: dict[str, int] = {}
         self._log = structlog.get_logger(task="pools")
 
     def record(self, req: requests.Request, prefill_tokens: float) -> None:
         """Counts the work of a request that was sent to an engine."""
+        self._record_size(req)
         work = self._work_of(req.service)
         generated = OUTPUT_TOKEN_WORK * req.prompt.expected_tokens
         amount = prefill_tokens + generated
         if work.first_ms is None:
             work.first_ms = work.at_ms
-        if is_short(req):
+        if self.is_short(req):
             work.short += amount
         else:
             work.long += amount
@@ -101,11 +107,22 @@
         size = self._short_size(req.service, len(states))
         ranked = sorted(states, key=lambda s: table.uniform(f"pool/{s.id}"))
         short, long = ranked[:size], ranked[size:]
-        return (short, long) if is_short(req) else (long, short)
+        return (short, long) if self.is_short(req) else (long, short)
 
     def may_leave(self, req: requests.Request) -> bool:
         """Whether the request may use the other pool when its own is full."""
-        return is_short(req)
+        return self.is_short(req)
+
+    def is_short(self, req: requests.Request) -> bool:
+        """Whether a prompt is of a kind that does not delay others."""
+        size = req.prompt.input_tokens
+        mean = self._mean_tokens.get(req.route.name, size)
+        return mean <= SHORT_MEAN_TOKENS and size <= MAX_SHORT_TOKENS
+
+    def _record_size(self, req: requests.Request) -> None:
+        size = req.prompt.input_tokens
+        mean = self._mean_tokens.get(req.route.name, size)
+        self._mean_tokens[req.route.name] = mean + MEAN_WEIGHT * (size - mean)
 
     def _work_of(self, service: str) -> Work:
         work = self._work.setdefault(service, Work())
@@ -118,8 +135,11 @@
         age_ms = self._work_of(service).age_ms(self._clock.now())
         if count < 2:
             return 0
+        size = self._sizes.setdefault(
+            service, max(1, round(count * INITIAL_SHORT_SHARE))
+        )
         if not short or not long or age_ms < INITIAL_MS:
-            return max(1, round(count * INITIAL_SHORT_SHARE))
+            return min(size, count - 1)
         # The averages start at zero and reach the rate only with time.
         span_ms = MEMORY_MS * (1.0 - math.exp(-age_ms / MEMORY_MS))
         engine_work = span_ms * PREFILL_TOKENS_PER_MS
@@ -127,8 +147,7 @@
         wanted_long = long / engine_work / LONG_UTILIZATION
         # Scarce engines are shared in proportion.
         wanted *= min(1.0, count / (wanted + wanted_long))
-        size = self._sizes.get(service)
-        if size is None or not size - SHRINK_AT < wanted <= size + GROW_AT:
+        if not size - SHRINK_AT < wanted <= size + GROW_AT:
             size = math.ceil(wanted - GROW_AT)
             self._sizes[service] = size
             self._log.info(
@@ -160,8 +179,3 @@
 
     at_ms: float
     work: dict[str, tuple[float, float]]
-
-
-def is_short(req: requests.Request) -> bool:
-    """Whether a prompt is short enough not to delay others."""
-    return req.prompt.input_tokens <= SHORT_PROMPT_TOKENS
