--- a/hornbeampier/core.py
+++ b/hornbeampier/core.py
@@ -36,10 +36,8 @@
 def _run_command(
     args: Sequence[str], env: environment.Environment
 ) -> status.ExitStatus:
-    from grpc.experimental import gevent as grpc_gevent
     import typer
 
-    grpc_gevent.init_gevent()
     from hornbeampier import cli
 
     # The base of every error that typer reports about the arguments.
--- a/hornbeampier/http1/messages.py
+++ b/hornbeampier/http1/messages.py
@@ -5,6 +5,11 @@
 # Names in lower case, values as received.
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Spaces, version and line end of a request line.
+REQUEST_LINE_BYTES = 12
+# Colon, space and line end of a header.
+HEADER_LINE_BYTES = 4
+
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -50,6 +55,14 @@
         """Returns the first value of a header, or None."""
         return get(self.headers, name)
 
+    @property
+    def size(self) -> int:
+        """The bytes of the head, as it is written by most callers."""
+        size = len(self.method) + len(self.target) + REQUEST_LINE_BYTES
+        for key, value in self.headers:
+            size += len(key) + len(value) + HEADER_LINE_BYTES
+        return size
+
     @property
     def host(self) -> str:
         """The name of the host, without a port."""
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -58,7 +58,10 @@
         self.closes_after = False
 
     def read_head(
-        self, idle_timeout_ms: float, header_timeout_ms: float
+        self,
+        idle_timeout_ms: float,
+        header_timeout_ms: float,
+        header_bytes: int,
     ) -> messages.RequestHead | None:
         """Waits for a request; returns None if the connection ended first.
 
@@ -71,11 +74,14 @@
             return None
         self.busy = True
         event = self._next_event(self._clock.now() + header_timeout_ms)
-        if isinstance(event, h11.Request):
-            return messages.RequestHead(
-                event.method, event.target, tuple(event.headers)
-            )
-        return None
+        if not isinstance(event, h11.Request):
+            return None
+        head = messages.RequestHead(
+            event.method, event.target, tuple(event.headers)
+        )
+        if head.size > header_bytes:
+            raise BadRequestError(431, "the head is too large")
+        return head
 
     def read_body(self, limit_bytes: int, timeout_ms: float) -> bytes:
         """Returns the whole body of the request.
--- a/hornbeampier/ingress/listener.py
+++ b/hornbeampier/ingress/listener.py
@@ -110,7 +110,9 @@
         limits = self._handler.limits()
         try:
             head = conn.read_head(
-                limits.idle_timeout_ms, limits.header_timeout_ms
+                limits.idle_timeout_ms,
+                limits.header_timeout_ms,
+                limits.header_bytes,
             )
             if head is None:
                 return False
--- a/hornbeampier/vms/catch_up.py
+++ b/hornbeampier/vms/catch_up.py
@@ -5,6 +5,7 @@
 
 import gevent
 import grpc
+from grpc.experimental import gevent as grpc_gevent
 import msgspec
 import structlog
 
@@ -21,6 +22,9 @@
 MAX_WORKERS = 4
 MAX_PEERS = 3
 
+# gRPC must use gevent's loop before its first channel or server.
+grpc_gevent.init_gevent()
+
 
 class CatchUpServer(application.BaseComponent):
     """Serves this VM's accepted configuration to its peers."""
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,247 @@
+"""A node on loopback with stand-ins of the platform around it."""
+
+import itertools
+import socket as stdlib_socket
+
+from gevent import socket
+import testtools
+
+from hornbeampier import environment
+from hornbeampier import node
+from hornbeampier.platform import settings
+from tests import server_standin
+from tests import store_standin
+
+HOST = "127.0.0.1"
+KEY = "key-1"
+PLAIN = "plain-service"
+ENGINES = "engine-service"
+_ids = itertools.count(1)
+
+
+def free_port():
+    with stdlib_socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def settings_for(store_port, host=HOST, **more):
+    fields = {
+        "vm": f"vm-{host}",
+        "availability_zone": "zone-1",
+        "host": host,
+        "callers": settings.Address(host, free_port()),
+        "readiness": settings.Address(host, free_port()),
+        "control": None,
+        "seeds": (),
+        "peer_port": 0,
+        "store": settings.Address(HOST, store_port),
+        "max_files": 1000,
+        "drain_ms": 2_000.0,
+        "grace_ms": 4_000.0,
+        "in_force_ms": 2_000.0,
+        "retry_ratio": 0.2,
+        "retry_extra": 50.0,
+        "retry_window_ms": 10_000.0,
+    }
+    return settings.NodeSettings(**{**fields, **more})
+
+
+def route(name, prefix, kind, service, **more):
+    fields = {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 3000,
+        "sloMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+    return {**fields, **more}
+
+
+def configuration(version=1, routes=None, **more):
+    fields = {
+        "version": version,
+        "routes": routes
+        or [
+            route("safe", "/safe/", "safe", PLAIN),
+            route("unsafe", "/unsafe/", "unsafe", PLAIN, maxAttempts=1),
+            route("stream", "/stream/", "streaming", ENGINES),
+            route(
+                "resume",
+                "/resume/",
+                "streaming",
+                ENGINES,
+                streamResume=True,
+            ),
+        ],
+        "services": [
+            {"name": PLAIN, "healthPath": "/health", "maxConns": 50},
+            {
+                "name": ENGINES,
+                "healthPath": "/health",
+                "maxConns": 50,
+                "engine": {"slots": 8, "kvTokens": 100_000, "stride": 4},
+            },
+        ],
+        "limits": {
+            "headerBytes": 4096,
+            "maxBodyBytes": 10_000,
+            "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 5000,
+        },
+        "tenants": [{"name": "account-1", "apiKeys": [KEY], "priority": 3}],
+    }
+    return {**fields, **more}
+
+
+def entry(service, address, **more):
+    fields = {
+        "service": service,
+        "address": address,
+        "zone": "zone-1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return {**fields, **more}
+
+
+class Response:
+    """What a caller received; `complete` by the response's own framing."""
+
+    def __init__(self, status, headers, body, complete):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.complete = complete
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, address):
+        self.sock = socket.create_connection(
+            (address.host, address.port), timeout=5
+        )
+        self._data = b""
+
+    def send(self, method, path, headers=None, body=b"", key=KEY):
+        fields = {
+            "Host": "site.example",
+            "X-Hornbeampier-Attempt-Id": f"id-{next(_ids)}",
+            "X-Hornbeampier-Deadline-Ms": "3000",
+        }
+        if key:
+            fields["Authorization"] = f"Token {key}"
+        if body:
+            fields["Content-Length"] = str(len(body))
+        fields.update(headers or {})
+        head = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        self.sock.sendall(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode())
+        self.sock.sendall(body)
+
+    def read_head(self):
+        while b"\r\n\r\n" not in self._data:
+            block = self.sock.recv(65536)
+            if not block:
+                raise ConnectionError("closed without an answer")
+            self._data += block
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = [line.partition(":") for line in lines[1:]]
+        headers = {k.lower(): v.strip() for k, _, v in fields}
+        return int(lines[0].split()[1]), headers
+
+    def read(self):
+        status, headers = self.read_head()
+        if headers.get("transfer-encoding") == "chunked":
+            body, complete = self._read_chunks()
+        else:
+            body, complete = self._read_length(int(headers["content-length"]))
+        return Response(status, headers, body, complete)
+
+    def read_until(self, text):
+        """Returns the raw bytes of the body up to and with `text`."""
+        while text not in self._data:
+            if not self._more():
+                raise ConnectionError(f"closed before {text!r}")
+        return self._data
+
+    def close(self):
+        self.sock.close()
+
+    def _more(self):
+        try:
+            block = self.sock.recv(65536)
+        except OSError:
+            block = b""
+        self._data += block
+        return bool(block)
+
+    def _read_length(self, length):
+        while len(self._data) < length:
+            if not self._more():
+                return self._data, False
+        body, self._data = self._data[:length], self._data[length:]
+        return body, True
+
+    def _read_chunks(self):
+        body = b""
+        while True:
+            while b"\r\n" not in self._data:
+                if not self._more():
+                    return body, False
+            size, _, self._data = self._data.partition(b"\r\n")
+            chunk, complete = self._read_length(int(size, 16) + 2)
+            if not complete:
+                return body, False
+            if int(size, 16) == 0:
+                return body, True
+            body += chunk[:-2]
+
+
+class NodeTestCase(testtools.TestCase):
+    """Starts a node, a store and servers, and stops them."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = store_standin.StoreStandin()
+        self.addCleanup(self.store.stop)
+
+    def start_server(self, service, behave, endpoint_id=None):
+        found = server_standin.ServerStandin(behave)
+        self.addCleanup(found.stop)
+        found.id = endpoint_id or f"i-{next(_ids)}"
+        self.store.put_endpoint(found.id, entry(service, found.address))
+        return found
+
+    def start_node(self, **more):
+        cfg = settings_for(self.store.port, **more)
+        found = node.Node(environment.Environment(), cfg)
+        found.start()
+        self.addCleanup(found.stop)
+        found.cfg = cfg
+        return found
+
+    def start_ready_node(self, cfg=None, **more):
+        self.store.put_configuration(cfg or configuration())
+        found = self.start_node(**more)
+        store_standin.wait_until(found.is_ready)
+        return found
+
+    def connect(self, found):
+        caller = Caller(found.cfg.callers)
+        self.addCleanup(caller.close)
+        return caller
+
+    def call(self, found, method="GET", path="/safe/x", **more):
+        caller = self.connect(found)
+        caller.send(method, path, **more)
+        return caller.read()
--- /dev/null
+++ b/tests/routing_fakes.py
@@ -0,0 +1,89 @@
+"""Endpoints, prompts and requests for tests without a network."""
+
+import itertools
+
+from hornbeampier import clock as clocks
+from hornbeampier.routing import catalog
+from hornbeampier.routing import fleet
+from hornbeampier.routing import model
+from hornbeampier.routing import peer_loads
+from hornbeampier.routing import requests
+
+SERVICE = "models"
+_ids = itertools.count()
+
+
+def endpoint(endpoint_id, **more):
+    fields = {
+        "id": endpoint_id,
+        "service": SERVICE,
+        "host": "10.0.0.1",
+        "port": 80,
+        "availability_zone": "zone-1",
+        "slots": 8,
+        "leaving": False,
+        "cold_ms": 0.0,
+        "started_ms": 1,
+    }
+    return model.Endpoint(**{**fields, **more})
+
+
+def route(name="route", **more):
+    fields = {
+        "name": name,
+        "host": "site.example",
+        "path_prefix": f"/{name}/",
+        "repeat": model.Repeat.STREAM,
+        "shares": (model.Share(SERVICE, 1.0),),
+        "timeout_ms": 10_000.0,
+        "target_ms": 500.0,
+        "pause_target_ms": 200.0,
+        "tier": 1,
+        "max_attempts": 1,
+        "anonymous": False,
+        "resumable": False,
+    }
+    return model.Route(**{**fields, **more})
+
+
+def prompt(tokens, *shared):
+    """A prompt with shared parts (id, tokens) and a last part of its own."""
+    parts = [model.PromptPart(part_id, count) for part_id, count in shared]
+    own = tokens - sum(count for _, count in shared)
+    parts.append(model.PromptPart(f"own-{next(_ids)}", own))
+    return model.Prompt("m", tokens, 100, 50, tuple(parts))
+
+
+def request(prompt=None, found_route=None, **more):
+    fields = {
+        "id": f"id-{next(_ids)}",
+        "method": b"POST",
+        "target": b"/route/x",
+        "host": b"site.example",
+        "headers": (),
+        "body": b"",
+        "route": found_route or route(),
+        "service": SERVICE,
+        "account": None,
+        "arrived_ms": 0.0,
+        "deadline_ms": 10_000.0,
+        "fingerprint": "f",
+        "prompt": prompt,
+    }
+    return requests.Request(**{**fields, **more})
+
+
+class World:
+    """A catalogue, a fleet and what peers tell, on one manual clock."""
+
+    def __init__(self, count):
+        self.clock = clocks.ManualClock()
+        self.catalog = catalog.Catalog()
+        self.fleet = fleet.Fleet(self.catalog, self.clock)
+        self.peers = peer_loads.PeerLoads(self.clock)
+        for number in range(count):
+            self.catalog.apply_endpoint(endpoint(f"e{number}"))
+
+    @property
+    def states(self):
+        return self.fleet.serving(SERVICE)
--- /dev/null
+++ b/tests/server_standin.py
@@ -0,0 +1,101 @@
+"""A server of the platform whose behaviour a test chooses."""
+
+import contextlib
+
+import gevent
+from gevent import server
+
+HOST = "127.0.0.1"
+SEAL = "X-Hornbeampier-Server-Seal: seal"
+
+
+class Arrival:
+    """A request as it arrived, and its connection."""
+
+    def __init__(self, sock, head, body):
+        self.sock = sock
+        lines = head.decode("latin-1").split("\r\n")
+        self.line = lines[0]
+        self.headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            self.headers[name.strip().lower()] = value.strip()
+        self.body = body
+
+    @property
+    def id(self):
+        return self.headers["x-hornbeampier-attempt-id"]
+
+    def send(self, data):
+        self.sock.sendall(data if isinstance(data, bytes) else data.encode())
+
+    def answer(self, body=b"done", status="200 OK", headers=(), seal=True):
+        """Sends a whole answer."""
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+        lines += [SEAL] if seal else []
+        lines += [f"X-Hornbeampier-Attempt-Id: {self.id}", *headers]
+        self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def begin_stream(self):
+        """Sends the head of a stream in chunks."""
+        self.send(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"Transfer-Encoding: chunked\r\n{SEAL}\r\n"
+            f"X-Hornbeampier-Attempt-Id: {self.id}\r\n\r\n"
+        )
+
+    def send_event(self, number):
+        self.send_chunk(f"id: {number}\ndata: piece-{number}\n\n".encode())
+
+    def send_chunk(self, data):
+        self.send(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def end_stream(self):
+        self.send(b"0\r\n\r\n")
+
+    def reset(self):
+        """Closes the connection at once."""
+        self.sock.close()
+
+    def wait_closed(self, timeout_s=2.0):
+        """Returns whether the other side closes the connection in time."""
+        with gevent.Timeout(timeout_s, False):
+            with contextlib.suppress(OSError):
+                return self.sock.recv(1) == b""
+            return True
+        return False
+
+
+class ServerStandin:
+    """Accepts connections and hands each request to `behave`."""
+
+    def __init__(self, behave=Arrival.answer):
+        self.behave = behave
+        self.arrivals = []
+        self._server = server.StreamServer((HOST, 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self):
+        return f"{HOST}:{self._server.server_port}"
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _):
+        data = b""
+        with contextlib.suppress(OSError):
+            while True:
+                while b"\r\n\r\n" not in data:
+                    block = sock.recv(65536)
+                    if not block:
+                        return
+                    data += block
+                head, _, data = data.partition(b"\r\n\r\n")
+                arrival = Arrival(sock, head, b"")
+                length = int(arrival.headers.get("content-length", 0))
+                while len(data) < length:
+                    data += sock.recv(65536)
+                arrival.body, data = data[:length], data[length:]
+                self.arrivals.append(arrival)
+                self.behave(arrival)
--- /dev/null
+++ b/tests/store_standin.py
@@ -0,0 +1,109 @@
+"""The platform's store, spoken to over HTTP, with faults."""
+
+import base64
+import json
+import struct
+from urllib import parse
+
+import gevent
+from gevent import event
+from gevent import pywsgi
+
+from hornbeampier.platform import names
+
+HOST = "127.0.0.1"
+
+
+class StoreStandin:
+    """Keyed topics with one partition each.
+
+    Attributes:
+        down: Whether every call is answered 503.
+    """
+
+    def __init__(self):
+        self.down = False
+        self.calls = []
+        self._records = {names.OPERATOR_TOPIC: [], names.ENDPOINT_TOPIC: []}
+        self._first = dict.fromkeys(self._records, 0)
+        self._changed = event.Event()
+        self._server = pywsgi.WSGIServer((HOST, 0), self._answer, log=None)
+        self._server.start()
+
+    @property
+    def port(self):
+        return self._server.server_port
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+    def put(self, topic, key, value):
+        """Appends a record; `value` is bytes, a dict, or None to drop."""
+        if isinstance(value, dict):
+            value = json.dumps(value).encode()
+        self._records[topic].append((key, value))
+        self._changed.set()
+        self._changed = event.Event()
+
+    def put_configuration(self, value):
+        self.put(names.OPERATOR_TOPIC, names.CONFIGURATION_KEY, value)
+
+    def put_endpoint(self, endpoint_id, value):
+        self.put(names.ENDPOINT_TOPIC, endpoint_id, value)
+
+    def compact(self, topic):
+        """Forgets all records but the newest of each key."""
+        self._first[topic] = len(self._records[topic])
+
+    def _answer(self, environ, start_response):
+        query = dict(parse.parse_qsl(environ["QUERY_STRING"]))
+        self.calls.append((environ["PATH_INFO"], query))
+        if self.down:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        topic = query["topic"]
+        if environ["PATH_INFO"] == "/log-newest":
+            start_response("200 OK", [("Content-Type", "application/json")])
+            return [json.dumps(self._newest(topic)).encode()]
+        return self._read(topic, query, start_response)
+
+    def _newest(self, topic):
+        newest = {}
+        for offset, (key, value) in enumerate(self._records[topic]):
+            newest[key] = (value, offset)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in newest.items()
+            if value is not None
+        ]
+        end = len(self._records[topic])
+        return {"items": items, "hasMore": False, "end": end}
+
+    def _read(self, topic, query, start_response):
+        offset = int(query["from"])
+        if offset < self._first[topic]:
+            start_response("410 Gone", [])
+            return [b'{"first": 0}']
+        if offset >= len(self._records[topic]):
+            self._changed.wait(int(query["waitMs"]) / 1000)
+        if self.down:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        body = struct.pack(">QQ", len(self._records[topic]), self._first[topic])
+        for key, value in self._records[topic][offset:]:
+            name = key.encode()
+            record = bytes([len(name)]) + name + (value or b"")
+            body += struct.pack(">I", len(record)) + record
+        start_response("200 OK", [])
+        return [body]
+
+
+def wait_until(condition, timeout_s=5.0):
+    """Waits for a condition; raises gevent.Timeout."""
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.005)
--- /dev/null
+++ b/tests/test_node_requests.py
@@ -0,0 +1,193 @@
+"""Plain requests through a node, as callers and servers see them."""
+
+import gevent
+
+from tests import nodes
+from tests import store_standin
+
+
+class PlainRequestTest(nodes.NodeTestCase):
+    def test_request_and_answer_pass_unchanged(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.answer(b"body"))
+        found = self.start_ready_node()
+        response = self.call(
+            found, "POST", "/unsafe/a%2Fb?q=%20x", body=b"bytes"
+        )
+        self.assertEqual((200, b"body"), (response.status, response.body))
+        self.assertEqual("seal", response.headers["x-hornbeampier-server-seal"])
+        arrival = server.arrivals[0]
+        self.assertEqual("POST /unsafe/a%2Fb?q=%20x HTTP/1.1", arrival.line)
+        self.assertEqual(b"bytes", arrival.body)
+        headers = arrival.headers
+        self.assertEqual(server.id, headers["x-hornbeampier-expect-instance"])
+        self.assertEqual("account-1", headers["x-hornbeampier-tenant"])
+        self.assertNotIn("authorization", headers)
+
+    def test_headers_of_the_system_are_not_taken_from_callers(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node()
+        forged = {
+            "X-Hornbeampier-Tenant": "other",
+            "X-Hornbeampier-Expect-Instance": "i-0",
+            "X-Hornbeampier-Pin-Ms": "100",
+            "Kv-From": "10.0.0.1:1/x",
+            "Connection": "X-Hornbeampier-Attempt-Id, X-Extra",
+            "X-Extra": "1",
+        }
+        self.assertEqual(200, self.call(found, headers=forged).status)
+        headers = server.arrivals[0].headers
+        self.assertEqual("account-1", headers["x-hornbeampier-tenant"])
+        self.assertEqual(server.id, headers["x-hornbeampier-expect-instance"])
+        for name in ("x-hornbeampier-pin-ms", "kv-from", "x-extra"):
+            self.assertNotIn(name, headers)
+
+    def test_chunked_body_is_forwarded_with_a_length(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node()
+        caller = self.connect(found)
+        caller.send("POST", "/safe/x", {"Transfer-Encoding": "chunked"})
+        caller.sock.sendall(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual(200, caller.read().status)
+        self.assertEqual(b"abcde", server.arrivals[0].body)
+
+    def test_connection_serves_one_request_after_another(self):
+        self.start_server(nodes.PLAIN, lambda a: a.answer(a.line.encode()))
+        found = self.start_ready_node()
+        caller = self.connect(found)
+        for name in ("one", "two", "three"):
+            caller.send("GET", f"/safe/{name}")
+            self.assertIn(name.encode(), caller.read().body)
+
+    def test_connections_to_servers_are_reused(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node()
+        for _ in range(3):
+            self.call(found)
+        self.assertEqual(1, len({a.sock for a in server.arrivals}))
+
+    def test_requests_that_are_not_allowed(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node()
+        self.assertEqual(404, self.call(found, path="/none/x").status)
+        self.assertEqual(401, self.call(found, key="wrong").status)
+        self.assertEqual(401, self.call(found, key=None).status)
+        large = self.call(found, "POST", "/safe/x", body=b"x" * 20_000)
+        self.assertEqual(413, large.status)
+        self.assertEqual([], server.arrivals)
+
+    def test_large_head_is_refused(self):
+        found = self.start_ready_node()
+        response = self.call(found, headers={"X-Large": "x" * 9_000})
+        self.assertEqual(431, response.status)
+
+    def test_caller_that_leaves_ends_the_request_at_the_server(self):
+        server = self.start_server(nodes.PLAIN, lambda a: gevent.sleep(5))
+        found = self.start_ready_node()
+        caller = self.connect(found)
+        caller.send("GET", "/safe/x")
+        store_standin.wait_until(lambda: server.arrivals)
+        caller.close()
+        self.assertTrue(server.arrivals[0].wait_closed(0.4))
+
+    def test_request_ends_at_its_route_timeout(self):
+        self.start_server(nodes.PLAIN, lambda a: gevent.sleep(5))
+        slow = nodes.route("s", "/safe/", "safe", nodes.PLAIN, timeoutMs=200)
+        found = self.start_ready_node(nodes.configuration(routes=[slow]))
+        self.assertEqual(504, self.call(found).status)
+
+
+class VerdictTest(nodes.NodeTestCase):
+    """What a failed attempt lets the node say and do."""
+
+    def test_rejected_request_is_refused_with_a_promise(self):
+        self.start_server(
+            nodes.PLAIN,
+            lambda a: a.answer(
+                status="503 Service Unavailable",
+                headers=["X-Hornbeampier-Not-Executed: 1"],
+                seal=False,
+            ),
+        )
+        found = self.start_ready_node()
+        response = self.call(found, "POST", "/unsafe/x")
+        self.assertEqual(503, response.status)
+        self.assertIn("retry-after", response.headers)
+
+    def test_lost_answer_of_a_once_only_request_promises_nothing(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.reset())
+        other = self.start_server(nodes.PLAIN, lambda a: a.reset())
+        found = self.start_ready_node()
+        self.assertEqual(502, self.call(found, "POST", "/unsafe/x").status)
+        self.assertEqual(1, len(server.arrivals + other.arrivals))
+
+    def test_lost_answer_of_an_idempotent_request_is_repeated(self):
+        def behave(arrival):
+            if len(first.arrivals + second.arrivals) == 1:
+                arrival.reset()
+            else:
+                arrival.answer()
+
+        first = self.start_server(nodes.PLAIN, behave)
+        second = self.start_server(nodes.PLAIN, behave)
+        found = self.start_ready_node()
+        self.assertEqual(200, self.call(found).status)
+        self.assertEqual([1, 1], [len(first.arrivals), len(second.arrivals)])
+
+    def test_answer_without_signature_is_not_passed_on(self):
+        self.start_server(nodes.PLAIN, lambda a: a.answer(seal=False))
+        found = self.start_ready_node()
+        self.assertEqual(502, self.call(found, "POST", "/unsafe/x").status)
+
+    def test_encoded_answer_is_not_passed_on(self):
+        self.start_server(
+            nodes.PLAIN,
+            lambda a: a.answer(headers=["Content-Encoding: gzip"]),
+        )
+        found = self.start_ready_node()
+        self.assertEqual(502, self.call(found, "POST", "/unsafe/x").status)
+
+    def test_promise_without_its_header_becomes_a_bad_gateway(self):
+        self.start_server(
+            nodes.PLAIN, lambda a: a.answer(status="503 Service Unavailable")
+        )
+        found = self.start_ready_node()
+        self.assertEqual(502, self.call(found, "POST", "/unsafe/x").status)
+
+    def test_answer_of_another_request_is_skipped(self):
+        def behave(arrival):
+            own = arrival.headers["x-hornbeampier-attempt-id"]
+            arrival.headers["x-hornbeampier-attempt-id"] = "other"
+            arrival.answer(b"late answer of another")
+            arrival.headers["x-hornbeampier-attempt-id"] = own
+            arrival.answer(b"own")
+
+        self.start_server(nodes.PLAIN, behave)
+        found = self.start_ready_node()
+        response = self.call(found, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual((200, b"own"), (response.status, response.body))
+
+    def test_truncated_answer_never_looks_whole(self):
+        def behave(arrival):
+            arrival.send(
+                "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+                "X-Hornbeampier-Server-Seal: s\r\n\r\nshort"
+            )
+            arrival.reset()
+
+        self.start_server(nodes.PLAIN, behave)
+        found = self.start_ready_node()
+        self.assertEqual(502, self.call(found, "POST", "/unsafe/x").status)
+
+    def test_long_body_that_is_rejected_early(self):
+        def behave(arrival):
+            arrival.answer(
+                status="503 Service Unavailable",
+                headers=["X-Hornbeampier-Not-Executed: 1"],
+            )
+
+        self.start_server(nodes.PLAIN, behave)
+        cfg = nodes.configuration()
+        cfg["limits"]["maxBodyBytes"] = 1_000_000
+        found = self.start_ready_node(cfg)
+        response = self.call(found, "POST", "/unsafe/x", body=b"x" * 500_000)
+        self.assertEqual(503, response.status)
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,242 @@
+"""Configurations and endpoint entries reach every VM, and never go back."""
+
+import json
+import random
+
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.platform import names
+from hornbeampier.replication import entries
+from hornbeampier.replication import follower
+from hornbeampier.replication import messages
+from hornbeampier.replication import replica
+from hornbeampier.routing import catalog
+from tests import nodes
+from tests import store_standin
+
+
+def record(key, offset, value=b"v"):
+    return messages.Record(key, value, offset)
+
+
+class RecordingApplier:
+    def __init__(self):
+        self.applied = []
+        self.regained = 0
+
+    def apply_record(self, record):
+        self.applied.append((record.key, record.value))
+
+    def note_regained(self):
+        self.regained += 1
+
+
+class TopicReplicaTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.applier = RecordingApplier()
+        self.replica = replica.TopicReplica("t", self.applier)
+
+    def test_older_records_change_nothing(self):
+        self.replica.apply_batch(messages.Batch((record("k", 5, b"new"),), 6))
+        self.replica.apply_batch(messages.Batch((record("k", 3, b"old"),), 4))
+        self.assertEqual([("k", b"new")], self.applier.applied)
+        self.assertEqual(6, self.replica.offset)
+
+    def test_keys_missing_in_a_snapshot_are_gone(self):
+        self.replica.apply_batch(messages.Batch((record("a", 1),), 2))
+        self.replica.apply_snapshot(messages.Snapshot((record("b", 2),), 3))
+        self.assertIn(("a", None), self.applier.applied)
+
+    def test_snapshot_older_than_a_record_does_not_remove_it(self):
+        self.replica.apply_batch(messages.Batch((record("a", 9),), 10))
+        self.replica.apply_snapshot(messages.Snapshot((), 5))
+        self.assertEqual([("a", b"v")], self.applier.applied)
+
+    def test_peer_gets_all_that_it_lacks(self):
+        other = replica.TopicReplica("t", RecordingApplier())
+        rows = (record("a", 0), record("b", 1), record("a", 2, None))
+        self.replica.apply_batch(messages.Batch(rows, 3))
+        other.apply_batch(messages.Batch(rows[:1], 1))
+        other.apply_batch(self.replica.since(1))
+        self.assertEqual(3, other.offset)
+        self.assertEqual(self.replica.since(0), other.since(0))
+
+
+class FakeSource:
+    """Answers in turn; an exception is raised."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    def newest(self, topic):
+        return self._next()
+
+    def read(self, topic, offset, wait_ms):
+        return self._next()
+
+    def close(self):
+        pass
+
+    def _next(self):
+        answer = self.answers.pop(0)
+        if isinstance(answer, BaseException):
+            raise answer
+        return answer
+
+
+class TopicFollowerTest(testtools.TestCase):
+    def follow(self, *answers):
+        self.applier = RecordingApplier()
+        found = replica.TopicReplica("t", self.applier)
+        task = follower.TopicFollower(
+            found,
+            FakeSource(*answers, KeyboardInterrupt()),
+            clocks.ManualClock(),
+            random.Random(1),
+        )
+        self.assertRaises(KeyboardInterrupt, task.run)
+        return found
+
+    def test_outage_is_told_once_it_is_over(self):
+        found = self.follow(
+            messages.Snapshot((record("a", 0),), 1),
+            errors.PlatformError("down"),
+            errors.PlatformError("down"),
+            messages.Batch((record("b", 1),), 2),
+        )
+        self.assertEqual(1, self.applier.regained)
+        self.assertEqual(2, found.offset)
+
+    def test_forgotten_records_are_replaced_by_a_snapshot(self):
+        found = self.follow(
+            messages.Snapshot((record("a", 0),), 1),
+            messages.RecordsForgottenError("gone"),
+            messages.Snapshot((record("b", 5),), 6),
+        )
+        self.assertEqual(6, found.offset)
+        self.assertIn(("a", None), self.applier.applied)
+
+
+class EndpointEntriesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock(10_000.0)
+        self.catalog = catalog.Catalog()
+        self.entries = entries.EndpointEntries(self.catalog, self.clock)
+
+    def put(self, value, offset=0):
+        if isinstance(value, dict):
+            value = json.dumps(value).encode()
+        self.entries.apply_record(messages.Record("i-1", value, offset))
+
+    def test_entry_and_its_end(self):
+        self.put(nodes.entry("s", "10.0.0.1:80"))
+        found = self.catalog.endpoints["i-1"]
+        self.assertEqual(("10.0.0.1", 80), (found.host, found.port))
+        self.put(nodes.entry("s", "10.0.0.1:80", state="draining"))
+        self.assertTrue(self.catalog.endpoints["i-1"].leaving)
+        self.put(None)
+        self.assertEqual({}, self.catalog.endpoints)
+
+    def test_entry_of_another_writer_names_no_endpoint(self):
+        good = nodes.entry("s", "10.0.0.1:80")
+        for bad in (
+            b"\xff\x00",
+            b"[" * 100_000,
+            {**good, "slots": "8"},
+            {**good, "state": "unknown"},
+            {**good, "address": "nowhere"},
+            {k: v for k, v in good.items() if k != "service"},
+        ):
+            self.put(good)
+            self.put(bad)
+            self.assertEqual({}, self.catalog.endpoints, bad)
+
+    def test_entries_that_lapsed_in_an_outage_have_time_to_return(self):
+        self.put(nodes.entry("s", "10.0.0.1:80"))
+        self.entries.note_regained()
+        self.put(None)
+        self.assertIn("i-1", self.catalog.endpoints)
+        self.clock.advance(entries.RETURN_MS + 1)
+        self.entries.expire()
+        self.assertEqual({}, self.catalog.endpoints)
+
+    def test_entry_that_returned_stays(self):
+        self.put(nodes.entry("s", "10.0.0.1:80"))
+        self.entries.note_regained()
+        self.put(None)
+        self.put(nodes.entry("s", "10.0.0.1:80"))
+        self.clock.advance(entries.RETURN_MS + 1)
+        self.entries.expire()
+        self.assertIn("i-1", self.catalog.endpoints)
+
+
+class ConfigurationEntriesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.catalog = catalog.Catalog()
+        self.entries = entries.ConfigurationEntries(self.catalog, "config")
+
+    def put(self, value):
+        if isinstance(value, dict):
+            value = json.dumps(value).encode()
+        self.entries.apply_record(messages.Record("config", value, 0))
+
+    def test_older_or_unreadable_configuration_changes_nothing(self):
+        self.put(nodes.configuration(5))
+        self.put(nodes.configuration(4))
+        self.put(b"{")
+        self.put(None)
+        self.put({"version": 6})
+        self.assertEqual(5, self.catalog.version)
+        self.put(nodes.configuration(7))
+        self.assertEqual(7, self.catalog.version)
+
+
+class NodeReplicationTest(nodes.NodeTestCase):
+    """Whole nodes with the store's stand-in."""
+
+    def test_new_configuration_is_in_force_at_once(self):
+        found = self.start_ready_node()
+        self.assertEqual(404, self.call(found, path="/new/x").status)
+        added = nodes.route("new", "/new/", "safe", nodes.PLAIN)
+        self.store.put_configuration(nodes.configuration(2, routes=[added]))
+        store_standin.wait_until(lambda: found.catalog.version == 2)
+        # There is a route, but no endpoint yet.
+        self.assertEqual(503, self.call(found, path="/new/x").status)
+
+    def test_node_without_configuration_refuses_with_a_promise(self):
+        found = self.start_node()
+        self.assertFalse(found.is_ready())
+        self.assertEqual(503, self.call(found).status)
+
+    def test_store_that_forgot_its_history(self):
+        found = self.start_ready_node()
+        self.store.put_configuration(nodes.configuration(2))
+        self.store.compact(names.OPERATOR_TOPIC)
+        self.store.put_configuration(nodes.configuration(3))
+        store_standin.wait_until(lambda: found.catalog.version == 3)
+
+    def test_node_that_starts_while_the_store_is_down_asks_a_peer(self):
+        peer_port = nodes.free_port()
+        control = nodes.free_port()
+        self.start_server(nodes.PLAIN, lambda a: a.answer())
+        first = self.start_ready_node(
+            **self.peer("127.0.0.2", control, peer_port)
+        )
+        self.store.down = True
+        second = self.start_node(**self.peer("127.0.0.3", control, peer_port))
+        store_standin.wait_until(second.is_ready)
+        self.assertEqual(first.catalog.version, second.catalog.version)
+        self.assertEqual(200, self.call(second).status)
+
+    def peer(self, host, control, peer_port):
+        return {
+            "host": host,
+            "control": nodes.settings.Address(host, control),
+            "seeds": (nodes.settings.Address("127.0.0.2", control),),
+            "peer_port": peer_port,
+        }
--- /dev/null
+++ b/tests/test_routing_choice.py
@@ -0,0 +1,108 @@
+"""Which endpoint a request goes to."""
+
+import random
+
+import testtools
+
+from hornbeampier.routing import choice
+from hornbeampier.routing import peer_loads
+from hornbeampier.routing import pools
+from hornbeampier.routing import speed
+from tests import routing_fakes as fakes
+
+SHARED = ("doc-1", 10_000)
+
+
+class EngineChooserTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = fakes.World(6)
+        self.pools = pools.Pools(self.world.clock)
+        self.chooser = choice.EngineChooser(
+            self.world.fleet, self.world.peers, self.pools, self.world.clock
+        )
+
+    def choose(self, *shared, tokens=14_000, tried=()):
+        req = fakes.request(fakes.prompt(tokens, *shared))
+        return self.chooser.choose(req, set(tried))
+
+    def test_equal_parts_go_to_the_engine_that_keeps_them(self):
+        first = self.choose(SHARED)
+        first.state.cached.record(fakes.prompt(14_000, SHARED))
+        second = self.choose(SHARED)
+        self.assertEqual(first.state.id, second.state.id)
+        self.assertEqual(4_000, second.prefill_tokens)
+
+    def test_every_vm_prefers_the_same_engine_for_new_parts(self):
+        other = choice.EngineChooser(
+            self.world.fleet, self.world.peers, self.pools, self.world.clock
+        )
+        req = fakes.request(fakes.prompt(14_000, SHARED))
+        self.assertEqual(
+            self.chooser.choose(req, ()).state.id,
+            other.choose(req, ()).state.id,
+        )
+
+    def test_hot_parts_spread_when_their_engine_is_overloaded(self):
+        first = self.choose(SHARED)
+        first.state.cached.record(fakes.prompt(14_000, SHARED))
+        first.state.prefill_tokens = 400_000
+        self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
+
+    def test_load_that_peers_tell_counts(self):
+        first = self.choose(SHARED)
+        load = peer_loads.Load(20, 400_000.0, speed.Sample())
+        self.world.peers.record("vm-2", {first.state.id: load})
+        self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
+
+    def test_ejected_and_leaving_engines_get_nothing(self):
+        first = self.choose(SHARED)
+        first.state.record_failure(self.world.clock.now())
+        second = self.choose(SHARED)
+        self.assertNotEqual(first.state.id, second.state.id)
+        leaving = fakes.endpoint(second.state.id, leaving=True)
+        self.world.catalog.apply_endpoint(leaving)
+        third = self.choose(SHARED)
+        self.assertNotIn(third.state.id, (first.state.id, second.state.id))
+
+    def test_the_last_ejected_engine_is_still_tried(self):
+        for state in self.world.states:
+            state.record_failure(self.world.clock.now())
+        self.assertIsNotNone(self.choose(SHARED))
+
+    def test_no_engine_is_left(self):
+        tried = [state.id for state in self.world.states]
+        self.assertIsNone(self.choose(SHARED, tried=tried))
+
+
+class LeastLoadedTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = fakes.World(3)
+        self.chooser = choice.LeastLoaded(
+            self.world.fleet,
+            self.world.peers,
+            self.world.clock,
+            random.Random(1),
+        )
+
+    def choose(self):
+        return self.chooser.choose(fakes.request(), ()).state.id
+
+    def test_idle_endpoint_goes_first(self):
+        for state in self.world.states[1:]:
+            state.in_flight = 2
+        self.assertEqual("e0", self.choose())
+
+    def test_endpoint_that_fails_requests_is_avoided(self):
+        grey = self.world.states[0]
+        for _ in range(5):
+            grey.speed.end(grey.speed.begin(20.0), failed=True)
+        self.assertNotIn("e0", {self.choose() for _ in range(20)})
+
+    def test_endpoint_that_went_silent_is_avoided_before_it_fails(self):
+        silent = self.world.states[0]
+        for _ in range(3):
+            silent.speed.begin(20.0)
+        self.world.clock.advance(600.0)
+        self.assertNotIn("e0", {self.choose() for _ in range(20)})
--- /dev/null
+++ b/tests/test_routing_state.py
@@ -0,0 +1,133 @@
+"""What a VM remembers of endpoints, budgets and prompts."""
+
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier.routing import budget
+from hornbeampier.routing import cached_parts
+from hornbeampier.routing import fleet
+from hornbeampier.routing import model
+from hornbeampier.routing import placements
+from hornbeampier.routing import table
+from tests import routing_fakes as fakes
+
+
+class RouteTableTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = table.RouteTable(
+            [
+                fakes.route("a"),
+                fakes.route("deep", path_prefix="/a/b/"),
+                fakes.route("other", host="other.example", path_prefix="/"),
+            ]
+        )
+
+    def match(self, path, host="site.example"):
+        found = self.table.match(host, path)
+        return found.name if found else None
+
+    def test_longest_prefix_wins(self):
+        self.assertEqual("a", self.match("/a/x"))
+        self.assertEqual("deep", self.match("/a/b/x"))
+        self.assertEqual("a", self.match("/a/bx"))
+        self.assertEqual("other", self.match("/x", "OTHER.example"))
+
+    def test_nothing_matches(self):
+        self.assertIsNone(self.match("/a"))
+        self.assertIsNone(self.match("/b/"))
+        self.assertIsNone(self.match("/a/", "unknown.example"))
+
+    def test_shares_of_services(self):
+        shares = (model.Share("x", 90.0), model.Share("y", 10.0))
+        route = fakes.route(shares=shares)
+        chosen = [table.choose_service(route, f"id-{n}") for n in range(2000)]
+        self.assertTrue(120 < chosen.count("y") < 280, chosen.count("y"))
+        self.assertEqual(chosen[0], table.choose_service(route, "id-0"))
+
+
+class FleetTest(testtools.TestCase):
+    def test_new_incarnation_starts_afresh(self):
+        world = fakes.World(1)
+        world.states[0].in_flight = 3
+        world.catalog.apply_endpoint(fakes.endpoint("e0", slots=9))
+        self.assertEqual(3, world.states[0].in_flight)
+        world.catalog.apply_endpoint(fakes.endpoint("e0", started_ms=2))
+        self.assertEqual(0, world.states[0].in_flight)
+
+    def test_ejection_grows_and_ends(self):
+        world = fakes.World(1)
+        state = world.states[0]
+        state.record_failure(0.0)
+        self.assertFalse(state.is_open(fleet.FIRST_EJECTION_MS - 1))
+        self.assertTrue(state.is_open(fleet.FIRST_EJECTION_MS))
+        for _ in range(20):
+            state.record_failure(0.0)
+        self.assertEqual(fleet.MAX_EJECTION_MS, state.ejected_until_ms)
+        state.record_success()
+        self.assertTrue(state.is_open(0.0))
+
+
+class RetryBudgetTest(testtools.TestCase):
+    def make(self, vms):
+        self.clock = clocks.ManualClock()
+        return budget.RetryBudget(0.2, 50.0, 10_000.0, lambda: vms, self.clock)
+
+    def count(self, found):
+        taken = 0
+        while found.take("s"):
+            taken += 1
+        return taken
+
+    def test_all_vms_together_stay_within_the_budget(self):
+        for vms in (1, 9, 90):
+            total = vms * self.count(self.make(vms))
+            self.assertLessEqual(total, 50)
+
+    def test_requests_earn_repeats_until_the_window_has_passed(self):
+        found = self.make(9)
+        for _ in range(100):
+            found.record_request("s")
+        self.assertIn(self.count(found), range(10, 26))
+        self.assertEqual(0, self.count(found))
+        self.clock.advance(10_001)
+        self.assertIn(self.count(found), range(1, 6))
+
+
+class CachedPartsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock()
+        self.cached = cached_parts.CachedParts(self.clock)
+        self.prompt = fakes.prompt(1000, ("a", 500), ("b", 300))
+
+    def test_only_leading_parts_are_of_use(self):
+        self.cached.record_peer(model.PromptPart("b", 300))
+        self.assertEqual(0, self.cached.leading_tokens(self.prompt))
+        self.cached.record_peer(model.PromptPart("a", 500))
+        self.assertEqual(800, self.cached.leading_tokens(self.prompt))
+
+    def test_least_recently_used_parts_yield(self):
+        self.cached.capacity_tokens = 1_000
+        self.cached.record_peer(model.PromptPart("a", 500))
+        self.cached.record_peer(model.PromptPart("b", 300))
+        self.cached.record_peer(model.PromptPart("a", 500))
+        self.cached.record_peer(model.PromptPart("c", 400))
+        self.assertEqual(500, self.cached.leading_tokens(self.prompt))
+
+    def test_peers_are_told_once_in_a_while(self):
+        self.assertEqual(2, len(self.cached.record(self.prompt)))
+        self.assertEqual([], self.cached.record(self.prompt))
+        self.clock.advance(cached_parts.TELL_AGAIN_MS + 1)
+        self.assertEqual(2, len(self.cached.record(self.prompt)))
+
+    def test_placements_reach_the_peers_view(self):
+        here, there = fakes.World(2), fakes.World(2)
+        own = placements.Placements(here.fleet, here.catalog)
+        peer = placements.Placements(there.fleet, there.catalog)
+        own.record(here.states[0], self.prompt)
+        for endpoint_id, part in own.take():
+            peer.record_peer(endpoint_id, part)
+        cached = there.states[0].cached
+        self.assertEqual(800, cached.leading_tokens(self.prompt))
+        self.assertEqual([], own.take())
