Shrink the pool of short prompts sooner

Cause: with a few engines, a pool of two kept its second engine although 0.8 were needed, while the long prompts overloaded the others.

--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -39,7 +39,7 @@
 # The pool grows when it lacks this part of an engine, and shrinks when it has
 # so many too many: an engine that changes sides loses its cached parts.
 GROW_AT = 0.15
-SHRINK_AT = 1.3
+SHRINK_AT = 1.1
 
 
 @dataclasses.dataclass
