Fetch cached prompt parts from the engine that keeps them

Cause: a prompt that leaves an overloaded engine had its shared parts read again, 268 ms for 13,300 tokens against 32 ms for a transfer.

--- a/hornbeampier/forwarding/exchange.py
+++ b/hornbeampier/forwarding/exchange.py
@@ -12,6 +12,7 @@
 from hornbeampier.platform import headers
 from hornbeampier.platform import names
 from hornbeampier.routing import fleet
+from hornbeampier.routing import model
 from hornbeampier.routing import requests
 
 # An answer may arrive a little after the endpoint stopped to work on it.
@@ -50,10 +51,15 @@
         self.head: messages.ResponseHead | None = None
 
     def open(
-        self, req: requests.Request, last_event_id: str | None = None
+        self,
+        req: requests.Request,
+        last_event_id: str | None = None,
+        fetch_from: model.Endpoint | None = None,
     ) -> None:
         """Sends the request and waits for the head of its response.
 
+        See `headers.encode_request` for the arguments.
+
         Raises:
             errors.AttemptError: No usable response came.
         """
@@ -61,7 +67,11 @@
         self._connect()
         remaining_ms = req.deadline_ms - self._clock.now()
         head = headers.encode_request(
-            req, self._state.endpoint, remaining_ms, last_event_id
+            req,
+            self._state.endpoint,
+            remaining_ms,
+            last_event_id,
+            fetch_from,
         )
         try:
             self._conn.send(head, req.body)
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -117,6 +117,7 @@
             attempt=self._attempts + 1,
             wait_ms=round(chosen.wait_ms),
             prefill_tokens=round(chosen.prefill_tokens),
+            fetch_from=chosen.fetch_from and chosen.fetch_from.id,
             prompt_tokens=prompt.input_tokens if prompt else None,
             in_flight=chosen.state.in_flight,
         )
@@ -128,7 +129,9 @@
             self._owner._connections, chosen.state, self._clock
         )
         try:
-            attempt.open(self._req, self._relay.last_event_id)
+            attempt.open(
+                self._req, self._relay.last_event_id, chosen.fetch_from
+            )
             self._attempts += 1
             self._check_answer(attempt)
             self._deliver(attempt, load)
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -179,7 +179,11 @@
                 self._fleet, self._peer_loads, self._clock, self._env.rng
             ),
             choice.EngineChooser(
-                self._fleet, self._peer_loads, self._pools, self._clock
+                self._fleet,
+                self._peer_loads,
+                self._pools,
+                self.catalog.engine_traits,
+                self._clock,
             ),
             self._pools,
             self._placements,
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -90,8 +90,13 @@
     endpoint: model.Endpoint,
     remaining_ms: float,
     last_event_id: str | None = None,
+    fetch_from: model.Endpoint | None = None,
 ) -> messages.RequestHead:
-    """Returns the head of a request as an endpoint gets it."""
+    """Returns the head of a request as an endpoint gets it.
+
+    It tells how long the endpoint may work, after which event a broken stream
+    goes on, and which engine keeps parts of the prompt.
+    """
     headers = [(b"Host", req.host)]
     for key, value in req.headers:
         if key != names.LAST_EVENT_ID or last_event_id is None:
@@ -103,6 +108,9 @@
     if req.prompt is not None:
         urgency = min(max(0, req.tier), MAX_URGENCY)
         headers.append((names.URGENCY, b"%d" % urgency))
+    if fetch_from is not None:
+        source = f"{fetch_from.host}:{fetch_from.port}"
+        headers.append((names.KV_FETCH, source.encode()))
     if last_event_id is not None:
         headers.append((names.LAST_EVENT_ID, last_event_id.encode()))
     if req.body or req.method not in (b"GET", b"HEAD"):
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -46,6 +46,8 @@
 
     slots: int
     kv_tokens: int
+    kv_bytes: float = 0.0
+    link_mbps: float = 0.0
     stride: float = 1.0
 
 
@@ -169,6 +171,8 @@
         engine = model.EngineTraits(
             slots=record.engine.slots,
             kv_tokens=record.engine.kv_tokens,
+            kv_bytes_per_token=record.engine.kv_bytes,
+            link_mbps=record.engine.link_mbps,
             tokens_per_event=record.engine.stride,
         )
     return model.Service(
--- a/hornbeampier/routing/catalog.py
+++ b/hornbeampier/routing/catalog.py
@@ -27,6 +27,11 @@
         """The version in force, or -1 before the first."""
         return -1 if self.cfg is None else self.cfg.version
 
+    def engine_traits(self, service: str) -> model.EngineTraits | None:
+        """Returns what a service's engines have in common, if it has any."""
+        found = self.cfg.services.get(service) if self.cfg else None
+        return None if found is None else found.engine
+
     def apply_configuration(self, cfg: model.Configuration) -> None:
         """Brings a configuration into force unless it is an older one."""
         if cfg.version <= self.version:
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -1,10 +1,10 @@
 """Chooses the endpoint of a request."""
 
+from collections.abc import Callable
 from collections.abc import Container
 import dataclasses
 import math
 import random
-import statistics
 from typing import Protocol
 
 from hornbeampier import clock as clocks
@@ -25,6 +25,8 @@
 PLAIN_ANSWER_MS = 20.0
 # What a token that is read again costs all others, beside its own wait.
 REREAD_WEIGHT = 4.0
+# Fewer cached tokens are not worth a transfer between engines.
+MIN_FETCH_TOKENS = 1_000
 # Bonus of the engine that all VMs prefer, as a part of the shared tokens.
 PREFERENCE = 0.3
 # What one more running request adds to the time of all others, in ms of wait.
@@ -41,12 +43,14 @@
         wait_ms: Expected time until the first event.
         expected_ms: The same of an endpoint of ordinary speed.
         prefill_tokens: Prompt tokens that the endpoint has to read.
+        fetch_from: An engine from which it can fetch cached parts, or None.
     """
 
     state: fleet.EndpointState
     wait_ms: float = 0.0
     expected_ms: float = 0.0
     prefill_tokens: float = 0.0
+    fetch_from: model.Endpoint | None = None
 
 
 class Chooser(Protocol):
@@ -121,11 +125,13 @@
         fleet: fleet.Fleet,
         peers: peer_loads.PeerLoads,
         pools: pools.Pools,
+        traits: Callable[[str], model.EngineTraits | None],
         clock: clocks.Clock,
     ):
         self._candidates = _Candidates(fleet, clock)
         self._peers = peers
         self._pools = pools
+        self._traits = traits
 
     def choose(
         self, req: requests.Request, tried: Container[str]
@@ -151,13 +157,14 @@
         if not states:
             return None
         preferred = affinity.preferred(prompt, [s.id for s in states])
-        usual = statistics.median_low(self._slowness(s) for s in states)
+        keeper = self._find_keeper(prompt, states)
         found = None
         lowest_cost = math.inf
         for state in states:
-            chosen = self._estimate(prompt, state, usual)
+            chosen = self._estimate(prompt, state, keeper)
+            missing = prompt.input_tokens - state.cached.leading_tokens(prompt)
             cost = chosen.wait_ms + REREAD_WEIGHT * (
-                chosen.prefill_tokens / PREFILL_TOKENS_PER_MS
+                missing / PREFILL_TOKENS_PER_MS
             )
             if state.id == preferred:
                 cost -= PREFERENCE * (
@@ -167,24 +174,47 @@
                 found, lowest_cost = chosen, cost
         return found
 
+    def _find_keeper(
+        self, prompt: model.Prompt, states: list[fleet.EndpointState]
+    ) -> fleet.EndpointState | None:
+        """Returns the engine that keeps most of the prompt's parts."""
+        service = states[0].endpoint.service
+        serving = self._candidates.find(service, ())
+        found = max(serving, key=lambda s: s.cached.leading_tokens(prompt))
+        kept = found.cached.leading_tokens(prompt)
+        return found if kept >= MIN_FETCH_TOKENS else None
+
     def _estimate(
-        self, prompt: model.Prompt, state: fleet.EndpointState, usual: float
+        self,
+        prompt: model.Prompt,
+        state: fleet.EndpointState,
+        keeper: fleet.EndpointState | None,
     ) -> Choice:
-        """Returns what to expect; `usual` is the slowness of its peers."""
         peers = self._peers.total(state.id)
-        own_tokens = max(
-            0, prompt.input_tokens - state.cached.leading_tokens(prompt)
-        )
+        kept = state.cached.leading_tokens(prompt)
+        fetched = 0
+        if keeper is not None and keeper is not state:
+            fetched = max(0, keeper.cached.leading_tokens(prompt) - kept)
+        fetch_ms = self._fetch_ms(state, fetched)
+        if fetch_ms is None or fetched < MIN_FETCH_TOKENS:
+            fetched, fetch_ms = 0, 0.0
+        own_tokens = max(0, prompt.input_tokens - kept - fetched)
         ahead = state.prefill_tokens + peers.prefill_tokens
         running = state.in_flight + peers.in_flight
-        expected_ms = (
+        wait_ms = (
             FIRST_EVENT_MS
+            + fetch_ms
             + (ahead + own_tokens) / PREFILL_TOKENS_PER_MS
             + running * CROWDING_MS
         )
-        wait_ms = expected_ms
-        return Choice(state, wait_ms, expected_ms, own_tokens)
-
-    def _slowness(self, state: fleet.EndpointState) -> float:
-        peers = self._peers.total(state.id)
-        return speed.slowness(state.speed.sample(), peers.answered)
+        source = keeper.endpoint if fetched else None
+        return Choice(state, wait_ms, wait_ms, own_tokens, source)
+
+    def _fetch_ms(
+        self, state: fleet.EndpointState, tokens: float
+    ) -> float | None:
+        """Returns the time to fetch tokens, or None if engines cannot."""
+        engine = self._traits(state.endpoint.service)
+        if engine is None or not engine.link_mbps:
+            return None
+        return engine.fetch_ms(tokens)
--- a/hornbeampier/routing/model.py
+++ b/hornbeampier/routing/model.py
@@ -3,6 +3,10 @@
 import dataclasses
 import enum
 
+BITS_PER_BYTE = 8
+# Bits that a rate of 1 Mbit/s carries in a millisecond.
+BITS_PER_MBPS_MS = 1_000.0
+
 
 class Repeat(enum.StrEnum):
     """What may be repeated of a route's requests."""
@@ -61,13 +65,23 @@
 
     Attributes:
         kv_tokens: Tokens that fit into an engine's KV cache.
+        kv_bytes_per_token: Size of a token in the KV cache.
+        link_mbps: Rate at which engines fetch cached parts from each other;
+            0 if they cannot.
         tokens_per_event: Tokens that one event of a stream holds.
     """
 
     slots: int
     kv_tokens: int
+    kv_bytes_per_token: float
+    link_mbps: float
     tokens_per_event: float
 
+    def fetch_ms(self, tokens: float) -> float:
+        """Returns the time to fetch cached tokens from another engine."""
+        bits = tokens * self.kv_bytes_per_token * BITS_PER_BYTE
+        return bits / (self.link_mbps * BITS_PER_MBPS_MS)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
--- a/hornbeampier/routing/placements.py
+++ b/hornbeampier/routing/placements.py
@@ -37,9 +37,8 @@
         return news
 
     def _set_capacity(self, state: fleet.EndpointState) -> None:
-        cfg = self._catalog.cfg
-        service = cfg.services.get(state.endpoint.service) if cfg else None
-        if service is not None and service.engine is not None:
+        engine = self._catalog.engine_traits(state.endpoint.service)
+        if engine is not None:
             state.cached.capacity_tokens = round(
-                service.engine.kv_tokens * cached_parts.CACHE_SHARE
+                engine.kv_tokens * cached_parts.CACHE_SHARE
             )
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -5,6 +5,7 @@
 import testtools
 
 from hornbeampier.routing import choice
+from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import pools
 from hornbeampier.routing import speed
@@ -19,8 +20,17 @@
         self.world = fakes.World(6)
         self.pools = pools.Pools(self.world.clock)
         self.chooser = choice.EngineChooser(
-            self.world.fleet, self.world.peers, self.pools, self.world.clock
+            self.world.fleet,
+            self.world.peers,
+            self.pools,
+            self.traits,
+            self.world.clock,
         )
+        self.link_mbps = 0.0
+
+    def traits(self, service):
+        del service
+        return model.EngineTraits(64, 400_000, 160_000.0, self.link_mbps, 4.0)
 
     def choose(self, *shared, tokens=14_000, tried=()):
         req = fakes.request(fakes.prompt(tokens, *shared))
@@ -35,7 +45,11 @@
 
     def test_every_vm_prefers_the_same_engine_for_new_parts(self):
         other = choice.EngineChooser(
-            self.world.fleet, self.world.peers, self.pools, self.world.clock
+            self.world.fleet,
+            self.world.peers,
+            self.pools,
+            self.traits,
+            self.world.clock,
         )
         req = fakes.request(fakes.prompt(14_000, SHARED))
         self.assertEqual(
@@ -49,6 +63,15 @@
         first.state.prefill_tokens = 400_000
         self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
 
+    def test_moved_request_fetches_the_parts_from_their_keeper(self):
+        self.link_mbps = 500_000.0
+        first = self.choose(SHARED)
+        first.state.cached.record(fakes.prompt(14_000, SHARED))
+        first.state.prefill_tokens = 400_000
+        second = self.choose(SHARED)
+        self.assertEqual(first.state.id, second.fetch_from.id)
+        self.assertEqual(4_000, second.prefill_tokens)
+
     def test_load_that_peers_tell_counts(self):
         first = self.choose(SHARED)
         load = peer_loads.Load(20, 400_000.0, speed.Sample())
