Stop requests that crash endpoints; a lost answer alone ejects nobody

Cause: a request that crashes each server was sent on for ever, and an endpoint that lost one answer was ejected although it lived. A new connection tells the two apart; crashes are told to the peers.

--- a/hornbeampier/forwarding/connections.py
+++ b/hornbeampier/forwarding/connections.py
@@ -10,6 +10,8 @@
 from hornbeampier.routing import model
 
 CONNECT_TIMEOUT_MS = 400.0
+# How long a lost endpoint may take to accept a connection.
+PROBE_TIMEOUT_MS = 150.0
 # An endpoint that tells no time may close idle connections within a second.
 DEFAULT_IDLE_MS = 500.0
 # Part of the told time after which a connection is no longer used.
@@ -48,6 +50,20 @@
         sock = sockets.connect(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
         return client.ClientConnection(sock, self._clock)
 
+    def probe(self, endpoint: model.Endpoint) -> bool:
+        """Whether the endpoint accepts a connection; keeps it for use."""
+        try:
+            sock = sockets.connect(
+                endpoint.host, endpoint.port, PROBE_TIMEOUT_MS
+            )
+        except OSError:
+            # The answer to the question that the probe asks.
+            return False
+        self.opened += 1
+        conn = client.ClientConnection(sock, self._clock)
+        self._keep(endpoint, conn, DEFAULT_IDLE_MS)
+        return True
+
     def release(
         self,
         endpoint: model.Endpoint,
@@ -60,9 +76,7 @@
         if not conn.is_reusable():
             conn.close()
             return
-        until_ms = self._clock.now() + keep_idle_ms * IDLE_SHARE
-        idle = self._idle.setdefault(endpoint.incarnation, collections.deque())
-        idle.append(_Idle(conn, until_ms))
+        self._keep(endpoint, conn, keep_idle_ms)
 
     def expire(self) -> None:
         """Closes connections that are too old or whose endpoint is gone."""
@@ -81,3 +95,13 @@
             for found in idle:
                 found.conn.close()
         self._idle.clear()
+
+    def _keep(
+        self,
+        endpoint: model.Endpoint,
+        conn: client.ClientConnection,
+        keep_idle_ms: float,
+    ) -> None:
+        until_ms = self._clock.now() + keep_idle_ms * IDLE_SHARE
+        idle = self._idle.setdefault(endpoint.incarnation, collections.deque())
+        idle.append(_Idle(conn, until_ms))
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from hornbeampier.http1 import server
 from hornbeampier.routing import budget
 from hornbeampier.routing import choice
+from hornbeampier.routing import crashes
 from hornbeampier.routing import model
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
@@ -33,6 +34,7 @@
         engines: choice.Chooser,
         pools: pools.Pools,
         placements: placements.Placements,
+        crashes: crashes.Crashes,
         budget: budget.RetryBudget,
         clock: clocks.Clock,
     ):
@@ -41,6 +43,7 @@
         self._engines = engines
         self._pools = pools
         self._placements = placements
+        self._crashes = crashes
         self._budget = budget
         self._clock = clock
         self._log = structlog.get_logger(task="forwarder")
@@ -54,6 +57,12 @@
             errors.RefusalError: There is no answer of an endpoint to give.
             streams.BrokenStreamError: An answer that had begun broke off.
         """
+        if self._crashes.is_barred(req.fingerprint):
+            raise errors.RefusalError(
+                503,
+                errors.RefusalCode.CRASHES_ENDPOINTS,
+                "this request crashes the endpoints that run it",
+            )
         self._budget.record_request(req.service)
         _Forwarding(self, req, caller).run()
 
@@ -218,16 +227,29 @@
         self._tried.add(chosen.state.id)
         if exc.unsent:
             self._unreachable += 1
-        if exc.unsent or exc.crashed:
+        down = exc.unsent or (exc.crashed and self._is_down(chosen))
+        if down:
             chosen.state.record_failure(self._clock.now())
         self._log.warning(
             "attempt_failed",
             endpoint=chosen.state.id,
             verdict=exc.verdict.value,
             error=str(exc),
+            endpoint_down=down,
             events=self._relay.events,
         )
 
+    def _is_down(self, chosen: choice.Choice) -> bool:
+        """Whether an endpoint that lost a request crashed; notes a crash."""
+        endpoint = chosen.state.endpoint
+        if self._owner._connections.probe(endpoint):
+            return False
+        incarnation = f"{endpoint.id}/{endpoint.started_ms}"
+        self._owner._crashes.record(
+            crashes.Crash(self._req.fingerprint, incarnation)
+        )
+        return True
+
     def _check_retry(self, exc: errors.AttemptError) -> None:
         """Raises the final refusal unless another attempt is due."""
         req = self._req
--- a/hornbeampier/ingress/shutdown.py
+++ b/hornbeampier/ingress/shutdown.py
@@ -13,7 +13,7 @@
 # Part of the grace time after which new requests are refused.
 REFUSE_SHARE = 0.55
 # Part of the grace time after which the process ends.
-END_SHARE = 0.94
+END_SHARE = 0.88
 POLL_MS = 50.0
 
 
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -36,6 +36,7 @@
 from hornbeampier.routing import budget
 from hornbeampier.routing import catalog
 from hornbeampier.routing import choice
+from hornbeampier.routing import crashes
 from hornbeampier.routing import fleet
 from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
@@ -66,6 +67,7 @@
             self.catalog, self._clock
         )
         self._pools = pools.Pools(self._clock)
+        self._crashes = crashes.Crashes(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
         self._boot = env.rng.getrandbits(32)
         self._build_replication()
@@ -138,6 +140,10 @@
                 messages.Placement(endpoint_id, part.id, part.tokens)
                 for endpoint_id, part in self._placements.take()
             ),
+            crashes=tuple(
+                messages.Crash(c.fingerprint, c.incarnation)
+                for c in self._crashes.told()
+            ),
             members=members,
         )
 
@@ -165,6 +171,10 @@
         }
         self._peer_loads.record(state.vm, loads)
         self._pools.record_peer(state.vm, state.work)
+        for crash in state.crashes:
+            self._crashes.record(
+                crashes.Crash(crash.fingerprint, crash.incarnation)
+            )
         for placement in state.placements:
             part = model.PromptPart(placement.part, placement.tokens)
             self._placements.record_peer(placement.endpoint, part)
@@ -187,6 +197,7 @@
             ),
             self._pools,
             self._placements,
+            self._crashes,
             budget.RetryBudget(
                 cfg.retry_ratio,
                 cfg.retry_extra,
--- a/hornbeampier/peers/gossip.py
+++ b/hornbeampier/peers/gossip.py
@@ -90,6 +90,7 @@
             and not state.placements
             and _in_flight(last) == _in_flight(state)
             and last.offsets == state.offsets
+            and last.crashes == state.crashes
         )
 
     def _send_datagram(self, host: str, data: bytes) -> None:
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -28,6 +28,13 @@
     tokens: int
 
 
+class Crash(msgspec.Struct, array_like=True, frozen=True):
+    """A request ran at an incarnation of an endpoint when it crashed."""
+
+    fingerprint: str
+    incarnation: str
+
+
 class State(msgspec.Struct, array_like=True, frozen=True):
     """What a VM tells its peers.
 
@@ -38,6 +45,7 @@
         loads: Load by endpoint id; endpoints without any are left out.
         work: Short and long work of late by service, in prompt tokens.
         placements: Prompt parts that were sent to endpoints lately.
+        crashes: Crashes of endpoints of late.
         members: Hosts that the VM heard lately.
     """
 
@@ -48,6 +56,7 @@
     loads: dict[str, EndpointLoad]
     work: dict[str, tuple[float, float]]
     placements: tuple[Placement, ...] = ()
+    crashes: tuple[Crash, ...] = ()
     members: tuple[str, ...] = ()
 
 
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -177,7 +177,7 @@
         model=(head.get(names.MODEL) or b"").decode("latin-1"),
         input_tokens=input_tokens,
         output_tokens=output_tokens,
-        expected_tokens=output_tokens if expected is None else int(expected),
+        expected_tokens=None if expected is None else int(expected),
         parts=_decode_parts(head.get(names.PROMPT_PARTS)),
     )
 
--- a/hornbeampier/routing/model.py
+++ b/hornbeampier/routing/model.py
@@ -171,13 +171,13 @@
 
     Attributes:
         output_tokens: Most tokens that may be generated.
-        expected_tokens: The caller's estimate of the tokens generated.
+        expected_tokens: The caller's estimate of the tokens generated, or None.
     """
 
     model: str
     input_tokens: int
     output_tokens: int
-    expected_tokens: int
+    expected_tokens: int | None
     parts: tuple[PromptPart, ...]
 
     @property
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -78,7 +78,7 @@
         """Counts the work of a request that was sent to an engine."""
         self._record_size(req)
         work = self._work_of(req.service)
-        generated = OUTPUT_TOKEN_WORK * req.prompt.expected_tokens
+        generated = OUTPUT_TOKEN_WORK * req.prompt.output_tokens
         amount = prefill_tokens + generated
         if work.first_ms is None:
             work.first_ms = work.at_ms
