--- a/hornbeampier/cli.py
+++ b/hornbeampier/cli.py
@@ -75,6 +75,19 @@
     return commands.check(ctx.obj, files)
 
 
+@app.command()
+def explain(
+    ctx: typer.Context,
+    request_id: Annotated[str, typer.Argument(help="The request's id.")],
+    files: Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(help="Log files; by default standard input."),
+    ] = None,
+) -> status.ExitStatus:
+    """Tells from logs what became of one request."""
+    return commands.explain(ctx.obj, request_id, files or [])
+
+
 @app.command()
 def publish(
     ctx: typer.Context,
--- a/hornbeampier/commands.py
+++ b/hornbeampier/commands.py
@@ -1,6 +1,8 @@
 """What the commands of the command line do."""
 
 from collections.abc import Callable
+import contextlib
+import itertools
 import pathlib
 import signal
 
@@ -12,6 +14,7 @@
 from hornbeampier import dev as dev_deployment
 from hornbeampier import environment
 from hornbeampier import errors
+from hornbeampier import explain as explaining
 from hornbeampier import logs
 from hornbeampier import settings as vm_settings
 from hornbeampier import status
@@ -64,6 +67,25 @@
     return _run(app)
 
 
+def explain(
+    env: environment.Environment, request_id: str, files: list[pathlib.Path]
+) -> status.ExitStatus:
+    """Prints what the logs tell of one request."""
+    with contextlib.ExitStack() as stack:
+        streams = [stack.enter_context(path.open()) for path in files]
+        lines = itertools.chain.from_iterable(streams or [env.stdin])
+        steps = explaining.find_steps(lines, request_id)
+    if not steps:
+        env.log_error(
+            f"no line names request {request_id}",
+            "pass the logs of all VMs of that time",
+        )
+        return status.ExitStatus.ERROR
+    for step in steps:
+        print(step.render(), file=env.stdout)
+    return status.ExitStatus.OK
+
+
 def check(
     env: environment.Environment, files: list[pathlib.Path]
 ) -> status.ExitStatus:
--- /dev/null
+++ b/hornbeampier/explain.py
@@ -0,0 +1,63 @@
+"""Tells the story of one request from the logs of the VMs."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import json
+
+ID_KEY = "request_id"
+# Keys that every line has or that the story needs no more.
+_HIDDEN = frozenset({ID_KEY, "event", "level", "timestamp", "task"})
+_TITLES = {
+    "routed": "sent to an endpoint",
+    "attempt_failed": "the attempt failed",
+    "served": "answered",
+    "refused": "refused",
+    "stream_broken": "the answer broke off",
+    "caller_gone": "the caller left",
+    "bad_request": "the request was malformed",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One log line about the request."""
+
+    timestamp: str
+    event: str
+    facts: tuple[tuple[str, str], ...]
+
+    def render(self) -> str:
+        """Returns the step as a line of text."""
+        title = _TITLES.get(self.event, self.event)
+        facts = ", ".join(f"{key} {value}" for key, value in self.facts)
+        return f"{self.timestamp}  {title}: {facts}"
+
+
+def find_steps(lines: Iterable[str], request_id: str) -> list[Step]:
+    """Returns the steps of a request in the order of time."""
+    steps = [_to_step(row) for row in _rows(lines, request_id)]
+    return sorted(steps, key=lambda step: step.timestamp)
+
+
+def _rows(lines: Iterable[str], request_id: str) -> Iterator[dict]:
+    for line in lines:
+        if request_id not in line:
+            continue
+        # Collectors put the VM's name and a time before each line.
+        try:
+            row = json.loads(line[line.index("{") :])
+        except ValueError:
+            # Lines of other programs are no JSON.
+            continue
+        if row.get(ID_KEY) == request_id:
+            yield row
+
+
+def _to_step(row: dict) -> Step:
+    facts = tuple(
+        (key, str(value))
+        for key, value in row.items()
+        if key not in _HIDDEN and value is not None
+    )
+    return Step(str(row.get("timestamp", "")), str(row.get("event")), facts)
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
+from hornbeampier import node_metrics
 from hornbeampier import verdict
 from hornbeampier.forwarding import connections
 from hornbeampier.forwarding import exchange
@@ -36,6 +37,7 @@
         placements: placements.Placements,
         crashes: crashes.Crashes,
         budget: budget.RetryBudget,
+        metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
     ):
         self._connections = connections
@@ -45,6 +47,7 @@
         self._placements = placements
         self._crashes = crashes
         self._budget = budget
+        self._metrics = metrics
         self._clock = clock
         self._log = structlog.get_logger(task="forwarder")
 
@@ -207,6 +210,7 @@
         self._log_served(attempt)
 
     def _log_served(self, attempt: exchange.Exchange) -> None:
+        self._count_served(attempt.answer.status)
         self._log.info(
             "served",
             status=attempt.answer.status,
@@ -217,6 +221,15 @@
             took_ms=self._since_arrival(self._clock.now()),
         )
 
+    def _count_served(self, status: int) -> None:
+        metrics = self._owner._metrics
+        route = self._req.route.name
+        metrics.record_answer(route, status)
+        metrics.record_attempt(self._req.service, "answered")
+        first_ms = self._relay.first_event_ms
+        if first_ms is not None:
+            metrics.record_first_event(route, first_ms - self._req.arrived_ms)
+
     def _since_arrival(self, at_ms: float | None) -> int | None:
         return None if at_ms is None else round(at_ms - self._req.arrived_ms)
 
@@ -224,6 +237,9 @@
         self, chosen: choice.Choice, exc: errors.AttemptError
     ) -> None:
         self._verdict = self._verdict.combine(exc.verdict)
+        self._owner._metrics.record_attempt(
+            self._req.service, exc.verdict.value
+        )
         self._tried.add(chosen.state.id)
         if exc.unsent:
             self._unreachable += 1
--- a/hornbeampier/ingress/callers.py
+++ b/hornbeampier/ingress/callers.py
@@ -6,11 +6,13 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
+from hornbeampier import node_metrics
 from hornbeampier.forwarding import forwarder
 from hornbeampier.forwarding import streams
 from hornbeampier.http1 import messages
 from hornbeampier.http1 import server
 from hornbeampier.ingress import admission
+from hornbeampier.platform import headers
 from hornbeampier.routing import catalog
 from hornbeampier.routing import model
 
@@ -37,11 +39,13 @@
         catalog: catalog.Catalog,
         admission: admission.Admission,
         forwarder: forwarder.Forwarder,
+        metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
     ):
         self._catalog = catalog
         self._admission = admission
         self._forwarder = forwarder
+        self._metrics = metrics
         self._clock = clock
         self._log = structlog.get_logger(task="callers")
         self.draining = False
@@ -65,9 +69,18 @@
         except errors.RefusalError as exc:
             self._refuse(conn, head, exc)
         except streams.BrokenStreamError as exc:
-            self._log.warning("stream_broken", error=str(exc))
+            self._log.warning(
+                "stream_broken", request_id=_id_of(head), error=str(exc)
+            )
             conn.abort()
             return False
+        except server.CallerGoneError:
+            self._log.info(
+                "caller_gone",
+                request_id=_id_of(head),
+                after_ms=round(self._clock.now() - arrived_ms),
+            )
+            raise
         finally:
             self.open_requests -= 1
         return not self.draining
@@ -102,8 +115,13 @@
         head: messages.RequestHead,
         exc: errors.RefusalError,
     ) -> None:
+        route = self._catalog.table.match(head.host, head.path)
+        self._metrics.record_answer(
+            route.name if route else "", exc.status, exc.code.value
+        )
         self._log.info(
             "refused",
+            request_id=_id_of(head),
             status=exc.status,
             code=exc.code.value,
             verdict=exc.verdict.value,
@@ -121,3 +139,7 @@
             seconds = exc.retry_after_ms / clocks.MS_PER_SECOND
             fields.append((b"Retry-After", b"%.3f" % seconds))
         conn.respond(exc.status, fields, body.encode())
+
+
+def _id_of(head: messages.RequestHead) -> str:
+    return headers.decode_caller(head).request_id
--- a/hornbeampier/ingress/listener.py
+++ b/hornbeampier/ingress/listener.py
@@ -20,7 +20,8 @@
 BACKLOG = 1_024
 # How long a caller may go on sending after it was refused.
 LINGER_MS = 500.0
-BLOCK_BYTES = 65_536
+MAX_ACCEPT_ROUNDS = 50
+ACCEPT_ROUND_MS = 2.0
 
 
 class Handler(Protocol):
@@ -57,8 +58,8 @@
 
     @property
     def connections(self) -> int:
-        """The number of open connections."""
-        return len(self._open)
+        """The number of open connections, with those not yet served."""
+        return len(self._pool)
 
     @property
     def port(self) -> int:
@@ -76,7 +77,15 @@
         self._server.start()
 
     def close_listener(self) -> None:
-        """Accepts no more connections and keeps those that are open."""
+        """Accepts no more connections and keeps those that are open.
+
+        Connections that wait to be accepted would be reset, so they are
+        accepted first.
+        """
+        for _ in range(MAX_ACCEPT_ROUNDS):
+            if not sockets.is_readable(self._server.socket):
+                break
+            gevent.sleep(ACCEPT_ROUND_MS / clocks.MS_PER_SECOND)
         self._server.close()
 
     def end_idle(self) -> None:
@@ -100,7 +109,7 @@
             while self._serve_next(conn):
                 pass
         except server.CallerGoneError:
-            self._log.info("caller_gone", peer=address[0])
+            self._log.debug("connection_lost", peer=address[0])
         finally:
             self._open.discard(conn)
             conn.close()
--- a/hornbeampier/ingress/shutdown.py
+++ b/hornbeampier/ingress/shutdown.py
@@ -51,27 +51,23 @@
         """Returns when no request is open, or when the time is up."""
         started_ms = self._clock.now()
         self._handler.draining = True
-        self._wait(started_ms + BALANCER_MS)
-        self._connections.end_idle()
+        self._clock.sleep(BALANCER_MS)
         end_ms = started_ms + self._grace_ms * END_SHARE
         refuse_ms = started_ms + self._grace_ms * REFUSE_SHARE
-        while self._clock.now() < end_ms and not self._is_done():
-            self._handler.refusing = self._clock.now() >= refuse_ms
-            self._connections.end_idle()
-            self._clock.sleep(POLL_MS)
+        self._finish(refuse_ms, end_ms)
+        self._connections.close_listener()
+        # Connections accepted in the last moment are served as well.
+        self._finish(refuse_ms, end_ms)
         self._log.info(
             "drained",
             open_requests=self._handler.open_requests,
             connections=self._connections.connections,
             took_ms=round(self._clock.now() - started_ms),
         )
-        self._connections.close_listener()
 
-    def _wait(self, until_ms: float) -> None:
-        self._clock.sleep(max(0.0, until_ms - self._clock.now()))
-
-    def _is_done(self) -> bool:
-        return (
-            self._handler.open_requests == 0
-            and self._connections.connections == 0
-        )
+    def _finish(self, refuse_ms: float, end_ms: float) -> None:
+        """Waits until no connection is left, or until `end_ms`."""
+        while self._connections.connections and self._clock.now() < end_ms:
+            self._handler.refusing = self._clock.now() >= refuse_ms
+            self._connections.end_idle()
+            self._clock.sleep(POLL_MS)
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -12,7 +12,9 @@
 from hornbeampier import clock as clocks
 from hornbeampier import environment
 from hornbeampier import errors
+from hornbeampier import log_stream
 from hornbeampier import logs
+from hornbeampier import node_metrics
 from hornbeampier import status
 from hornbeampier.forwarding import connections
 from hornbeampier.forwarding import forwarder
@@ -61,6 +63,7 @@
         self._clock = env.clock
         self.app = application.Application(cfg.vm)
         self.catalog = catalog.Catalog()
+        self._metrics = node_metrics.NodeMetrics()
         self._fleet = fleet.Fleet(self.catalog, self._clock)
         self._peer_loads = peer_loads.PeerLoads(self._clock)
         self._endpoint_entries = entries.EndpointEntries(
@@ -205,6 +208,7 @@
                 self._count_vms,
                 self._clock,
             ),
+            self._metrics,
             self._clock,
         )
 
@@ -214,6 +218,7 @@
             self.catalog,
             admission.Admission(self.catalog, self._clock),
             self._forwarder,
+            self._metrics,
             self._clock,
         )
         caller_listener = listener.Listener(
@@ -230,6 +235,14 @@
                 max_connections=100,
             )
         )
+        self.app.add(
+            listener.Listener(
+                cfg.metrics,
+                control.MetricsHandler(self._render_metrics),
+                self._clock,
+                CONTROL_CONNECTIONS,
+            )
+        )
         self.app.add(caller_listener)
         self.app.add(
             shutdown.GracefulShutdown(
@@ -259,6 +272,9 @@
             and self._replicas[names.ENDPOINT_TOPIC].offset is not None
         )
 
+    def _render_metrics(self) -> bytes:
+        return self._metrics.render(self.catalog.version)
+
     def _count_vms(self) -> int:
         return 1 + self._peer_loads.fresh_count()
 
@@ -297,9 +313,11 @@
         for problem in exc.problems:
             env.log_error(problem)
         return status.ExitStatus.INVALID_FILE
-    logs.configure(env.stdout, "info", json_lines=True)
+    stream = log_stream.LogStream(env.stdout.fileno(), env.clock)
+    logs.configure(stream, "info", json_lines=True)
     log = structlog.get_logger(vm=cfg.vm)
     app = application.Application(cfg.vm)
+    app.add(stream)
     app.add(Node(env, cfg))
     for signum in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signum, app.request_stop)
--- /dev/null
+++ b/hornbeampier/node_metrics.py
@@ -0,0 +1,53 @@
+"""Metrics of the router on the users' platform, for Prometheus."""
+
+import aioprometheus
+from aioprometheus import formats
+
+FIRST_EVENT_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+PATH = "/metrics"
+
+
+class NodeMetrics:
+    """The counters and histograms of one process."""
+
+    def __init__(self):
+        self._registry = aioprometheus.Registry()
+        self._answers = self._counter(
+            "hornbeampier_answers_total",
+            "Answers to callers by route, status and cause of a refusal.",
+        )
+        self._attempts = self._counter(
+            "hornbeampier_attempts_total",
+            "Attempts at endpoints by service and outcome.",
+        )
+        self._first_event = aioprometheus.Histogram(
+            "hornbeampier_first_event_seconds",
+            "Time from a request to the first event of its stream.",
+            buckets=list(FIRST_EVENT_BUCKETS_S),
+            registry=self._registry,
+        )
+        self._version = aioprometheus.Gauge(
+            "hornbeampier_configuration_version",
+            "Version of the configuration in force.",
+            registry=self._registry,
+        )
+
+    def record_answer(self, route: str, status: int, code: str = "") -> None:
+        """Counts an answer; `code` names the cause of a refusal."""
+        self._answers.inc({"route": route, "status": str(status), "code": code})
+
+    def record_attempt(self, service: str, outcome: str) -> None:
+        """Counts an attempt at an endpoint."""
+        self._attempts.inc({"service": service, "outcome": outcome})
+
+    def record_first_event(self, route: str, took_ms: float) -> None:
+        """Counts the time to the first event of a stream."""
+        self._first_event.observe({"route": route}, took_ms / 1000.0)
+
+    def render(self, version: int) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        self._version.set({}, version)
+        return formats.text.TextFormatter().marshall(self._registry)
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self._registry)
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -7,6 +7,8 @@
 
 from hornbeampier import errors
 
+METRICS_PORT = 9_464
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -27,6 +29,8 @@
         callers: Where callers connect.
         readiness: Where the balancer asks whether this VM takes connections.
         control: Where peers ask; the same on no two VMs.
+        metrics: Where metrics are served; the port is our own choice, and
+            `deploy/system.toml` names it.
         seeds: `control` addresses of some VMs, which may be gone.
         peer_port: Port of messages between VMs, equal on all of them.
         store: Address of the platform's store.
@@ -44,6 +48,7 @@
     callers: Address
     readiness: Address
     control: Address | None
+    metrics: Address
     seeds: tuple[Address, ...]
     peer_port: int
     store: Address
@@ -90,6 +95,7 @@
         callers=parse_address(listen["front"]),
         readiness=parse_address(listen["readyAddr"]),
         control=parse_address(control) if control else None,
+        metrics=Address(str(fields["ip"]), METRICS_PORT),
         seeds=tuple(parse_address(a) for a in fields.get("seeds") or ()),
         peer_port=int(fields["portRange"][0]),
         store=parse_address(fields["platform"]["address"]),
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -1,5 +1,6 @@
 """A node on loopback with stand-ins of the platform around it."""
 
+import errno
 import itertools
 import socket as stdlib_socket
 
@@ -16,6 +17,7 @@
 KEY = "key-1"
 PLAIN = "plain-service"
 ENGINES = "engine-service"
+PORT_TRIES = 10
 _ids = itertools.count(1)
 
 
@@ -33,6 +35,7 @@
         "callers": settings.Address(host, free_port()),
         "readiness": settings.Address(host, free_port()),
         "control": None,
+        "metrics": settings.Address(host, free_port()),
         "seeds": (),
         "peer_port": 0,
         "store": settings.Address(HOST, store_port),
@@ -223,12 +226,20 @@
         return found
 
     def start_node(self, **more):
-        cfg = settings_for(self.store.port, **more)
-        found = node.Node(environment.Environment(), cfg)
-        found.start()
-        self.addCleanup(found.stop)
-        found.cfg = cfg
-        return found
+        for _ in range(PORT_TRIES):
+            cfg = settings_for(self.store.port, **more)
+            found = node.Node(environment.Environment(), cfg)
+            try:
+                found.start()
+            except OSError as exc:
+                # Another program took the port that was free.
+                if exc.errno != errno.EADDRINUSE:
+                    raise
+                continue
+            self.addCleanup(found.stop)
+            found.cfg = cfg
+            return found
+        raise RuntimeError("no free port was found")
 
     def start_ready_node(self, cfg=None, **more):
         self.store.put_configuration(cfg or configuration())
--- /dev/null
+++ b/tests/test_node_logs.py
@@ -0,0 +1,94 @@
+"""What the logs and metrics of a node tell of a request."""
+
+import io
+import json
+import os
+import pathlib
+import tempfile
+
+from structlog import testing
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier import commands
+from hornbeampier import environment
+from hornbeampier import explain
+from hornbeampier import log_stream
+from hornbeampier import status
+from tests import nodes
+
+
+class LogStreamTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.clock = clocks.ManualClock()
+        self.stream = log_stream.LogStream(self.writer, self.clock)
+        self.stream.start()
+
+    def test_lines_beyond_the_budget_are_counted(self):
+        for _ in range(int(log_stream.BURST_LINES) + 25):
+            self.stream.write("x\n")
+        self.clock.advance(1_000.0)
+        self.stream.write("last\n")
+        self.stream.stop()
+        lines = os.read(self.reader, 65_536).decode().splitlines()
+        told = json.loads(lines[-2])
+        self.assertEqual(25, told["count"])
+        self.assertEqual("last", lines[-1])
+
+    def test_reader_that_stalls_blocks_nobody(self):
+        for _ in range(1_000):
+            self.stream.write("x" * 1_000 + "\n")
+        self.stream.stop()
+        self.assertTrue(self.stream._waiting)
+
+
+class ExplainTest(nodes.NodeTestCase):
+    def story(self, behave, path="/unsafe/x"):
+        self.start_server(nodes.PLAIN, behave)
+        found = self.start_ready_node()
+        own_id = {"X-Hornbeampier-Attempt-Id": "me"}
+        with testing.capture_logs() as rows:
+            self.call(found, "POST", path, headers=own_id)
+        lines = [f"vm-1 {json.dumps(row, default=str)}" for row in rows]
+        return [step.event for step in explain.find_steps(lines, "me")]
+
+    def test_request_whose_answer_was_lost(self):
+        events = self.story(lambda a: a.reset())
+        self.assertEqual(["routed", "attempt_failed", "refused"], events)
+
+    def test_request_that_was_served(self):
+        events = self.story(lambda a: a.answer())
+        self.assertEqual(["routed", "served"], events)
+
+    def test_unknown_request(self):
+        path = pathlib.Path(self.write_file("not a log line\n"))
+        env = environment.Environment(stdout=io.StringIO())
+        env.stderr = io.StringIO()
+        result = commands.explain(env, "nobody", [path])
+        self.assertEqual(status.ExitStatus.ERROR, result)
+        self.assertIn("no line names request", env.stderr.getvalue())
+
+    def write_file(self, text):
+        path = pathlib.Path(tempfile.mkdtemp()) / "vm.log"
+        path.write_text(text)
+        self.addCleanup(path.unlink)
+        return path
+
+
+class MetricsTest(nodes.NodeTestCase):
+    def test_answers_and_versions_are_counted(self):
+        self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node()
+        self.call(found)
+        self.call(found, path="/none/x")
+        caller = nodes.Caller(found.cfg.metrics)
+        self.addCleanup(caller.close)
+        caller.send("GET", "/metrics")
+        text = caller.read().body.decode()
+        self.assertIn('route="safe",status="200"', text)
+        self.assertIn('code="not_found"', text)
+        self.assertIn("hornbeampier_configuration_version 1", text)
--- /dev/null
+++ b/tests/test_node_shutdown.py
@@ -0,0 +1,110 @@
+"""A node that is told to stop cuts off no request."""
+
+import gevent
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier.ingress import shutdown
+from tests import nodes
+from tests import store_standin
+
+
+class FakeHandler:
+    draining = False
+    refusing = False
+    open_requests = 0
+
+
+class FakeConnections:
+    """Connections whose number the test's script changes."""
+
+    def __init__(self, clock, accepted_at_close=0):
+        self.clock = clock
+        self.connections = 0
+        self.closed_ms = None
+        self.ended = 0
+        self._accepted_at_close = accepted_at_close
+
+    def close_listener(self):
+        self.closed_ms = self.clock.now()
+        self.connections = self._accepted_at_close
+
+    def end_idle(self):
+        self.ended += 1
+        if self.closed_ms is not None and self.ended > 3:
+            self.connections = 0
+
+
+class GracefulShutdownTest(testtools.TestCase):
+    def drain(self, **more):
+        clock = clocks.ManualClock()
+        self.handler = FakeHandler()
+        self.connections = FakeConnections(clock, **more)
+        found = shutdown.GracefulShutdown(
+            self.handler, self.connections, clock, 8_000.0
+        )
+        found.drain()
+        return clock.now()
+
+    def test_balancer_has_time_to_notice(self):
+        self.drain()
+        self.assertTrue(self.handler.draining)
+        self.assertGreaterEqual(
+            self.connections.closed_ms, shutdown.BALANCER_MS
+        )
+
+    def test_connections_accepted_in_the_last_moment_are_served(self):
+        self.drain(accepted_at_close=1)
+        self.assertEqual(0, self.connections.connections)
+
+    def test_it_ends_before_the_grace_time(self):
+        class Stuck(FakeConnections):
+            def end_idle(self):
+                pass
+
+        clock = clocks.ManualClock()
+        stuck = Stuck(clock)
+        stuck.connections = 1
+        handler = FakeHandler()
+        shutdown.GracefulShutdown(handler, stuck, clock, 8_000.0).drain()
+        self.assertLess(clock.now(), 8_000.0)
+        # What was sent early may take five sixths of the grace time.
+        self.assertGreater(clock.now(), 8_000.0 * 5 / 6)
+        self.assertTrue(handler.refusing)
+
+
+class NodeShutdownTest(nodes.NodeTestCase):
+    def test_open_and_new_requests_are_answered(self):
+        def behave(arrival):
+            gevent.sleep(0.3)
+            arrival.answer()
+
+        self.start_server(nodes.PLAIN, behave)
+        found = self.start_ready_node(grace_ms=4_000.0)
+        first = self.connect(found)
+        first.send("GET", "/safe/x")
+        draining = gevent.spawn(found.drain)
+        store_standin.wait_until(lambda: not found.is_ready())
+        second = self.connect(found)
+        second.send("GET", "/safe/x")
+        for caller in (first, second):
+            self.assertEqual(200, caller.read().status)
+        self.assertEqual("close", self.call(found).headers["connection"])
+        draining.join()
+        # Both ends saw an orderly close.
+        self.assertEqual(b"", second.sock.recv(1))
+
+    def test_request_in_the_last_moment_is_answered_or_not_read(self):
+        server = self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node(grace_ms=4_000.0)
+        draining = gevent.spawn(found.drain)
+        served = 0
+        while not draining.ready():
+            arrived = len(server.arrivals)
+            try:
+                self.assertIn(self.call(found).status, (200, 503))
+                served += 1
+            except OSError:
+                self.assertEqual(arrived, len(server.arrivals))
+            gevent.sleep(0.01)
+        self.assertTrue(served)
