Refuse requests that may outlast a shutdown

From a third of the grace time on, only requests whose deadline lies before the end are taken; others get 503 at once and may try another VM. Test failed first.

--- a/hornbeampier/ingress/callers.py
+++ b/hornbeampier/ingress/callers.py
@@ -15,6 +15,7 @@
 from hornbeampier.platform import headers
 from hornbeampier.routing import catalog
 from hornbeampier.routing import model
+from hornbeampier.routing import requests
 
 # Bounds until a configuration is known.
 INITIAL_LIMITS = model.Limits(
@@ -30,7 +31,8 @@
 
     Attributes:
         draining: Whether callers are asked to close their connections.
-        refusing: Whether new requests are refused because the VM stops.
+        last_deadline_ms: Requests with a later deadline are refused, as the
+            VM stops before; None while it does not stop.
         open_requests: Requests that have been read and not yet answered.
     """
 
@@ -49,7 +51,7 @@
         self._clock = clock
         self._log = structlog.get_logger(task="callers")
         self.draining = False
-        self.refusing = False
+        self.last_deadline_ms: float | None = None
         self.open_requests = 0
 
     def limits(self) -> model.Limits:
@@ -99,15 +101,21 @@
             raise
         limits = accepted.limits
         body = conn.read_body(limits.body_bytes, limits.header_timeout_ms)
-        if self.refusing:
-            raise errors.RefusalError(
-                503,
-                errors.RefusalCode.DRAINING,
-                "this VM is shutting down",
-                retry_after_ms=0.0,
-            )
+        req = accepted.with_body(body)
+        self._check_shutdown(req)
         with conn.watch_caller():
-            self._forwarder.forward(accepted.with_body(body), conn)
+            self._forwarder.forward(req, conn)
+
+    def _check_shutdown(self, req: requests.Request) -> None:
+        last_ms = self.last_deadline_ms
+        if last_ms is None or req.deadline_ms <= last_ms:
+            return
+        raise errors.RefusalError(
+            503,
+            errors.RefusalCode.DRAINING,
+            "this VM is shutting down",
+            retry_after_ms=0.0,
+        )
 
     def _refuse(
         self,
--- a/hornbeampier/ingress/shutdown.py
+++ b/hornbeampier/ingress/shutdown.py
@@ -10,8 +10,9 @@
 
 # Until then the balancer may still send new connections.
 BALANCER_MS = 2_500.0
-# Part of the grace time after which new requests are refused.
-REFUSE_SHARE = 0.55
+# After this part of the grace time, a request is refused unless its deadline
+# lies before the end.
+REFUSE_SHARE = 0.34
 # Part of the grace time after which the process ends.
 END_SHARE = 0.88
 POLL_MS = 50.0
@@ -68,6 +69,7 @@
     def _finish(self, refuse_ms: float, end_ms: float) -> None:
         """Waits until no connection is left, or until `end_ms`."""
         while self._connections.connections and self._clock.now() < end_ms:
-            self._handler.refusing = self._clock.now() >= refuse_ms
+            if self._clock.now() >= refuse_ms:
+                self._handler.last_deadline_ms = end_ms
             self._connections.end_idle()
             self._clock.sleep(POLL_MS)
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -11,7 +11,7 @@
 
 class FakeHandler:
     draining = False
-    refusing = False
+    last_deadline_ms = None
     open_requests = 0
 
 
@@ -70,7 +70,7 @@
         self.assertLess(clock.now(), 8_000.0)
         # What was sent early may take five sixths of the grace time.
         self.assertGreater(clock.now(), 8_000.0 * 5 / 6)
-        self.assertTrue(handler.refusing)
+        self.assertLess(handler.last_deadline_ms, 8_000.0)
 
 
 class NodeShutdownTest(nodes.NodeTestCase):
@@ -94,6 +94,28 @@
         # Both ends saw an orderly close.
         self.assertEqual(b"", second.sock.recv(1))
 
+    def test_late_request_that_might_not_finish_is_refused(self):
+        def behave(arrival):
+            if "slow" in arrival.line:
+                gevent.sleep(5)
+            arrival.answer()
+
+        self.start_server(nodes.PLAIN, behave)
+        slow = nodes.route("s", "/safe/", "safe", nodes.PLAIN, timeoutMs=9_000)
+        found = self.start_ready_node(
+            nodes.configuration(routes=[slow]), grace_ms=8_000.0
+        )
+        patient = {"X-Hornbeampier-Deadline-Ms": "8000"}
+        caller = self.connect(found)
+        caller.send("GET", "/safe/slow", patient)
+        gevent.spawn(found.drain)
+        store_standin.wait_until(
+            lambda: found._handler.last_deadline_ms is not None
+        )
+        self.assertEqual(503, self.call(found, headers=patient).status)
+        short = {"X-Hornbeampier-Deadline-Ms": "300"}
+        self.assertEqual(200, self.call(found, headers=short).status)
+
     def test_request_in_the_last_moment_is_answered_or_not_read(self):
         server = self.start_server(nodes.PLAIN, lambda a: a.answer())
         found = self.start_ready_node(grace_ms=4_000.0)
