--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -29,7 +29,6 @@
 
     Attributes:
         used_at_ms: End of the last response.
-        responded: Whether a byte arrived since the request was sent.
     """
 
     def __init__(self, sock: socket.socket, clock: clocks.Clock):
@@ -39,7 +38,7 @@
         self._sender: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
         self.used_at_ms = clock.now()
-        self.responded = False
+        self._at_end = False
 
     def send(self, head: messages.RequestHead, body: bytes) -> None:
         """Writes a request; raises OSError.
@@ -49,7 +48,6 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
-        self.responded = False
         self._request = h11.Request(
             method=head.method, target=head.target, headers=list(head.headers)
         )
@@ -135,7 +133,14 @@
 
     def _next_event(self, deadline_ms: float):
         while True:
-            event = self._http.next_event()
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                if self._at_end:
+                    raise ConnectionLostError(
+                        "the connection was closed before its end"
+                    ) from exc
+                raise
             if event is not h11.NEED_DATA:
                 return event
             self._receive(deadline_ms)
@@ -146,7 +151,7 @@
             raise TimeoutError("deadline reached")
         self._sock.settimeout(remaining_ms / clocks.MS_PER_SECOND)
         data = self._sock.recv(BLOCK_BYTES)
-        self.responded = self.responded or bool(data)
+        self._at_end = not data
         self._http.receive_data(data)
 
     def _to_head(self, event: h11.Response) -> messages.ResponseHead:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -1,4 +1,4 @@
-"""docs/operations.md and the README against the program."""
+"""docs/OPERATIONS.md and the README against the program."""
 
 import pathlib
 import re
@@ -20,7 +20,7 @@
 class OperationsPageTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.page = (ROOT / "docs" / "operations.md").read_text()
+        self.page = (ROOT / "docs" / "OPERATIONS.md").read_text()
 
     def assert_named(self, names, text):
         self.assertEqual([], [n for n in names if f"`{n}`" not in text])
