--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -33,7 +33,7 @@
 # Time after the first request for which that share stays.
 INITIAL_MS = 2_000.0
 # The same for the pool of long prompts.
-LONG_UTILIZATION = 0.6
+LONG_UTILIZATION = 0.35
 # Prompt tokens that an engine reads in a millisecond.
 PREFILL_TOKENS_PER_MS = 50.0
 # The pool grows when it lacks this part of an engine, and shrinks when it has
