--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -23,6 +23,9 @@
 # Time of an answer of a plain service, before it is measured; only the
 # differences between endpoints count.
 PLAIN_ANSWER_MS = 20.0
+# An engine that took this many times what was expected is avoided; smaller
+# differences would only move prompts away from their cached parts.
+SLOW_FACTOR = 2.5
 # What a token that is read again costs all others, beside its own wait.
 REREAD_WEIGHT = 4.0
 # Fewer cached tokens are not worth a transfer between engines.
@@ -208,7 +211,10 @@
             + running * CROWDING_MS
         )
         source = keeper.endpoint if fetched else None
-        return Choice(state, wait_ms, wait_ms, own_tokens, source)
+        slowness = speed.slowness(state.speed.sample(), peers.answered)
+        if slowness < SLOW_FACTOR:
+            slowness = 1.0
+        return Choice(state, wait_ms * slowness, wait_ms, own_tokens, source)
 
     def _fetch_ms(
         self, state: fleet.EndpointState, tokens: float
