--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -27,7 +27,7 @@
 # differences would only move prompts away from their cached parts.
 SLOW_FACTOR = 2.5
 # What a token that is read again costs all others, beside its own wait.
-REREAD_WEIGHT = 4.0
+REREAD_WEIGHT = 6.0
 # Fewer cached tokens are not worth a transfer between engines.
 MIN_FETCH_TOKENS = 1_000
 # Bonus of the engine that all VMs prefer, as a part of the shared tokens.
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -29,7 +29,7 @@
 # Share of its time that an engine of the pool for short prompts may read.
 SHORT_UTILIZATION = 0.35
 # Share of the engines in this pool until both kinds of prompts were seen.
-INITIAL_SHORT_SHARE = 0.25
+INITIAL_SHORT_SHARE = 0.2
 # Time after the first request for which that share stays.
 INITIAL_MS = 2_000.0
 # The same for the pool of long prompts.
