Remove orders to engines

Reason: no deployment's contracts know orders, so the planner, its lease, the load permits, placements and rollouts served nobody.

--- a/hornbeampier/daemon.py
+++ b/hornbeampier/daemon.py
@@ -9,7 +9,6 @@
 from hornbeampier import environment
 from hornbeampier import metrics
 from hornbeampier import models
-from hornbeampier import planner
 from hornbeampier import router
 from hornbeampier import settings
 from hornbeampier import wsgi
@@ -112,13 +111,6 @@
         )
         self._scheduler = self._make_scheduler()
         self._load = load.LoadPoller(self._endpoints, clk, self._scheduler.pump)
-        self._planner = planner.Planner(
-            self._settings.vm,
-            self._env,
-            self._platform_log,
-            self._endpoints,
-            lambda: self._follower.accepted,
-        )
         self._suspects = suspects.Suspects(
             clk,
             self._env.rng,
@@ -185,7 +177,6 @@
         self.app.add(self._load)
         self.app.add(self._scheduler)
         self.app.add(self._follower)
-        self.app.add(self._planner)
         self.app.add(self.claim_writer)
         self.app.add(self.claims)
         self.app.add(self.caller_server)
--- a/hornbeampier/endpoints/messages.py
+++ b/hornbeampier/endpoints/messages.py
@@ -27,40 +27,6 @@
     choices: tuple[ChunkChoice, ...] = ()
 
 
-class HeldModel(msgspec.Struct, frozen=True, order=True):
-    """A version of a model that an engine holds or is to hold."""
-
-    model: str
-    version: str
-    adapter: str = ""
-
-
-class ModelOrder(msgspec.Struct, frozen=True):
-    """Orders an engine to hold exactly these models.
-
-    Attributes:
-        fencing: Offset of the lease record of the VM that orders.
-    """
-
-    fencing: int
-    models: tuple[HeldModel, ...]
-
-
-class ModelState(msgspec.Struct, frozen=True):
-    """What an engine holds.
-
-    Attributes:
-        wanted: The models of the last order that it took.
-        loading: Whether it is still loading; it refuses requests meanwhile.
-        fencing: Fencing number of the last order that it took.
-    """
-
-    models: tuple[HeldModel, ...] = ()
-    wanted: tuple[HeldModel, ...] = ()
-    loading: bool = False
-    fencing: int = -1
-
-
 class LoadReport(msgspec.Struct, frozen=True):
     """An endpoint's own report of its load.
 
@@ -69,7 +35,6 @@
         waiting: Requests accepted but not yet in execution.
         slots: Requests that it can execute at the same time.
         leaving: Whether it refuses new work.
-        held: Models that it can run; None if it does not say.
         boot: Identifies the endpoint's process, or empty.
     """
 
@@ -77,5 +42,4 @@
     waiting: int
     slots: int
     leaving: bool = False
-    held: tuple[str, ...] | None = None
     boot: str = ""
--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -56,8 +56,6 @@
         if self.cfg.kind is schema.EndpointKind.SERVICE:
             name = target.removeprefix(models.SERVICE_PREFIX)
             return name != target and name in self.cfg.serves
-        if self.report and self.report.held is not None:
-            return target in self.cfg.serves and target in self.report.held
         return target in self.cfg.serves
 
 
--- a/hornbeampier/operators/references.py
+++ b/hornbeampier/operators/references.py
@@ -43,7 +43,6 @@
         *_find_account_problems(rows["accounts"], names["classes"]),
         *_find_service_problems(rows["services"], names["classes"]),
         *_find_endpoint_problems(rows["endpoints"], names),
-        *_find_placement_problems(tree, rows["endpoints"], names["models"]),
         *_find_share_problems(rows["classes"]),
         *_find_key_problems(rows["accounts"]),
     )
@@ -108,32 +107,6 @@
                 yield _unknown(f"{endpoint.path}.serves", name, names[table])
 
 
-def _find_placement_problems(
-    tree: dict[str, Any], endpoints: list[_Row], models: set[str]
-) -> Iterable[str]:
-    wanted: collections.Counter[tuple[str, str]] = collections.Counter()
-    for index, row in enumerate(_tables(tree, "placements")):
-        placement = _Row(f"placements.{index}", "", row)
-        model = placement.text("model")
-        if model is not None and model not in models:
-            yield _unknown(f"{placement.path}.model", model, models)
-        place = placement.text("availability_zone")
-        count = row.get("endpoints")
-        if model and place and isinstance(count, int):
-            wanted[model, place] += count
-    for (model, place), count in wanted.items():
-        able = sum(
-            model in e.texts("serves") and e.text("availability_zone") == place
-            for e in endpoints
-        )
-        if count > able:
-            yield (
-                f"placements.endpoints: {count} endpoints are to hold "
-                f"{model!r} in {place!r}; allowed: at most the {able} there "
-                "that may serve it"
-            )
-
-
 def _find_share_problems(classes: list[_Row]) -> Iterable[str]:
     shares = [row.fields.get("min_share", 0) for row in classes]
     total = sum(s for s in shares if isinstance(s, int | float))
--- a/hornbeampier/operators/schema.py
+++ b/hornbeampier/operators/schema.py
@@ -82,37 +82,6 @@
         return routes
 
 
-class Placement(_Table):
-    """How many endpoints are to hold a version of a model.
-
-    Attributes:
-        adapter: Name of the adapter on the model; empty for none.
-        version: Version of the weights.
-        endpoints: How many engines of the availability zone hold it.
-    """
-
-    model: Name
-    adapter: str = ""
-    version: Name
-    availability_zone: Name
-    endpoints: int = pydantic.Field(ge=0)
-
-
-class Rollout(_Table):
-    """Limits on the changes of placement.
-
-    Attributes:
-        loads_per_minute: Loads that the weight store allows over all VMs.
-        concurrent_loads: Engines that may load at the same time.
-        max_unavailable_share: Share of a model's engines that may be
-            unavailable because of changes; at least one always stays.
-    """
-
-    loads_per_minute: int = pydantic.Field(default=6, ge=1)
-    concurrent_loads: int = pydantic.Field(default=1, ge=1)
-    max_unavailable_share: Fraction = 0.25
-
-
 class EndpointKind(enum.StrEnum):
     """What an endpoint runs."""
 
@@ -126,7 +95,6 @@
     Attributes:
         serves: Names of the models or of the service that it runs.
         slots: Requests that it runs at the same time.
-        checks_fencing: Whether it refuses orders with an old fencing number.
     """
 
     name: Name
@@ -136,7 +104,6 @@
     host: str = pydantic.Field(min_length=1)
     port: Port
     slots: int = pydantic.Field(default=8, ge=1, le=4096)
-    checks_fencing: bool = False
 
 
 class ClientAccount(_Table):
@@ -163,8 +130,6 @@
     models: tuple[Model, ...] = ()
     services: tuple[Service, ...] = ()
     endpoints: tuple[Endpoint, ...] = pydantic.Field(min_length=1)
-    placements: tuple[Placement, ...] = ()
-    rollout: Rollout = Rollout()
     accounts: tuple[ClientAccount, ...] = pydantic.Field(min_length=1)
 
     def find_class(self, name: str) -> RequestClass | None:
