Split forwarding: context, answer checks and dispatch on their own

Found while reading: a first write had the timeout left from connecting, a slow reader of an answer that of reading its request; a server's 500 was replaced by a 502 when the retry budget was used up (test failed first); the answer to HEAD lost its length (test failed first).

--- a/hornbeampier/forwarding/exchange.py
+++ b/hornbeampier/forwarding/exchange.py
@@ -74,7 +74,7 @@
             fetch_from,
         )
         try:
-            self._conn.send(head, req.body)
+            self._conn.send(head, req.body, self._deadline_ms)
             self.head = self._conn.read_head(
                 self._deadline_ms + ANSWER_SLACK_MS, names.REQUEST_ID
             )
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -1,11 +1,14 @@
 """Forwards a request until it has its final answer."""
 
+import dataclasses
+
 import structlog
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import node_metrics
 from hornbeampier import verdict
+from hornbeampier.forwarding import answers
 from hornbeampier.forwarding import connections
 from hornbeampier.forwarding import exchange
 from hornbeampier.forwarding import streams
@@ -13,9 +16,9 @@
 from hornbeampier.routing import budget
 from hornbeampier.routing import choice
 from hornbeampier.routing import crashes
+from hornbeampier.routing import dispatch
+from hornbeampier.routing import fleet
 from hornbeampier.routing import model
-from hornbeampier.routing import placements
-from hornbeampier.routing import pools
 from hornbeampier.routing import requests
 
 # Endpoints that could not be reached do not count as attempts.
@@ -25,31 +28,23 @@
 MIN_ATTEMPT_MS = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What the forwarding of all requests shares."""
+
+    connections: connections.Connections
+    dispatcher: dispatch.Dispatcher
+    crashes: crashes.Crashes
+    budget: budget.RetryBudget
+    metrics: node_metrics.NodeMetrics
+    clock: clocks.Clock
+
+
 class Forwarder:
     """Chooses endpoints, repeats what may be repeated and answers callers."""
 
-    def __init__(
-        self,
-        connections: connections.Connections,
-        plain: choice.Chooser,
-        engines: choice.Chooser,
-        pools: pools.Pools,
-        placements: placements.Placements,
-        crashes: crashes.Crashes,
-        budget: budget.RetryBudget,
-        metrics: node_metrics.NodeMetrics,
-        clock: clocks.Clock,
-    ):
-        self._connections = connections
-        self._plain = plain
-        self._engines = engines
-        self._pools = pools
-        self._placements = placements
-        self._crashes = crashes
-        self._budget = budget
-        self._metrics = metrics
-        self._clock = clock
-        self._log = structlog.get_logger(task="forwarder")
+    def __init__(self, context: Context):
+        self._context = context
 
     def forward(
         self, req: requests.Request, caller: server.ServerConnection
@@ -60,26 +55,14 @@
             errors.RefusalError: There is no answer of an endpoint to give.
             streams.BrokenStreamError: An answer that had begun broke off.
         """
-        if self._crashes.is_barred(req.fingerprint):
+        if self._context.crashes.is_barred(req.fingerprint):
             raise errors.RefusalError(
                 503,
                 errors.RefusalCode.CRASHES_ENDPOINTS,
                 "this request crashes the endpoints that run it",
             )
-        self._budget.record_request(req.service)
-        _Forwarding(self, req, caller).run()
-
-    def choose(
-        self, req: requests.Request, tried: set[str]
-    ) -> choice.Choice | None:
-        """Returns the endpoint of the next attempt, or None."""
-        if req.prompt is None:
-            return self._plain.choose(req, tried)
-        chosen = self._engines.choose(req, tried)
-        if chosen is not None:
-            self._pools.record(req, chosen.prefill_tokens)
-            self._placements.record(chosen.state, req.prompt)
-        return chosen
+        self._context.budget.record_request(req.service)
+        _Forwarding(self._context, req, caller).run()
 
 
 class _Forwarding:
@@ -87,20 +70,21 @@
 
     def __init__(
         self,
-        owner: Forwarder,
+        context: Context,
         req: requests.Request,
         caller: server.ServerConnection,
     ):
-        self._owner = owner
+        self._context = context
+        self._clock = context.clock
         self._req = req
-        self._clock = owner._clock
-        self._log = owner._log.bind(request_id=req.id)
-        self._relay = streams.StreamRelay(caller, owner._clock)
         self._caller = caller
+        self._relay = streams.StreamRelay(caller, context.clock)
         self._tried: set[str] = set()
         self._attempts = 0
         self._unreachable = 0
+        self._repeat_granted = False
         self._verdict = verdict.Verdict.NOT_RUN
+        self._log = structlog.get_logger(task="forwarder", request_id=req.id)
 
     def run(self) -> None:
         """Makes attempts until one of them gives the final answer."""
@@ -111,10 +95,10 @@
                 return
             except errors.AttemptError as exc:
                 self._note_failure(chosen, exc)
-                self._check_retry(exc)
+                self._check_repeat(exc)
 
     def _next_choice(self) -> choice.Choice:
-        chosen = self._owner.choose(self._req, self._tried)
+        chosen = self._context.dispatcher.choose(self._req, self._tried)
         if chosen is None and not self._tried:
             raise self._refuse(errors.RefusalCode.NO_ENDPOINT, "no endpoint")
         if chosen is None:
@@ -136,9 +120,11 @@
         return chosen
 
     def _attempt(self, chosen: choice.Choice) -> None:
-        load = _AttemptLoad(chosen)
+        load = fleet.AttemptLoad(
+            chosen.state, chosen.expected_ms, chosen.prefill_tokens
+        )
         attempt = exchange.Exchange(
-            self._owner._connections, chosen.state, self._clock
+            self._context.connections, chosen.state, self._clock
         )
         try:
             attempt.open(
@@ -160,44 +146,24 @@
 
     def _check_answer(self, attempt: exchange.Exchange) -> None:
         """Raises AttemptError for a response that is not passed on."""
-        answer = attempt.answer
-        if answer.not_executed:
-            raise errors.AttemptError(
-                f"rejected with {answer.status}",
-                verdict.Verdict.NOT_RUN,
-                refuses_all=True,
-            )
-        if answer.is_encoded or not answer.is_signed:
-            raise errors.AttemptError(
-                f"response {answer.status} is not the endpoint's own",
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
-        if answer.status in (408, 421, 429, 503):
-            # These statuses promise that the request has not run.
-            raise errors.AttemptError(
-                f"status {answer.status} without a promise",
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
-        if answer.status >= 500 and self._may_repeat():
+        answers.check(attempt.answer)
+        if answers.is_server_error(attempt.answer) and self._may_repeat(
+            verdict.Verdict.RAN
+        ):
+            self._repeat_granted = True
             raise errors.AttemptError(
-                f"status {answer.status}", verdict.Verdict.RAN
+                f"status {attempt.answer.status}", verdict.Verdict.RAN
             )
 
-    def _may_repeat(self) -> bool:
-        return (
-            self._req.route.idempotent
-            and self._attempts < self._req.route.max_attempts
-        )
-
     def _deliver(
-        self, attempt: exchange.Exchange, load: "_AttemptLoad"
+        self, attempt: exchange.Exchange, load: fleet.AttemptLoad
     ) -> None:
         is_stream = self._req.route.repeat is model.Repeat.STREAM
         if is_stream and attempt.answer.status < 300:
             self._relay.relay(attempt, load.note_answer)
             attempt.finish()
             self._relay.end()
-            self._log_served(attempt)
+            self._note_served(attempt)
             return
         if self._relay.started:
             raise errors.AttemptError(
@@ -207,9 +173,9 @@
         answer = streams.read_whole(attempt)
         attempt.finish()
         self._caller.respond(answer.status, answer.headers, answer.body)
-        self._log_served(attempt)
+        self._note_served(attempt)
 
-    def _log_served(self, attempt: exchange.Exchange) -> None:
+    def _note_served(self, attempt: exchange.Exchange) -> None:
         self._count_served(attempt.answer.status)
         self._log.info(
             "served",
@@ -222,7 +188,7 @@
         )
 
     def _count_served(self, status: int) -> None:
-        metrics = self._owner._metrics
+        metrics = self._context.metrics
         route = self._req.route.name
         metrics.record_answer(route, status)
         metrics.record_attempt(self._req.service, "answered")
@@ -237,7 +203,7 @@
         self, chosen: choice.Choice, exc: errors.AttemptError
     ) -> None:
         self._verdict = self._verdict.combine(exc.verdict)
-        self._owner._metrics.record_attempt(
+        self._context.metrics.record_attempt(
             self._req.service, exc.verdict.value
         )
         self._tried.add(chosen.state.id)
@@ -258,73 +224,44 @@
     def _is_down(self, chosen: choice.Choice) -> bool:
         """Whether an endpoint that lost a request crashed; notes a crash."""
         endpoint = chosen.state.endpoint
-        if self._owner._connections.probe(endpoint):
+        if self._context.connections.probe(endpoint):
             return False
         incarnation = f"{endpoint.id}/{endpoint.started_ms}"
-        self._owner._crashes.record(
+        self._context.crashes.record(
             crashes.Crash(self._req.fingerprint, incarnation)
         )
         return True
 
-    def _check_retry(self, exc: errors.AttemptError) -> None:
+    def _check_repeat(self, exc: errors.AttemptError) -> None:
         """Raises the final refusal unless another attempt is due."""
-        req = self._req
-        remaining_ms = req.deadline_ms - self._clock.now()
+        remaining_ms = self._req.deadline_ms - self._clock.now()
         if exc.timed_out or remaining_ms < MIN_ATTEMPT_MS:
             raise self._refuse(
                 errors.RefusalCode.ENDPOINT_TIMEOUT, "no answer in time"
             )
-        may_repeat = self._verdict.may_have_run is False or req.route.idempotent
-        if exc.unsent and self._unreachable < MAX_UNREACHABLE and may_repeat:
+        if self._repeat_granted:
+            self._repeat_granted = False
             return
-        if (
-            not may_repeat
-            or self._attempts >= req.route.max_attempts
-            or not self._owner._budget.take(req.service)
-        ):
+        if exc.unsent and self._unreachable < MAX_UNREACHABLE:
+            return
+        if not self._may_repeat(self._verdict):
             raise self._refuse(errors.RefusalCode.ENDPOINT_FAILED, str(exc))
 
+    def _may_repeat(self, known: verdict.Verdict) -> bool:
+        """Whether another attempt is allowed; takes it from the budget."""
+        route = self._req.route
+        if known.may_have_run and not route.idempotent:
+            return False
+        if self._attempts >= route.max_attempts:
+            return False
+        return self._context.budget.take(self._req.service)
+
     def _refuse(
         self, code: errors.RefusalCode, message: str
     ) -> errors.RefusalError | streams.BrokenStreamError:
         """Returns the error that ends the request."""
         if self._relay.started:
             return streams.BrokenStreamError(message)
-        if not self._verdict.may_have_run:
-            return errors.RefusalError(
-                503, code, message, retry_after_ms=MIN_RETRY_AFTER_MS
-            )
-        timed_out = code is errors.RefusalCode.ENDPOINT_TIMEOUT
-        return errors.RefusalError(
-            504 if timed_out else 502, code, message, self._verdict
+        return answers.make_final(
+            code, message, self._verdict, MIN_RETRY_AFTER_MS
         )
-
-
-class _AttemptLoad:
-    """Counts an attempt at its endpoint for as long as it lasts."""
-
-    def __init__(self, chosen: choice.Choice):
-        self._state = chosen.state
-        self._tokens = chosen.prefill_tokens
-        self._ticket = chosen.state.speed.begin(chosen.expected_ms)
-        self._state.in_flight += 1
-        self._state.prefill_tokens += self._tokens
-
-    def note_answer(self) -> None:
-        """The answer has begun: the prompt has been read."""
-        self._state.speed.end(self._ticket)
-        self._end_prefill()
-
-    def note_failure(self) -> None:
-        """The attempt has failed."""
-        self._state.speed.end(self._ticket, failed=True)
-
-    def end(self) -> None:
-        """The attempt is over."""
-        self._state.speed.forget(self._ticket)
-        self._state.in_flight -= 1
-        self._end_prefill()
-
-    def _end_prefill(self) -> None:
-        self._state.prefill_tokens -= self._tokens
-        self._tokens = 0.0
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -124,5 +124,7 @@
         blocks.append(block)
     body = b"".join(blocks)
     fields = headers.returnable(attempt.head)
-    fields.append((b"Content-Length", b"%d" % len(body)))
+    # The answer to HEAD tells the length of a body that does not follow.
+    length = len(body) or attempt.head.length or 0
+    fields.append((b"Content-Length", b"%d" % length))
     return exchange.Answer(attempt.answer.status, fields, body)
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -40,8 +40,10 @@
         self.used_at_ms = clock.now()
         self._at_end = False
 
-    def send(self, head: messages.RequestHead, body: bytes) -> None:
-        """Writes a request; raises OSError.
+    def send(
+        self, head: messages.RequestHead, body: bytes, deadline_ms: float
+    ) -> None:
+        """Writes a request; raises OSError, also at the deadline.
 
         A long body goes on being written while the response is awaited, since
         a server may respond before it has read all of it.
@@ -55,6 +57,7 @@
         if body:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
+        self._set_deadline(deadline_ms)
         if len(data) <= INLINE_BODY_BYTES:
             self._sock.sendall(data)
             self._sender = None
@@ -146,13 +149,16 @@
             self._receive(deadline_ms)
 
     def _receive(self, deadline_ms: float) -> None:
+        self._set_deadline(deadline_ms)
+        data = self._sock.recv(BLOCK_BYTES)
+        self._at_end = not data
+        self._http.receive_data(data)
+
+    def _set_deadline(self, deadline_ms: float) -> None:
         remaining_ms = deadline_ms - self._clock.now()
         if remaining_ms <= 0:
             raise TimeoutError("deadline reached")
         self._sock.settimeout(remaining_ms / clocks.MS_PER_SECOND)
-        data = self._sock.recv(BLOCK_BYTES)
-        self._at_end = not data
-        self._http.receive_data(data)
 
     def _to_head(self, event: h11.Response) -> messages.ResponseHead:
         headers = tuple(event.headers)
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -13,6 +13,8 @@
 from hornbeampier.http1 import sockets
 
 BLOCK_BYTES = 65_536
+# A caller that reads nothing for so long is taken to be gone.
+WRITE_TIMEOUT_MS = 15_000.0
 # Value of SO_LINGER: on, with no time.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -228,6 +230,7 @@
         if not data:
             return
         try:
+            self._sock.settimeout(WRITE_TIMEOUT_MS / clocks.MS_PER_SECOND)
             self._sock.sendall(data)
         except OSError as exc:
             raise CallerGoneError from exc
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -39,6 +39,7 @@
 from hornbeampier.routing import catalog
 from hornbeampier.routing import choice
 from hornbeampier.routing import crashes
+from hornbeampier.routing import dispatch
 from hornbeampier.routing import fleet
 from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
@@ -186,31 +187,36 @@
     def _build_forwarder(self) -> None:
         cfg = self._cfg
         self._connections = connections.Connections(self._fleet, self._clock)
-        self._forwarder = forwarder.Forwarder(
-            self._connections,
-            choice.LeastLoaded(
-                self._fleet, self._peer_loads, self._clock, self._env.rng
-            ),
-            choice.EngineChooser(
-                self._fleet,
-                self._peer_loads,
-                self._pools,
-                self.catalog.engine_traits,
-                self._clock,
-            ),
-            self._pools,
-            self._placements,
-            self._crashes,
-            budget.RetryBudget(
+        context = forwarder.Context(
+            connections=self._connections,
+            dispatcher=self._make_dispatcher(),
+            crashes=self._crashes,
+            budget=budget.RetryBudget(
                 cfg.retry_ratio,
                 cfg.retry_extra,
                 cfg.retry_window_ms,
                 self._count_vms,
                 self._clock,
             ),
-            self._metrics,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        self._forwarder = forwarder.Forwarder(context)
+
+    def _make_dispatcher(self) -> dispatch.Dispatcher:
+        plain = choice.LeastLoaded(
+            self._fleet, self._peer_loads, self._clock, self._env.rng
+        )
+        engines = choice.EngineChooser(
+            self._fleet,
+            self._peer_loads,
+            self._pools,
+            self.catalog.engine_traits,
             self._clock,
         )
+        return dispatch.Dispatcher(
+            plain, engines, self._pools, self._placements
+        )
 
     def _build_listeners(self) -> None:
         cfg = self._cfg
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -104,7 +104,7 @@
         )
         try:
             conn = self._connect()
-            conn.send(head, b"")
+            conn.send(head, b"", deadline_ms)
             response = conn.read_head(deadline_ms)
             body = b"".join(conn.read_body(deadline_ms))
         except client.TRANSPORT_ERRORS as exc:
--- a/hornbeampier/replication/relay.py
+++ b/hornbeampier/replication/relay.py
@@ -59,7 +59,7 @@
         raise errors.PlatformError(f"peer {host}: {exc}") from exc
     conn = client.ClientConnection(sock, clock)
     try:
-        conn.send(head, b"")
+        conn.send(head, b"", deadline_ms)
         response = conn.read_head(deadline_ms)
         body = b"".join(conn.read_body(deadline_ms))
     except client.TRANSPORT_ERRORS as exc:
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -73,6 +73,38 @@
         self.ejected_until_ms = now_ms + out_ms
 
 
+class AttemptLoad:
+    """Counts an attempt at its endpoint for as long as it lasts."""
+
+    def __init__(
+        self, state: EndpointState, expected_ms: float, prefill_tokens: float
+    ):
+        self._state = state
+        self._tokens = prefill_tokens
+        self._ticket = state.speed.begin(expected_ms)
+        state.in_flight += 1
+        state.prefill_tokens += prefill_tokens
+
+    def note_answer(self) -> None:
+        """The answer has begun: the prompt has been read."""
+        self._state.speed.end(self._ticket)
+        self._end_prefill()
+
+    def note_failure(self) -> None:
+        """The attempt has failed."""
+        self._state.speed.end(self._ticket, failed=True)
+
+    def end(self) -> None:
+        """The attempt is over."""
+        self._state.speed.forget(self._ticket)
+        self._state.in_flight -= 1
+        self._end_prefill()
+
+    def _end_prefill(self) -> None:
+        self._state.prefill_tokens -= self._tokens
+        self._tokens = 0.0
+
+
 class Fleet:
     """The states of all endpoints, by service."""
 
--- a/tests/test_node_requests.py
+++ b/tests/test_node_requests.py
@@ -191,3 +191,56 @@
         found = self.start_ready_node(cfg)
         response = self.call(found, "POST", "/unsafe/x", body=b"x" * 500_000)
         self.assertEqual(503, response.status)
+
+
+class ServerErrorTest(nodes.NodeTestCase):
+    """A server's own 500 says that the request ran."""
+
+    def test_idempotent_request_is_repeated_once(self):
+        behave = self.fail_first()
+        found = self.start_ready_node()
+        self.assertEqual(200, self.call(found).status)
+        self.assertEqual(2, len(behave.seen))
+
+    def test_error_of_a_once_only_request_is_passed_on(self):
+        behave = self.fail_first()
+        found = self.start_ready_node()
+        response = self.call(found, "POST", "/unsafe/x")
+        self.assertEqual(500, response.status)
+        self.assertIn("x-hornbeampier-server-seal", response.headers)
+        self.assertEqual(1, len(behave.seen))
+
+    def test_error_is_passed_on_when_the_budget_is_used_up(self):
+        behave = self.fail_first()
+        found = self.start_ready_node(retry_extra=0.0, retry_ratio=0.0)
+        self.assertEqual(500, self.call(found).status)
+        self.assertEqual(1, len(behave.seen))
+
+    def fail_first(self):
+        def behave(arrival):
+            behave.seen.append(arrival)
+            if len(behave.seen) == 1:
+                arrival.answer(status="500 Internal Server Error")
+            else:
+                arrival.answer()
+
+        behave.seen = []
+        for _ in range(2):
+            self.start_server(nodes.PLAIN, behave)
+        return behave
+
+
+class HeadTest(nodes.NodeTestCase):
+    def test_answer_to_head_tells_the_length(self):
+        def behave(arrival):
+            arrival.send(
+                "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n"
+                "X-Hornbeampier-Server-Seal: s\r\n\r\n"
+            )
+
+        self.start_server(nodes.PLAIN, behave)
+        found = self.start_ready_node()
+        caller = self.connect(found)
+        caller.send("HEAD", "/safe/x")
+        status, headers = caller.read_head()
+        self.assertEqual((200, "7"), (status, headers["content-length"]))
