Spread the polls of all VMs over time

Ruled out: a lost connection or an unreadable record (no log line of either). Change: waits grow with the number of VMs and vary, so that some VM asks about every 0.8 s; datagrams tell the others. Test failed first.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -94,7 +94,11 @@
             source = store.StoreClient(self._cfg.store, self._clock)
             self.app.add(
                 follower.TopicFollower(
-                    found, source, self._clock, self._env.rng
+                    found,
+                    source,
+                    self._clock,
+                    self._env.rng,
+                    self._count_vms,
                 )
             )
 
--- a/hornbeampier/replication/catch_up.py
+++ b/hornbeampier/replication/catch_up.py
@@ -10,7 +10,7 @@
 
 POLL_MS = 100.0
 # How long the store may take to tell this VM what a peer already knows.
-STORE_LEAD_MS = 300.0
+STORE_LEAD_MS = 200.0
 
 
 class CatchUp(application.TaskComponent):
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -1,5 +1,6 @@
 """Follows a topic and applies its records in order."""
 
+from collections.abc import Callable
 import random
 
 import structlog
@@ -10,8 +11,10 @@
 from hornbeampier.replication import messages
 from hornbeampier.replication import replica
 
-# Long enough that an unchanged topic costs few calls.
-POLL_WAIT_MS = 20_000.0
+# A store may miss to wake a call that waits. All VMs together begin a new call
+# about this often, and tell each other what it found.
+POLL_INTERVAL_MS = 800.0
+MAX_POLL_WAIT_MS = 20_000.0
 FIRST_BACKOFF_MS = 150.0
 MAX_BACKOFF_MS = 1_000.0
 
@@ -29,8 +32,10 @@
         source: messages.Source,
         clock: clocks.Clock,
         rng: random.Random,
+        count_vms: Callable[[], int],
     ):
         super().__init__()
+        self._count_vms = count_vms
         self._replica = replica
         self._source = source
         self._clock = clock
@@ -64,12 +69,18 @@
             self._replica.apply_snapshot(snapshot)
             self._offset = snapshot.end
             return
-        wait_ms = 0.0 if self.lost else POLL_WAIT_MS
+        wait_ms = 0.0 if self.lost else self._poll_wait_ms()
         batch = self._source.read(self._replica.topic, self._offset, wait_ms)
         self._note_regained()
         self._replica.apply_batch(batch)
         self._offset = batch.end
 
+    def _poll_wait_ms(self) -> float:
+        """Returns a wait that spreads the calls of all VMs evenly."""
+        spread = self._rng.uniform(0.5, 1.5)
+        wait_ms = POLL_INTERVAL_MS * self._count_vms() * spread
+        return min(MAX_POLL_WAIT_MS, wait_ms)
+
     def _note_lost(self, exc: errors.PlatformError) -> None:
         if not self.lost:
             self._log.warning("source_lost", error=str(exc))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -70,11 +70,13 @@
 
     def __init__(self, *answers):
         self.answers = list(answers)
+        self.waits_ms = []
 
     def newest(self, topic):
         return self._next()
 
     def read(self, topic, offset, wait_ms):
+        self.waits_ms.append(wait_ms)
         return self._next()
 
     def close(self):
@@ -88,14 +90,16 @@
 
 
 class TopicFollowerTest(testtools.TestCase):
-    def follow(self, *answers):
+    def follow(self, *answers, vms=9):
         self.applier = RecordingApplier()
+        self.source = FakeSource(*answers, KeyboardInterrupt())
         found = replica.TopicReplica("t", self.applier)
         task = follower.TopicFollower(
             found,
-            FakeSource(*answers, KeyboardInterrupt()),
+            self.source,
             clocks.ManualClock(),
             random.Random(1),
+            lambda: vms,
         )
         self.assertRaises(KeyboardInterrupt, task.run)
         return found
@@ -110,6 +114,17 @@
         self.assertEqual(1, self.applier.regained)
         self.assertEqual(2, found.offset)
 
+    def test_calls_of_all_vms_stay_frequent_and_few(self):
+        # A store that misses to wake a waiting call is asked again soon.
+        empty = messages.Batch((), 1)
+        snapshot = messages.Snapshot((), 1)
+        for vms in (1, 9, 20):
+            self.follow(snapshot, *[empty] * 200, vms=vms)
+            waits_ms = self.source.waits_ms
+            calls_per_s = 1_000 * vms * len(waits_ms) / sum(waits_ms)
+            self.assertTrue(0.8 < calls_per_s < 2.0, calls_per_s)
+            self.assertLessEqual(max(waits_ms), 20_000.0)
+
     def test_forgotten_records_are_replaced_by_a_snapshot(self):
         found = self.follow(
             messages.Snapshot((record("a", 0),), 1),
