--- /dev/null
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -0,0 +1,96 @@
+"""Learns after a restart what the engines still keep.
+
+When all VMs restart at once, nobody knows any more which engine keeps which
+prompt parts. Each engine is asked by one VM, which tells the others.
+"""
+
+from collections.abc import Callable
+
+import structlog
+
+from hornbeampier import application
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.forwarding import connections
+from hornbeampier.http1 import client
+from hornbeampier.platform import cache_lists
+from hornbeampier.routing import catalog
+from hornbeampier.routing import fleet
+from hornbeampier.routing import placements
+from hornbeampier.routing import table
+
+# Time in which the VMs find each other after a start.
+SETTLE_MS = 350.0
+POLL_MS = 50.0
+CALL_TIMEOUT_MS = 1_000.0
+
+
+class CacheSurvey(application.TaskComponent):
+    """Asks this VM's share of the engines once."""
+
+    def __init__(
+        self,
+        host: str,
+        members: Callable[[], list[str]],
+        fleet: fleet.Fleet,
+        catalog: catalog.Catalog,
+        connections: connections.Connections,
+        placements: placements.Placements,
+        clock: clocks.Clock,
+    ):
+        super().__init__()
+        self._host = host
+        self._members = members
+        self._fleet = fleet
+        self._catalog = catalog
+        self._connections = connections
+        self._placements = placements
+        self._clock = clock
+        self._log = structlog.get_logger(task="cache_survey")
+
+    def run(self) -> None:
+        """Waits for configuration, endpoints and peers, and asks."""
+        while self._catalog.cfg is None or not self._fleet.all():
+            self._clock.sleep(POLL_MS)
+        self._clock.sleep(SETTLE_MS)
+        hosts = [self._host, *self._members()]
+        for state in self._fleet.all():
+            if self._is_engine(state) and self._is_own(state, hosts):
+                self._ask(state)
+
+    def _is_engine(self, state: fleet.EndpointState) -> bool:
+        traits = self._catalog.engine_traits(state.endpoint.service)
+        return traits is not None and not state.endpoint.leaving
+
+    def _is_own(self, state: fleet.EndpointState, hosts: list[str]) -> bool:
+        def rank(host: str) -> float:
+            return table.uniform(f"{state.id}/{host}")
+
+        return max(hosts, key=rank) == self._host
+
+    def _ask(self, state: fleet.EndpointState) -> None:
+        try:
+            body = self._call(state)
+            parts = cache_lists.decode(body)
+        except (*client.TRANSPORT_ERRORS, errors.PlatformError) as exc:
+            self._log.warning(
+                "cache_list_failed", endpoint=state.id, error=str(exc)
+            )
+            return
+        self._placements.record_kept(state, parts)
+        self._log.info("cache_listed", endpoint=state.id, parts=len(parts))
+
+    def _call(self, state: fleet.EndpointState) -> bytes:
+        deadline_ms = self._clock.now() + CALL_TIMEOUT_MS
+        conn = self._connections.acquire(state.endpoint)
+        try:
+            conn.send(
+                cache_lists.encode_request(state.endpoint), b"", deadline_ms
+            )
+            head = conn.read_head(deadline_ms)
+            body = b"".join(conn.read_body(deadline_ms))
+        finally:
+            conn.close()
+        if head.status != 200:
+            raise errors.PlatformError(f"the engine answered {head.status}")
+        return body
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -16,6 +16,7 @@
 from hornbeampier import logs
 from hornbeampier import node_metrics
 from hornbeampier import status
+from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connections
 from hornbeampier.forwarding import forwarder
 from hornbeampier.ingress import admission
@@ -109,7 +110,7 @@
         self._catch_up = catch_up.CatchUp(
             self._replicas, cfg.control.port, self._clock
         )
-        members = membership.Membership(
+        self._members = membership.Membership(
             cfg.host, [seed.host for seed in cfg.seeds], self._clock
         )
         handler = control.ControlHandler(relay.RelayHandler(self._replicas))
@@ -122,7 +123,7 @@
             gossip.Gossip(
                 cfg.host,
                 cfg.peer_port,
-                members,
+                self._members,
                 self._make_state,
                 self._take_state,
                 self._clock,
@@ -206,6 +207,19 @@
             clock=self._clock,
         )
         self._forwarder = forwarder.Forwarder(context)
+        if cfg.control is not None and not cfg.first_start:
+            self.app.add(self._make_survey())
+
+    def _make_survey(self) -> cache_survey.CacheSurvey:
+        return cache_survey.CacheSurvey(
+            self._cfg.host,
+            self._members.alive,
+            self._fleet,
+            self.catalog,
+            self._connections,
+            self._placements,
+            self._clock,
+        )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
         plain = choice.LeastLoaded(
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -34,6 +34,7 @@
         seeds: `control` addresses of some VMs, which may be gone.
         peer_port: Port of messages between VMs, equal on all of them.
         store: Address of the platform's store.
+        first_start: Whether no VM of the deployment ran before.
         drain_ms: How long an endpoint serves after it said it is leaving.
         grace_ms: Time between the signal to stop and the end.
         in_force_ms: Time within which a configuration is in force.
@@ -52,6 +53,7 @@
     seeds: tuple[Address, ...]
     peer_port: int
     store: Address
+    first_start: bool
     max_files: int
     drain_ms: float
     grace_ms: float
@@ -99,6 +101,7 @@
         seeds=tuple(parse_address(a) for a in fields.get("seeds") or ()),
         peer_port=int(fields["portRange"][0]),
         store=parse_address(fields["platform"]["address"]),
+        first_start=bool(fields.get("bootstrap")),
         max_files=int(fields["limits"]["maxFds"]),
         drain_ms=float(bounds["drainMs"]),
         grace_ms=float(bounds["graceS"]) * 1000.0,
--- a/hornbeampier/routing/placements.py
+++ b/hornbeampier/routing/placements.py
@@ -6,7 +6,7 @@
 from hornbeampier.routing import model
 
 # News that wait for the next datagram; older ones are left out.
-MAX_NEWS = 200
+MAX_NEWS = 600
 
 
 class Placements:
@@ -24,6 +24,16 @@
             self._news.append((state.id, part))
         del self._news[:-MAX_NEWS]
 
+    def record_kept(
+        self, state: fleet.EndpointState, parts: list[model.PromptPart]
+    ) -> None:
+        """Takes over an engine's own list of parts and tells the peers."""
+        self._set_capacity(state)
+        for part in parts:
+            state.cached.record_peer(part)
+            self._news.append((state.id, part))
+        del self._news[:-MAX_NEWS]
+
     def record_peer(self, endpoint_id: str, part: model.PromptPart) -> None:
         """Notes that a peer sent a prompt with this part to an engine."""
         state = self._fleet.get(endpoint_id)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -39,6 +39,7 @@
         "seeds": (),
         "peer_port": 0,
         "store": settings.Address(HOST, store_port),
+        "first_start": True,
         "max_files": 1000,
         "drain_ms": 2_000.0,
         "grace_ms": 4_000.0,
--- /dev/null
+++ b/tests/test_cache_survey.py
@@ -0,0 +1,56 @@
+"""VMs that restart learn what the engines still keep."""
+
+import json
+
+from tests import nodes
+from tests import store_standin
+
+LIST = {
+    "epoch": 1,
+    "next": 5,
+    "held": [["", "aa", 600, "m"], ["", "bb", 300, "m"]],
+}
+
+
+class CacheSurveyTest(nodes.NodeTestCase):
+    def start_pair(self):
+        control, peer_port = nodes.free_port(), nodes.free_port()
+        return [
+            self.start_ready_node(
+                host=host,
+                control=nodes.settings.Address(host, control),
+                seeds=(nodes.settings.Address("127.0.0.2", control),),
+                peer_port=peer_port,
+                first_start=False,
+            )
+            for host in ("127.0.0.2", "127.0.0.3")
+        ]
+
+    def kept(self, found):
+        state = found._fleet.all()[0]
+        return set(state.cached._parts)
+
+    def test_every_vm_knows_what_one_of_them_asked(self):
+        def behave(arrival):
+            arrival.headers["x-hornbeampier-attempt-id"] = ""
+            arrival.answer(json.dumps(LIST).encode())
+
+        server = self.start_server(nodes.ENGINES, behave)
+        pair = self.start_pair()
+        for found in pair:
+            store_standin.wait_until(
+                lambda found=found: self.kept(found) == {"aa", "bb"}
+            )
+        lines = {arrival.line for arrival in server.arrivals}
+        self.assertEqual({"GET /kv-list HTTP/1.1"}, lines)
+
+    def test_unreadable_list_changes_nothing(self):
+        def behave(arrival):
+            arrival.headers["x-hornbeampier-attempt-id"] = ""
+            arrival.answer(b'{"held": [["", 7]]}')
+
+        server = self.start_server(nodes.ENGINES, behave)
+        pair = self.start_pair()
+        store_standin.wait_until(lambda: server.arrivals)
+        for found in pair:
+            self.assertEqual(set(), self.kept(found))
