--- a/hornbeampier/ingress/control.py
+++ b/hornbeampier/ingress/control.py
@@ -1,65 +1,49 @@
-"""Answers peers and tools on the address for control."""
+"""Answers peers, and tools that read metrics."""
 
 from collections.abc import Callable
 
 from hornbeampier import node_metrics
 from hornbeampier.http1 import messages
 from hornbeampier.http1 import server
-from hornbeampier.ingress import callers
+from hornbeampier.ingress import handlers
 from hornbeampier.replication import relay
-from hornbeampier.routing import model
 
+NOT_FOUND = 404
 
-class MetricsHandler:
+
+class MetricsHandler(handlers.SmallRequestHandler):
     """Serves the metrics of this process."""
 
     def __init__(self, render: Callable[[], bytes]):
         self._render = render
 
-    def limits(self) -> model.Limits:
-        """Returns the bounds on requests for metrics."""
-        return callers.INITIAL_LIMITS
-
-    def handle(
+    def respond(
         self, conn: server.ServerConnection, head: messages.RequestHead
-    ) -> bool:
-        """Answers a request for metrics."""
-        limits = self.limits()
-        conn.read_body(limits.body_bytes, limits.header_timeout_ms)
+    ) -> None:
+        """Writes the metrics."""
         if head.path != node_metrics.PATH:
-            conn.respond(404, [(b"Content-Length", b"0")], b"")
-            return True
+            handlers.respond_empty(conn, NOT_FOUND)
+            return
         body = self._render()
-        conn.respond(
-            200,
-            [
-                (b"Content-Type", b"text/plain; version=0.0.4"),
-                (b"Content-Length", b"%d" % len(body)),
-            ],
-            body,
-        )
-        return True
+        fields = [
+            (b"Content-Type", b"text/plain; version=0.0.4"),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        conn.respond(200, fields, body)
 
 
-class ControlHandler:
-    """Serves records to peers."""
+class ControlHandler(handlers.SmallRequestHandler):
+    """Serves records to peers, which ask once on a connection."""
 
     def __init__(self, relay: relay.RelayHandler):
         self._relay = relay
 
-    def limits(self) -> model.Limits:
-        """Returns the bounds on requests of peers."""
-        return callers.INITIAL_LIMITS
-
-    def handle(
+    def respond(
         self, conn: server.ServerConnection, head: messages.RequestHead
-    ) -> bool:
-        """Answers a request; peers ask once on a connection."""
-        limits = self.limits()
-        conn.read_body(limits.body_bytes, limits.header_timeout_ms)
+    ) -> None:
+        """Writes the records that a peer asked for."""
         conn.closes_after = True
         if head.path == relay.PATH:
             self._relay.respond(conn, head)
         else:
-            conn.respond(404, [(b"Content-Length", b"0")], b"")
-        return False
+            handlers.respond_empty(conn, NOT_FOUND)
--- /dev/null
+++ b/hornbeampier/ingress/handlers.py
@@ -0,0 +1,39 @@
+"""A base for handlers of small requests that are not callers' traffic."""
+
+from hornbeampier.http1 import messages
+from hornbeampier.http1 import server
+from hornbeampier.routing import model
+
+LIMITS = model.Limits(
+    header_bytes=16_384,
+    body_bytes=65_536,
+    header_timeout_ms=3_000.0,
+    idle_timeout_ms=15_000.0,
+)
+
+
+class SmallRequestHandler:
+    """Reads a request and lets `respond` answer it."""
+
+    def limits(self) -> model.Limits:
+        """Returns the bounds on the next request."""
+        return LIMITS
+
+    def handle(
+        self, conn: server.ServerConnection, head: messages.RequestHead
+    ) -> bool:
+        """Answers a request; the connection may go on."""
+        conn.read_body(LIMITS.body_bytes, LIMITS.header_timeout_ms)
+        self.respond(conn, head)
+        return True
+
+    def respond(
+        self, conn: server.ServerConnection, head: messages.RequestHead
+    ) -> None:
+        """Writes the answer; subclasses define it."""
+        raise NotImplementedError
+
+
+def respond_empty(conn: server.ServerConnection, status: int) -> None:
+    """Writes an answer without a body."""
+    conn.respond(status, [(b"Content-Length", b"0")], b"")
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -25,9 +25,9 @@
 from hornbeampier.ingress import listener
 from hornbeampier.ingress import readiness
 from hornbeampier.ingress import shutdown
+from hornbeampier.peers import exchange
 from hornbeampier.peers import gossip
 from hornbeampier.peers import membership
-from hornbeampier.peers import messages
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -42,16 +42,15 @@
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import fleet
-from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
-from hornbeampier.routing import speed
 
 MAINTENANCE_MS = 250.0
 # Part of the file descriptors that callers' connections may use.
 CALLER_FILES_SHARE = 0.5
 CONTROL_CONNECTIONS = 100
+BOOT_BITS = 32
 
 
 class Node(application.BaseComponent):
@@ -74,7 +73,6 @@
         self._pools = pools.Pools(self._clock)
         self._crashes = crashes.Crashes(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
-        self._boot = env.rng.getrandbits(32)
         self._build_replication()
         self._build_peers()
         self._build_forwarder()
@@ -113,6 +111,17 @@
         self._members = membership.Membership(
             cfg.host, [seed.host for seed in cfg.seeds], self._clock
         )
+        states = exchange.StateExchange(
+            cfg.vm,
+            self._env.rng.getrandbits(BOOT_BITS),
+            self._replicas,
+            self._fleet,
+            self._peer_loads,
+            self._pools,
+            self._placements,
+            self._crashes,
+            self._catch_up,
+        )
         handler = control.ControlHandler(relay.RelayHandler(self._replicas))
         self.app.add(
             listener.Listener(
@@ -124,71 +133,13 @@
                 cfg.host,
                 cfg.peer_port,
                 self._members,
-                self._make_state,
-                self._take_state,
+                states.make,
+                states.take,
                 self._clock,
             )
         )
         self.app.add(self._catch_up)
 
-    def _make_state(
-        self, sequence: int, members: tuple[str, ...]
-    ) -> messages.State:
-        return messages.State(
-            vm=self._cfg.vm,
-            boot=self._boot,
-            sequence=sequence,
-            offsets={
-                topic: found.offset
-                for topic, found in self._replicas.items()
-                if found.offset is not None
-            },
-            loads=self._own_loads(),
-            work=self._pools.own_work(),
-            placements=tuple(
-                messages.Placement(endpoint_id, part.id, part.tokens)
-                for endpoint_id, part in self._placements.take()
-            ),
-            crashes=tuple(
-                messages.Crash(c.fingerprint, c.incarnation)
-                for c in self._crashes.told()
-            ),
-            members=members,
-        )
-
-    def _own_loads(self) -> dict[str, messages.EndpointLoad]:
-        loads = {}
-        for state in self._fleet.all():
-            sample = state.speed.sample()
-            if state.in_flight or sample.measured_ms >= 1.0:
-                loads[state.id] = messages.EndpointLoad(
-                    state.in_flight,
-                    round(state.prefill_tokens),
-                    round(sample.measured_ms),
-                    round(sample.expected_ms),
-                )
-        return loads
-
-    def _take_state(self, host: str, state: messages.State) -> None:
-        loads = {
-            endpoint_id: peer_loads.Load(
-                load.in_flight,
-                load.prefill_tokens,
-                speed.Sample(load.measured_ms, load.expected_ms),
-            )
-            for endpoint_id, load in state.loads.items()
-        }
-        self._peer_loads.record(state.vm, loads)
-        self._pools.record_peer(state.vm, state.work)
-        for crash in state.crashes:
-            self._crashes.record(
-                crashes.Crash(crash.fingerprint, crash.incarnation)
-            )
-        for placement in state.placements:
-            part = model.PromptPart(placement.part, placement.tokens)
-            self._placements.record_peer(placement.endpoint, part)
-        self._catch_up.note_peer(host, state.offsets)
-
     def _build_forwarder(self) -> None:
         cfg = self._cfg
         self._connections = connections.Connections(self._fleet, self._clock)
@@ -222,15 +173,12 @@
         )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
-        plain = choice.LeastLoaded(
-            self._fleet, self._peer_loads, self._clock, self._env.rng
-        )
+        plain = choice.LeastLoaded(self._fleet, self._peer_loads, self._env.rng)
         engines = choice.EngineChooser(
             self._fleet,
             self._peer_loads,
             self._pools,
             self.catalog.engine_traits,
-            self._clock,
         )
         return dispatch.Dispatcher(
             plain, engines, self._pools, self._placements
@@ -256,7 +204,7 @@
                 cfg.readiness,
                 readiness.ReadinessHandler(self.is_ready),
                 self._clock,
-                max_connections=100,
+                CONTROL_CONNECTIONS,
             )
         )
         self.app.add(
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -7,7 +7,6 @@
 import random
 from typing import Protocol
 
-from hornbeampier import clock as clocks
 from hornbeampier.routing import affinity
 from hornbeampier.routing import fleet
 from hornbeampier.routing import model
@@ -16,8 +15,6 @@
 from hornbeampier.routing import requests
 from hornbeampier.routing import speed
 
-# Prompt tokens that an engine reads in a millisecond, before it is measured.
-PREFILL_TOKENS_PER_MS = 50.0
 # Time to the first event of a prompt that needs no reading.
 FIRST_EVENT_MS = 40.0
 # Time of an answer of a plain service, before it is measured; only the
@@ -56,6 +53,18 @@
     fetch_from: model.Endpoint | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Fetch:
+    """Cached tokens that come from another engine."""
+
+    tokens: int
+    took_ms: float
+    source: model.Endpoint | None
+
+
+NO_FETCH = _Fetch(0, 0.0, None)
+
+
 class Chooser(Protocol):
     """Chooses among the endpoints of a service."""
 
@@ -66,29 +75,6 @@
         ...
 
 
-class _Candidates:
-    """Finds the endpoints that may get a request."""
-
-    def __init__(self, fleet: fleet.Fleet, clock: clocks.Clock):
-        self._fleet = fleet
-        self._clock = clock
-
-    def find(
-        self, service: str, tried: Container[str]
-    ) -> list[fleet.EndpointState]:
-        """Returns the open endpoints; if none is open, the next to be."""
-        now_ms = self._clock.now()
-        serving = [
-            state
-            for state in self._fleet.serving(service)
-            if state.id not in tried
-        ]
-        open_states = [state for state in serving if state.is_open(now_ms)]
-        if open_states or not serving:
-            return open_states
-        return [min(serving, key=lambda state: state.ejected_until_ms)]
-
-
 class LeastLoaded:
     """Chooses for services whose requests are alike."""
 
@@ -96,10 +82,9 @@
         self,
         fleet: fleet.Fleet,
         peers: peer_loads.PeerLoads,
-        clock: clocks.Clock,
         rng: random.Random,
     ):
-        self._candidates = _Candidates(fleet, clock)
+        self._fleet = fleet
         self._peers = peers
         self._rng = rng
 
@@ -107,7 +92,7 @@
         self, req: requests.Request, tried: Container[str]
     ) -> Choice | None:
         """Returns the endpoint with the fewest requests for its slots."""
-        found = self._candidates.find(req.service, tried)
+        found = self._fleet.candidates(req.service, tried)
         if not found:
             return None
         state = min(found, key=lambda s: (self._load(s), self._rng.random()))
@@ -129,9 +114,8 @@
         peers: peer_loads.PeerLoads,
         pools: pools.Pools,
         traits: Callable[[str], model.EngineTraits | None],
-        clock: clocks.Clock,
     ):
-        self._candidates = _Candidates(fleet, clock)
+        self._fleet = fleet
         self._peers = peers
         self._pools = pools
         self._traits = traits
@@ -140,7 +124,7 @@
         self, req: requests.Request, tried: Container[str]
     ) -> Choice | None:
         """Returns the engine that is expected to read the prompt first."""
-        found = self._candidates.find(req.service, tried)
+        found = self._fleet.candidates(req.service, tried)
         if not found:
             return None
         pool, others = self._pools.split(req, found)
@@ -157,6 +141,7 @@
     def _best(
         self, prompt: model.Prompt, states: list[fleet.EndpointState]
     ) -> Choice | None:
+        """Returns the engine with the lowest cost, if there is any."""
         if not states:
             return None
         preferred = affinity.preferred(prompt, [s.id for s in states])
@@ -165,14 +150,10 @@
         lowest_cost = math.inf
         for state in states:
             chosen = self._estimate(prompt, state, keeper)
-            missing = prompt.input_tokens - state.cached.leading_tokens(prompt)
-            cost = chosen.wait_ms + REREAD_WEIGHT * (
-                missing / PREFILL_TOKENS_PER_MS
-            )
+            cost = chosen.wait_ms + _reading_cost(prompt, state)
             if state.id == preferred:
-                cost -= PREFERENCE * (
-                    affinity.shared_tokens(prompt) / PREFILL_TOKENS_PER_MS
-                )
+                shared = affinity.shared_tokens(prompt)
+                cost -= PREFERENCE * _reading_ms(shared)
             if cost < lowest_cost:
                 found, lowest_cost = chosen, cost
         return found
@@ -181,8 +162,7 @@
         self, prompt: model.Prompt, states: list[fleet.EndpointState]
     ) -> fleet.EndpointState | None:
         """Returns the engine that keeps most of the prompt's parts."""
-        service = states[0].endpoint.service
-        serving = self._candidates.find(service, ())
+        serving = self._fleet.candidates(states[0].endpoint.service)
         found = max(serving, key=lambda s: s.cached.leading_tokens(prompt))
         kept = found.cached.leading_tokens(prompt)
         return found if kept >= MIN_FETCH_TOKENS else None
@@ -193,34 +173,52 @@
         state: fleet.EndpointState,
         keeper: fleet.EndpointState | None,
     ) -> Choice:
+        """Returns what to expect of an engine."""
         peers = self._peers.total(state.id)
+        fetch = self._plan_fetch(prompt, state, keeper)
         kept = state.cached.leading_tokens(prompt)
-        fetched = 0
-        if keeper is not None and keeper is not state:
-            fetched = max(0, keeper.cached.leading_tokens(prompt) - kept)
-        fetch_ms = self._fetch_ms(state, fetched)
-        if fetch_ms is None or fetched < MIN_FETCH_TOKENS:
-            fetched, fetch_ms = 0, 0.0
-        own_tokens = max(0, prompt.input_tokens - kept - fetched)
+        own_tokens = max(0, prompt.input_tokens - kept - fetch.tokens)
         ahead = state.prefill_tokens + peers.prefill_tokens
         running = state.in_flight + peers.in_flight
-        wait_ms = (
+        expected_ms = (
             FIRST_EVENT_MS
-            + fetch_ms
-            + (ahead + own_tokens) / PREFILL_TOKENS_PER_MS
+            + fetch.took_ms
+            + _reading_ms(ahead + own_tokens)
             + running * CROWDING_MS
         )
-        source = keeper.endpoint if fetched else None
         slowness = speed.slowness(state.speed.sample(), peers.answered)
         if slowness < SLOW_FACTOR:
             slowness = 1.0
-        return Choice(state, wait_ms * slowness, wait_ms, own_tokens, source)
+        return Choice(
+            state,
+            expected_ms * slowness,
+            expected_ms,
+            own_tokens,
+            fetch.source,
+        )
 
-    def _fetch_ms(
-        self, state: fleet.EndpointState, tokens: float
-    ) -> float | None:
-        """Returns the time to fetch tokens, or None if engines cannot."""
+    def _plan_fetch(
+        self,
+        prompt: model.Prompt,
+        state: fleet.EndpointState,
+        keeper: fleet.EndpointState | None,
+    ) -> _Fetch:
+        """Returns what an engine can fetch from the one that keeps most."""
         engine = self._traits(state.endpoint.service)
-        if engine is None or not engine.link_mbps:
-            return None
-        return engine.fetch_ms(tokens)
+        if keeper in (None, state) or engine is None or not engine.link_mbps:
+            return NO_FETCH
+        kept = state.cached.leading_tokens(prompt)
+        tokens = keeper.cached.leading_tokens(prompt) - kept
+        if tokens < MIN_FETCH_TOKENS:
+            return NO_FETCH
+        return _Fetch(tokens, engine.fetch_ms(tokens), keeper.endpoint)
+
+
+def _reading_ms(tokens: float) -> float:
+    return tokens / pools.PREFILL_TOKENS_PER_MS
+
+
+def _reading_cost(prompt: model.Prompt, state: fleet.EndpointState) -> float:
+    """Returns the cost of what the engine does not keep."""
+    missing = prompt.input_tokens - state.cached.leading_tokens(prompt)
+    return REREAD_WEIGHT * _reading_ms(missing)
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -1,5 +1,6 @@
 """What this VM knows of each endpoint from its own requests and reports."""
 
+from collections.abc import Container
 import dataclasses
 
 from hornbeampier import clock as clocks
@@ -145,6 +146,20 @@
             if not state.endpoint.leaving
         ]
 
+    def candidates(
+        self, service: str, tried: Container[str] = ()
+    ) -> list[EndpointState]:
+        """Returns the open endpoints outside `tried`.
+
+        If none is open, the one that will be open next.
+        """
+        now_ms = self._clock.now()
+        serving = [s for s in self.serving(service) if s.id not in tried]
+        found = [state for state in serving if state.is_open(now_ms)]
+        if found or not serving:
+            return found
+        return [min(serving, key=lambda state: state.ejected_until_ms)]
+
     def all(self) -> list[EndpointState]:
         """Returns all endpoints."""
         return list(self._states.values())
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -130,35 +130,39 @@
         return work
 
     def _short_size(self, service: str, count: int) -> int:
-        """Returns how many engines serve short prompts."""
-        short, long = self._total_work(service)
-        age_ms = self._work_of(service).age_ms(self._clock.now())
+        """Returns how many of `count` engines serve short prompts."""
         if count < 2:
             return 0
         size = self._sizes.setdefault(
             service, max(1, round(count * INITIAL_SHORT_SHARE))
         )
+        wanted = self._wanted_size(service, count)
+        if wanted is None or size - SHRINK_AT < wanted <= size + GROW_AT:
+            return min(max(1, size), count - 1)
+        size = math.ceil(wanted - GROW_AT)
+        self._sizes[service] = size
+        self._log.info(
+            "pool_resized",
+            service=service,
+            short_endpoints=size,
+            endpoints=count,
+            wanted=round(wanted, 2),
+        )
+        return min(max(1, size), count - 1)
+
+    def _wanted_size(self, service: str, count: int) -> float | None:
+        """Returns the engines that short prompts need, once it is known."""
+        short, long = self._total_work(service)
+        age_ms = self._work_of(service).age_ms(self._clock.now())
         if not short or not long or age_ms < INITIAL_MS:
-            return min(size, count - 1)
+            return None
         # The averages start at zero and reach the rate only with time.
         span_ms = MEMORY_MS * (1.0 - math.exp(-age_ms / MEMORY_MS))
         engine_work = span_ms * PREFILL_TOKENS_PER_MS
         wanted = short / engine_work / SHORT_UTILIZATION
         wanted_long = long / engine_work / LONG_UTILIZATION
         # Scarce engines are shared in proportion.
-        wanted *= min(1.0, count / (wanted + wanted_long))
-        if not size - SHRINK_AT < wanted <= size + GROW_AT:
-            size = math.ceil(wanted - GROW_AT)
-            self._sizes[service] = size
-            self._log.info(
-                "pool_resized",
-                service=service,
-                short_endpoints=size,
-                endpoints=count,
-                short_work=round(short),
-                long_work=round(long),
-            )
-        return min(max(1, size), count - 1)
+        return wanted * min(1.0, count / (wanted + wanted_long))
 
     def _total_work(self, service: str) -> tuple[float, float]:
         """Returns short and long work that all VMs saw."""
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -24,7 +24,6 @@
             self.world.peers,
             self.pools,
             self.traits,
-            self.world.clock,
         )
         self.link_mbps = 0.0
 
@@ -49,7 +48,6 @@
             self.world.peers,
             self.pools,
             self.traits,
-            self.world.clock,
         )
         req = fakes.request(fakes.prompt(14_000, SHARED))
         self.assertEqual(
@@ -78,6 +76,15 @@
         self.world.peers.record("vm-2", {first.state.id: load})
         self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
 
+    def test_engine_that_is_far_slower_than_expected_is_avoided(self):
+        first = self.choose(SHARED)
+        first.state.cached.record(fakes.prompt(14_000, SHARED))
+        for _ in range(10):
+            ticket = first.state.speed.begin(200.0)
+            self.world.clock.advance(2_000.0)
+            first.state.speed.end(ticket)
+        self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
+
     def test_ejected_and_leaving_engines_get_nothing(self):
         first = self.choose(SHARED)
         first.state.record_failure(self.world.clock.now())
@@ -105,7 +112,6 @@
         self.chooser = choice.LeastLoaded(
             self.world.fleet,
             self.world.peers,
-            self.world.clock,
             random.Random(1),
         )
 
