--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -150,7 +150,8 @@
         lowest_cost = math.inf
         for state in states:
             chosen = self._estimate(prompt, state, keeper)
-            cost = chosen.wait_ms + _reading_cost(prompt, state)
+            slowness = chosen.wait_ms / chosen.expected_ms
+            cost = chosen.wait_ms + slowness * _reading_cost(prompt, state)
             if state.id == preferred:
                 shared = affinity.shared_tokens(prompt)
                 cost -= PREFERENCE * _reading_ms(shared)
