Leave the measured speed of engines out of the choice

Time that a queue took looks like slowness, and leaving a slow engine overloads the others. Plain services keep it.

--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -20,9 +20,6 @@
 # Time of an answer of a plain service, before it is measured; only the
 # differences between endpoints count.
 PLAIN_ANSWER_MS = 20.0
-# An engine that took this many times what was expected is avoided; smaller
-# differences would only move prompts away from their cached parts.
-SLOW_FACTOR = 2.5
 # What a token that is read again costs all others, beside its own wait.
 REREAD_WEIGHT = 6.0
 # Fewer cached tokens are not worth a transfer between engines.
@@ -41,14 +38,15 @@
 
     Attributes:
         wait_ms: Expected time until the first event.
-        expected_ms: The same of an endpoint of ordinary speed.
+        expected_ms: Time of the answer against which the endpoint's speed is
+            measured; None if it is not measured.
         prefill_tokens: Prompt tokens that the endpoint has to read.
         fetch_from: An engine from which it can fetch cached parts, or None.
     """
 
     state: fleet.EndpointState
     wait_ms: float = 0.0
-    expected_ms: float = 0.0
+    expected_ms: float | None = None
     prefill_tokens: float = 0.0
     fetch_from: model.Endpoint | None = None
 
@@ -150,8 +148,7 @@
         lowest_cost = math.inf
         for state in states:
             chosen = self._estimate(prompt, state, keeper)
-            slowness = chosen.wait_ms / chosen.expected_ms
-            cost = chosen.wait_ms + slowness * _reading_cost(prompt, state)
+            cost = chosen.wait_ms + _reading_cost(prompt, state)
             if state.id == preferred:
                 shared = affinity.shared_tokens(prompt)
                 cost -= PREFERENCE * _reading_ms(shared)
@@ -181,21 +178,17 @@
         own_tokens = max(0, prompt.input_tokens - kept - fetch.tokens)
         ahead = state.prefill_tokens + peers.prefill_tokens
         running = state.in_flight + peers.in_flight
-        expected_ms = (
+        wait_ms = (
             FIRST_EVENT_MS
             + fetch.took_ms
             + _reading_ms(ahead + own_tokens)
             + running * CROWDING_MS
         )
-        slowness = speed.slowness(state.speed.sample(), peers.answered)
-        if slowness < SLOW_FACTOR:
-            slowness = 1.0
         return Choice(
             state,
-            expected_ms * slowness,
-            expected_ms,
-            own_tokens,
-            fetch.source,
+            wait_ms=wait_ms,
+            prefill_tokens=own_tokens,
+            fetch_from=fetch.source,
         )
 
     def _plan_fetch(
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -78,11 +78,16 @@
     """Counts an attempt at its endpoint for as long as it lasts."""
 
     def __init__(
-        self, state: EndpointState, expected_ms: float, prefill_tokens: float
+        self,
+        state: EndpointState,
+        expected_ms: float | None,
+        prefill_tokens: float,
     ):
         self._state = state
         self._tokens = prefill_tokens
-        self._ticket = state.speed.begin(expected_ms)
+        self._ticket = None
+        if expected_ms is not None:
+            self._ticket = state.speed.begin(expected_ms)
         state.in_flight += 1
         state.prefill_tokens += prefill_tokens
 
--- a/hornbeampier/routing/speed.py
+++ b/hornbeampier/routing/speed.py
@@ -49,7 +49,7 @@
         self._pending[ticket] = _Pending(self._clock.now(), expected_ms)
         return ticket
 
-    def end(self, ticket: int, failed: bool = False) -> None:
+    def end(self, ticket: int | None, failed: bool = False) -> None:
         """Notes that the answer began or failed; a second call is ignored."""
         pending = self._pending.pop(ticket, None)
         if pending is None:
@@ -61,7 +61,7 @@
         self._measured_ms += took_ms
         self._expected_ms += pending.expected_ms
 
-    def forget(self, ticket: int) -> None:
+    def forget(self, ticket: int | None) -> None:
         """Drops an awaited answer that says nothing, as its caller left."""
         self._pending.pop(ticket, None)
 
