Keep endpoints that a peer saw lapse while this VM cannot read the store

Cause (found while reading): after an outage of the store, the VM that reads it first tells the others of lapsed entries, and these dropped them at once, before their own two seconds began. Test failed first. Also: two unused names go.

--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -39,19 +39,20 @@
         self.events = 0
 
     def relay(
-        self, attempt: exchange.Exchange, on_first: Callable[[], None]
+        self, attempt: exchange.Exchange, on_data: Callable[[], None]
     ) -> None:
         """Passes on the events of one endpoint as they arrive.
 
         The head goes out with the first event, so that an attempt that fails
-        before it can still be answered by another status.
+        before it can still be answered by another status. `on_data` is called
+        for each block.
 
         Raises:
             errors.AttemptError: The stream broke off.
         """
         splitter = events.EventSplitter()
         for block in attempt.blocks():
-            on_first()
+            on_data()
             data = b"".join(self._accept(e) for e in splitter.feed(block))
             if data:
                 self._write(attempt, data)
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -20,16 +20,8 @@
     """The server closed the connection before the response was complete."""
 
 
-class MismatchedResponseError(OSError):
-    """A response belongs to another request."""
-
-
 class ClientConnection:
-    """One connection to a server, used for one request at a time.
-
-    Attributes:
-        used_at_ms: End of the last response.
-    """
+    """One connection to a server, used for one request at a time."""
 
     def __init__(self, sock: socket.socket, clock: clocks.Clock):
         self._sock = sock
@@ -37,7 +29,6 @@
         self._http = h11.Connection(h11.CLIENT)
         self._sender: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
-        self.used_at_ms = clock.now()
         self._at_end = False
 
     def send(
@@ -95,7 +86,6 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self.used_at_ms = self._clock.now()
                 return
             else:
                 raise ConnectionLostError("response cut short")
--- a/hornbeampier/replication/entries.py
+++ b/hornbeampier/replication/entries.py
@@ -18,12 +18,19 @@
     def __init__(self, catalog: catalog.Catalog, clock: clocks.Clock):
         self._catalog = catalog
         self._clock = clock
+        self._lost = False
         self._settled_at_ms = 0.0
-        self._missing: set[str] = set()
+        # When an endpoint whose entry is missing counts as gone.
+        self._gone_at_ms: dict[str, float] = {}
         self._log = structlog.get_logger(task="entries")
 
+    def note_lost(self) -> None:
+        """Entries may lapse from now on; peers may tell so earlier."""
+        self._lost = True
+
     def note_regained(self) -> None:
         """Keeps endpoints whose entries lapsed in the outage for a while."""
+        self._lost = False
         self._settled_at_ms = self._clock.now() + RETURN_MS
 
     def apply_record(self, record: messages.Record) -> None:
@@ -42,20 +49,24 @@
             )
             self._catalog.remove_endpoint(record.key)
             return
-        self._missing.discard(record.key)
+        self._gone_at_ms.pop(record.key, None)
         self._catalog.apply_endpoint(endpoint)
 
     def expire(self) -> None:
         """Removes endpoints whose entries did not return in time."""
-        if self._clock.now() < self._settled_at_ms:
-            return
-        for endpoint_id in self._missing:
+        now_ms = self._clock.now()
+        gone = [key for key, at in self._gone_at_ms.items() if at <= now_ms]
+        for endpoint_id in gone:
+            del self._gone_at_ms[endpoint_id]
             self._catalog.remove_endpoint(endpoint_id)
-        self._missing.clear()
 
     def _drop(self, endpoint_id: str) -> None:
-        if self._clock.now() < self._settled_at_ms:
-            self._missing.add(endpoint_id)
+        now_ms = self._clock.now()
+        gone_at_ms = self._settled_at_ms
+        if self._lost:
+            gone_at_ms = now_ms + RETURN_MS
+        if now_ms < gone_at_ms:
+            self._gone_at_ms[endpoint_id] = gone_at_ms
         else:
             self._catalog.remove_endpoint(endpoint_id)
 
@@ -68,6 +79,9 @@
         self._key = key
         self._log = structlog.get_logger(task="configuration")
 
+    def note_lost(self) -> None:
+        """Needs nothing: configurations never lapse."""
+
     def note_regained(self) -> None:
         """Needs nothing: configurations never lapse."""
 
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -82,9 +82,11 @@
         return min(MAX_POLL_WAIT_MS, wait_ms)
 
     def _note_lost(self, exc: errors.PlatformError) -> None:
-        if not self.lost:
-            self._log.warning("source_lost", error=str(exc))
+        if self.lost:
+            return
         self.lost = True
+        self._log.warning("source_lost", error=str(exc))
+        self._replica.note_lost()
 
     def _note_regained(self) -> None:
         self._backoff_ms = FIRST_BACKOFF_MS
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -63,6 +63,10 @@
         """Takes over one change."""
         ...
 
+    def note_lost(self) -> None:
+        """Called when the source can no longer be read."""
+        ...
+
     def note_regained(self) -> None:
         """Called when the source can be read again after an outage."""
         ...
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -45,6 +45,10 @@
         found.sort(key=lambda record: record.offset)
         return messages.Batch(tuple(found), self.offset or 0)
 
+    def note_lost(self) -> None:
+        """Tells that the store cannot be read."""
+        self._applier.note_lost()
+
     def note_regained(self) -> None:
         """Tells that the store can be read again after an outage."""
         self._applier.note_regained()
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -24,11 +24,15 @@
 class RecordingApplier:
     def __init__(self):
         self.applied = []
+        self.lost = 0
         self.regained = 0
 
     def apply_record(self, record):
         self.applied.append((record.key, record.value))
 
+    def note_lost(self):
+        self.lost += 1
+
     def note_regained(self):
         self.regained += 1
 
@@ -111,6 +115,7 @@
             errors.PlatformError("down"),
             messages.Batch((record("b", 1),), 2),
         )
+        self.assertEqual(1, self.applier.lost)
         self.assertEqual(1, self.applier.regained)
         self.assertEqual(2, found.offset)
 
@@ -179,6 +184,17 @@
         self.entries.expire()
         self.assertEqual({}, self.catalog.endpoints)
 
+    def test_peer_that_regains_the_store_first_takes_nothing_away(self):
+        self.put(nodes.entry("s", "10.0.0.1:80"))
+        self.entries.note_lost()
+        self.put(None)
+        self.assertIn("i-1", self.catalog.endpoints)
+        self.put(nodes.entry("s", "10.0.0.1:80"))
+        self.entries.note_regained()
+        self.clock.advance(entries.RETURN_MS + 1)
+        self.entries.expire()
+        self.assertIn("i-1", self.catalog.endpoints)
+
     def test_entry_that_returned_stays(self):
         self.put(nodes.entry("s", "10.0.0.1:80"))
         self.entries.note_regained()
