Keep the share of the retry budget of VMs that cannot be heard

Cause (found while reading): VMs that are cut off from each other, but not from callers and endpoints, each took a larger share, together over the budget. A VM counts for two minutes after it was heard, and seeds count before. Also: a fault of the program while answering is logged and ends its connection without a promise.

--- a/hornbeampier/ingress/listener.py
+++ b/hornbeampier/ingress/listener.py
@@ -110,6 +110,10 @@
                 pass
         except server.CallerGoneError:
             self._log.debug("connection_lost", peer=address[0])
+        except Exception:
+            # What was being answered may have run, so it gets no promise.
+            self._log.exception("internal_error", peer=address[0])
+            conn.abort()
         finally:
             self._open.discard(conn)
             conn.close()
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -97,7 +97,7 @@
                     source,
                     self._clock,
                     self._env.rng,
-                    self._count_vms,
+                    self._count_heard,
                 )
             )
 
@@ -151,7 +151,7 @@
                 cfg.retry_ratio,
                 cfg.retry_extra,
                 cfg.retry_window_ms,
-                self._count_vms,
+                self._count_sharers,
                 self._clock,
             ),
             metrics=self._metrics,
@@ -247,9 +247,14 @@
     def _render_metrics(self) -> bytes:
         return self._metrics.render(self.catalog.version)
 
-    def _count_vms(self) -> int:
+    def _count_heard(self) -> int:
         return 1 + self._peer_loads.fresh_count()
 
+    def _count_sharers(self) -> int:
+        """Returns how many VMs share the retry budget, cut off or not."""
+        seeds = {seed.host for seed in self._cfg.seeds}
+        return max(1 + self._peer_loads.known_count(), len(seeds))
+
     def _maintain(self) -> None:
         self._endpoint_entries.expire()
         self._connections.expire()
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -7,6 +7,8 @@
 
 # A VM that was silent for longer no longer counts.
 FRESH_MS = 1_500.0
+# A VM that was heard within this time may still serve, though cut off.
+KNOWN_MS = 120_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,5 +64,12 @@
 
     def fresh_count(self) -> int:
         """Returns how many peers were heard lately."""
-        oldest = self._clock.now() - FRESH_MS
+        return self._count(FRESH_MS)
+
+    def known_count(self) -> int:
+        """Returns how many peers may serve, also those not heard lately."""
+        return self._count(KNOWN_MS)
+
+    def _count(self, age_ms: float) -> int:
+        oldest = self._clock.now() - age_ms
         return sum(peer.at_ms >= oldest for peer in self._peers.values())
--- a/tests/test_node_requests.py
+++ b/tests/test_node_requests.py
@@ -230,6 +230,21 @@
         return behave
 
 
+class FaultTest(nodes.NodeTestCase):
+    def test_fault_of_the_program_ends_the_connection_without_a_promise(self):
+        self.start_server(nodes.PLAIN, lambda a: a.answer())
+        found = self.start_ready_node()
+        found._handler._forwarder = None
+        self.assertRaises(ConnectionResetError, self.call, found)
+        self.assertEqual(404, self.call(found, path="/none/x").status)
+
+    def test_bytes_that_are_no_request_get_a_bad_request(self):
+        found = self.start_ready_node()
+        caller = self.connect(found)
+        caller.sock.sendall(b"\x16\x03\x01 no request\r\n\r\n")
+        self.assertEqual(400, caller.read().status)
+
+
 class HeadTest(nodes.NodeTestCase):
     def test_answer_to_head_tells_the_length(self):
         def behave(arrival):
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -7,6 +7,7 @@
 from hornbeampier.routing import cached_parts
 from hornbeampier.routing import fleet
 from hornbeampier.routing import model
+from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import table
 from tests import routing_fakes as fakes
@@ -94,6 +95,20 @@
         self.assertIn(self.count(found), range(1, 6))
 
 
+class PeerLoadsTest(testtools.TestCase):
+    def test_peer_that_is_cut_off_keeps_its_share_of_the_budget(self):
+        clock = clocks.ManualClock()
+        peers = peer_loads.PeerLoads(clock)
+        for number in range(8):
+            peers.record(f"vm-{number}", {"e0": peer_loads.Load(2, 100.0)})
+        self.assertEqual(16, peers.total("e0").in_flight)
+        clock.advance(peer_loads.FRESH_MS + 1)
+        self.assertEqual(0, peers.total("e0").in_flight)
+        self.assertEqual((0, 8), (peers.fresh_count(), peers.known_count()))
+        clock.advance(peer_loads.KNOWN_MS)
+        self.assertEqual(0, peers.known_count())
+
+
 class CachedPartsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
