Tell a connection that went silent from a deadline

Also: peers that are gone are forgotten, and load reports, which nothing read, are no longer decoded.

--- a/hornbeampier/forwarding/connections.py
+++ b/hornbeampier/forwarding/connections.py
@@ -35,7 +35,6 @@
         self._fleet = fleet
         self._clock = clock
         self._idle: dict[Incarnation, collections.deque[_Idle]] = {}
-        self.opened = 0
 
     def acquire(self, endpoint: model.Endpoint) -> client.ClientConnection:
         """Returns an open connection; raises OSError if there is none."""
@@ -46,7 +45,6 @@
             if now_ms < found.until_ms and found.conn.is_quiet():
                 return found.conn
             found.conn.close()
-        self.opened += 1
         sock = sockets.connect(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
         return client.ClientConnection(sock, self._clock)
 
@@ -59,7 +57,6 @@
         except OSError:
             # The answer to the question that the probe asks.
             return False
-        self.opened += 1
         conn = client.ClientConnection(sock, self._clock)
         self._keep(endpoint, conn, DEFAULT_IDLE_MS)
         return True
--- a/hornbeampier/forwarding/exchange.py
+++ b/hornbeampier/forwarding/exchange.py
@@ -80,9 +80,7 @@
             )
         except client.TRANSPORT_ERRORS as exc:
             raise self._lost(exc) from exc
-        self.answer = headers.decode_answer(self.head, self._clock.now())
-        if self.answer.load is not None:
-            self._state.report = self.answer.load
+        self.answer = headers.decode_answer(self.head)
 
     def blocks(self) -> Iterator[bytes]:
         """Yields the body as it arrives.
@@ -122,7 +120,8 @@
             ) from exc
 
     def _lost(self, exc: Exception) -> errors.AttemptError:
-        timed_out = isinstance(exc, TimeoutError)
+        # The kernel's own time-out, with a number, means a silent connection.
+        timed_out = isinstance(exc, TimeoutError) and exc.errno is None
         return errors.AttemptError(
             f"response lost: {exc or type(exc).__name__}",
             verdict.Verdict.MAY_HAVE_RUN,
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -43,7 +43,6 @@
 
     Attributes:
         busy: Whether a request is being read or answered.
-        answered: Whether the answer to the last request has begun.
         closes_after: Whether the next answer is the last on this connection.
     """
 
@@ -56,7 +55,6 @@
             h11.SERVER, max_incomplete_event_size=header_bytes
         )
         self.busy = False
-        self.answered = False
         self.closes_after = False
 
     def read_head(
@@ -71,7 +69,6 @@
             BadRequestError: The caller sent no valid head, or too slowly.
         """
         self.busy = False
-        self.answered = False
         if not self._await_request(idle_timeout_ms):
             return None
         self.busy = True
@@ -217,7 +214,6 @@
     def _send_head(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> bytes:
-        self.answered = True
         if self.closes_after:
             headers = [*headers, (b"Connection", b"close")]
         return self._http.send(
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -4,7 +4,6 @@
 
 from hornbeampier.http1 import messages
 from hornbeampier.platform import names
-from hornbeampier.routing import fleet
 from hornbeampier.routing import model
 from hornbeampier.routing import requests
 
@@ -58,7 +57,6 @@
     is_signed: bool
     not_executed: bool
     is_encoded: bool
-    load: fleet.LoadReport | None
     keep_idle_ms: float | None
     closing: bool
 
@@ -118,7 +116,7 @@
     return messages.RequestHead(req.method, req.target, tuple(headers))
 
 
-def decode_answer(head: messages.ResponseHead, now_ms: float) -> EndpointAnswer:
+def decode_answer(head: messages.ResponseHead) -> EndpointAnswer:
     """Decodes the head of an endpoint's response."""
     connection = (head.get(b"connection") or b"").lower()
     encoding = (head.get(b"content-encoding") or b"identity").lower()
@@ -131,7 +129,6 @@
         is_signed=head.get(names.SIGNATURE) is not None,
         not_executed=not_executed,
         is_encoded=encoding != b"identity",
-        load=_decode_load(head.get(names.LOAD), now_ms),
         keep_idle_ms=_decode_keep_alive(head.get(b"keep-alive")),
         closing=b"close" in connection,
     )
@@ -195,15 +192,6 @@
     return tuple(parts)
 
 
-def _decode_load(value: bytes | None, now_ms: float) -> fleet.LoadReport | None:
-    """Decodes the numbers of running and waiting requests and of slots."""
-    try:
-        running, waiting, slots = (int(n) for n in (value or b"").split(b","))
-    except ValueError:
-        return None
-    return fleet.LoadReport(running, waiting, slots, now_ms)
-
-
 def _decode_keep_alive(value: bytes | None) -> float | None:
     for parameter in (value or b"").split(b","):
         name, _, seconds = parameter.strip().partition(b"=")
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -14,20 +14,6 @@
 MAX_EJECTION_MS = 4_000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Load that an endpoint told with a response.
-
-    Attributes:
-        at_ms: When the response arrived, on the monotonic clock.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    at_ms: float
-
-
 @dataclasses.dataclass
 class EndpointState:
     """One incarnation of an endpoint, as seen from this VM.
@@ -47,7 +33,6 @@
     speed: speed.SpeedMeter
     in_flight: int = 0
     prefill_tokens: float = 0.0
-    report: LoadReport | None = None
     failures: int = 0
     ejected_until_ms: float = 0.0
 
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -43,7 +43,11 @@
 
     def record(self, vm: str, loads: dict[str, Load]) -> None:
         """Takes over what a peer tells of its own requests."""
-        self._peers[vm] = _PeerLoads(self._clock.now(), loads)
+        now_ms = self._clock.now()
+        self._peers[vm] = _PeerLoads(now_ms, loads)
+        for name, peer in list(self._peers.items()):
+            if peer.at_ms < now_ms - KNOWN_MS:
+                del self._peers[name]
 
     def total(self, endpoint_id: str) -> Load:
         """Returns the sum over all peers heard lately."""
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -98,7 +98,11 @@
         self, vm: str, work: dict[str, tuple[float, float]]
     ) -> None:
         """Takes over the work that a peer saw."""
-        self._peers[vm] = _PeerWork(self._clock.now(), work)
+        now_ms = self._clock.now()
+        self._peers[vm] = _PeerWork(now_ms, work)
+        for name, peer in list(self._peers.items()):
+            if peer.at_ms < now_ms - MEMORY_MS:
+                del self._peers[name]
 
     def split(
         self, req: requests.Request, states: list[fleet.EndpointState]
