--- a/hornbeampier/coordination/__init__.py
+++ b/hornbeampier/coordination/__init__.py
@@ -1,1 +1,1 @@
-"""The platform: its log service and its list of VMs."""
+"""The log service and the list of VMs, and claims on the log."""
