--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -56,6 +56,7 @@
         )
         self.busy = False
         self.closes_after = False
+        self._ended = False
 
     def read_head(
         self,
@@ -69,7 +70,8 @@
             BadRequestError: The caller sent no valid head, or too slowly.
         """
         self.busy = False
-        if not self._await_request(idle_timeout_ms):
+        if not self._await_request(idle_timeout_ms) or self._ended:
+            # A request that crossed the end of its connection is not run.
             return None
         self.busy = True
         event = self._next_event(self._clock.now() + header_timeout_ms)
@@ -155,6 +157,7 @@
     def end_idle(self) -> None:
         """Ends the wait for the next request of an idle connection."""
         if not self.busy and self.is_quiet():
+            self._ended = True
             self._sock.shutdown(socket.SHUT_RDWR)
 
     def abort(self) -> None:
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -1,9 +1,11 @@
 """A node that is told to stop cuts off no request."""
 
 import gevent
+from gevent import socket
 import testtools
 
 from hornbeampier import clock as clocks
+from hornbeampier.http1 import server
 from hornbeampier.ingress import shutdown
 from tests import nodes
 from tests import store_standin
@@ -73,6 +75,21 @@
         self.assertLess(handler.last_deadline_ms, 8_000.0)
 
 
+class EndIdleTest(testtools.TestCase):
+    def test_request_that_crosses_the_end_of_its_connection_is_not_run(self):
+        own, caller = socket.socketpair()
+        self.addCleanup(own.close)
+        self.addCleanup(caller.close)
+        conn = server.ServerConnection(own, clocks.SystemClock(), 4_096)
+        reading = gevent.spawn(conn.read_head, 1_000.0, 1_000.0, 4_096)
+        gevent.sleep(0)
+        # The bytes arrive after the check that nothing has arrived.
+        conn.is_quiet = lambda: True
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        conn.end_idle()
+        self.assertIsNone(reading.get(timeout=2))
+
+
 class NodeShutdownTest(nodes.NodeTestCase):
     def test_open_and_new_requests_are_answered(self):
         def behave(arrival):
