Bring the crossing about in its test; say what is not shown

On loopback, over TCP and Unix sockets, a read after the shutdown returned nothing, with and without the change. The test now uses a socket that returns the request after it was shut down; it fails without the change and passes with it.

--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -1,7 +1,7 @@
 """A node that is told to stop cuts off no request."""
 
 import gevent
-from gevent import socket
+from gevent import event
 import testtools
 
 from hornbeampier import clock as clocks
@@ -75,17 +75,30 @@
         self.assertLess(handler.last_deadline_ms, 8_000.0)
 
 
+class CrossingSocket:
+    """A socket on which a request arrives while it is shut down."""
+
+    def __init__(self):
+        self._ended = event.Event()
+
+    def settimeout(self, timeout):
+        pass
+
+    def shutdown(self, how):
+        self._ended.set()
+
+    def recv(self, size):
+        self._ended.wait()
+        return b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
 class EndIdleTest(testtools.TestCase):
     def test_request_that_crosses_the_end_of_its_connection_is_not_run(self):
-        own, caller = socket.socketpair()
-        self.addCleanup(own.close)
-        self.addCleanup(caller.close)
-        conn = server.ServerConnection(own, clocks.SystemClock(), 4_096)
+        clock = clocks.SystemClock()
+        conn = server.ServerConnection(CrossingSocket(), clock, 4_096)
+        conn.is_quiet = lambda: True
         reading = gevent.spawn(conn.read_head, 1_000.0, 1_000.0, 4_096)
         gevent.sleep(0)
-        # The bytes arrive after the check that nothing has arrived.
-        conn.is_quiet = lambda: True
-        caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
         conn.end_idle()
         self.assertIsNone(reading.get(timeout=2))
 
