Read odd numbers in headers and event ids as unreadable

Cause: an infinite length hint could not be made an integer, and a superscript digit passes isdigit() and fails int(); either ended the caller's connection as a fault of the program. Found by reading; both tests were run before the change and failed (OverflowError, ValueError), and pass after it. Change: numbers have to be finite, digits decimal. Nothing else reads otherwise.

--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -89,7 +89,7 @@
 
     def _is_repeated(self, event_id: str) -> bool:
         last = self.last_event_id
-        if last is None or not (event_id.isdigit() and last.isdigit()):
+        if last is None or not (event_id.isdecimal() and last.isdecimal()):
             return False
         return int(event_id) <= int(last)
 
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -1,6 +1,7 @@
 """The platform's headers: what callers ask and endpoints answer."""
 
 import dataclasses
+import math
 
 from hornbeampier.http1 import messages
 from hornbeampier.platform import names
@@ -149,7 +150,7 @@
         number = float(value) if value is not None else None
     except ValueError:
         return None
-    if number is None or not number >= 0:
+    if number is None or not 0 <= number < math.inf:
         return None
     return number
 
@@ -186,7 +187,7 @@
     parts = []
     for entry in value.decode("latin-1").split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if not tokens.isdigit():
+        if not tokens.isdecimal():
             return ()
         parts.append(model.PromptPart(part_id, int(tokens)))
     return tuple(parts)
--- a/hornbeampier/replication/relay.py
+++ b/hornbeampier/replication/relay.py
@@ -33,7 +33,7 @@
         query = parse.parse_qs(parse.urlsplit(head.target.decode()).query)
         found = self._replicas.get(query.get("topic", [""])[0])
         offset = query.get("from", ["0"])[0]
-        if found is None or found.offset is None or not offset.isdigit():
+        if found is None or found.offset is None or not offset.isdecimal():
             conn.respond(404, [(b"Content-Length", b"0")], b"")
             return
         body = _encoder.encode(found.since(int(offset)))
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -69,6 +69,9 @@
         )
         self.assertIsNone(found.deadline_ms)
         self.assertIsNone(found.prompt)
-        for parts in (b"a", b"a:x", b":", b"\xff:1,,"):
+        for hint in (b"inf", b"nan", b"-1", b"1e999"):
+            prompt = self.decode(token_usage=b"1,1", length_hint=hint).prompt
+            self.assertIsNone(prompt.expected_tokens, hint)
+        for parts in (b"a", b"a:x", b":", b"\xff:1,,", b"a:\xb2"):
             prompt = self.decode(token_usage=b"1,1", prompt_prefix=parts).prompt
             self.assertEqual((), prompt.parts, json.dumps(str(parts)))
--- a/tests/test_node_streams.py
+++ b/tests/test_node_streams.py
@@ -89,6 +89,19 @@
         self.assertTrue(response.complete)
         self.assertEqual(b"".join(event(n) for n in range(1, 5)), response.body)
 
+    def test_event_id_that_is_no_number_is_passed_on(self):
+        def behave(arrival):
+            arrival.begin_stream()
+            arrival.send_event(1)
+            arrival.send_chunk(b"id: \xb2\ndata: odd\n\n")
+            arrival.end_stream()
+
+        self.start_server(nodes.ENGINES, behave)
+        found = self.start_ready_node()
+        response = self.stream(found).read()
+        self.assertTrue(response.complete)
+        self.assertIn(b"odd", response.body)
+
     def test_caller_that_leaves_cancels_its_stream(self):
         def behave(arrival):
             arrival.begin_stream()
