Send and read a whole exchange in one place

Cause: the store's client, the relay and the survey of caches each wrote the same three calls for a request without a body. Change: ClientConnection.call returns the whole response, typed; no change of behaviour. Result: tests of the three callers pass unchanged.

--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -84,13 +84,10 @@
         deadline_ms = self._clock.now() + CALL_TIMEOUT_MS
         conn = self._connections.acquire(state.endpoint)
         try:
-            conn.send(
-                cache_lists.encode_request(state.endpoint), b"", deadline_ms
-            )
-            head = conn.read_head(deadline_ms)
-            body = b"".join(conn.read_body(deadline_ms))
+            head = cache_lists.encode_request(state.endpoint)
+            response = conn.call(head, deadline_ms)
         finally:
             conn.close()
-        if head.status != 200:
-            raise errors.PlatformError(f"the engine answered {head.status}")
-        return body
+        if response.status != 200:
+            raise errors.PlatformError(f"the engine answered {response.status}")
+        return response.body
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -1,6 +1,7 @@
 """The client's side of one HTTP/1.1 connection."""
 
 from collections.abc import Iterator
+import dataclasses
 
 import gevent
 from gevent import socket
@@ -20,6 +21,14 @@
     """The server closed the connection before the response was complete."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeResponse:
+    """A response whose body has been read whole."""
+
+    status: int
+    body: bytes
+
+
 class ClientConnection:
     """One connection to a server, used for one request at a time."""
 
@@ -90,6 +99,19 @@
             else:
                 raise ConnectionLostError("response cut short")
 
+    def call(
+        self, head: messages.RequestHead, deadline_ms: float
+    ) -> WholeResponse:
+        """Sends a request without a body and returns the whole response.
+
+        Raises:
+            OSError, h11.ProtocolError: There is no whole response.
+        """
+        self.send(head, b"", deadline_ms)
+        response = self.read_head(deadline_ms)
+        body = b"".join(self.read_body(deadline_ms))
+        return WholeResponse(response.status, body)
+
     def is_reusable(self) -> bool:
         """Whether another request may follow: nothing is left unread."""
         if not self._is_sent():
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -71,12 +71,12 @@
             "from": offset,
             "waitMs": round(wait_ms),
         }
-        status, body = self._call("/log-read", query, wait_ms)
-        if status == 410:
+        response = self._call("/log-read", query, wait_ms)
+        if response.status == 410:
             raise messages.RecordsForgottenError("records are deleted")
-        if status != 200:
-            raise errors.PlatformError(f"log-read answered {status}")
-        return _decode_batch(body, offset)
+        if response.status != 200:
+            raise errors.PlatformError(f"log-read answered {response.status}")
+        return _decode_batch(response.body, offset)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -85,17 +85,17 @@
             self._conn = None
 
     def _newest_page(self, query: dict) -> _Page:
-        status, body = self._call("/log-newest", query, 0.0)
-        if status != 200:
-            raise errors.PlatformError(f"log-newest answered {status}")
+        response = self._call("/log-newest", query, 0.0)
+        if response.status != 200:
+            raise errors.PlatformError(f"log-newest answered {response.status}")
         try:
-            return _page_decoder.decode(body)
+            return _page_decoder.decode(response.body)
         except errors.DECODE_ERRORS as exc:
             raise errors.PlatformError(f"log-newest: {exc}") from exc
 
     def _call(
         self, path: str, query: dict, wait_ms: float
-    ) -> tuple[int, bytes]:
+    ) -> client.WholeResponse:
         deadline_ms = self._clock.now() + wait_ms + CALL_TIMEOUT_MS
         head = http.RequestHead(
             b"GET",
@@ -104,9 +104,7 @@
         )
         try:
             conn = self._connect()
-            conn.send(head, b"", deadline_ms)
-            response = conn.read_head(deadline_ms)
-            body = b"".join(conn.read_body(deadline_ms))
+            response = conn.call(head, deadline_ms)
         except client.TRANSPORT_ERRORS as exc:
             self.close()
             raise errors.PlatformError(f"store: {exc}") from exc
@@ -115,7 +113,7 @@
             raise
         if not conn.is_reusable():
             self.close()
-        return response.status, body
+        return response
 
     def _connect(self) -> client.ClientConnection:
         if self._conn is not None and not self._conn.is_quiet():
--- a/hornbeampier/replication/relay.py
+++ b/hornbeampier/replication/relay.py
@@ -59,20 +59,18 @@
         raise errors.PlatformError(f"peer {host}: {exc}") from exc
     conn = client.ClientConnection(sock, clock)
     try:
-        conn.send(head, b"", deadline_ms)
-        response = conn.read_head(deadline_ms)
-        body = b"".join(conn.read_body(deadline_ms))
+        response = conn.call(head, deadline_ms)
     except client.TRANSPORT_ERRORS as exc:
         raise errors.PlatformError(f"peer {host}: {exc}") from exc
     finally:
         conn.close()
-    return _decode(host, response.status, body)
+    return _decode(host, response)
 
 
-def _decode(host: str, status: int, body: bytes) -> messages.Batch:
-    if status != 200:
-        raise errors.PlatformError(f"peer {host} answered {status}")
+def _decode(host: str, response: client.WholeResponse) -> messages.Batch:
+    if response.status != 200:
+        raise errors.PlatformError(f"peer {host} answered {response.status}")
     try:
-        return _decoder.decode(body)
+        return _decoder.decode(response.body)
     except errors.DECODE_ERRORS as exc:
         raise errors.PlatformError(f"peer {host}: {exc}") from exc
