Drop names and settings that nothing reads; name factors and units

Cause: read as a newcomer, platform/ held three names and three settings that nothing used and chose the metrics' port; 1000.0 stood for the milliseconds of a second; a constant's comment had come to stand under another one; two numbers in conditions had no name. Change: removed, moved to node_metrics, or named. The metrics' port and all values are as before.

--- a/hornbeampier/forwarding/answers.py
+++ b/hornbeampier/forwarding/answers.py
@@ -6,6 +6,7 @@
 
 # These statuses promise that the request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
+FIRST_REDIRECT = 300
 FIRST_SERVER_ERROR = 500
 
 
@@ -29,6 +30,11 @@
         )
 
 
+def is_success(answer: headers.EndpointAnswer) -> bool:
+    """Whether the endpoint served the request."""
+    return answer.status < FIRST_REDIRECT
+
+
 def is_server_error(answer: headers.EndpointAnswer) -> bool:
     """Whether the endpoint ran the request and failed."""
     return answer.status >= FIRST_SERVER_ERROR
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -159,7 +159,7 @@
         self, attempt: exchange.Exchange, load: fleet.AttemptLoad
     ) -> None:
         is_stream = self._req.route.repeat is model.Repeat.STREAM
-        if is_stream and attempt.answer.status < 300:
+        if is_stream and answers.is_success(attempt.answer):
             self._relay.relay(attempt, load.note_answer)
             attempt.finish()
             self._relay.end()
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -57,9 +57,13 @@
     """Builds and owns the components of one router."""
 
     def __init__(
-        self, env: environment.Environment, cfg: settings.NodeSettings
+        self,
+        env: environment.Environment,
+        cfg: settings.NodeSettings,
+        metrics_port: int = node_metrics.PORT,
     ):
         self._env = env
+        self._metrics_address = settings.Address(cfg.host, metrics_port)
         self._cfg = cfg
         self._clock = env.clock
         self.app = application.Application(cfg.vm)
@@ -209,7 +213,7 @@
         )
         self.app.add(
             listener.Listener(
-                cfg.metrics,
+                self._metrics_address,
                 control.MetricsHandler(self._render_metrics),
                 self._clock,
                 CONTROL_CONNECTIONS,
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -3,7 +3,11 @@
 import aioprometheus
 from aioprometheus import formats
 
+from hornbeampier import clock as clocks
+
 FIRST_EVENT_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+# `deploy/system.toml` names the same port and path.
+PORT = 9_464
 PATH = "/metrics"
 
 
@@ -42,7 +46,9 @@
 
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Counts the time to the first event of a stream."""
-        self._first_event.observe({"route": route}, took_ms / 1000.0)
+        self._first_event.observe(
+            {"route": route}, took_ms / clocks.MS_PER_SECOND
+        )
 
     def render(self, version: int) -> bytes:
         """Returns all metrics in Prometheus' text format."""
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from hornbeampier import clock as clocks
 from hornbeampier.http1 import messages
 from hornbeampier.platform import names
 from hornbeampier.routing import model
@@ -198,5 +199,5 @@
         name, _, seconds = parameter.strip().partition(b"=")
         if name.lower() == b"timeout":
             number = _decode_number(seconds)
-            return None if number is None else number * 1000.0
+            return None if number is None else number * clocks.MS_PER_SECOND
     return None
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -6,10 +6,6 @@
 CONFIGURATION_KEY = "config"
 ENDPOINT_TOPIC = "keyed.servers"
 
-READY_PATH = "/readiness"
-REPORT_PATH = "/report"
-
-PREFIX = "x-hornbeampier-"
 REQUEST_ID = b"x-hornbeampier-attempt-id"
 DEADLINE = b"x-hornbeampier-deadline-ms"
 ACCOUNT = b"x-hornbeampier-tenant"
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -5,10 +5,9 @@
 
 import yaml
 
+from hornbeampier import clock as clocks
 from hornbeampier import errors
 
-METRICS_PORT = 9_464
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -29,35 +28,27 @@
         callers: Where callers connect.
         readiness: Where the balancer asks whether this VM takes connections.
         control: Where peers ask; the same on no two VMs.
-        metrics: Where metrics are served; the port is our own choice, and
-            `deploy/system.toml` names it.
         seeds: `control` addresses of some VMs, which may be gone.
         peer_port: Port of messages between VMs, equal on all of them.
         store: Address of the platform's store.
         first_start: Whether no VM of the deployment ran before.
-        drain_ms: How long an endpoint serves after it said it is leaving.
         grace_ms: Time between the signal to stop and the end.
-        in_force_ms: Time within which a configuration is in force.
         retry_ratio: Repeated attempts allowed for each request of a service.
         retry_extra: Repeated attempts allowed besides, by all VMs together.
         retry_window_ms: The span over which repeated attempts are counted.
     """
 
     vm: str
-    availability_zone: str
     host: str
     callers: Address
     readiness: Address
     control: Address | None
-    metrics: Address
     seeds: tuple[Address, ...]
     peer_port: int
     store: Address
     first_start: bool
     max_files: int
-    drain_ms: float
     grace_ms: float
-    in_force_ms: float
     retry_ratio: float
     retry_extra: float
     retry_window_ms: float
@@ -92,23 +83,19 @@
     control = listen.get("control")
     return NodeSettings(
         vm=str(fields["nodeId"]),
-        availability_zone=str(fields["zone"]),
         host=str(fields["ip"]),
         callers=parse_address(listen["front"]),
         readiness=parse_address(listen["readyAddr"]),
         control=parse_address(control) if control else None,
-        metrics=Address(str(fields["ip"]), METRICS_PORT),
         seeds=tuple(parse_address(a) for a in fields.get("seeds") or ()),
         peer_port=int(fields["portRange"][0]),
         store=parse_address(fields["platform"]["address"]),
         first_start=bool(fields.get("bootstrap")),
         max_files=int(fields["limits"]["maxFds"]),
-        drain_ms=float(bounds["drainMs"]),
-        grace_ms=float(bounds["graceS"]) * 1000.0,
-        in_force_ms=float(bounds["configApplyMs"]),
+        grace_ms=float(bounds["graceS"]) * clocks.MS_PER_SECOND,
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_extra=float(bounds["budgetExtra"]),
-        retry_window_ms=float(bounds["budgetWindowS"]) * 1000.0,
+        retry_window_ms=float(bounds["budgetWindowS"]) * clocks.MS_PER_SECOND,
     )
 
 
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -30,6 +30,8 @@
 CROWDING_MS = 4.0
 # How much of its target a request may wait before it leaves its pool.
 POOL_WAIT_SHARE = 0.8
+# How many times shorter the wait in the other pool has to be.
+LEAVE_FACTOR = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +134,7 @@
         is_late = best.wait_ms > req.route.target_ms * POOL_WAIT_SHARE
         if is_late and self._pools.may_leave(req):
             elsewhere = self._best(req.prompt, others)
-            if elsewhere and elsewhere.wait_ms * 2 < best.wait_ms:
+            if elsewhere and elsewhere.wait_ms < best.wait_ms / LEAVE_FACTOR:
                 return elsewhere
         return best
 
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -1,4 +1,4 @@
-"""What this VM knows of each endpoint from its own requests and reports."""
+"""What this VM knows of each endpoint from its own requests."""
 
 from collections.abc import Container
 import dataclasses
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -28,23 +28,29 @@
 MEMORY_MS = 6_000.0
 # Share of its time that an engine of the pool for short prompts may read.
 SHORT_UTILIZATION = 0.35
-# Share of the engines in this pool until both kinds of prompts were seen.
+# The same for the pool of long prompts.
+LONG_UTILIZATION = 0.35
+# Share of the engines for short prompts until both kinds were seen.
 INITIAL_SHORT_SHARE = 0.2
 # Time after the first request for which that share stays.
 INITIAL_MS = 2_000.0
-# The same for the pool of long prompts.
-LONG_UTILIZATION = 0.35
 # Prompt tokens that an engine reads in a millisecond.
 PREFILL_TOKENS_PER_MS = 50.0
-# The pool grows when it lacks this part of an engine, and shrinks when it has
-# so many too many: an engine that changes sides loses its cached parts.
+# Engines that the pool for short prompts must lack to grow, and have beyond its
+# need to shrink: an engine that changes pools is of no use to the prompts whose
+# parts it keeps.
 GROW_AT = 0.15
 SHRINK_AT = 1.1
 
 
 @dataclasses.dataclass
 class Work:
-    """Decaying averages of the work that arrived, in prompt tokens."""
+    """Decaying sums of the work that arrived, in prompt tokens.
+
+    Attributes:
+        at_ms: When the sums were last decayed.
+        first_ms: When the first request arrived.
+    """
 
     short: float = 0.0
     long: float = 0.0
@@ -56,7 +62,7 @@
         return 0.0 if self.first_ms is None else now_ms - self.first_ms
 
     def decay(self, now_ms: float) -> None:
-        """Lets past work fade."""
+        """Decays past work."""
         factor = math.exp((self.at_ms - now_ms) / MEMORY_MS)
         self.short *= factor
         self.long *= factor
--- a/hornbeampier/routing/speed.py
+++ b/hornbeampier/routing/speed.py
@@ -6,7 +6,7 @@
 
 from hornbeampier import clock as clocks
 
-# Time constant with which past answers fade.
+# Time constant of the decay of past answers.
 MEMORY_MS = 8_000.0
 # Weight of the assumption that an endpoint is as fast as expected.
 PRIOR_MS = 400.0
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -30,20 +30,16 @@
 def settings_for(store_port, host=HOST, **more):
     fields = {
         "vm": f"vm-{host}",
-        "availability_zone": "zone-1",
         "host": host,
         "callers": settings.Address(host, free_port()),
         "readiness": settings.Address(host, free_port()),
         "control": None,
-        "metrics": settings.Address(host, free_port()),
         "seeds": (),
         "peer_port": 0,
         "store": settings.Address(HOST, store_port),
         "first_start": True,
         "max_files": 1000,
-        "drain_ms": 2_000.0,
         "grace_ms": 4_000.0,
-        "in_force_ms": 2_000.0,
         "retry_ratio": 0.2,
         "retry_extra": 50.0,
         "retry_window_ms": 10_000.0,
@@ -229,7 +225,7 @@
     def start_node(self, **more):
         for _ in range(PORT_TRIES):
             cfg = settings_for(self.store.port, **more)
-            found = node.Node(environment.Environment(), cfg)
+            found = node.Node(environment.Environment(), cfg, free_port())
             try:
                 found.start()
             except OSError as exc:
--- a/tests/test_node_logs.py
+++ b/tests/test_node_logs.py
@@ -85,7 +85,7 @@
         found = self.start_ready_node()
         self.call(found)
         self.call(found, path="/none/x")
-        caller = nodes.Caller(found.cfg.metrics)
+        caller = nodes.Caller(found._metrics_address)
         self.addCleanup(caller.close)
         caller.send("GET", "/metrics")
         text = caller.read().body.decode()
