Read variables through the environment object; test the settings file

Cause: node.main read os.environ past the object that holds all outside contact, the platform's settings file had no test, and SIGHUP logged settings_reloaded though it only checks the file. Change: Environment.variables; tests of good and bad files and of main; the event is named settings_checked and the page says what it does. Result: the new tests pass; no change of what the process does.

--- a/hornbeampier/environment.py
+++ b/hornbeampier/environment.py
@@ -1,5 +1,6 @@
 """All contact of the program with the outside, in one object."""
 
+from collections.abc import Mapping
 import dataclasses
 import os
 import pathlib
@@ -23,7 +24,7 @@
 
 @dataclasses.dataclass
 class Environment:
-    """Streams, clock, randomness and configuration directory of a program."""
+    """Streams, clock, randomness, variables and directory of a program."""
 
     stdin: TextIO = dataclasses.field(default_factory=lambda: sys.stdin)
     stdout: TextIO = dataclasses.field(default_factory=lambda: sys.stdout)
@@ -33,6 +34,9 @@
     config_dir: pathlib.Path = dataclasses.field(
         default_factory=_default_config_dir
     )
+    variables: Mapping[str, str] = dataclasses.field(
+        default_factory=lambda: os.environ
+    )
     program_name: str = "hornbeampier"
     program_path: str = dataclasses.field(default_factory=lambda: sys.argv[0])
 
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -1,7 +1,6 @@
 """The router process of one VM on the users' platform."""
 
 from collections.abc import Callable
-import os
 import pathlib
 import signal
 
@@ -281,7 +280,7 @@
 
 def main(env: environment.Environment) -> status.ExitStatus:
     """Runs the router until SIGTERM or SIGINT."""
-    path = os.environ.get(names.SETTINGS_VARIABLE)
+    path = env.variables.get(names.SETTINGS_VARIABLE)
     if not path:
         env.log_error(
             f"{names.SETTINGS_VARIABLE} is not set",
@@ -309,10 +308,10 @@
 
 
 def _reload(path: pathlib.Path, log) -> None:
-    """Checks the changed settings; addresses stay as they are."""
+    """Checks the changed settings; the process keeps those of its start."""
     try:
         settings.load(path)
     except errors.InvalidFileError as exc:
         log.error("settings_unreadable", problems=exc.problems)
         return
-    log.info("settings_reloaded")
+    log.info("settings_checked")
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,96 @@
+"""The settings file that the platform writes, and files that are no good."""
+
+import io
+import pathlib
+import tempfile
+
+import testtools
+
+from hornbeampier import environment
+from hornbeampier import errors
+from hornbeampier import node
+from hornbeampier import status
+from hornbeampier.platform import names
+from hornbeampier.platform import settings
+
+TEXT = """\
+nodeId: "front-zone-1"
+ip: "10.1.0.40"
+listen:
+  front: "10.1.0.40:8227"
+  readyAddr: "10.1.0.40:8220"
+  control: "10.1.0.40:8229"
+portRange:
+  - 7340
+  - 7355
+seeds:
+  - "10.2.0.29:8229"
+bootstrap: true
+limits:
+  maxFds: 4100
+bounds:
+  graceS: 8
+  retryBudgetRatio: 0.2
+  budgetWindowS: 10
+  budgetExtra: 52
+platform:
+  address: "10.200.1.7:8223"
+aFieldOfTomorrow: [1, 2]
+"""
+
+
+class SettingsTestCase(testtools.TestCase):
+    def write(self, text):
+        path = pathlib.Path(tempfile.mkdtemp()) / "node.yaml"
+        path.write_text(text)
+        self.addCleanup(path.unlink)
+        return path
+
+
+class LoadTest(SettingsTestCase):
+    def test_fields_are_decoded_into_our_units(self):
+        cfg = settings.load(self.write(TEXT))
+        self.assertEqual("front-zone-1", cfg.vm)
+        self.assertEqual("10.1.0.40:8227", str(cfg.callers))
+        self.assertEqual(("10.2.0.29:8229",), tuple(map(str, cfg.seeds)))
+        self.assertEqual(7340, cfg.peer_port)
+        self.assertEqual(8_000.0, cfg.grace_ms)
+        self.assertEqual(10_000.0, cfg.retry_window_ms)
+        self.assertTrue(cfg.first_start)
+
+    def test_vm_without_an_address_for_control(self):
+        text = TEXT.replace('  control: "10.1.0.40:8229"\n', "")
+        self.assertIsNone(settings.load(self.write(text)).control)
+
+    def test_file_that_is_no_good_is_named_with_its_fault(self):
+        for text, fault in (
+            (TEXT.replace("nodeId", "node"), "nodeId"),
+            (TEXT.replace(":8227", ""), "is not IP:PORT"),
+            (TEXT.replace("graceS: 8", "graceS: soon"), "soon"),
+            ("listen: [", "node.yaml"),
+            ("", "node.yaml"),
+        ):
+            path = self.write(text)
+            exc = self.assertRaises(
+                errors.InvalidFileError, settings.load, path
+            )
+            self.assertIn(str(path), exc.problems[0])
+            self.assertIn(fault, exc.problems[0])
+
+
+class MainTest(SettingsTestCase):
+    def run_main(self, variables):
+        self.stderr = io.StringIO()
+        env = environment.Environment(stderr=self.stderr, variables=variables)
+        return node.main(env)
+
+    def test_no_settings_are_named(self):
+        self.assertEqual(status.ExitStatus.USAGE, self.run_main({}))
+        self.assertIn(names.SETTINGS_VARIABLE, self.stderr.getvalue())
+
+    def test_settings_cannot_be_read(self):
+        variables = {names.SETTINGS_VARIABLE: str(self.write("x: 1"))}
+        self.assertEqual(
+            status.ExitStatus.INVALID_FILE, self.run_main(variables)
+        )
+        self.assertIn("listen", self.stderr.getvalue())
