--- a/hornbeampier/forwarding/exchange.py
+++ b/hornbeampier/forwarding/exchange.py
@@ -120,7 +120,7 @@
             ) from exc
 
     def _lost(self, exc: Exception) -> errors.AttemptError:
-        # The kernel's own time-out, with a number, means a silent connection.
+        # With an error number, it is TCP keep-alive that found the peer dead.
         timed_out = isinstance(exc, TimeoutError) and exc.errno is None
         return errors.AttemptError(
             f"response lost: {exc or type(exc).__name__}",
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -71,7 +71,7 @@
         """
         self.busy = False
         if not self._await_request(idle_timeout_ms) or self._ended:
-            # A request that crossed the end of its connection is not run.
+            # A request that arrived after `end_idle` is not run.
             return None
         self.busy = True
         event = self._next_event(self._clock.now() + header_timeout_ms)
--- a/hornbeampier/ingress/shutdown.py
+++ b/hornbeampier/ingress/shutdown.py
@@ -57,7 +57,7 @@
         refuse_ms = started_ms + self._grace_ms * REFUSE_SHARE
         self._finish(refuse_ms, end_ms)
         self._connections.close_listener()
-        # Connections accepted in the last moment are served as well.
+        # Connections accepted while it closed are served as well.
         self._finish(refuse_ms, end_ms)
         self._log.info(
             "drained",
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -254,7 +254,7 @@
         return 1 + self._peer_loads.fresh_count()
 
     def _count_sharers(self) -> int:
-        """Returns how many VMs share the retry budget, cut off or not."""
+        """Returns how many VMs share the retry budget, reachable or not."""
         seeds = {seed.host for seed in self._cfg.seeds}
         return max(1 + self._peer_loads.known_count(), len(seeds))
 
--- a/hornbeampier/replication/entries.py
+++ b/hornbeampier/replication/entries.py
@@ -8,8 +8,8 @@
 from hornbeampier.replication import messages
 from hornbeampier.routing import catalog
 
-# Entries that lapsed in an outage of the store return within two seconds.
-RETURN_MS = 2_000.0
+# How long an entry that expired in an outage of the store may be missing.
+REREGISTER_MS = 2_000.0
 
 
 class EndpointEntries:
@@ -25,13 +25,13 @@
         self._log = structlog.get_logger(task="entries")
 
     def note_lost(self) -> None:
-        """Entries may lapse from now on; peers may tell so earlier."""
+        """Entries may expire unnoticed until the store can be read again."""
         self._lost = True
 
     def note_regained(self) -> None:
-        """Keeps endpoints whose entries lapsed in the outage for a while."""
+        """Gives endpoints whose entries expired time to register again."""
         self._lost = False
-        self._settled_at_ms = self._clock.now() + RETURN_MS
+        self._settled_at_ms = self._clock.now() + REREGISTER_MS
 
     def apply_record(self, record: messages.Record) -> None:
         """Takes over one entry; an unreadable one names no endpoint."""
@@ -64,7 +64,7 @@
         now_ms = self._clock.now()
         gone_at_ms = self._settled_at_ms
         if self._lost:
-            gone_at_ms = now_ms + RETURN_MS
+            gone_at_ms = now_ms + REREGISTER_MS
         if now_ms < gone_at_ms:
             self._gone_at_ms[endpoint_id] = gone_at_ms
         else:
@@ -80,10 +80,10 @@
         self._log = structlog.get_logger(task="configuration")
 
     def note_lost(self) -> None:
-        """Needs nothing: configurations never lapse."""
+        """Needs nothing: configurations do not expire."""
 
     def note_regained(self) -> None:
-        """Needs nothing: configurations never lapse."""
+        """Needs nothing: configurations do not expire."""
 
     def apply_record(self, record: messages.Record) -> None:
         """Takes over a configuration; an unreadable one changes nothing."""
--- a/hornbeampier/routing/cached_parts.py
+++ b/hornbeampier/routing/cached_parts.py
@@ -42,13 +42,13 @@
         for part in prompt.parts:
             self._use(part)
         now_ms = self._clock.now()
-        news = []
+        untold = []
         for part in prompt.shared_parts:
             told_ms = self._told_ms.get(part.id)
             if told_ms is None or now_ms - told_ms > TELL_AGAIN_MS:
                 self._told_ms[part.id] = now_ms
-                news.append(part)
-        return news
+                untold.append(part)
+        return untold
 
     def record_peer(self, part: model.PromptPart) -> None:
         """Notes that a peer sent a prompt with this part to the engine."""
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -145,11 +145,11 @@
         if not states:
             return None
         preferred = affinity.preferred(prompt, [s.id for s in states])
-        keeper = self._find_keeper(prompt, states)
+        holder = self._find_holder(prompt, states)
         found = None
         lowest_cost = math.inf
         for state in states:
-            chosen = self._estimate(prompt, state, keeper)
+            chosen = self._estimate(prompt, state, holder)
             cost = chosen.wait_ms + _reading_cost(prompt, state)
             if state.id == preferred:
                 shared = affinity.shared_tokens(prompt)
@@ -158,7 +158,7 @@
                 found, lowest_cost = chosen, cost
         return found
 
-    def _find_keeper(
+    def _find_holder(
         self, prompt: model.Prompt, states: list[fleet.EndpointState]
     ) -> fleet.EndpointState | None:
         """Returns the engine that keeps most of the prompt's parts."""
@@ -171,11 +171,11 @@
         self,
         prompt: model.Prompt,
         state: fleet.EndpointState,
-        keeper: fleet.EndpointState | None,
+        holder: fleet.EndpointState | None,
     ) -> Choice:
         """Returns what to expect of an engine."""
         peers = self._peers.total(state.id)
-        fetch = self._plan_fetch(prompt, state, keeper)
+        fetch = self._plan_fetch(prompt, state, holder)
         kept = state.cached.leading_tokens(prompt)
         own_tokens = max(0, prompt.input_tokens - kept - fetch.tokens)
         ahead = state.prefill_tokens + peers.prefill_tokens
@@ -197,17 +197,17 @@
         self,
         prompt: model.Prompt,
         state: fleet.EndpointState,
-        keeper: fleet.EndpointState | None,
+        holder: fleet.EndpointState | None,
     ) -> _Fetch:
         """Returns what an engine can fetch from the one that keeps most."""
         engine = self._traits(state.endpoint.service)
-        if keeper in (None, state) or engine is None or not engine.link_mbps:
+        if holder in (None, state) or engine is None or not engine.link_mbps:
             return NO_FETCH
         kept = state.cached.leading_tokens(prompt)
-        tokens = keeper.cached.leading_tokens(prompt) - kept
+        tokens = holder.cached.leading_tokens(prompt) - kept
         if tokens < MIN_FETCH_TOKENS:
             return NO_FETCH
-        return _Fetch(tokens, engine.fetch_ms(tokens), keeper.endpoint)
+        return _Fetch(tokens, engine.fetch_ms(tokens), holder.endpoint)
 
 
 def _reading_ms(tokens: float) -> float:
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -7,7 +7,7 @@
 
 # A VM that was silent for longer no longer counts.
 FRESH_MS = 1_500.0
-# A VM that was heard within this time may still serve, though cut off.
+# A VM that was heard within this time may still serve, though unreachable.
 KNOWN_MS = 120_000.0
 
 
--- a/hornbeampier/routing/placements.py
+++ b/hornbeampier/routing/placements.py
@@ -5,8 +5,8 @@
 from hornbeampier.routing import fleet
 from hornbeampier.routing import model
 
-# News that wait for the next datagram; older ones are left out.
-MAX_NEWS = 600
+# Placements that wait for the next datagram; older ones are dropped.
+MAX_PENDING = 600
 
 
 class Placements:
@@ -15,14 +15,14 @@
     def __init__(self, fleet: fleet.Fleet, catalog: catalog.Catalog):
         self._fleet = fleet
         self._catalog = catalog
-        self._news: list[tuple[str, model.PromptPart]] = []
+        self._pending: list[tuple[str, model.PromptPart]] = []
 
     def record(self, state: fleet.EndpointState, prompt: model.Prompt) -> None:
         """Notes that a prompt goes to an engine."""
         self._set_capacity(state)
         for part in state.cached.record(prompt):
-            self._news.append((state.id, part))
-        del self._news[:-MAX_NEWS]
+            self._pending.append((state.id, part))
+        del self._pending[:-MAX_PENDING]
 
     def record_kept(
         self, state: fleet.EndpointState, parts: list[model.PromptPart]
@@ -31,8 +31,8 @@
         self._set_capacity(state)
         for part in parts:
             state.cached.record_peer(part)
-            self._news.append((state.id, part))
-        del self._news[:-MAX_NEWS]
+            self._pending.append((state.id, part))
+        del self._pending[:-MAX_PENDING]
 
     def record_peer(self, endpoint_id: str, part: model.PromptPart) -> None:
         """Notes that a peer sent a prompt with this part to an engine."""
@@ -43,8 +43,8 @@
 
     def take(self) -> list[tuple[str, model.PromptPart]]:
         """Returns what the peers have not been told yet."""
-        news, self._news = self._news, []
-        return news
+        pending, self._pending = self._pending, []
+        return pending
 
     def _set_capacity(self, state: fleet.EndpointState) -> None:
         engine = self._catalog.engine_traits(state.endpoint.service)
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -55,7 +55,7 @@
             self.connections.closed_ms, shutdown.BALANCER_MS
         )
 
-    def test_connections_accepted_in_the_last_moment_are_served(self):
+    def test_connections_accepted_while_the_listener_closed_are_served(self):
         self.drain(accepted_at_close=1)
         self.assertEqual(0, self.connections.connections)
 
@@ -75,7 +75,7 @@
         self.assertLess(handler.last_deadline_ms, 8_000.0)
 
 
-class CrossingSocket:
+class LateSocket:
     """A socket on which a request arrives while it is shut down."""
 
     def __init__(self):
@@ -93,9 +93,9 @@
 
 
 class EndIdleTest(testtools.TestCase):
-    def test_request_that_crosses_the_end_of_its_connection_is_not_run(self):
+    def test_request_that_arrives_after_the_end_of_its_idle_connection(self):
         clock = clocks.SystemClock()
-        conn = server.ServerConnection(CrossingSocket(), clock, 4_096)
+        conn = server.ServerConnection(LateSocket(), clock, 4_096)
         conn.is_quiet = lambda: True
         reading = gevent.spawn(conn.read_head, 1_000.0, 1_000.0, 4_096)
         gevent.sleep(0)
@@ -146,7 +146,7 @@
         short = {"X-Hornbeampier-Deadline-Ms": "300"}
         self.assertEqual(200, self.call(found, headers=short).status)
 
-    def test_request_in_the_last_moment_is_answered_or_not_read(self):
+    def test_late_request_is_answered_or_not_read(self):
         server = self.start_server(nodes.PLAIN, lambda a: a.answer())
         found = self.start_ready_node(grace_ms=4_000.0)
         draining = gevent.spawn(found.drain)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -175,12 +175,12 @@
             self.put(bad)
             self.assertEqual({}, self.catalog.endpoints, bad)
 
-    def test_entries_that_lapsed_in_an_outage_have_time_to_return(self):
+    def test_entries_that_expired_in_an_outage_have_time_to_return(self):
         self.put(nodes.entry("s", "10.0.0.1:80"))
         self.entries.note_regained()
         self.put(None)
         self.assertIn("i-1", self.catalog.endpoints)
-        self.clock.advance(entries.RETURN_MS + 1)
+        self.clock.advance(entries.REREGISTER_MS + 1)
         self.entries.expire()
         self.assertEqual({}, self.catalog.endpoints)
 
@@ -191,7 +191,7 @@
         self.assertIn("i-1", self.catalog.endpoints)
         self.put(nodes.entry("s", "10.0.0.1:80"))
         self.entries.note_regained()
-        self.clock.advance(entries.RETURN_MS + 1)
+        self.clock.advance(entries.REREGISTER_MS + 1)
         self.entries.expire()
         self.assertIn("i-1", self.catalog.endpoints)
 
@@ -200,7 +200,7 @@
         self.entries.note_regained()
         self.put(None)
         self.put(nodes.entry("s", "10.0.0.1:80"))
-        self.clock.advance(entries.RETURN_MS + 1)
+        self.clock.advance(entries.REREGISTER_MS + 1)
         self.entries.expire()
         self.assertIn("i-1", self.catalog.endpoints)
 
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -62,7 +62,7 @@
         first.state.prefill_tokens = 400_000
         self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
 
-    def test_moved_request_fetches_the_parts_from_their_keeper(self):
+    def test_request_sent_elsewhere_fetches_the_parts_from_their_holder(self):
         self.link_mbps = 500_000.0
         first = self.choose(SHARED)
         first.state.cached.record(fakes.prompt(14_000, SHARED))
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -96,7 +96,7 @@
 
 
 class PeerLoadsTest(testtools.TestCase):
-    def test_peer_that_is_cut_off_keeps_its_share_of_the_budget(self):
+    def test_unreachable_peer_keeps_its_share_of_the_budget(self):
         clock = clocks.ManualClock()
         peers = peer_loads.PeerLoads(clock)
         for number in range(8):
