--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -1,7 +1,8 @@
 """Learns after a restart what the engines still keep.
 
 When all VMs restart at once, nobody knows any more which engine keeps which
-prompt parts. Each engine is asked by one VM, which tells the others.
+prompt parts. Each VM asks its share of the engines, by the peers that it knows
+by then, and tells the others; a VM that knows no peer yet asks all.
 """
 
 from collections.abc import Callable
--- a/tests/test_cache_survey.py
+++ b/tests/test_cache_survey.py
@@ -2,6 +2,12 @@
 
 import json
 
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier.forwarding import cache_survey
+from hornbeampier.peers import gossip
+from hornbeampier.peers import membership
 from tests import nodes
 from tests import store_standin
 
@@ -12,6 +18,15 @@
 }
 
 
+class SettleTest(testtools.TestCase):
+    def test_seed_that_starts_late_is_tried_again_before_the_survey(self):
+        clock = clocks.ManualClock()
+        members = membership.Membership("10.0.0.1", ["10.0.0.2"], clock)
+        self.assertEqual(["10.0.0.2"], members.targets())
+        clock.advance(cache_survey.SETTLE_MS - gossip.MIN_INTERVAL_MS)
+        self.assertEqual(["10.0.0.2"], members.targets())
+
+
 class CacheSurveyTest(nodes.NodeTestCase):
     def start_pair(self):
         control, peer_port = nodes.free_port(), nodes.free_port()
