Try seeds again within 100 ms of a start

Ruled out: a longer pause before the survey, which delays every restart. Change: the interval grows from 100 ms to 1 s.

--- a/hornbeampier/peers/membership.py
+++ b/hornbeampier/peers/membership.py
@@ -6,8 +6,10 @@
 
 # A VM that was silent for longer is no longer told anything.
 FORGET_MS = 8_000.0
-# How often a seed that was never heard is tried.
-SEED_INTERVAL_MS = 1_000.0
+# How often a seed that is not heard is tried: soon after a start, when VMs that
+# start together may not be up yet, and later.
+FIRST_SEED_INTERVAL_MS = 100.0
+MAX_SEED_INTERVAL_MS = 1_000.0
 
 
 class Membership:
@@ -18,7 +20,8 @@
         self._seeds = tuple(host for host in seeds if host != own)
         self._clock = clock
         self._heard_ms: dict[str, float] = {}
-        self._tried_ms = -SEED_INTERVAL_MS
+        self._seed_interval_ms = FIRST_SEED_INTERVAL_MS
+        self._next_try_ms = clock.now()
 
     def note_heard(self, host: str) -> None:
         """A datagram came from this host."""
@@ -42,7 +45,10 @@
         """Returns the hosts that the next datagram goes to."""
         hosts = self.alive()
         now_ms = self._clock.now()
-        if now_ms - self._tried_ms >= SEED_INTERVAL_MS:
-            self._tried_ms = now_ms
+        if now_ms >= self._next_try_ms:
+            self._next_try_ms = now_ms + self._seed_interval_ms
+            self._seed_interval_ms = min(
+                2 * self._seed_interval_ms, MAX_SEED_INTERVAL_MS
+            )
             hosts += [seed for seed in self._seeds if seed not in hosts]
         return hosts
