--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -14,7 +14,7 @@
 from hornbeampier.forwarding import streams
 from hornbeampier.http1 import server
 from hornbeampier.routing import budget
-from hornbeampier.routing import choice
+from hornbeampier.routing import choices
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import fleet
@@ -97,7 +97,7 @@
                 self._note_failure(chosen, exc)
                 self._check_repeat(exc)
 
-    def _next_choice(self) -> choice.Choice:
+    def _next_choice(self) -> choices.Choice:
         chosen = self._context.dispatcher.choose(self._req, self._tried)
         if chosen is None and not self._tried:
             raise self._refuse(errors.RefusalCode.NO_ENDPOINT, "no endpoint")
@@ -119,7 +119,7 @@
         )
         return chosen
 
-    def _attempt(self, chosen: choice.Choice) -> None:
+    def _attempt(self, chosen: choices.Choice) -> None:
         load = fleet.AttemptLoad(
             chosen.state, chosen.expected_ms, chosen.prefill_tokens
         )
@@ -134,7 +134,7 @@
             self._check_answer(attempt)
             self._deliver(attempt, load)
             load.note_answer()
-            chosen.state.record_success()
+            chosen.state.record_success(self._clock.now())
         except errors.AttemptError as exc:
             if not exc.unsent and attempt.answer is None:
                 self._attempts += 1
@@ -200,7 +200,7 @@
         return None if at_ms is None else round(at_ms - self._req.arrived_ms)
 
     def _note_failure(
-        self, chosen: choice.Choice, exc: errors.AttemptError
+        self, chosen: choices.Choice, exc: errors.AttemptError
     ) -> None:
         self._verdict = self._verdict.combine(exc.verdict)
         self._context.metrics.record_attempt(
@@ -221,7 +221,7 @@
             events=self._relay.events,
         )
 
-    def _is_down(self, chosen: choice.Choice) -> bool:
+    def _is_down(self, chosen: choices.Choice) -> bool:
         """Whether an endpoint that lost a request crashed; notes a crash."""
         endpoint = chosen.state.endpoint
         if self._context.connections.probe(endpoint):
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -33,6 +33,7 @@
 from hornbeampier.replication import catch_up
 from hornbeampier.replication import entries
 from hornbeampier.replication import follower
+from hornbeampier.replication import readers
 from hornbeampier.replication import relay
 from hornbeampier.replication import replica
 from hornbeampier.routing import budget
@@ -41,9 +42,12 @@
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import fleet
+from hornbeampier.routing import kinds
+from hornbeampier.routing import overload
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
+from hornbeampier.routing import reading
 
 MAINTENANCE_MS = 250.0
 # Part of the file descriptors that callers' connections may use.
@@ -73,8 +77,10 @@
         self._endpoint_entries = entries.EndpointEntries(
             self.catalog, self._clock
         )
-        self._pools = pools.Pools(self._clock)
+        self._kinds = kinds.Kinds()
+        self._pools = pools.Pools(self._kinds, self._clock)
         self._crashes = crashes.Crashes(self._clock)
+        self._reading = reading.ReadingMeter(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
         self._build_replication()
         self._build_peers()
@@ -92,24 +98,31 @@
                 (names.ENDPOINT_TOPIC, self._endpoint_entries),
             )
         }
-        for found in self._replicas.values():
-            source = store.StoreClient(self._cfg.store, self._clock)
-            self.app.add(
-                follower.TopicFollower(
-                    found,
-                    source,
-                    self._clock,
-                    self._env.rng,
-                    self._count_heard,
-                )
+        self._readers = readers.Readers(self._cfg.host, self._clock)
+        self._followers = [
+            follower.TopicFollower(
+                found,
+                store.StoreClient(self._cfg.store, self._clock),
+                self._clock,
+                self._env.rng,
+                self._count_readers,
+                self._readers.is_needed,
             )
+            for found in self._replicas.values()
+        ]
+        for found in self._followers:
+            self.app.add(found)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
         if cfg.control is None:
             return
         self._catch_up = catch_up.CatchUp(
-            self._replicas, cfg.control.port, self._clock
+            self._replicas,
+            cfg.control.port,
+            self._is_reading,
+            self._clock,
+            self._env.rng,
         )
         self._members = membership.Membership(
             cfg.host, [seed.host for seed in cfg.seeds], self._clock
@@ -123,7 +136,10 @@
             self._pools,
             self._placements,
             self._crashes,
+            self._reading,
             self._catch_up,
+            self._readers,
+            self._is_reading,
         )
         handler = control.ControlHandler(relay.RelayHandler(self._replicas))
         self.app.add(
@@ -175,15 +191,24 @@
         )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
+        wait_limit = overload.WaitLimit(self._kinds, self._clock)
         plain = choice.LeastLoaded(self._fleet, self._peer_loads, self._env.rng)
         engines = choice.EngineChooser(
             self._fleet,
             self._peer_loads,
             self._pools,
+            self._kinds,
+            self._reading,
             self.catalog.engine_traits,
+            self._env.rng,
         )
         return dispatch.Dispatcher(
-            plain, engines, self._pools, self._placements
+            plain,
+            engines,
+            self._pools,
+            self._placements,
+            self._reading,
+            wait_limit,
         )
 
     def _build_listeners(self) -> None:
@@ -249,8 +274,11 @@
     def _render_metrics(self) -> bytes:
         return self._metrics.render(self.catalog.version)
 
-    def _count_heard(self) -> int:
-        return 1 + self._peer_loads.fresh_count()
+    def _is_reading(self) -> bool:
+        return all(found.is_reading for found in self._followers)
+
+    def _count_readers(self) -> int:
+        return min(1 + self._peer_loads.fresh_count(), readers.READERS)
 
     def _count_sharers(self) -> int:
         """Returns how many VMs share the retry budget, reachable or not."""
--- a/hornbeampier/peers/exchange.py
+++ b/hornbeampier/peers/exchange.py
@@ -1,10 +1,12 @@
 """Puts what this VM knows into datagrams, and takes in what peers tell."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
 from hornbeampier.peers import messages
 from hornbeampier.replication import catch_up
+from hornbeampier.replication import readers
 from hornbeampier.replication import replica
 from hornbeampier.routing import crashes
 from hornbeampier.routing import fleet
@@ -12,6 +14,7 @@
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
+from hornbeampier.routing import reading
 from hornbeampier.routing import speed
 
 # Sums of answer times below this are not worth telling.
@@ -24,10 +27,12 @@
 
     Attributes:
         endpoints: Ids of the endpoints whose load changed.
+        sent_tokens: Prompt tokens sent to each engine.
     """
 
     offsets: dict[str, int]
     endpoints: frozenset[str]
+    sent_tokens: dict[str, int]
     placements: tuple[messages.Placement, ...]
     crashes: tuple[messages.Crash, ...]
 
@@ -52,7 +57,10 @@
         pools: pools.Pools,
         placements: placements.Placements,
         crashes: crashes.Crashes,
+        reading: reading.ReadingMeter,
         catch_up: catch_up.CatchUp,
+        readers: readers.Readers,
+        is_reading: Callable[[], bool],
     ):
         self._vm = vm
         self._boot = boot
@@ -62,7 +70,10 @@
         self._pools = pools
         self._placements = placements
         self._crashes = crashes
+        self._reading = reading
         self._catch_up = catch_up
+        self._readers = readers
+        self._is_reading = is_reading
         self._told_offsets: dict[str, int] = {}
         self._told_crashes: frozenset[crashes.Crash] = frozenset()
 
@@ -74,6 +85,7 @@
         news = News(
             offsets=_differences(self._told_offsets, offsets),
             endpoints=self._fleet.take_changed(),
+            sent_tokens=self._reading.take(),
             placements=tuple(
                 messages.Placement(endpoint_id, part.id, part.tokens)
                 for endpoint_id, part in self._placements.take()
@@ -90,8 +102,10 @@
             boot=self._boot,
             sequence=sequence,
             partial=True,
+            is_reading=self._is_reading(),
             offsets=news.offsets,
             loads=self._changed_loads(news),
+            sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=news.crashes,
         )
@@ -105,9 +119,11 @@
             boot=self._boot,
             sequence=sequence,
             partial=False,
+            is_reading=self._is_reading(),
             offsets=self._told_offsets,
             loads=self._loads(),
             work=self._pools.own_work(),
+            sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=_to_crash_messages(self._told_crashes),
             members=members,
@@ -121,6 +137,8 @@
         else:
             self._peer_loads.record(state.vm, loads)
             self._pools.record_peer(state.vm, state.work)
+        for endpoint_id, tokens in state.sent_tokens.items():
+            self._reading.record_peer(endpoint_id, tokens)
         for crash in state.crashes:
             self._crashes.record(
                 crashes.Crash(crash.fingerprint, crash.incarnation)
@@ -129,6 +147,7 @@
             part = model.PromptPart(placement.part, placement.tokens)
             self._placements.record_peer(placement.endpoint, part)
         self._catch_up.note_peer(host, state.offsets)
+        self._readers.note_peer(host, state.is_reading)
 
     def _read_offsets(self) -> dict[str, int]:
         return {
--- a/hornbeampier/peers/gossip.py
+++ b/hornbeampier/peers/gossip.py
@@ -18,7 +18,7 @@
 # Time after which a peer is told the whole state again.
 WHOLE_INTERVAL_MS = 500.0
 # Datagrams that a VM sends in a second at the most, and whole states of them.
-MAX_SENT_PER_S = 400.0
+MAX_SENT_PER_S = 200.0
 MAX_WHOLE_PER_S = 50.0
 # Whole states in one round, so that they never fill a slow link.
 MIN_WHOLE_PER_ROUND = 2
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -42,10 +42,12 @@
         boot: Drawn at the start of the process.
         sequence: Counts the rounds of datagrams of a process.
         partial: Whether it holds only what changed since the last round.
+        is_reading: Whether the VM reads the store, without failure.
         offsets: How far the VM has read each topic.
         loads: Load by endpoint id. A whole state leaves out endpoints without
             any; a partial one leaves out those whose load is the same.
-        work: Short and long work of late by service, in prompt tokens.
+        work: Work of late by service and kind of prompt, in prompt tokens.
+        sent_tokens: Prompt tokens sent to each engine since the last round.
         placements: Prompt parts that were sent to endpoints lately.
         crashes: Crashes of endpoints of late.
         members: Hosts that the VM heard lately.
@@ -55,9 +57,11 @@
     boot: int
     sequence: int
     partial: bool
+    is_reading: bool
     offsets: dict[str, int]
     loads: dict[str, EndpointLoad]
-    work: dict[str, tuple[float, float]] = {}
+    work: dict[str, tuple[float, ...]] = {}
+    sent_tokens: dict[str, int] = {}
     placements: tuple[Placement, ...] = ()
     crashes: tuple[Crash, ...] = ()
     members: tuple[str, ...] = ()
--- a/hornbeampier/replication/catch_up.py
+++ b/hornbeampier/replication/catch_up.py
@@ -1,5 +1,8 @@
 """Fetches records from peers that are ahead of this VM."""
 
+from collections.abc import Callable
+import random
+
 import structlog
 
 from hornbeampier import application
@@ -9,7 +12,8 @@
 from hornbeampier.replication import replica
 
 POLL_MS = 100.0
-# How long the store may take to tell this VM what a peer already knows.
+# How long the store may take to tell this VM what a peer already knows, if this
+# VM reads the store.
 STORE_LEAD_MS = 200.0
 
 
@@ -20,11 +24,15 @@
         self,
         replicas: dict[str, replica.TopicReplica],
         port: int,
+        is_reading: Callable[[], bool],
         clock: clocks.Clock,
+        rng: random.Random,
     ):
         super().__init__()
+        self._rng = rng
         self._replicas = replicas
         self._port = port
+        self._is_reading = is_reading
         self._clock = clock
         self._ahead: dict[str, dict[str, int]] = {t: {} for t in replicas}
         self._since_ms: dict[str, float] = {}
@@ -55,8 +63,9 @@
             return
         now_ms = self._clock.now()
         since_ms = self._since_ms.setdefault(topic, now_ms)
-        if now_ms - since_ms >= STORE_LEAD_MS:
-            self._fetch(topic, max(ahead, key=ahead.get))
+        lead_ms = STORE_LEAD_MS if self._is_reading() else 0.0
+        if now_ms - since_ms >= lead_ms:
+            self._fetch(topic, self._rng.choice(_newest(ahead)))
 
     def _fetch(self, topic: str, host: str) -> None:
         found = self._replicas[topic]
@@ -76,3 +85,9 @@
             records=len(batch.records),
             offset=found.offset,
         )
+
+
+def _newest(ahead: dict[str, int]) -> list[str]:
+    """Returns the hosts that are furthest ahead."""
+    newest = max(ahead.values())
+    return [host for host, offset in ahead.items() if offset == newest]
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -1,4 +1,4 @@
-"""Follows a topic and applies its records in order."""
+"""Follows a topic in the store and applies its records in order."""
 
 from collections.abc import Callable
 import random
@@ -11,12 +11,14 @@
 from hornbeampier.replication import messages
 from hornbeampier.replication import replica
 
-# A store may miss to wake a call that waits. All VMs together begin a new call
+# A store may miss to wake a call that waits. All readers together begin a call
 # about this often, and tell each other what it found.
 POLL_INTERVAL_MS = 800.0
 MAX_POLL_WAIT_MS = 20_000.0
 FIRST_BACKOFF_MS = 150.0
 MAX_BACKOFF_MS = 1_000.0
+# How often a VM that does not read checks whether it has to.
+STANDBY_MS = 200.0
 
 
 class TopicFollower(application.TaskComponent):
@@ -32,10 +34,12 @@
         source: messages.Source,
         clock: clocks.Clock,
         rng: random.Random,
-        count_vms: Callable[[], int],
+        count_readers: Callable[[], int],
+        is_needed: Callable[[], bool],
     ):
         super().__init__()
-        self._count_vms = count_vms
+        self._count_readers = count_readers
+        self._is_needed = is_needed
         self._replica = replica
         self._source = source
         self._clock = clock
@@ -44,6 +48,12 @@
         self._backoff_ms = FIRST_BACKOFF_MS
         self._offset: int | None = None
         self.lost = False
+        self._stands_by = False
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether this VM reads the topic itself, without failure."""
+        return not (self.lost or self._stands_by)
 
     def run(self) -> None:
         """Reads until it is killed."""
@@ -63,6 +73,10 @@
         self._source.close()
 
     def _step(self) -> None:
+        if self._replica.offset is not None and not self._is_needed():
+            self._stand_by()
+            return
+        self._resume()
         if self._offset is None:
             snapshot = self._source.newest(self._replica.topic)
             self._note_regained()
@@ -75,10 +89,27 @@
         self._replica.apply_batch(batch)
         self._offset = batch.end
 
+    def _stand_by(self) -> None:
+        """Leaves the topic to other VMs, which tell this one of changes."""
+        if not self._stands_by:
+            self._stands_by = True
+            self._source.close()
+            self._note_regained()
+            self._log.info("standing_by", offset=self._replica.offset)
+        self._clock.sleep(STANDBY_MS)
+
+    def _resume(self) -> None:
+        """Goes on where the records from other VMs end."""
+        if not self._stands_by:
+            return
+        self._stands_by = False
+        self._offset = self._replica.offset
+        self._log.info("reading", offset=self._offset)
+
     def _poll_wait_ms(self) -> float:
-        """Returns a wait that spreads the calls of all VMs evenly."""
+        """Returns a wait that spreads the calls of all readers evenly."""
         spread = self._rng.uniform(0.5, 1.5)
-        wait_ms = POLL_INTERVAL_MS * self._count_vms() * spread
+        wait_ms = POLL_INTERVAL_MS * self._count_readers() * spread
         return min(MAX_POLL_WAIT_MS, wait_ms)
 
     def _note_lost(self, exc: errors.PlatformError) -> None:
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -8,10 +8,13 @@
 from typing import Protocol
 
 from hornbeampier.routing import affinity
+from hornbeampier.routing import choices
 from hornbeampier.routing import fleet
+from hornbeampier.routing import kinds
 from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import pools
+from hornbeampier.routing import reading
 from hornbeampier.routing import requests
 from hornbeampier.routing import speed
 
@@ -24,33 +27,27 @@
 REREAD_WEIGHT = 6.0
 # Fewer cached tokens are not worth a transfer between engines.
 MIN_FETCH_TOKENS = 1_000
+# Part of an engine's memory that running requests may take from cached parts.
+MEMORY_SHARE = 0.5
+# Engines that are compared: those preferred for a prompt's parts, and some at
+# random. VMs that all compared all engines would choose the same one at once.
+PREFERRED_COUNT = 2
+RANDOM_COUNT = 3
+# Time for which a request runs, to tell when one of them makes room.
+RUN_MS = 2_000.0
 # Bonus of the engine that all VMs prefer, as a part of the shared tokens.
 PREFERENCE = 0.3
 # What one more running request adds to the time of all others, in ms of wait.
 CROWDING_MS = 4.0
+# What an engine that reads all of its time adds to the time of its streams, in
+# ms of wait.
+READING_MS = 400.0
 # How much of its target a request may wait before it leaves its pool.
-POOL_WAIT_SHARE = 0.8
+POOL_WAIT_SHARE = 0.4
 # How many times shorter the wait in the other pool has to be.
 LEAVE_FACTOR = 2.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
-    """An endpoint and why it was chosen.
-
-    Attributes:
-        wait_ms: Expected time until the first event.
-        expected_ms: Time of the answer against which the endpoint's speed is
-            measured; None if it is not measured.
-        prefill_tokens: Prompt tokens that the endpoint has to read.
-        fetch_from: An engine from which it can fetch cached parts, or None.
-    """
-
-    state: fleet.EndpointState
-    wait_ms: float = 0.0
-    expected_ms: float | None = None
-    prefill_tokens: float = 0.0
-    fetch_from: model.Endpoint | None = None
+# Wait that a prompt of the least urgent kind may bring to an engine of another.
+MAX_GUEST_WAIT_MS = 300.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +67,7 @@
 
     def choose(
         self, req: requests.Request, tried: Container[str]
-    ) -> Choice | None:
+    ) -> choices.Choice | None:
         """Returns an endpoint outside `tried`, or None if there is none."""
         ...
 
@@ -90,13 +87,13 @@
 
     def choose(
         self, req: requests.Request, tried: Container[str]
-    ) -> Choice | None:
+    ) -> choices.Choice | None:
         """Returns the endpoint with the fewest requests for its slots."""
         found = self._fleet.candidates(req.service, tried)
         if not found:
             return None
         state = min(found, key=lambda s: (self._load(s), self._rng.random()))
-        return Choice(state, expected_ms=PLAIN_ANSWER_MS)
+        return choices.Choice(state, expected_ms=PLAIN_ANSWER_MS)
 
     def _load(self, state: fleet.EndpointState) -> float:
         peers = self._peers.total(state.id)
@@ -113,71 +110,132 @@
         fleet: fleet.Fleet,
         peers: peer_loads.PeerLoads,
         pools: pools.Pools,
+        found_kinds: kinds.Kinds,
+        reading: reading.ReadingMeter,
         traits: Callable[[str], model.EngineTraits | None],
+        rng: random.Random,
     ):
         self._fleet = fleet
         self._peers = peers
         self._pools = pools
+        self._kinds = found_kinds
+        self._reading = reading
         self._traits = traits
+        self._rng = rng
 
     def choose(
         self, req: requests.Request, tried: Container[str]
-    ) -> Choice | None:
+    ) -> choices.Choice | None:
         """Returns the engine that is expected to read the prompt first."""
         found = self._fleet.candidates(req.service, tried)
         if not found:
             return None
-        pool, others = self._pools.split(req, found)
-        best = self._best(req.prompt, pool)
-        if best is None:
-            return self._best(req.prompt, others)
-        is_late = best.wait_ms > req.route.target_ms * POOL_WAIT_SHARE
-        if is_late and self._pools.may_leave(req):
-            elsewhere = self._best(req.prompt, others)
-            if elsewhere and elsewhere.wait_ms < best.wait_ms / LEAVE_FACTOR:
-                return elsewhere
+        split = self._pools.split(req, found)
+        best = self._best(req, split.own)
+        if best.wait_ms <= req.route.target_ms * POOL_WAIT_SHARE:
+            return best
+        elsewhere = self._best(req, split.others)
+        if elsewhere and elsewhere.wait_ms < self._leave_ms(req, best):
+            return elsewhere
         return best
 
+    def _leave_ms(self, req: requests.Request, best: choices.Choice) -> float:
+        """Returns the wait in another pool below which a prompt moves there."""
+        leave_ms = best.wait_ms / LEAVE_FACTOR
+        if self._kinds.kind_of(req) is kinds.Kind.BATCH:
+            return min(leave_ms, MAX_GUEST_WAIT_MS)
+        return leave_ms
+
     def _best(
-        self, prompt: model.Prompt, states: list[fleet.EndpointState]
-    ) -> Choice | None:
+        self,
+        req: requests.Request,
+        states: list[fleet.EndpointState],
+    ) -> choices.Choice | None:
         """Returns the engine with the lowest cost, if there is any."""
         if not states:
             return None
-        preferred = affinity.preferred(prompt, [s.id for s in states])
-        holder = self._find_holder(prompt, states)
+        prompt = req.prompt
+        preferred = affinity.preferred(
+            prompt, [s.id for s in states], PREFERRED_COUNT
+        )
+        estimate = self._make_estimator(req).estimate
+        bonus = PREFERENCE * _reading_ms(affinity.shared_tokens(prompt))
         found = None
         lowest_cost = math.inf
-        for state in states:
-            chosen = self._estimate(prompt, state, holder)
-            cost = chosen.wait_ms + _reading_cost(prompt, state)
-            if state.id == preferred:
-                shared = affinity.shared_tokens(prompt)
-                cost -= PREFERENCE * _reading_ms(shared)
+        for state in self._sample(prompt, states, preferred):
+            chosen = estimate(state)
+            cost = chosen.wait_ms + REREAD_WEIGHT * chosen.missing_ms
+            cost += READING_MS * chosen.reading_share
+            if state.id == preferred[0]:
+                cost -= bonus
             if cost < lowest_cost:
                 found, lowest_cost = chosen, cost
         return found
 
-    def _find_holder(
-        self, prompt: model.Prompt, states: list[fleet.EndpointState]
-    ) -> fleet.EndpointState | None:
-        """Returns the engine that keeps most of the prompt's parts."""
-        serving = self._fleet.candidates(states[0].endpoint.service)
-        found = max(serving, key=lambda s: s.cached.leading_tokens(prompt))
-        kept = found.cached.leading_tokens(prompt)
-        return found if kept >= MIN_FETCH_TOKENS else None
+    def _sample(
+        self,
+        prompt: model.Prompt,
+        states: list[fleet.EndpointState],
+        preferred: list[str],
+    ) -> list[fleet.EndpointState]:
+        """Returns the engines to compare, among them the best holder."""
+        if len(states) <= PREFERRED_COUNT + RANDOM_COUNT:
+            return states
+        holder = _find_holder(prompt, states)
+        found = {state.id: state for state in states if state.id in preferred}
+        found[holder.id] = holder
+        for state in self._rng.sample(states, RANDOM_COUNT):
+            found[state.id] = state
+        return list(found.values())
+
+    def _make_estimator(self, req: requests.Request) -> "_Estimator":
+        serving = self._fleet.candidates(req.service)
+        holder = _find_holder(req.prompt, serving)
+        if holder.cached.leading_tokens(req.prompt) < MIN_FETCH_TOKENS:
+            holder = None
+        return _Estimator(
+            req.prompt,
+            self._peers,
+            self._reading,
+            self._traits(req.service),
+            self._kinds.mean_tokens(req),
+            holder,
+        )
+
 
-    def _estimate(
+class _Estimator:
+    """Tells what one prompt may expect of each engine.
+
+    An engine runs a number of requests at once, and fewer if they are large:
+    when its memory is full, it interrupts them.
+    """
+
+    def __init__(
         self,
         prompt: model.Prompt,
-        state: fleet.EndpointState,
+        peers: peer_loads.PeerLoads,
+        reading: reading.ReadingMeter,
+        engine: model.EngineTraits | None,
+        mean_tokens: float,
         holder: fleet.EndpointState | None,
-    ) -> Choice:
+    ):
+        self._prompt = prompt
+        self._peers = peers
+        self._reading = reading
+        self._engine = engine
+        self._holder = holder
+        self._memory_room = math.inf
+        if engine is not None:
+            tokens = engine.kv_tokens * MEMORY_SHARE
+            self._memory_room = tokens / max(1.0, mean_tokens)
+
+    def estimate(self, state: fleet.EndpointState) -> choices.Choice:
         """Returns what to expect of an engine."""
         peers = self._peers.total(state.id)
-        fetch = self._plan_fetch(prompt, state, holder)
-        kept = state.cached.leading_tokens(prompt)
-        own_tokens = max(0, prompt.input_tokens - kept - fetch.tokens)
+        kept = state.cached.leading_tokens(self._prompt)
+        fetch = self._plan_fetch(state, kept)
+        missing = max(0, self._prompt.input_tokens - kept)
+        own_tokens = max(0, missing - fetch.tokens)
         ahead = state.prefill_tokens + peers.prefill_tokens
         running = state.in_flight + peers.in_flight
         wait_ms = (
@@ -185,36 +243,42 @@
             + fetch.took_ms
             + _reading_ms(ahead + own_tokens)
             + running * CROWDING_MS
+            + self._room_wait_ms(state, running)
         )
-        return Choice(
+        return choices.Choice(
             state,
             wait_ms=wait_ms,
             prefill_tokens=own_tokens,
+            missing_ms=_reading_ms(missing),
+            reading_share=self._reading.share(state.id),
             fetch_from=fetch.source,
         )
 
-    def _plan_fetch(
-        self,
-        prompt: model.Prompt,
-        state: fleet.EndpointState,
-        holder: fleet.EndpointState | None,
-    ) -> _Fetch:
+    def _room_wait_ms(self, state: fleet.EndpointState, running: int) -> float:
+        """Returns the wait until there is room for one more request."""
+        room = max(1.0, min(state.endpoint.slots, self._memory_room))
+        return max(0.0, running + 1 - room) * RUN_MS / room
+
+    def _plan_fetch(self, state: fleet.EndpointState, kept: int) -> _Fetch:
         """Returns what an engine can fetch from the one that keeps most."""
-        engine = self._traits(state.endpoint.service)
-        if holder in (None, state) or engine is None or not engine.link_mbps:
+        holder = self._holder
+        if holder is None or holder is state:
             return NO_FETCH
-        kept = state.cached.leading_tokens(prompt)
-        tokens = holder.cached.leading_tokens(prompt) - kept
+        if self._engine is None or not self._engine.link_mbps:
+            return NO_FETCH
+        tokens = holder.cached.leading_tokens(self._prompt) - kept
         if tokens < MIN_FETCH_TOKENS:
             return NO_FETCH
-        return _Fetch(tokens, engine.fetch_ms(tokens), holder.endpoint)
+        took_ms = self._engine.fetch_ms(tokens)
+        return _Fetch(tokens, took_ms, holder.endpoint)
 
 
-def _reading_ms(tokens: float) -> float:
-    return tokens / pools.PREFILL_TOKENS_PER_MS
+def _find_holder(
+    prompt: model.Prompt, states: list[fleet.EndpointState]
+) -> fleet.EndpointState:
+    """Returns the engine that keeps most of the prompt's parts."""
+    return max(states, key=lambda s: s.cached.leading_tokens(prompt))
 
 
-def _reading_cost(prompt: model.Prompt, state: fleet.EndpointState) -> float:
-    """Returns the cost of what the engine does not keep."""
-    missing = prompt.input_tokens - state.cached.leading_tokens(prompt)
-    return REREAD_WEIGHT * _reading_ms(missing)
+def _reading_ms(tokens: float) -> float:
+    return tokens / reading.TOKENS_PER_MS
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -3,16 +3,21 @@
 from collections.abc import Callable
 from collections.abc import Container
 import dataclasses
+import math
 
 from hornbeampier import clock as clocks
 from hornbeampier.routing import cached_parts
 from hornbeampier.routing import catalog
 from hornbeampier.routing import model
 from hornbeampier.routing import speed
+from hornbeampier.routing import table
 
 # Time for which an endpoint gets no requests after its first failure.
 FIRST_EJECTION_MS = 250.0
-MAX_EJECTION_MS = 4_000.0
+MAX_EJECTION_MS = 8_000.0
+# An endpoint that went down within this time is ejected for longer when it goes
+# down again, though it served requests in between.
+FORGIVE_MS = 10_000.0
 
 
 def _ignore(endpoint_id: str) -> None:
@@ -27,20 +32,24 @@
         in_flight: This VM's open requests there.
         prefill_tokens: Prompt tokens of this VM's requests that have no event
             yet.
-        failures: Failures since the last success.
+        failures: Failures that have not been forgiven.
+        failed_ms: When the last of them was seen.
         ejected_until_ms: Until when it gets no requests.
         cached: Prompt parts that it is believed to keep.
         speed: How fast it answered this VM.
+        rank: Place in the order in which engines join pools, in [0, 1).
         on_load: Called with its id when this VM's load there changes.
     """
 
     endpoint: model.Endpoint
     cached: cached_parts.CachedParts
     speed: speed.SpeedMeter
+    rank: float = 0.0
     on_load: Callable[[str], None] = _ignore
     in_flight: int = 0
     prefill_tokens: float = 0.0
     failures: int = 0
+    failed_ms: float = -math.inf
     ejected_until_ms: float = 0.0
 
     @property
@@ -52,14 +61,16 @@
         """Whether it may get requests: not leaving, not ejected."""
         return not self.endpoint.leaving and now_ms >= self.ejected_until_ms
 
-    def record_success(self) -> None:
+    def record_success(self, now_ms: float) -> None:
         """Notes a whole response."""
-        self.failures = 0
+        if now_ms - self.failed_ms >= FORGIVE_MS:
+            self.failures = 0
         self.ejected_until_ms = 0.0
 
     def record_failure(self, now_ms: float) -> None:
         """Ejects the endpoint, longer after each failure in a row."""
         self.failures += 1
+        self.failed_ms = now_ms
         out_ms = min(
             FIRST_EJECTION_MS * 2 ** (self.failures - 1), MAX_EJECTION_MS
         )
@@ -127,12 +138,7 @@
             if state and state.endpoint.incarnation == endpoint.incarnation:
                 state.endpoint = endpoint
             else:
-                state = EndpointState(
-                    endpoint,
-                    cached_parts.CachedParts(self._clock),
-                    speed.SpeedMeter(self._clock),
-                    self._changed.add,
-                )
+                state = self._start_state(endpoint, state)
             states[endpoint.id] = state
         self._states = states
         self._by_service = {}
@@ -142,6 +148,22 @@
         for group in self._by_service.values():
             group.sort(key=lambda state: state.id)
 
+    def _start_state(
+        self, endpoint: model.Endpoint, previous: EndpointState | None
+    ) -> EndpointState:
+        """Returns the state of a new incarnation, which keeps no requests."""
+        state = EndpointState(
+            endpoint,
+            cached_parts.CachedParts(self._clock),
+            speed.SpeedMeter(self._clock),
+            table.uniform(f"pool/{endpoint.id}"),
+            self._changed.add,
+        )
+        if previous is not None:
+            state.failures = previous.failures
+            state.failed_ms = previous.failed_ms
+        return state
+
     def serving(self, service: str) -> list[EndpointState]:
         """Returns the endpoints of a service that are not leaving."""
         return [
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -26,20 +26,16 @@
     prefill_tokens: float = 0.0
     answered: speed.Sample = speed.Sample()
 
-    def plus(self, other: "Load") -> "Load":
-        """Returns the sum of two loads."""
+    def with_change(self, old: "Load", new: "Load") -> "Load":
+        """Returns a sum after one of its parts has changed."""
+        answered, was, now = self.answered, old.answered, new.answered
         return Load(
-            self.in_flight + other.in_flight,
-            self.prefill_tokens + other.prefill_tokens,
-            self.answered.plus(other.answered),
-        )
-
-    def minus(self, other: "Load") -> "Load":
-        """Returns this load without a part of it."""
-        return Load(
-            self.in_flight - other.in_flight,
-            self.prefill_tokens - other.prefill_tokens,
-            self.answered.minus(other.answered),
+            self.in_flight + new.in_flight - old.in_flight,
+            self.prefill_tokens + new.prefill_tokens - old.prefill_tokens,
+            speed.Sample(
+                answered.measured_ms + now.measured_ms - was.measured_ms,
+                answered.expected_ms + now.expected_ms - was.expected_ms,
+            ),
         )
 
 
@@ -89,7 +85,8 @@
         self, known: dict[str, Load], endpoint_id: str, load: Load
     ) -> None:
         old = known.pop(endpoint_id, NO_LOAD)
-        total = self._totals.get(endpoint_id, NO_LOAD).plus(load).minus(old)
+        total = self._totals.get(endpoint_id, NO_LOAD)
+        total = total.with_change(old, load)
         if load != NO_LOAD:
             known[endpoint_id] = load
         if total == NO_LOAD:
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -1,9 +1,10 @@
-"""Keeps long prompts away from the engines that serve short ones.
+"""Keeps kinds of prompts that disturb each other on different engines.
 
 An engine reads prompts between the tokens of its running requests, so a long
-prompt delays every stream beside it. Each service's engines are split into a
-pool for short prompts and one for long prompts, in proportion to the work that
-the traffic of late brought.
+prompt delays every stream beside it and every prompt behind it. The engines of
+each service are split into a pool for each kind of prompt, by the work that the
+traffic of late brought. Short and interactive prompts need few engines and get
+them first; the other long prompts share the rest.
 """
 
 import dataclasses
@@ -13,96 +14,182 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier.routing import fleet
+from hornbeampier.routing import kinds
+from hornbeampier.routing import model
+from hornbeampier.routing import reading
 from hornbeampier.routing import requests
-from hornbeampier.routing import table
-
-# Routes with prompts up to this mean size count as short.
-SHORT_MEAN_TOKENS = 4_096
-# A longer prompt counts as long whatever its route.
-MAX_SHORT_TOKENS = 8_192
-# Weight of the newest prompt in a route's mean.
-MEAN_WEIGHT = 0.1
-# Work of a generated token, in prompt tokens.
-OUTPUT_TOKEN_WORK = 3.0
+
+# A step of an engine makes one token for each running request: time of a step,
+# and what each request adds to it.
+STEP_MS = 5.2
+STEP_MS_PER_REQUEST = 0.04
 # Time constant of the average over past work.
-MEMORY_MS = 6_000.0
-# Share of its time that an engine of the pool for short prompts may read.
-SHORT_UTILIZATION = 0.35
-# The same for the pool of long prompts.
-LONG_UTILIZATION = 0.35
-# Share of the engines for short prompts until both kinds were seen.
-INITIAL_SHORT_SHARE = 0.2
+MEMORY_MS = 3_000.0
+# Share of its time that an engine may work for short or interactive prompts, so
+# that they do not wait for each other.
+UTILIZATION = 0.5
+# Share of the engines that the two kinds may take together.
+MAX_SHARE = 0.75
+# Share of the engines that each of them gets until the traffic is known.
+INITIAL_SHARE = 0.2
 # Time after the first request for which that share stays.
 INITIAL_MS = 2_000.0
-# Prompt tokens that an engine reads in a millisecond.
-PREFILL_TOKENS_PER_MS = 50.0
-# Engines that the pool for short prompts must lack to grow, and have beyond its
-# need to shrink: an engine that changes pools is of no use to the prompts whose
-# parts it keeps.
-GROW_AT = 0.15
+# Engines that a pool must lack to grow, and have beyond its need for a while
+# to shrink: an engine that changes pools is of no use to prompts whose parts it
+# keeps.
+GROW_AT = 0.5
 SHRINK_AT = 1.1
+SHRINK_AFTER_MS = 4_000.0
+# A kind with less need than this shares the engines of the others.
+MIN_NEED = 0.1
+
+# Work by kind of prompt, in prompt tokens.
+Work = tuple[float, ...]
+NO_WORK: Work = (0.0,) * len(kinds.Kind)
 
 
-@dataclasses.dataclass
-class Work:
-    """Decaying sums of the work that arrived, in prompt tokens.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Split:
+    """The engines of a request's pool, and those it may move to."""
 
-    Attributes:
-        at_ms: When the sums were last decayed.
-        first_ms: When the first request arrived.
-    """
+    own: list[fleet.EndpointState]
+    others: list[fleet.EndpointState]
 
-    short: float = 0.0
-    long: float = 0.0
-    at_ms: float = 0.0
-    first_ms: float | None = None
 
-    def age_ms(self, now_ms: float) -> float:
-        """Returns the time since the first request."""
-        return 0.0 if self.first_ms is None else now_ms - self.first_ms
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sizes:
+    """Engines in the pools of short and interactive prompts."""
 
-    def decay(self, now_ms: float) -> None:
-        """Decays past work."""
-        factor = math.exp((self.at_ms - now_ms) / MEMORY_MS)
-        self.short *= factor
-        self.long *= factor
-        self.at_ms = now_ms
+    short: int
+    interactive: int
 
 
-class Pools:
-    """Splits the engines of each service by the length of prompts."""
+class WorkMeter:
+    """Decaying sums of the work that arrived for one service."""
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
-        self._work: dict[str, Work] = {}
+        self._sums = list(NO_WORK)
+        self._at_ms = clock.now()
+        self._first_ms: float | None = None
+
+    @property
+    def age_ms(self) -> float:
+        """Time since the first request; 0 before it."""
+        if self._first_ms is None:
+            return 0.0
+        return self._clock.now() - self._first_ms
+
+    def add(self, kind: kinds.Kind, tokens: float) -> None:
+        """Counts work."""
+        self._decay()
+        if self._first_ms is None:
+            self._first_ms = self._at_ms
+        self._sums[kind] += tokens
+
+    def sums(self) -> Work:
+        """Returns the sums by kind."""
+        self._decay()
+        return tuple(self._sums)
+
+    def _decay(self) -> None:
+        now_ms = self._clock.now()
+        factor = math.exp((self._at_ms - now_ms) / MEMORY_MS)
+        self._sums = [value * factor for value in self._sums]
+        self._at_ms = now_ms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerWork:
+    """Work by service that a peer told."""
+
+    at_ms: float
+    work: dict[str, Work]
+
+
+class PoolSize:
+    """The engines of one pool, which follow their need with hysteresis."""
+
+    def __init__(self, clock: clocks.Clock, engines: int):
+        self._clock = clock
+        self._needed_ms = clock.now()
+        self.engines = engines
+
+    def resize(self, wanted: float) -> bool:
+        """Follows the need; returns whether the size changed."""
+        now_ms = self._clock.now()
+        if wanted > max(MIN_NEED, self.engines - SHRINK_AT):
+            self._needed_ms = now_ms
+        is_missing = self.engines == 0 and wanted > MIN_NEED
+        is_small = is_missing or wanted > self.engines + GROW_AT
+        is_large = now_ms - self._needed_ms >= SHRINK_AFTER_MS
+        if not is_small and not (is_large and self.engines):
+            return False
+        fewest = 1 if wanted > MIN_NEED else 0
+        self.engines = max(fewest, math.ceil(wanted - GROW_AT))
+        self._needed_ms = now_ms
+        return True
+
+
+class _ServicePools:
+    """The pools of short and interactive prompts of one service."""
+
+    def __init__(self, clock: clocks.Clock, count: int):
+        initial = max(1, round(count * INITIAL_SHARE))
+        self.short = PoolSize(clock, initial)
+        self.interactive = PoolSize(clock, initial)
+
+    @property
+    def sizes(self) -> Sizes:
+        """The engines of both."""
+        return Sizes(self.short.engines, self.interactive.engines)
+
+    def resize(self, wanted: Work) -> bool:
+        """Follows the needs; returns whether a size changed."""
+        changed = [
+            self.short.resize(wanted[kinds.Kind.SHORT]),
+            self.interactive.resize(wanted[kinds.Kind.INTERACTIVE]),
+        ]
+        return any(changed)
+
+
+class Pools:
+    """Splits the engines of each service by the kind of prompt."""
+
+    def __init__(self, found_kinds: kinds.Kinds, clock: clocks.Clock):
+        self._clock = clock
+        self._kinds = found_kinds
+        self._work: dict[str, WorkMeter] = {}
         self._peers: dict[str, _PeerWork] = {}
-        self._mean_tokens: dict[str, float] = {}
-        self._sizes: dict[str, int] = {}
+        self._sizes: dict[str, _ServicePools] = {}
         self._log = structlog.get_logger(task="pools")
 
-    def record(self, req: requests.Request, prefill_tokens: float) -> None:
-        """Counts the work of a request that was sent to an engine."""
-        self._record_size(req)
-        work = self._work_of(req.service)
-        generated = OUTPUT_TOKEN_WORK * req.prompt.output_tokens
-        amount = prefill_tokens + generated
-        if work.first_ms is None:
-            work.first_ms = work.at_ms
-        if self.is_short(req):
-            work.short += amount
-        else:
-            work.long += amount
-
-    def own_work(self) -> dict[str, tuple[float, float]]:
-        """Returns short and long work of late by service."""
+    def record(
+        self, req: requests.Request, prefill_tokens: float, slots: int
+    ) -> None:
+        """Counts the work of a request that was sent to an engine.
+
+        Args:
+            req: The request.
+            prefill_tokens: Prompt tokens that the engine has to read.
+            slots: Requests that it runs at once.
+        """
+        self._kinds.record(req)
+        token_ms = STEP_MS / max(1, slots) + STEP_MS_PER_REQUEST
+        output_ms = token_ms * _expected_output(req.prompt)
+        self._meter(req.service).add(
+            self._kinds.kind_of(req),
+            prefill_tokens + output_ms * reading.TOKENS_PER_MS,
+        )
+
+    def own_work(self) -> dict[str, Work]:
+        """Returns the work of late by service."""
         return {
-            service: (round(work.short), round(work.long))
-            for service, work in self._work.items()
+            service: tuple(round(value) for value in meter.sums())
+            for service, meter in self._work.items()
         }
 
-    def record_peer(
-        self, vm: str, work: dict[str, tuple[float, float]]
-    ) -> None:
+    def record_peer(self, vm: str, work: dict[str, Work]) -> None:
         """Takes over the work that a peer saw."""
         now_ms = self._clock.now()
         self._peers[vm] = _PeerWork(now_ms, work)
@@ -112,84 +199,80 @@
 
     def split(
         self, req: requests.Request, states: list[fleet.EndpointState]
-    ) -> tuple[list[fleet.EndpointState], list[fleet.EndpointState]]:
-        """Returns the engines of the request's pool, and the others."""
-        size = self._short_size(req.service, len(states))
-        ranked = sorted(states, key=lambda s: table.uniform(f"pool/{s.id}"))
-        short, long = ranked[:size], ranked[size:]
-        return (short, long) if self.is_short(req) else (long, short)
-
-    def may_leave(self, req: requests.Request) -> bool:
-        """Whether the request may use the other pool when its own is full."""
-        return self.is_short(req)
-
-    def is_short(self, req: requests.Request) -> bool:
-        """Whether a prompt is of a kind that does not delay others."""
-        size = req.prompt.input_tokens
-        mean = self._mean_tokens.get(req.route.name, size)
-        return mean <= SHORT_MEAN_TOKENS and size <= MAX_SHORT_TOKENS
-
-    def _record_size(self, req: requests.Request) -> None:
-        size = req.prompt.input_tokens
-        mean = self._mean_tokens.get(req.route.name, size)
-        self._mean_tokens[req.route.name] = mean + MEAN_WEIGHT * (size - mean)
-
-    def _work_of(self, service: str) -> Work:
-        work = self._work.setdefault(service, Work())
-        work.decay(self._clock.now())
-        return work
-
-    def _short_size(self, service: str, count: int) -> int:
-        """Returns how many of `count` engines serve short prompts."""
-        if count < 2:
-            return 0
-        size = self._sizes.setdefault(
-            service, max(1, round(count * INITIAL_SHORT_SHARE))
-        )
-        wanted = self._wanted_size(service, count)
-        if wanted is None or size - SHRINK_AT < wanted <= size + GROW_AT:
-            return min(max(1, size), count - 1)
-        size = math.ceil(wanted - GROW_AT)
-        self._sizes[service] = size
-        self._log.info(
-            "pool_resized",
-            service=service,
-            short_endpoints=size,
-            endpoints=count,
-            wanted=round(wanted, 2),
-        )
-        return min(max(1, size), count - 1)
-
-    def _wanted_size(self, service: str, count: int) -> float | None:
-        """Returns the engines that short prompts need, once it is known."""
-        short, long = self._total_work(service)
-        age_ms = self._work_of(service).age_ms(self._clock.now())
-        if not short or not long or age_ms < INITIAL_MS:
-            return None
+    ) -> Split:
+        """Returns the engines of the request's pool and of the next ones.
+
+        Short prompts may move to all engines, long ones to those of the other
+        long prompts.
+        """
+        sizes = self._resize(req.service, len(states))
+        ranked = sorted(states, key=lambda state: state.rank)
+        end = len(ranked) - sizes.interactive
+        short = ranked[: sizes.short]
+        batch = ranked[sizes.short : end]
+        interactive = ranked[end:]
+        match self._kinds.kind_of(req):
+            case kinds.Kind.SHORT:
+                found = Split(short, interactive + batch)
+            case kinds.Kind.INTERACTIVE:
+                found = Split(interactive or batch, batch)
+            case _:
+                found = Split(batch, interactive)
+        return found if found.own else Split(states, [])
+
+    def _meter(self, service: str) -> WorkMeter:
+        if service not in self._work:
+            self._work[service] = WorkMeter(self._clock)
+        return self._work[service]
+
+    def _resize(self, service: str, count: int) -> Sizes:
+        """Returns the sizes of the pools of `count` engines."""
+        pools = self._sizes.get(service)
+        if pools is None:
+            pools = self._sizes[service] = _ServicePools(self._clock, count)
+        if self._meter(service).age_ms >= INITIAL_MS:
+            wanted = self._wanted(service)
+            if pools.resize(wanted):
+                self._log.info(
+                    "pools_resized",
+                    service=service,
+                    endpoints=count,
+                    short=pools.short.engines,
+                    interactive=pools.interactive.engines,
+                    wanted=[round(value, 2) for value in wanted],
+                )
+        return _bounded(pools.sizes, count)
+
+    def _wanted(self, service: str) -> Work:
+        """Returns the engines that each kind needs."""
         # The averages start at zero and reach the rate only with time.
+        age_ms = self._meter(service).age_ms
         span_ms = MEMORY_MS * (1.0 - math.exp(-age_ms / MEMORY_MS))
-        engine_work = span_ms * PREFILL_TOKENS_PER_MS
-        wanted = short / engine_work / SHORT_UTILIZATION
-        wanted_long = long / engine_work / LONG_UTILIZATION
-        # Scarce engines are shared in proportion.
-        return wanted * min(1.0, count / (wanted + wanted_long))
-
-    def _total_work(self, service: str) -> tuple[float, float]:
-        """Returns short and long work that all VMs saw."""
-        own = self._work_of(service)
-        short, long = own.short, own.long
+        engine_work = span_ms * reading.TOKENS_PER_MS * UTILIZATION
+        return tuple(work / engine_work for work in self._total_work(service))
+
+    def _total_work(self, service: str) -> Work:
+        """Returns the work that all VMs saw."""
+        told = [self._meter(service).sums()]
         oldest = self._clock.now() - MEMORY_MS
         for peer in self._peers.values():
             if peer.at_ms >= oldest:
-                more_short, more_long = peer.work.get(service, (0.0, 0.0))
-                short += more_short
-                long += more_long
-        return short, long
+                told.append(peer.work.get(service, NO_WORK))
+        return tuple(sum(values) for values in zip(*told, strict=True))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PeerWork:
-    """Short and long work by service that a peer told."""
+def _expected_output(prompt: model.Prompt) -> float:
+    """Returns the caller's estimate of the output, or half of the most."""
+    if prompt.expected_tokens is not None:
+        return min(prompt.expected_tokens, prompt.output_tokens)
+    return prompt.output_tokens / 2
 
-    at_ms: float
-    work: dict[str, tuple[float, float]]
+
+def _bounded(sizes: Sizes, count: int) -> Sizes:
+    """Returns sizes that leave some engines to the other long prompts."""
+    most = min(count - 1, math.ceil(count * MAX_SHARE))
+    total = sizes.short + sizes.interactive
+    if total <= most:
+        return sizes
+    short = min(sizes.short, math.ceil(most * sizes.short / total))
+    return Sizes(short, most - short)
--- a/hornbeampier/routing/speed.py
+++ b/hornbeampier/routing/speed.py
@@ -25,20 +25,6 @@
     measured_ms: float = 0.0
     expected_ms: float = 0.0
 
-    def plus(self, other: "Sample") -> "Sample":
-        """Returns the sum of two samples."""
-        return Sample(
-            self.measured_ms + other.measured_ms,
-            self.expected_ms + other.expected_ms,
-        )
-
-    def minus(self, other: "Sample") -> "Sample":
-        """Returns this sample without a part of it."""
-        return Sample(
-            self.measured_ms - other.measured_ms,
-            self.expected_ms - other.expected_ms,
-        )
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pending:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,8 +7,10 @@
 from hornbeampier.peers import gossip
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
+from hornbeampier.replication import readers
 from hornbeampier.routing import fleet
 from hornbeampier.routing import peer_loads
+from hornbeampier.routing import reading
 from hornbeampier.routing import speed
 from tests import routing_fakes as fakes
 
@@ -70,7 +72,10 @@
             nothing,
             nothing,
             nothing,
+            reading.ReadingMeter(self.clock),
             nothing,
+            readers.Readers("10.0.0.1", self.clock),
+            lambda: True,
         )
         self.gossip = gossip.Gossip(
             "10.0.0.1", 1, self.members, self.states, self.clock
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -11,6 +11,7 @@
 from hornbeampier.replication import entries
 from hornbeampier.replication import follower
 from hornbeampier.replication import messages
+from hornbeampier.replication import readers
 from hornbeampier.replication import replica
 from hornbeampier.routing import catalog
 from tests import nodes
@@ -94,19 +95,49 @@
 
 
 class TopicFollowerTest(testtools.TestCase):
-    def follow(self, *answers, vms=9):
+    def make(self, *answers, vms=9, is_needed=lambda: True):
         self.applier = RecordingApplier()
         self.source = FakeSource(*answers, KeyboardInterrupt())
-        found = replica.TopicReplica("t", self.applier)
-        task = follower.TopicFollower(
-            found,
+        self.replica = replica.TopicReplica("t", self.applier)
+        return follower.TopicFollower(
+            self.replica,
             self.source,
             clocks.ManualClock(),
             random.Random(1),
             lambda: vms,
+            is_needed,
         )
+
+    def follow(self, *answers, vms=9):
+        task = self.make(*answers, vms=vms)
         self.assertRaises(KeyboardInterrupt, task.run)
-        return found
+        return self.replica
+
+    def test_vm_that_is_not_needed_makes_no_calls(self):
+        snapshot = messages.Snapshot((record("a", 0),), 1)
+        task = self.make(snapshot, is_needed=lambda: False)
+        for _ in range(50):
+            task._step()
+        self.assertEqual([], self.source.waits_ms)
+        self.assertFalse(task.is_reading)
+
+    def test_vm_that_is_needed_again_goes_on_where_peers_told_it(self):
+        needed = iter([False, True])
+        snapshot = messages.Snapshot((record("a", 0),), 1)
+        late = messages.Batch((record("c", 9),), 10)
+        task = self.make(snapshot, late, is_needed=lambda: next(needed))
+        task._step()
+        task._step()
+        self.replica.apply_batch(messages.Batch((record("b", 8),), 9))
+        task._step()
+        self.assertEqual(10, self.replica.offset)
+        self.assertTrue(task.is_reading)
+
+    def test_vm_without_any_records_reads_them_itself(self):
+        snapshot = messages.Snapshot((record("a", 0),), 1)
+        task = self.make(snapshot, is_needed=lambda: False)
+        task._step()
+        self.assertEqual(1, self.replica.offset)
 
     def test_outage_is_told_once_it_is_over(self):
         found = self.follow(
@@ -140,6 +171,57 @@
         self.assertIn(("a", None), self.applier.applied)
 
 
+class ReadersTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clocks.ManualClock()
+        self.hosts = [f"10.0.0.{number}" for number in range(1, 91)]
+        self.readers = {
+            host: readers.Readers(host, self.clock) for host in self.hosts
+        }
+
+    def tell(self, reading, silent=()):
+        """Lets every VM hear from every other whether it reads."""
+        for host in self.hosts:
+            for peer in self.hosts:
+                if peer != host and peer not in silent:
+                    self.readers[host].note_peer(peer, peer in reading)
+
+    def needed(self):
+        return {h for h, found in self.readers.items() if found.is_needed()}
+
+    def settle(self, down=(), silent=()):
+        """Plays until the set of readers stays the same."""
+        reading = set(self.hosts)
+        for _ in range(len(self.hosts)):
+            self.clock.advance(500.0)
+            self.tell(reading - set(down), silent)
+            if self.needed() == reading:
+                break
+            reading = self.needed()
+        return reading - set(down)
+
+    def test_few_of_many_vms_read(self):
+        self.assertEqual(readers.READERS, len(self.settle()))
+
+    def test_vms_that_the_store_turns_away_are_replaced(self):
+        down = set(self.settle())
+        reading = self.settle(down=down)
+        self.assertEqual(readers.READERS, len(reading))
+        self.assertFalse(reading & down)
+
+    def test_silent_readers_are_replaced(self):
+        silent = self.settle()
+        self.clock.advance(readers.FRESH_MS + 1)
+        reading = self.settle(silent=silent) - silent
+        self.assertEqual(readers.READERS, len(reading))
+
+    def test_vm_that_hears_nobody_reads(self):
+        self.settle()
+        self.clock.advance(readers.FRESH_MS + 1)
+        self.assertEqual(set(self.hosts), self.needed())
+
+
 class EndpointEntriesTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -6,9 +6,11 @@
 
 from hornbeampier.routing import choice
 from hornbeampier.routing import fleet
+from hornbeampier.routing import kinds
 from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import pools
+from hornbeampier.routing import reading
 from hornbeampier.routing import speed
 from tests import routing_fakes as fakes
 
@@ -19,12 +21,17 @@
     def setUp(self):
         super().setUp()
         self.world = fakes.World(6)
-        self.pools = pools.Pools(self.world.clock)
+        self.kinds = kinds.Kinds()
+        self.pools = pools.Pools(self.kinds, self.world.clock)
+        self.reading = reading.ReadingMeter(self.world.clock)
         self.chooser = choice.EngineChooser(
             self.world.fleet,
             self.world.peers,
             self.pools,
+            self.kinds,
+            self.reading,
             self.traits,
+            random.Random(1),
         )
         self.link_mbps = 0.0
 
@@ -48,7 +55,10 @@
             self.world.fleet,
             self.world.peers,
             self.pools,
+            self.kinds,
+            self.reading,
             self.traits,
+            random.Random(1),
         )
         req = fakes.request(fakes.prompt(14_000, SHARED))
         self.assertEqual(
@@ -71,6 +81,23 @@
         self.assertEqual(first.state.id, second.fetch_from.id)
         self.assertEqual(4_000, second.prefill_tokens)
 
+    def test_engine_that_reads_less_is_preferred_to_an_equal_one(self):
+        patient = fakes.route("patient", target_ms=2_000.0)
+        req = fakes.request(fakes.prompt(14_000, SHARED), patient)
+        first = self.chooser.choose(req, ())
+        self.reading.record(first.state.id, 100_000.0)
+        self.assertNotEqual(
+            first.state.id, self.chooser.choose(req, ()).state.id
+        )
+
+    def test_engine_whose_memory_is_full_is_left(self):
+        first = self.choose(SHARED)
+        first.state.cached.record(fakes.prompt(14_000, SHARED))
+        # 60 of 64 slots are taken, and 14,000 tokens of each fill 400,000.
+        for _ in range(60):
+            fleet.AttemptLoad(first.state, None, 0.0)
+        self.assertNotEqual(first.state.id, self.choose(SHARED).state.id)
+
     def test_load_that_peers_tell_counts(self):
         first = self.choose(SHARED)
         load = peer_loads.Load(20, 400_000.0, speed.Sample())
@@ -104,6 +131,56 @@
         self.assertIsNone(self.choose(SHARED, tried=tried))
 
 
+class PoolChoiceTest(testtools.TestCase):
+    """Short, interactive and other long prompts at once."""
+
+    def setUp(self):
+        super().setUp()
+        self.world = fakes.World(9)
+        self.kinds = kinds.Kinds()
+        self.pools = pools.Pools(self.kinds, self.world.clock)
+        self.chooser = choice.EngineChooser(
+            self.world.fleet,
+            self.world.peers,
+            self.pools,
+            self.kinds,
+            reading.ReadingMeter(self.world.clock),
+            lambda service: None,
+            random.Random(1),
+        )
+        self.quick = fakes.route("quick", target_ms=600.0)
+        self.patient = fakes.route("patient", target_ms=2_000.0)
+
+    def send(self, route, tokens):
+        req = fakes.request(fakes.prompt(tokens), route)
+        chosen = self.chooser.choose(req, ())
+        fleet.AttemptLoad(chosen.state, None, chosen.prefill_tokens)
+        return chosen.state.id
+
+    def test_burst_of_long_prompts_leaves_interactive_ones_on_time(self):
+        for _ in range(60):
+            self.send(self.patient, 17_000)
+        req = fakes.request(fakes.prompt(9_000), self.quick)
+        self.assertLess(self.chooser.choose(req, ()).wait_ms, 600.0)
+
+    def test_interactive_prompts_use_idle_engines_of_long_ones(self):
+        used = {self.send(self.quick, 9_000) for _ in range(12)}
+        self.assertGreater(len(used), 2)
+
+    def test_long_prompt_uses_an_idle_interactive_engine_only_if_quick(self):
+        quick = {
+            state.id
+            for state in self.pools.split(
+                fakes.request(fakes.prompt(9_000), self.quick),
+                self.world.states,
+            ).own
+        }
+        for _ in range(60):
+            self.send(self.patient, 17_000)
+        self.assertFalse(self.send(self.patient, 17_000) in quick)
+        self.assertTrue(self.send(self.patient, 9_000) in quick)
+
+
 class LeastLoadedTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_routing_pools.py
+++ b/tests/test_routing_pools.py
@@ -1,86 +1,132 @@
-"""Long prompts beside short ones: which engines serve which."""
+"""Short, interactive and other long prompts: which engines serve which."""
 
 import testtools
 
+from hornbeampier.routing import kinds
 from hornbeampier.routing import pools
 from tests import routing_fakes as fakes
 
 SHORT = fakes.route("short")
-LONG = fakes.route("long")
+QUICK = fakes.route("quick", target_ms=600.0)
+LONG = fakes.route("long", target_ms=2_000.0)
 SECOND_MS = 1_000.0
+SLOTS = 64
 
 
 class PoolsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.world = fakes.World(9)
-        self.pools = pools.Pools(self.world.clock)
+        self.kinds = kinds.Kinds()
+        self.pools = pools.Pools(self.kinds, self.world.clock)
 
-    def play(self, seconds, short_per_s, long_per_s, long_tokens=5_000):
-        """Sends short prompts of 1,400 tokens and long ones of 17,000."""
+    def play(
+        self, seconds, short_per_s, long_per_s, long_tokens=5_000, quick=0
+    ):
+        """Sends prompts of 1,400, 9,000 and 17,000 tokens."""
         for _ in range(seconds):
-            for _ in range(short_per_s):
-                req = fakes.request(fakes.prompt(1_400), SHORT)
-                self.pools.record(req, 1_400)
-            for _ in range(long_per_s):
-                req = fakes.request(fakes.prompt(17_000), LONG)
-                self.pools.record(req, long_tokens)
+            self.send(short_per_s, SHORT, 1_400, 1_400)
+            self.send(quick, QUICK, 9_000, 5_000)
+            self.send(long_per_s, LONG, 17_000, long_tokens)
             self.world.clock.advance(SECOND_MS)
             self.short_engines()
 
+    def send(self, count, route, tokens, prefill_tokens):
+        for _ in range(count):
+            req = fakes.request(fakes.prompt(tokens), route)
+            self.pools.record(req, prefill_tokens, SLOTS)
+
+    def engines(self, route, tokens):
+        req = fakes.request(fakes.prompt(tokens), route)
+        found = self.pools.split(req, self.world.states)
+        return [state.id for state in found.own]
+
     def short_engines(self):
-        req = fakes.request(fakes.prompt(1_400), SHORT)
-        own, _ = self.pools.split(req, self.world.states)
-        return [state.id for state in own]
+        return self.engines(SHORT, 1_400)
+
+    def quick_engines(self):
+        return self.engines(QUICK, 9_000)
+
+    def long_engines(self):
+        return self.engines(LONG, 17_000)
 
     def test_pools_are_disjoint_and_cover_all_engines(self):
-        self.play(10, 10, 8)
-        short, others = self.pools.split(
-            fakes.request(fakes.prompt(1_400), SHORT), self.world.states
-        )
-        long, _ = self.pools.split(
-            fakes.request(fakes.prompt(17_000), LONG), self.world.states
-        )
-        self.assertEqual([s.id for s in others], [s.id for s in long])
-        self.assertEqual(9, len(short) + len(long))
-
-    def test_burst_of_short_prompts_gets_more_engines(self):
+        self.play(10, 10, 8, quick=4)
+        found = [
+            *self.short_engines(),
+            *self.quick_engines(),
+            *self.long_engines(),
+        ]
+        self.assertEqual(9, len(found))
+        self.assertEqual(9, len(set(found)))
+
+    def test_burst_of_short_prompts_gets_more_engines_within_two_seconds(self):
         self.play(20, 10, 8)
         calm = len(self.short_engines())
-        self.play(6, 40, 8)
+        self.play(2, 60, 8)
         self.assertGreater(len(self.short_engines()), calm)
 
     def test_pool_keeps_its_engines_when_it_grows(self):
         self.play(20, 10, 8)
         calm = set(self.short_engines())
-        self.play(6, 40, 8)
+        self.play(6, 60, 8)
         self.assertTrue(calm <= set(self.short_engines()))
 
-    def test_scarce_engines_are_shared(self):
-        self.play(20, 100, 100, long_tokens=17_000)
-        self.assertIn(len(self.short_engines()), range(1, 9))
+    def test_pool_that_grew_shrinks_late_and_then_does(self):
+        self.play(20, 10, 8)
+        calm = len(self.short_engines())
+        self.play(6, 60, 8)
+        grown = len(self.short_engines())
+        self.play(2, 10, 8)
+        self.assertEqual(grown, len(self.short_engines()))
+        self.play(20, 10, 8)
+        self.assertEqual(calm, len(self.short_engines()))
+
+    def test_overload_of_long_prompts_takes_no_engine_from_short_ones(self):
+        self.play(20, 20, 8)
+        calm = self.short_engines()
+        self.play(20, 20, 60, long_tokens=17_000)
+        self.assertEqual(calm, self.short_engines())
+
+    def test_long_prompts_keep_engines_when_short_ones_overload_all(self):
+        self.play(20, 400, 8, quick=40)
+        self.assertGreaterEqual(len(self.long_engines()), 2)
+
+    def test_interactive_prompts_share_no_engine_with_other_long_ones(self):
+        self.play(10, 10, 8, quick=4)
+        self.assertNotEqual([], self.quick_engines())
+        self.assertFalse(set(self.quick_engines()) & set(self.long_engines()))
+
+    def test_kind_that_nobody_sends_keeps_no_engine(self):
+        self.play(20, 0, 8)
+        self.assertEqual(9, len(self.long_engines()))
 
     def test_a_long_prompt_of_a_short_route_stays_in_its_pool(self):
         self.play(20, 10, 8)
-        outlier = fakes.request(fakes.prompt(3_500), SHORT)
-        own, _ = self.pools.split(outlier, self.world.states)
-        self.assertEqual(self.short_engines(), [s.id for s in own])
+        self.assertEqual(self.short_engines(), self.engines(SHORT, 3_500))
 
     def test_a_huge_prompt_never_joins_the_short_ones(self):
         self.play(20, 10, 8)
         huge = fakes.request(fakes.prompt(30_000), SHORT)
-        self.assertFalse(self.pools.is_short(huge))
+        self.assertNotEqual(kinds.Kind.SHORT, self.kinds.kind_of(huge))
+
+    def test_short_prompts_may_move_anywhere_and_long_ones_not_to_them(self):
+        self.play(10, 10, 8, quick=4)
+        req = fakes.request(fakes.prompt(17_000), LONG)
+        found = self.pools.split(req, self.world.states)
+        others = {state.id for state in found.others}
+        self.assertEqual(set(self.quick_engines()), others)
 
     def test_work_that_peers_saw_counts(self):
         self.play(20, 2, 2)
         alone = len(self.short_engines())
         own = self.pools.own_work()
-        for number in range(10):
+        for number in range(40):
             self.pools.record_peer(f"vm-{number}", own)
         self.assertGreater(len(self.short_engines()), alone)
 
     def test_one_engine_serves_all(self):
         self.play(5, 10, 8)
         req = fakes.request(fakes.prompt(1_400), SHORT)
-        own, others = self.pools.split(req, self.world.states[:1])
-        self.assertEqual(1, len(own) + len(others))
+        found = self.pools.split(req, self.world.states[:1])
+        self.assertEqual(1, len(found.own))
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -65,9 +65,32 @@
         for _ in range(20):
             state.record_failure(0.0)
         self.assertEqual(fleet.MAX_EJECTION_MS, state.ejected_until_ms)
-        state.record_success()
+        state.record_success(0.0)
         self.assertTrue(state.is_open(0.0))
 
+    def test_endpoint_that_goes_down_by_turns_is_ejected_for_longer(self):
+        world = fakes.World(1)
+        state = world.states[0]
+        for _ in range(4):
+            state.record_failure(world.clock.now())
+            world.clock.advance(1_500.0)
+            state.record_success(world.clock.now())
+        state.record_failure(world.clock.now())
+        self.assertGreater(state.ejected_until_ms - state.failed_ms, 2_000.0)
+
+    def test_endpoint_that_starts_again_keeps_its_failures(self):
+        world = fakes.World(1)
+        world.states[0].record_failure(0.0)
+        world.catalog.apply_endpoint(fakes.endpoint("e0", started_ms=2))
+        self.assertEqual(1, world.states[0].failures)
+
+    def test_old_failures_are_forgiven(self):
+        world = fakes.World(1)
+        state = world.states[0]
+        state.record_failure(0.0)
+        state.record_success(fleet.FORGIVE_MS)
+        self.assertEqual(0, state.failures)
+
 
 class RetryBudgetTest(testtools.TestCase):
     def make(self, vms):
