Rank requests by the tiers of account and route; share out idle engines

Ruled out: the link (as often on nodes with 200 Mbit/s) and batch prompts that visit. Change 2: pools share out idle engines in proportion, and give them back at once when engines are scarce.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -110,6 +110,7 @@
             "routed",
             endpoint=chosen.state.id,
             route=self._req.route.name,
+            urgency=self._req.urgency,
             attempt=self._attempts + 1,
             wait_ms=round(chosen.wait_ms),
             prefill_tokens=round(chosen.prefill_tokens),
--- a/hornbeampier/ingress/admission.py
+++ b/hornbeampier/ingress/admission.py
@@ -10,6 +10,7 @@
 from hornbeampier.routing import model
 from hornbeampier.routing import requests
 from hornbeampier.routing import table
+from hornbeampier.routing import urgency
 
 NOT_READY_RETRY_MS = 500.0
 FINGERPRINT_BYTES = 16
@@ -46,7 +47,15 @@
             )
         caller = headers.decode_caller(head)
         account = _find_account(cfg, route, caller.key)
-        return AcceptedHead(head, arrived_ms, cfg, route, caller, account)
+        return AcceptedHead(
+            head,
+            arrived_ms,
+            cfg,
+            self._catalog.urgency_ranks,
+            route,
+            caller,
+            account,
+        )
 
 
 class AcceptedHead:
@@ -57,6 +66,7 @@
         head: messages.RequestHead,
         arrived_ms: float,
         cfg: model.Configuration,
+        ranks: urgency.UrgencyRanks,
         route: model.Route,
         caller: headers.CallerHeaders,
         account: model.ClientAccount | None,
@@ -64,6 +74,7 @@
         self._head = head
         self._arrived_ms = arrived_ms
         self._cfg = cfg
+        self._ranks = ranks
         self._route = route
         self._caller = caller
         self._account = account
@@ -95,6 +106,9 @@
             deadline_ms=self._arrived_ms + wait_ms,
             fingerprint=_fingerprint(self._head, self._account, body),
             prompt=self._prompt(service),
+            urgency=self._ranks.rank(
+                self._account, self._route, headers.URGENCY_RANKS
+            ),
         )
 
     def _prompt(self, service: str) -> model.Prompt | None:
--- a/hornbeampier/ingress/listener.py
+++ b/hornbeampier/ingress/listener.py
@@ -20,6 +20,8 @@
 BACKLOG = 1_024
 # How long a caller may go on sending after it was refused.
 LINGER_MS = 500.0
+# How long connections may take to end when the process stops.
+STOP_TIMEOUT_MS = 200.0
 MAX_ACCEPT_ROUNDS = 50
 ACCEPT_ROUND_MS = 2.0
 
@@ -98,7 +100,9 @@
         """Closes the listener and ends the remaining connections."""
         if self._server is not None:
             self._server.close()
-        self._pool.kill(block=True, timeout=1)
+        self._pool.kill(
+            block=True, timeout=STOP_TIMEOUT_MS / clocks.MS_PER_SECOND
+        )
 
     def _serve(self, sock: socket.socket, address) -> None:
         limits = self._handler.limits()
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -199,6 +199,7 @@
             self._pools,
             self._kinds,
             self._reading,
+            wait_limit,
             self.catalog.engine_traits,
             self._env.rng,
         )
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -10,7 +10,8 @@
 from hornbeampier.routing import requests
 
 KEY_SCHEME = b"token"
-MAX_URGENCY = 9
+# Engines tell so many ranks of urgency apart, from 0 on.
+URGENCY_RANKS = 10
 # Request headers that this program writes itself or answers by itself.
 _REWRITTEN = frozenset({b"host", b"content-length", b"expect", *names.RESERVED})
 # Headers that `Connection` must not make hop-by-hop.
@@ -106,8 +107,7 @@
     if req.account is not None:
         headers.append((names.ACCOUNT, req.account.name.encode()))
     if req.prompt is not None:
-        urgency = min(max(0, req.tier), MAX_URGENCY)
-        headers.append((names.URGENCY, b"%d" % urgency))
+        headers.append((names.URGENCY, b"%d" % req.urgency))
     if fetch_from is not None:
         source = f"{fetch_from.host}:{fetch_from.port}"
         headers.append((names.KV_FETCH, source.encode()))
--- a/hornbeampier/routing/catalog.py
+++ b/hornbeampier/routing/catalog.py
@@ -6,6 +6,7 @@
 
 from hornbeampier.routing import model
 from hornbeampier.routing import table
+from hornbeampier.routing import urgency
 
 
 class Catalog:
@@ -14,6 +15,7 @@
     def __init__(self):
         self.cfg: model.Configuration | None = None
         self.table = table.RouteTable(())
+        self.urgency_ranks: urgency.UrgencyRanks | None = None
         self.endpoints: dict[str, model.Endpoint] = {}
         self._watchers: list[Callable[[], None]] = []
         self._log = structlog.get_logger(task="catalog")
@@ -38,6 +40,7 @@
             return
         previous = self.version
         self.table = table.RouteTable(cfg.routes)
+        self.urgency_ranks = urgency.UrgencyRanks(cfg)
         self.cfg = cfg
         self._log.info(
             "configuration_applied", version=cfg.version, previous=previous
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -12,6 +12,7 @@
 from hornbeampier.routing import fleet
 from hornbeampier.routing import kinds
 from hornbeampier.routing import model
+from hornbeampier.routing import overload
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import pools
 from hornbeampier.routing import reading
@@ -28,7 +29,7 @@
 # Fewer cached tokens are not worth a transfer between engines.
 MIN_FETCH_TOKENS = 1_000
 # Part of an engine's memory that running requests may take from cached parts.
-MEMORY_SHARE = 0.5
+MEMORY_SHARE = 0.8
 # Engines that are compared: those preferred for a prompt's parts, and some at
 # random. VMs that all compared all engines would choose the same one at once.
 PREFERRED_COUNT = 2
@@ -46,8 +47,11 @@
 POOL_WAIT_SHARE = 0.4
 # How many times shorter the wait in the other pool has to be.
 LEAVE_FACTOR = 2.0
-# Wait that a prompt of the least urgent kind may bring to an engine of another.
+# What a batch prompt may find and bring at an engine of another pool: its wait,
+# two chunks to read, and the part of its time that the engine reads already.
 MAX_GUEST_WAIT_MS = 300.0
+MAX_GUEST_TOKENS = 4_096
+MAX_GUEST_READING_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +116,7 @@
         pools: pools.Pools,
         found_kinds: kinds.Kinds,
         reading: reading.ReadingMeter,
+        wait_limit: overload.WaitLimit,
         traits: Callable[[str], model.EngineTraits | None],
         rng: random.Random,
     ):
@@ -120,6 +125,7 @@
         self._pools = pools
         self._kinds = found_kinds
         self._reading = reading
+        self._wait_limit = wait_limit
         self._traits = traits
         self._rng = rng
 
@@ -132,19 +138,31 @@
             return None
         split = self._pools.split(req, found)
         best = self._best(req, split.own)
-        if best.wait_ms <= req.route.target_ms * POOL_WAIT_SHARE:
+        is_late = best.wait_ms > req.route.target_ms * POOL_WAIT_SHARE
+        if not is_late and self._wait_limit.accepts(req, best):
             return best
         elsewhere = self._best(req, split.others)
-        if elsewhere and elsewhere.wait_ms < self._leave_ms(req, best):
+        if elsewhere and self._may_move(req, best, elsewhere):
             return elsewhere
         return best
 
-    def _leave_ms(self, req: requests.Request, best: choices.Choice) -> float:
-        """Returns the wait in another pool below which a prompt moves there."""
-        leave_ms = best.wait_ms / LEAVE_FACTOR
-        if self._kinds.kind_of(req) is kinds.Kind.BATCH:
-            return min(leave_ms, MAX_GUEST_WAIT_MS)
-        return leave_ms
+    def _may_move(
+        self,
+        req: requests.Request,
+        best: choices.Choice,
+        elsewhere: choices.Choice,
+    ) -> bool:
+        """Whether a prompt goes to an engine of another pool.
+
+        A batch prompt does so only where it disturbs the others little.
+        """
+        if self._kinds.kind_of(req) is not kinds.Kind.BATCH:
+            return elsewhere.wait_ms < best.wait_ms / LEAVE_FACTOR
+        return (
+            elsewhere.wait_ms <= MAX_GUEST_WAIT_MS
+            and elsewhere.prefill_tokens <= MAX_GUEST_TOKENS
+            and elsewhere.reading_share <= MAX_GUEST_READING_SHARE
+        )
 
     def _best(
         self,
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -27,7 +27,7 @@
 MEMORY_MS = 3_000.0
 # Share of its time that an engine may work for short or interactive prompts, so
 # that they do not wait for each other.
-UTILIZATION = 0.5
+UTILIZATION = 0.65
 # Share of the engines that the two kinds may take together.
 MAX_SHARE = 0.75
 # Share of the engines that each of them gets until the traffic is known.
@@ -115,14 +115,20 @@
         self._needed_ms = clock.now()
         self.engines = engines
 
-    def resize(self, wanted: float) -> bool:
-        """Follows the need; returns whether the size changed."""
+    def resize(self, wanted: float, is_scarce: bool) -> bool:
+        """Follows the need; returns whether the size changed.
+
+        Args:
+            wanted: Engines that the pool is to have.
+            is_scarce: Whether other pools lack what it does not need.
+        """
         now_ms = self._clock.now()
         if wanted > max(MIN_NEED, self.engines - SHRINK_AT):
             self._needed_ms = now_ms
         is_missing = self.engines == 0 and wanted > MIN_NEED
         is_small = is_missing or wanted > self.engines + GROW_AT
-        is_large = now_ms - self._needed_ms >= SHRINK_AFTER_MS
+        idle_ms = now_ms - self._needed_ms
+        is_large = idle_ms >= SHRINK_AFTER_MS or (is_scarce and idle_ms > 0)
         if not is_small and not (is_large and self.engines):
             return False
         fewest = 1 if wanted > MIN_NEED else 0
@@ -144,11 +150,12 @@
         """The engines of both."""
         return Sizes(self.short.engines, self.interactive.engines)
 
-    def resize(self, wanted: Work) -> bool:
+    def resize(self, wanted: Work, count: int) -> bool:
         """Follows the needs; returns whether a size changed."""
+        is_scarce = sum(wanted) > count + GROW_AT
         changed = [
-            self.short.resize(wanted[kinds.Kind.SHORT]),
-            self.interactive.resize(wanted[kinds.Kind.INTERACTIVE]),
+            self.short.resize(wanted[kinds.Kind.SHORT], is_scarce),
+            self.interactive.resize(wanted[kinds.Kind.INTERACTIVE], is_scarce),
         ]
         return any(changed)
 
@@ -202,8 +209,7 @@
     ) -> Split:
         """Returns the engines of the request's pool and of the next ones.
 
-        Short prompts may move to all engines, long ones to those of the other
-        long prompts.
+        Interactive prompts never move to the engines of short ones.
         """
         sizes = self._resize(req.service, len(states))
         ranked = sorted(states, key=lambda state: state.rank)
@@ -217,7 +223,7 @@
             case kinds.Kind.INTERACTIVE:
                 found = Split(interactive or batch, batch)
             case _:
-                found = Split(batch, interactive)
+                found = Split(batch, interactive + short)
         return found if found.own else Split(states, [])
 
     def _meter(self, service: str) -> WorkMeter:
@@ -231,8 +237,8 @@
         if pools is None:
             pools = self._sizes[service] = _ServicePools(self._clock, count)
         if self._meter(service).age_ms >= INITIAL_MS:
-            wanted = self._wanted(service)
-            if pools.resize(wanted):
+            wanted = self._wanted(service, count)
+            if pools.resize(wanted, count):
                 self._log.info(
                     "pools_resized",
                     service=service,
@@ -243,13 +249,19 @@
                 )
         return _bounded(pools.sizes, count)
 
-    def _wanted(self, service: str) -> Work:
-        """Returns the engines that each kind needs."""
+    def _wanted(self, service: str, count: int) -> Work:
+        """Returns the engines that each kind is to have.
+
+        Idle engines are shared out in proportion: prompts that follow each
+        other delay streams even where an engine has time for all of them.
+        """
         # The averages start at zero and reach the rate only with time.
         age_ms = self._meter(service).age_ms
         span_ms = MEMORY_MS * (1.0 - math.exp(-age_ms / MEMORY_MS))
         engine_work = span_ms * reading.TOKENS_PER_MS * UTILIZATION
-        return tuple(work / engine_work for work in self._total_work(service))
+        needs = [work / engine_work for work in self._total_work(service)]
+        scale = max(1.0, count / max(MIN_NEED, sum(needs)))
+        return tuple(need * scale for need in needs)
 
     def _total_work(self, service: str) -> Work:
         """Returns the work that all VMs saw."""
--- a/hornbeampier/routing/requests.py
+++ b/hornbeampier/routing/requests.py
@@ -17,6 +17,7 @@
         deadline_ms: When its final answer is due, on the monotonic clock.
         fingerprint: Digest that is equal for repeats of the request.
         prompt: Set for generations.
+        urgency: Rank among all requests; 0 is the most urgent.
     """
 
     id: str
@@ -32,10 +33,4 @@
     deadline_ms: float
     fingerprint: str
     prompt: model.Prompt | None
-
-    @property
-    def tier(self) -> int:
-        """Rank of the request; 0 is the most urgent."""
-        if self.account is not None and self.account.tier is not None:
-            return self.account.tier
-        return self.route.tier
+    urgency: int
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -69,6 +69,7 @@
         "deadline_ms": 10_000.0,
         "fingerprint": "f",
         "prompt": prompt,
+        "urgency": 0,
     }
     return requests.Request(**{**fields, **more})
 
