Send datagrams in groups; keep batch prompts off the engines of short ones

Now five datagrams every 25 ms, no parts below 1,000 tokens, at most 20 whole states a second, a heartbeat. Guests are taken by interactive engines only; the average is over 5 s; idle engines are shared out up to 1.3 times the need.

--- a/hornbeampier/peers/exchange.py
+++ b/hornbeampier/peers/exchange.py
@@ -105,6 +105,7 @@
             is_reading=self._is_reading(),
             offsets=news.offsets,
             loads=self._changed_loads(news),
+            work=self._pools.own_work(),
             sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=news.crashes,
@@ -136,7 +137,7 @@
             self._peer_loads.update(state.vm, loads)
         else:
             self._peer_loads.record(state.vm, loads)
-            self._pools.record_peer(state.vm, state.work)
+        self._pools.record_peer(state.vm, state.work)
         for endpoint_id, tokens in state.sent_tokens.items():
             self._reading.record_peer(endpoint_id, tokens)
         for crash in state.crashes:
--- a/hornbeampier/peers/gossip.py
+++ b/hornbeampier/peers/gossip.py
@@ -1,5 +1,6 @@
 """Sends this VM's state to its peers and takes in theirs."""
 
+import dataclasses
 import math
 
 import gevent
@@ -13,18 +14,27 @@
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
 
-# Shortest time between two rounds of datagrams.
-MIN_INTERVAL_MS = 25.0
+# Time between two groups of datagrams, and how many a group has: a round to all
+# peers at once would fill a slow link and delay the streams on it.
+GROUP_INTERVAL_MS = 25.0
+GROUP_SIZE = 5
+# Time after which peers are told something, changed or not.
+HEARTBEAT_MS = 1_000.0
 # Time after which a peer is told the whole state again.
 WHOLE_INTERVAL_MS = 500.0
-# Datagrams that a VM sends in a second at the most, and whole states of them.
-MAX_SENT_PER_S = 200.0
-MAX_WHOLE_PER_S = 50.0
-# Whole states in one round, so that they never fill a slow link.
-MIN_WHOLE_PER_ROUND = 2
+# Whole states that a VM sends in a second at the most.
+MAX_WHOLE_PER_S = 20.0
 MAX_DATAGRAM_BYTES = 60_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Datagram:
+    """An encoded state and the host that gets it."""
+
+    host: str
+    data: bytes
+
+
 class Gossip(application.BaseComponent):
     """Exchanges datagrams with all peers.
 
@@ -47,6 +57,7 @@
         self._clock = clock
         self._sequence = 0
         self._newest: dict[str, tuple[int, int]] = {}
+        self._told_ms = -math.inf
         self._told_whole_ms: dict[str, float] = {}
         self._sock: socket.socket | None = None
         self._tasks: list[gevent.Greenlet] = []
@@ -70,48 +81,55 @@
     def _send(self) -> None:
         while True:
             hosts = self._members.targets()
-            interval_ms = max(
-                MIN_INTERVAL_MS,
-                len(hosts) / MAX_SENT_PER_S * clocks.MS_PER_SECOND,
-            )
-            self._send_round(hosts, interval_ms)
-            self._clock.sleep(interval_ms)
-
-    def _send_round(self, hosts: list[str], interval_ms: float) -> None:
+            for group in self._make_round(hosts):
+                self._send_group(group)
+                self._clock.sleep(GROUP_INTERVAL_MS)
+            if not hosts:
+                self._clock.sleep(GROUP_INTERVAL_MS)
+
+    def _make_round(self, hosts: list[str]) -> list[list[_Datagram]]:
+        """Returns what the hosts are told next, in groups."""
+        count = math.ceil(len(hosts) / GROUP_SIZE)
         news = self._states.collect()
-        due = self._due_for_whole(hosts, interval_ms)
-        if news.is_empty and not due:
-            return
+        due = self._due_for_whole(hosts, count * GROUP_INTERVAL_MS)
+        now_ms = self._clock.now()
+        is_silent = now_ms - self._told_ms >= HEARTBEAT_MS
+        if news.is_empty and not due and not is_silent:
+            return [[]] * count
         self._sequence += 1
+        datagrams = []
         if due:
             members = tuple(self._members.alive())
             whole = self._states.make_whole(self._sequence, news, members)
-            self._send_to(due, whole)
-        if not news.is_empty:
+            data = messages.encode(whole)
+            datagrams += [_Datagram(host, data) for host in due]
+        if is_silent or not news.is_empty:
+            self._told_ms = now_ms
             partial = self._states.make_partial(self._sequence, news)
-            self._send_to([h for h in hosts if h not in due], partial)
+            data = messages.encode(partial)
+            datagrams += [_Datagram(h, data) for h in hosts if h not in due]
+        return [datagrams[start::count] for start in range(count)]
 
-    def _due_for_whole(self, hosts: list[str], interval_ms: float) -> list[str]:
+    def _due_for_whole(self, hosts: list[str], round_ms: float) -> list[str]:
         """Returns the hosts that get the whole state in this round."""
         now_ms = self._clock.now()
         told_ms = {h: self._told_whole_ms.get(h, -math.inf) for h in hosts}
         due = [h for h in hosts if now_ms - told_ms[h] >= WHOLE_INTERVAL_MS]
         due.sort(key=told_ms.get)
-        per_round = MAX_WHOLE_PER_S * interval_ms / clocks.MS_PER_SECOND
-        due = due[: max(MIN_WHOLE_PER_ROUND, round(per_round))]
+        per_round = MAX_WHOLE_PER_S * round_ms / clocks.MS_PER_SECOND
+        due = due[: math.ceil(per_round)]
         self._told_whole_ms = {**told_ms, **dict.fromkeys(due, now_ms)}
         return due
 
-    def _send_to(self, hosts: list[str], state: messages.State) -> None:
-        data = messages.encode(state)
-        for host in hosts:
-            self._send_datagram(host, data)
+    def _send_group(self, datagrams: list[_Datagram]) -> None:
+        for datagram in datagrams:
+            self._send_datagram(datagram)
 
-    def _send_datagram(self, host: str, data: bytes) -> None:
+    def _send_datagram(self, datagram: _Datagram) -> None:
         try:
-            self._sock.sendto(data, (host, self._port))
+            self._sock.sendto(datagram.data, (datagram.host, self._port))
         except OSError as exc:
-            self._log.debug("datagram_lost", peer=host, error=str(exc))
+            self._log.debug("datagram_lost", peer=datagram.host, error=str(exc))
 
     def _receive(self) -> None:
         while True:
--- a/hornbeampier/routing/cached_parts.py
+++ b/hornbeampier/routing/cached_parts.py
@@ -10,6 +10,8 @@
 DEFAULT_CAPACITY_TOKENS = 250_000
 # Peers are told of a use unless they know of one as young as this.
 TELL_AGAIN_MS = 3_000.0
+# Parts that are smaller are quickly read; peers are not told of them.
+MIN_TOLD_TOKENS = 1_000
 
 
 class CachedParts:
@@ -44,6 +46,8 @@
         now_ms = self._clock.now()
         untold = []
         for part in prompt.shared_parts:
+            if part.tokens < MIN_TOLD_TOKENS:
+                continue
             told_ms = self._told_ms.get(part.id)
             if told_ms is None or now_ms - told_ms > TELL_AGAIN_MS:
                 self._told_ms[part.id] = now_ms
--- a/hornbeampier/routing/choice.py
+++ b/hornbeampier/routing/choice.py
@@ -47,8 +47,8 @@
 POOL_WAIT_SHARE = 0.4
 # How many times shorter the wait in the other pool has to be.
 LEAVE_FACTOR = 2.0
-# What a batch prompt may find and bring at an engine of another pool: its wait,
-# two chunks to read, and the part of its time that the engine reads already.
+# What a batch prompt may find and bring at an interactive engine: its wait, two
+# chunks to read, and the part of its time that the engine reads already.
 MAX_GUEST_WAIT_MS = 300.0
 MAX_GUEST_TOKENS = 4_096
 MAX_GUEST_READING_SHARE = 0.5
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -23,11 +23,16 @@
 # and what each request adds to it.
 STEP_MS = 5.2
 STEP_MS_PER_REQUEST = 0.04
+# How much more than they need pools get at the most.
+MAX_IDLE_SCALE = 1.3
 # Time constant of the average over past work.
-MEMORY_MS = 3_000.0
-# Share of its time that an engine may work for short or interactive prompts, so
-# that they do not wait for each other.
-UTILIZATION = 0.65
+MEMORY_MS = 5_000.0
+# Share of its time that an engine may work for each kind.
+UTILIZATION = {
+    kinds.Kind.SHORT: 0.6,
+    kinds.Kind.INTERACTIVE: 0.65,
+    kinds.Kind.BATCH: 0.65,
+}
 # Share of the engines that the two kinds may take together.
 MAX_SHARE = 0.75
 # Share of the engines that each of them gets until the traffic is known.
@@ -209,7 +214,7 @@
     ) -> Split:
         """Returns the engines of the request's pool and of the next ones.
 
-        Interactive prompts never move to the engines of short ones.
+        Long prompts never move to the engines of short ones.
         """
         sizes = self._resize(req.service, len(states))
         ranked = sorted(states, key=lambda state: state.rank)
@@ -223,7 +228,7 @@
             case kinds.Kind.INTERACTIVE:
                 found = Split(interactive or batch, batch)
             case _:
-                found = Split(batch, interactive + short)
+                found = Split(batch, interactive)
         return found if found.own else Split(states, [])
 
     def _meter(self, service: str) -> WorkMeter:
@@ -252,15 +257,22 @@
     def _wanted(self, service: str, count: int) -> Work:
         """Returns the engines that each kind is to have.
 
-        Idle engines are shared out in proportion: prompts that follow each
-        other delay streams even where an engine has time for all of them.
+        While engines are idle, the two urgent kinds get a little more than they
+        need, as prompts that follow each other delay streams even where an
+        engine has time for all. The others get the rest, to keep their parts.
         """
         # The averages start at zero and reach the rate only with time.
         age_ms = self._meter(service).age_ms
         span_ms = MEMORY_MS * (1.0 - math.exp(-age_ms / MEMORY_MS))
-        engine_work = span_ms * reading.TOKENS_PER_MS * UTILIZATION
-        needs = [work / engine_work for work in self._total_work(service)]
-        scale = max(1.0, count / max(MIN_NEED, sum(needs)))
+        engine_work = span_ms * reading.TOKENS_PER_MS
+        needs = [
+            work / engine_work / UTILIZATION[kind]
+            for kind, work in zip(
+                kinds.Kind, self._total_work(service), strict=True
+            )
+        ]
+        scale = count / max(MIN_NEED, sum(needs))
+        scale = min(max(1.0, scale), MAX_IDLE_SCALE)
         return tuple(need * scale for need in needs)
 
     def _total_work(self, service: str) -> Work:
