--- a/hornbeampier/peers/exchange.py
+++ b/hornbeampier/peers/exchange.py
@@ -13,6 +13,7 @@
 from hornbeampier.routing import model
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
+from hornbeampier.routing import pool_sizes
 from hornbeampier.routing import pools
 from hornbeampier.routing import reading
 from hornbeampier.routing import speed
@@ -106,6 +107,10 @@
             offsets=news.offsets,
             loads=self._changed_loads(news),
             work=self._pools.own_work(),
+            pools={
+                service: (sizes.short, sizes.interactive)
+                for service, sizes in self._pools.own_sizes().items()
+            },
             sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=news.crashes,
@@ -124,6 +129,10 @@
             offsets=self._told_offsets,
             loads=self._loads(),
             work=self._pools.own_work(),
+            pools={
+                service: (sizes.short, sizes.interactive)
+                for service, sizes in self._pools.own_sizes().items()
+            },
             sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=_to_crash_messages(self._told_crashes),
@@ -137,7 +146,10 @@
             self._peer_loads.update(state.vm, loads)
         else:
             self._peer_loads.record(state.vm, loads)
-        self._pools.record_peer(state.vm, state.work)
+        sizes = {
+            k: pool_sizes.Sizes(*found) for k, found in state.pools.items()
+        }
+        self._pools.record_peer(state.vm, state.work, sizes)
         for endpoint_id, tokens in state.sent_tokens.items():
             self._reading.record_peer(endpoint_id, tokens)
         for crash in state.crashes:
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -47,6 +47,7 @@
         loads: Load by endpoint id. A whole state leaves out endpoints without
             any; a partial one leaves out those whose load is the same.
         work: Work of late by service and kind of prompt, in prompt tokens.
+        pools: Engines for short and interactive prompts by service.
         sent_tokens: Prompt tokens sent to each engine since the last round.
         placements: Prompt parts that were sent to endpoints lately.
         crashes: Crashes of endpoints of late.
@@ -61,6 +62,7 @@
     offsets: dict[str, int]
     loads: dict[str, EndpointLoad]
     work: dict[str, tuple[float, ...]] = {}
+    pools: dict[str, tuple[int, int]] = {}
     sent_tokens: dict[str, int] = {}
     placements: tuple[Placement, ...] = ()
     crashes: tuple[Crash, ...] = ()
--- a/hornbeampier/routing/kinds.py
+++ b/hornbeampier/routing/kinds.py
@@ -10,8 +10,11 @@
 MAX_SHORT_TOKENS = 8_192
 # Routes of long prompts with a target up to this count as interactive.
 INTERACTIVE_TARGET_MS = 1_000.0
-# Weight of the newest prompt in a route's mean.
+# Least weight of the newest prompt in a route's mean.
 MEAN_WEIGHT = 0.1
+# Size that is assumed of a route's prompts before any was seen: a short prompt
+# among long ones is late, a long one among short ones makes these late.
+ASSUMED_TOKENS = 8_192.0
 
 
 class Kind(enum.IntEnum):
@@ -27,16 +30,20 @@
 
     def __init__(self):
         self._mean_tokens: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
 
     def record(self, req: requests.Request) -> None:
         """Counts the size of a prompt."""
-        size = req.prompt.input_tokens
+        name = req.route.name
         mean = self.mean_tokens(req)
-        self._mean_tokens[req.route.name] = mean + MEAN_WEIGHT * (size - mean)
+        count = self._counts[name] = self._counts.get(name, 0) + 1
+        weight = max(MEAN_WEIGHT, 1 / (count + 1))
+        error = req.prompt.input_tokens - mean
+        self._mean_tokens[name] = mean + weight * error
 
     def mean_tokens(self, req: requests.Request) -> float:
         """Returns the mean size of the prompts of a request's route."""
-        return self._mean_tokens.get(req.route.name, req.prompt.input_tokens)
+        return self._mean_tokens.get(req.route.name, ASSUMED_TOKENS)
 
     def kind_of(self, req: requests.Request) -> Kind:
         """Returns the kind of a prompt."""
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -30,6 +30,9 @@
     def own_work(self):
         return {}
 
+    def own_sizes(self):
+        return {}
+
     def take(self):
         return []
 
