Pass what VMs share as one typed object to the exchange of states

Cause: its constructor had grown to thirteen arguments, and whole and partial states wrote the sizes of pools twice. Change: SharedState; no change of behaviour. Tests of gossip, nodes and replication pass.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -127,18 +127,21 @@
         self._members = membership.Membership(
             cfg.host, [seed.host for seed in cfg.seeds], self._clock
         )
+        shared = exchange.SharedState(
+            replicas=self._replicas,
+            fleet=self._fleet,
+            peer_loads=self._peer_loads,
+            pools=self._pools,
+            placements=self._placements,
+            crashes=self._crashes,
+            reading=self._reading,
+            catch_up=self._catch_up,
+            readers=self._readers,
+        )
         states = exchange.StateExchange(
             cfg.vm,
             self._env.rng.getrandbits(BOOT_BITS),
-            self._replicas,
-            self._fleet,
-            self._peer_loads,
-            self._pools,
-            self._placements,
-            self._crashes,
-            self._reading,
-            self._catch_up,
-            self._readers,
+            shared,
             self._is_reading,
         )
         handler = control.ControlHandler(relay.RelayHandler(self._replicas))
--- a/hornbeampier/peers/exchange.py
+++ b/hornbeampier/peers/exchange.py
@@ -45,6 +45,21 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedState:
+    """The modules whose state VMs tell each other."""
+
+    replicas: dict[str, replica.TopicReplica]
+    fleet: fleet.Fleet
+    peer_loads: peer_loads.PeerLoads
+    pools: pools.Pools
+    placements: placements.Placements
+    crashes: crashes.Crashes
+    reading: reading.ReadingMeter
+    catch_up: catch_up.CatchUp
+    readers: readers.Readers
+
+
 class StateExchange:
     """Translates between the datagrams and the modules that decide."""
 
@@ -52,28 +67,12 @@
         self,
         vm: str,
         boot: int,
-        replicas: dict[str, replica.TopicReplica],
-        fleet: fleet.Fleet,
-        peer_loads: peer_loads.PeerLoads,
-        pools: pools.Pools,
-        placements: placements.Placements,
-        crashes: crashes.Crashes,
-        reading: reading.ReadingMeter,
-        catch_up: catch_up.CatchUp,
-        readers: readers.Readers,
+        shared: SharedState,
         is_reading: Callable[[], bool],
     ):
         self._vm = vm
         self._boot = boot
-        self._replicas = replicas
-        self._fleet = fleet
-        self._peer_loads = peer_loads
-        self._pools = pools
-        self._placements = placements
-        self._crashes = crashes
-        self._reading = reading
-        self._catch_up = catch_up
-        self._readers = readers
+        self._shared = shared
         self._is_reading = is_reading
         self._told_offsets: dict[str, int] = {}
         self._told_crashes: frozenset[crashes.Crash] = frozenset()
@@ -82,14 +81,14 @@
         """Returns what has changed since the last call."""
         offsets = self._read_offsets()
         told = self._told_crashes
-        self._told_crashes = frozenset(self._crashes.told())
+        self._told_crashes = frozenset(self._shared.crashes.told())
         news = News(
             offsets=_differences(self._told_offsets, offsets),
-            endpoints=self._fleet.take_changed(),
-            sent_tokens=self._reading.take(),
+            endpoints=self._shared.fleet.take_changed(),
+            sent_tokens=self._shared.reading.take(),
             placements=tuple(
                 messages.Placement(endpoint_id, part.id, part.tokens)
-                for endpoint_id, part in self._placements.take()
+                for endpoint_id, part in self._shared.placements.take()
             ),
             crashes=_to_crash_messages(self._told_crashes - told),
         )
@@ -106,11 +105,8 @@
             is_reading=self._is_reading(),
             offsets=news.offsets,
             loads=self._changed_loads(news),
-            work=self._pools.own_work(),
-            pools={
-                service: (sizes.short, sizes.interactive)
-                for service, sizes in self._pools.own_sizes().items()
-            },
+            work=self._shared.pools.own_work(),
+            pools=self._pool_sizes(),
             sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=news.crashes,
@@ -128,11 +124,8 @@
             is_reading=self._is_reading(),
             offsets=self._told_offsets,
             loads=self._loads(),
-            work=self._pools.own_work(),
-            pools={
-                service: (sizes.short, sizes.interactive)
-                for service, sizes in self._pools.own_sizes().items()
-            },
+            work=self._shared.pools.own_work(),
+            pools=self._pool_sizes(),
             sent_tokens=news.sent_tokens,
             placements=news.placements,
             crashes=_to_crash_messages(self._told_crashes),
@@ -143,38 +136,46 @@
         """Takes in the state of a peer."""
         loads = _to_loads(state)
         if state.partial:
-            self._peer_loads.update(state.vm, loads)
+            self._shared.peer_loads.update(state.vm, loads)
         else:
-            self._peer_loads.record(state.vm, loads)
+            self._shared.peer_loads.record(state.vm, loads)
         sizes = {
             k: pool_sizes.Sizes(*found) for k, found in state.pools.items()
         }
-        self._pools.record_peer(state.vm, state.work, sizes)
+        self._shared.pools.record_peer(state.vm, state.work, sizes)
         for endpoint_id, tokens in state.sent_tokens.items():
-            self._reading.record_peer(endpoint_id, tokens)
+            self._shared.reading.record_peer(endpoint_id, tokens)
         for crash in state.crashes:
-            self._crashes.record(
+            self._shared.crashes.record(
                 crashes.Crash(crash.fingerprint, crash.incarnation)
             )
         for placement in state.placements:
             part = model.PromptPart(placement.part, placement.tokens)
-            self._placements.record_peer(placement.endpoint, part)
-        self._catch_up.note_peer(host, state.offsets)
-        self._readers.note_peer(host, state.is_reading)
+            self._shared.placements.record_peer(placement.endpoint, part)
+        self._shared.catch_up.note_peer(host, state.offsets)
+        self._shared.readers.note_peer(host, state.is_reading)
 
     def _read_offsets(self) -> dict[str, int]:
         return {
             topic: found.offset
-            for topic, found in self._replicas.items()
+            for topic, found in self._shared.replicas.items()
             if found.offset is not None
         }
 
+    def _pool_sizes(self) -> dict[str, tuple[int, int]]:
+        return {
+            service: (sizes.short, sizes.interactive)
+            for service, sizes in self._shared.pools.own_sizes().items()
+        }
+
     def _changed_loads(self, news: News) -> dict[str, messages.EndpointLoad]:
-        found = (self._fleet.get(name) for name in news.endpoints)
+        found = (self._shared.fleet.get(name) for name in news.endpoints)
         return {state.id: _to_message(state) for state in found if state}
 
     def _loads(self) -> dict[str, messages.EndpointLoad]:
-        loads = {state.id: _to_message(state) for state in self._fleet.all()}
+        loads = {
+            state.id: _to_message(state) for state in self._shared.fleet.all()
+        }
         return {
             endpoint_id: load
             for endpoint_id, load in loads.items()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -67,20 +67,18 @@
             self.members.note_heard(host)
         self.hosts = self.members.alive()
         nothing = Nothing()
-        self.states = exchange.StateExchange(
-            "vm-1",
-            1,
-            {"topic": Replica(5)},
-            self.world.fleet,
-            self.world.peers,
-            nothing,
-            nothing,
-            nothing,
-            reading.ReadingMeter(self.clock),
-            nothing,
-            readers.Readers("10.0.0.1", self.clock),
-            lambda: True,
+        shared = exchange.SharedState(
+            replicas={"topic": Replica(5)},
+            fleet=self.world.fleet,
+            peer_loads=self.world.peers,
+            pools=nothing,
+            placements=nothing,
+            crashes=nothing,
+            reading=reading.ReadingMeter(self.clock),
+            catch_up=nothing,
+            readers=readers.Readers("10.0.0.1", self.clock),
         )
+        self.states = exchange.StateExchange("vm-1", 1, shared, lambda: True)
         self.gossip = gossip.Gossip(
             "10.0.0.1", 1, self.members, self.states, self.clock
         )
