--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -201,6 +201,31 @@
         self.assertIn(self.send(self.patient, 2_000), batch)
 
 
+class SpreadTest(testtools.TestCase):
+    def test_vms_with_the_same_view_do_not_all_choose_the_same_engine(self):
+        world = fakes.World(70)
+        found = kinds.Kinds()
+        patient = fakes.route("patient", target_ms=2_000.0)
+        idle = world.states[35]
+        for state in world.states:
+            state.prefill_tokens = 0.0 if state is idle else 30_000.0
+        chosen = [
+            choice.EngineChooser(
+                world.fleet,
+                world.peers,
+                pools.Pools(found, world.clock),
+                found,
+                reading.ReadingMeter(world.clock),
+                overload.WaitLimit(found, world.clock),
+                lambda service: None,
+                random.Random(seed),
+            ).choose(fakes.request(fakes.prompt(9_000), patient), ())
+            for seed in range(40)
+        ]
+        to_idle = sum(found.state is idle for found in chosen)
+        self.assertLess(to_idle, 15)
+
+
 class LeastLoadedTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
