--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -1,12 +1,18 @@
 """Endpoints, prompts and requests for tests without a network."""
 
 import itertools
+import random
 
 from hornbeampier import clock as clocks
 from hornbeampier.routing import catalog
+from hornbeampier.routing import choice
 from hornbeampier.routing import fleet
+from hornbeampier.routing import kinds
 from hornbeampier.routing import model
+from hornbeampier.routing import overload
 from hornbeampier.routing import peer_loads
+from hornbeampier.routing import pools
+from hornbeampier.routing import reading
 from hornbeampier.routing import requests
 
 SERVICE = "models"
@@ -88,3 +94,22 @@
     @property
     def states(self):
         return self.fleet.serving(SERVICE)
+
+
+class Choosing:
+    """An engine chooser and the parts that tests look into."""
+
+    def __init__(self, world, traits=lambda service: None, seed=1):
+        self.kinds = kinds.Kinds()
+        self.pools = pools.Pools(self.kinds, world.clock)
+        self.reading = reading.ReadingMeter(world.clock)
+        self.chooser = choice.EngineChooser(
+            world.fleet,
+            world.peers,
+            self.pools,
+            self.kinds,
+            self.reading,
+            overload.WaitLimit(self.kinds, world.clock),
+            traits,
+            random.Random(seed),
+        )
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -6,12 +6,8 @@
 
 from hornbeampier.routing import choice
 from hornbeampier.routing import fleet
-from hornbeampier.routing import kinds
 from hornbeampier.routing import model
-from hornbeampier.routing import overload
 from hornbeampier.routing import peer_loads
-from hornbeampier.routing import pools
-from hornbeampier.routing import reading
 from hornbeampier.routing import speed
 from tests import routing_fakes as fakes
 
@@ -22,19 +18,7 @@
     def setUp(self):
         super().setUp()
         self.world = fakes.World(6)
-        self.kinds = kinds.Kinds()
-        self.pools = pools.Pools(self.kinds, self.world.clock)
-        self.reading = reading.ReadingMeter(self.world.clock)
-        self.chooser = choice.EngineChooser(
-            self.world.fleet,
-            self.world.peers,
-            self.pools,
-            self.kinds,
-            self.reading,
-            overload.WaitLimit(self.kinds, self.world.clock),
-            self.traits,
-            random.Random(1),
-        )
+        self.chooser = fakes.Choosing(self.world, self.traits).chooser
         self.link_mbps = 0.0
 
     def traits(self, service):
@@ -53,16 +37,7 @@
         self.assertEqual(4_000, second.prefill_tokens)
 
     def test_every_vm_prefers_the_same_engine_for_new_parts(self):
-        other = choice.EngineChooser(
-            self.world.fleet,
-            self.world.peers,
-            self.pools,
-            self.kinds,
-            self.reading,
-            overload.WaitLimit(self.kinds, self.world.clock),
-            self.traits,
-            random.Random(1),
-        )
+        other = fakes.Choosing(self.world, self.traits, seed=2).chooser
         req = fakes.request(fakes.prompt(14_000, SHARED))
         self.assertEqual(
             self.chooser.choose(req, ()).state.id,
@@ -85,13 +60,13 @@
         self.assertEqual(4_000, second.prefill_tokens)
 
     def test_engine_that_reads_less_is_preferred_to_an_equal_one(self):
+        parts = fakes.Choosing(self.world, self.traits)
         patient = fakes.route("patient", target_ms=2_000.0)
         req = fakes.request(fakes.prompt(14_000, SHARED), patient)
-        first = self.chooser.choose(req, ())
-        self.reading.record(first.state.id, 100_000.0)
-        self.assertNotEqual(
-            first.state.id, self.chooser.choose(req, ()).state.id
-        )
+        first = parts.chooser.choose(req, ())
+        parts.reading.record(first.state.id, 100_000.0)
+        second = parts.chooser.choose(req, ())
+        self.assertNotEqual(first.state.id, second.state.id)
 
     def test_engine_whose_memory_is_full_is_left(self):
         first = self.choose(SHARED)
@@ -140,25 +115,14 @@
     def setUp(self):
         super().setUp()
         self.world = fakes.World(9)
-        self.kinds = kinds.Kinds()
-        self.pools = pools.Pools(self.kinds, self.world.clock)
-        self.reading = reading.ReadingMeter(self.world.clock)
-        self.chooser = choice.EngineChooser(
-            self.world.fleet,
-            self.world.peers,
-            self.pools,
-            self.kinds,
-            self.reading,
-            overload.WaitLimit(self.kinds, self.world.clock),
-            lambda service: None,
-            random.Random(1),
-        )
+        self.parts = fakes.Choosing(self.world)
+        self.chooser = self.parts.chooser
         self.quick = fakes.route("quick", target_ms=600.0)
         self.patient = fakes.route("patient", target_ms=2_000.0)
 
     def send(self, route, tokens):
         req = fakes.request(fakes.prompt(tokens), route)
-        self.kinds.record(req)
+        self.parts.kinds.record(req)
         chosen = self.chooser.choose(req, ())
         fleet.AttemptLoad(chosen.state, None, chosen.prefill_tokens)
         return chosen.state.id
@@ -179,7 +143,7 @@
 
     def pool_of(self, route):
         req = fakes.request(fakes.prompt(9_000), route)
-        found = self.pools.split(req, self.world.states).own
+        found = self.parts.pools.split(req, self.world.states).own
         return {state.id for state in found}
 
     def test_long_prompt_stays_out_of_other_pools(self):
@@ -197,29 +161,21 @@
         batch = self.pool_of(self.patient)
         for state in self.world.states:
             if state.id not in batch:
-                self.reading.record(state.id, 80_000.0)
+                self.parts.reading.record(state.id, 80_000.0)
         self.assertIn(self.send(self.patient, 2_000), batch)
 
 
 class SpreadTest(testtools.TestCase):
     def test_vms_with_the_same_view_do_not_all_choose_the_same_engine(self):
         world = fakes.World(70)
-        found = kinds.Kinds()
         patient = fakes.route("patient", target_ms=2_000.0)
         idle = world.states[35]
         for state in world.states:
             state.prefill_tokens = 0.0 if state is idle else 30_000.0
         chosen = [
-            choice.EngineChooser(
-                world.fleet,
-                world.peers,
-                pools.Pools(found, world.clock),
-                found,
-                reading.ReadingMeter(world.clock),
-                overload.WaitLimit(found, world.clock),
-                lambda service: None,
-                random.Random(seed),
-            ).choose(fakes.request(fakes.prompt(9_000), patient), ())
+            fakes.Choosing(world, seed=seed).chooser.choose(
+                fakes.request(fakes.prompt(9_000), patient), ()
+            )
             for seed in range(40)
         ]
         to_idle = sum(found.state is idle for found in chosen)
