Log what endpoints announce in their responses

Change: limit, leaving and wait are decoded in platform/announcements.py for every response but a 421, which is another endpoint's; a change is one line, endpoint_announced, with endpoint, values and request id. Nothing is decided by them yet.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -11,6 +11,7 @@
 from hornbeampier.http1 import messages
 from hornbeampier.platform import headers
 from hornbeampier.platform import names
+from hornbeampier.routing import announcements
 from hornbeampier.routing import domain
 from hornbeampier.routing import fleet
 from hornbeampier.routing import requests
@@ -41,9 +42,11 @@
         self,
         pool: connection_pool.ConnectionPool,
         state: fleet.EndpointState,
+        announcements: announcements.Announcements,
         clock: clocks.Clock,
     ):
         self._pool = pool
+        self._announcements = announcements
         self._state = state
         self._clock = clock
         self._conn: client.ClientConnection | None = None
@@ -86,6 +89,10 @@
         except client.TRANSPORT_ERRORS as exc:
             raise self._lost_response(exc) from exc
         self.fields = headers.decode_response(self.head)
+        if self.fields.announcement is not None:
+            self._announcements.record(
+                self._state.endpoint, self.fields.announcement, req.id
+            )
 
     def blocks(self) -> Iterator[bytes]:
         """Yields the blocks of the body as they arrive.
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from hornbeampier.forwarding import response_checks
 from hornbeampier.forwarding import streams
 from hornbeampier.http1 import server
+from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
@@ -40,6 +41,7 @@
     crashes: crashes.CrashHistory
     budget: budget.RetryBudget
     engine_models: engine_model.EngineModels
+    announcements: announcements.Announcements
     metrics: node_metrics.NodeMetrics
     clock: clocks.Clock
 
@@ -134,7 +136,10 @@
             choice.state, choice.expected_response_ms, choice.prefill_tokens
         )
         attempt = endpoint_attempt.EndpointAttempt(
-            self._context.connection_pool, choice.state, self._clock
+            self._context.connection_pool,
+            choice.state,
+            self._context.announcements,
+            self._clock,
         )
         observer = engine_model.AttemptObserver(
             self._context.engine_models.of(self._req.service),
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -40,6 +40,7 @@
 from hornbeampier.replication import relay
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
+from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
 from hornbeampier.routing import catalog
 from hornbeampier.routing import choosers
@@ -78,6 +79,7 @@
         self.app = application.Application(cfg.vm)
         self.catalog = catalog.Catalog()
         self._metrics = node_metrics.NodeMetrics()
+        self._announcements = announcements.Announcements(self._clock)
         self._fleet = fleet.Fleet(self.catalog, self._clock)
         self._peer_loads = peer_loads.PeerLoads(self._clock)
         self._endpoint_applier = appliers.EndpointApplier(
@@ -210,6 +212,7 @@
                 self._clock,
             ),
             engine_models=self._engine_models,
+            announcements=self._announcements,
             metrics=self._metrics,
             clock=self._clock,
         )
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -5,7 +5,9 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier.http1 import messages
+from hornbeampier.platform import announcements
 from hornbeampier.platform import names
+from hornbeampier.routing import announcements as routing_announcements
 from hornbeampier.routing import domain
 from hornbeampier.routing import requests
 
@@ -64,6 +66,8 @@
         keep_alive_ms: How long the endpoint keeps an idle connection open, or
             None.
         will_close: Whether the endpoint closes the connection afterwards.
+        announcement: What the endpoint announces about itself; None if the
+            response is another endpoint's.
     """
 
     status: int
@@ -72,6 +76,7 @@
     has_content_coding: bool
     keep_alive_ms: float | None
     will_close: bool
+    announcement: routing_announcements.Announcement | None
 
 
 def decode_request(head: messages.RequestHead) -> RequestFields:
@@ -151,6 +156,7 @@
         has_content_coding=encoding != b"identity",
         keep_alive_ms=_decode_keep_alive(head.get(b"keep-alive")),
         will_close=b"close" in connection,
+        announcement=announcements.decode(head),
     )
 
 
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -26,6 +26,10 @@
 KV_FROM = b"kv-from"
 KV_FETCH = b"kv-fetch"
 LAST_EVENT_ID = b"last-event-id"
+# Requests per second that an endpoint accepts from all VMs together.
+LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 # Only VMs and endpoints set these; values from callers are not forwarded. A
 # caller's deadline is read, and endpoints get the remaining time instead.
--- a/hornbeampier/routing/domain.py
+++ b/hornbeampier/routing/domain.py
@@ -6,6 +6,9 @@
 import dataclasses
 import enum
 
+# Id and start time of an endpoint's process, which keeps them at a new address.
+ProcessId = tuple[str, int]
+
 BITS_PER_BYTE = 8
 # Bits transferred in one millisecond at 1 Mbit/s.
 BITS_PER_MBPS_MS = 1_000.0
@@ -177,6 +180,11 @@
         """Identifies the process; constant for its lifetime."""
         return (self.id, self.started_ms, self.host, self.port)
 
+    @property
+    def process_id(self) -> ProcessId:
+        """Identifies the process, whatever its address."""
+        return (self.id, self.started_ms)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptSegment:
--- a/tests/test_endpoint_attempt.py
+++ b/tests/test_endpoint_attempt.py
@@ -16,7 +16,7 @@
 class LostResponseTest(testtools.TestCase):
     def lost_response(self, exc):
         return endpoint_attempt.EndpointAttempt(
-            None, None, clocks.ManualClock()
+            None, None, None, clocks.ManualClock()
         )._lost_response(exc)
 
     def test_deadline_is_not_reported_as_a_lost_connection(self):
