Make the endpoint without a limit slower in the test of LIMIT

Change: the other endpoint takes 30 ms, so VMs prefer the limited one. Check and bound are as they were.

--- a/tests/announcing_endpoint.py
+++ b/tests/announcing_endpoint.py
@@ -7,6 +7,8 @@
 import collections
 import dataclasses
 
+import gevent
+
 from hornbeampier import clock as clocks
 
 LIMIT_WINDOW_MS = 4_000.0
@@ -37,6 +39,7 @@
         limit_per_s: Limit that is named in each response, or None.
         leaving: Whether each response announces that the endpoint leaves.
         wait_s: Value of `Retry-After`; requests are then turned away.
+        delay_s: Time that each response takes.
     """
 
     def __init__(self, clock=None, limit_per_s=None):
@@ -44,6 +47,7 @@
         self.limit_per_s = limit_per_s
         self.leaving = False
         self.wait_s = None
+        self.delay_s = 0.0
         self.arrivals = []
         self._limited_ms = {}
         self._limits = []
@@ -52,6 +56,7 @@
 
     def __call__(self, req):
         self.arrive(vm_of(req.id))
+        gevent.sleep(self.delay_s)
         headers = [f"{name}: {value}" for name, value in self.announce(req.id)]
         if self.wait_s is None:
             req.respond(headers=headers)
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -7,6 +7,8 @@
 
 HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
 CALL_INTERVAL_S = 0.02
+# The endpoint without a limit is slower, so VMs prefer the other one.
+SLOWER_RESPONSE_S = 0.03
 # Longer than the window in which the endpoint counts requests.
 LOAD_S = 5.0
 
@@ -45,9 +47,9 @@
     def test_all_vms_together_keep_the_limit_that_an_endpoint_names(self):
         limited = announcing_endpoint.AnnouncingEndpoint(limit_per_s=1.5)
         self.start_endpoint(nodes.PLAIN_SERVICE, limited)
-        self.start_endpoint(
-            nodes.PLAIN_SERVICE, announcing_endpoint.AnnouncingEndpoint()
-        )
+        slower = announcing_endpoint.AnnouncingEndpoint()
+        slower.delay_s = SLOWER_RESPONSE_S
+        self.start_endpoint(nodes.PLAIN_SERVICE, slower)
         calls = [gevent.spawn(self.call_steadily, v) for v in self.start_vms()]
         statuses = [status for call in calls for status in call.get()]
         self.assertEqual({200}, set(statuses))
