Keep the limit that an endpoint names, all VMs together

Cause: the router read an endpoint's response for one request and kept nothing that it says about the endpoint. Change: routing/announcements.py keeps limits by process; limit_shares.py divides them among few VMs; the choice leaves out endpoints without a free token, and an attempt takes one as the last thing before it sends. Limits and their ends are gossiped with their age. Requests that find no open endpoint wait a fifth of their target, then get 503 throttled. Why it works: the holders' shares add up to the limit, and their bursts to the limit and two, whatever the number of VMs.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -26,6 +26,7 @@
     OVERLOADED = "overloaded"
     WAIT_TIMEOUT = "wait_timeout"
     NO_ENDPOINT = "no_endpoint"
+    THROTTLED = "throttled"
     NOT_READY = "not_ready"
     DRAINING = "draining"
     ENDPOINT_FAILED = "endpoint_failed"
@@ -94,6 +95,8 @@
         declines_all: Whether the endpoint declines every request for now.
         timed_out: Whether the endpoint exceeded a timeout.
         unsent: Whether no byte of the request was sent to the endpoint.
+        withheld: Whether it was not sent because the endpoint has announced
+            that it wants fewer requests.
     """
 
     def __init__(
@@ -105,10 +108,12 @@
         declines_all: bool = False,
         timed_out: bool = False,
         unsent: bool = False,
+        withheld: bool = False,
     ):
         super().__init__(message)
         self.verdict = verdict
         self.unsent = unsent
+        self.withheld = withheld
         self.connection_lost = connection_lost
         self.declined = declined
         self.declines_all = declines_all
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -68,12 +68,14 @@
             fetch_from: Engine from which cached segments can be fetched.
 
         Raises:
-            errors.AttemptError: The endpoint is unreachable, or no valid head
-                of a response arrived in time.
+            errors.AttemptError: The endpoint is unreachable or wants fewer
+                requests, or no valid head of a response arrived in time.
         """
         self._deadline_ms = req.deadline_ms
         self._connect()
-        remaining_ms = req.deadline_ms - self._clock.now()
+        self._check_announcements()
+        sent_ms = self._clock.now()
+        remaining_ms = req.deadline_ms - sent_ms
         head = headers.encode_request(
             req,
             self._state.endpoint,
@@ -91,7 +93,10 @@
         self.fields = headers.decode_response(self.head)
         if self.fields.announcement is not None:
             self._announcements.record(
-                self._state.endpoint, self.fields.announcement, req.id
+                self._state.endpoint,
+                self.fields.announcement,
+                req.id,
+                sent_ms,
             )
 
     def blocks(self) -> Iterator[bytes]:
@@ -133,6 +138,15 @@
                 unsent=True,
             ) from exc
 
+    def _check_announcements(self) -> None:
+        """Asks for permission last, as connecting may have taken a while."""
+        if not self._announcements.take(self._state.endpoint):
+            raise errors.AttemptError(
+                "the endpoint wants fewer requests",
+                verdict.Verdict.NOT_RUN,
+                withheld=True,
+            )
+
     def _lost_response(self, exc: Exception) -> errors.AttemptError:
         # A TimeoutError with an errno comes from TCP keep-alive: the endpoint
         # is dead. Without an errno, the deadline has passed.
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards a request to endpoints until the caller has its response."""
 
 import dataclasses
+import random
 
 import structlog
 
@@ -22,6 +23,7 @@
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
 from hornbeampier.routing import requests
+from hornbeampier.routing import retry_delays
 
 # Unreachable endpoints do not count as attempts. After this number of them, the
 # next endpoint is tried only if a retry is allowed.
@@ -30,6 +32,10 @@
 RETRY_AFTER_MS = 200.0
 # No retry is made with less remaining time than this.
 MIN_ATTEMPT_MS = 10.0
+# How long a request may wait for endpoints that want fewer requests, as a
+# fraction of its latency target, and the shortest interval of the checks.
+PERMISSION_WAIT_FRACTION = 0.2
+MIN_PERMISSION_WAIT_MS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +50,7 @@
     announcements: announcements.Announcements
     metrics: node_metrics.NodeMetrics
     clock: clocks.Clock
+    rng: random.Random
 
 
 class Forwarder:
@@ -105,17 +112,9 @@
                 self._check_retry(exc)
 
     def _choose_endpoint(self) -> endpoint_choice.EndpointChoice:
-        choice = self._context.dispatcher.choose(self._req, self._tried)
-        if choice is None and not self._tried:
-            raise self._refuse(
-                errors.RefusalCode.NO_ENDPOINT,
-                "no endpoint of the service is available",
-            )
+        choice = self._await_choice()
         if choice is None:
-            raise self._refuse(
-                errors.RefusalCode.ENDPOINT_FAILED,
-                "no other endpoint is left for a retry",
-            )
+            raise self._refuse_without_choice()
         prompt = self._req.prompt
         self._log.info(
             "routed",
@@ -128,9 +127,52 @@
             fetch_from=choice.fetch_from and choice.fetch_from.id,
             prompt_tokens=prompt.input_tokens if prompt else None,
             in_flight=choice.state.in_flight,
+            withheld=self._context.dispatcher.withheld(self._req) or None,
         )
         return choice
 
+    def _await_choice(self) -> endpoint_choice.EndpointChoice | None:
+        """Returns an endpoint; waits shortly if all want fewer requests."""
+        dispatcher = self._context.dispatcher
+        target_ms = self._req.route.latency_target_ms
+        end_ms = self._req.arrived_ms + PERMISSION_WAIT_FRACTION * target_ms
+        while True:
+            choice = dispatcher.choose(self._req, self._tried)
+            if choice is not None:
+                return choice
+            opens_in_ms = dispatcher.opens_in_ms(self._req, self._tried)
+            now_ms = self._clock.now()
+            if opens_in_ms is None or now_ms + opens_in_ms >= end_ms:
+                return None
+            self._clock.sleep(max(MIN_PERMISSION_WAIT_MS, opens_in_ms))
+
+    def _refuse_without_choice(
+        self,
+    ) -> errors.RefusalError | streams.InterruptedStreamError:
+        """Returns the error of a request for which no endpoint is left."""
+        opens_in_ms = self._context.dispatcher.opens_in_ms(
+            self._req, self._tried
+        )
+        if opens_in_ms is not None:
+            remaining_ms = self._req.deadline_ms - self._clock.now()
+            return self._refuse(
+                errors.RefusalCode.THROTTLED,
+                "all endpoints of the service want fewer requests: "
+                f"{self._context.dispatcher.withheld(self._req)}",
+                retry_delays.spread(
+                    opens_in_ms, remaining_ms, self._context.rng
+                ),
+            )
+        if self._tried:
+            return self._refuse(
+                errors.RefusalCode.ENDPOINT_FAILED,
+                "no other endpoint is left for a retry",
+            )
+        return self._refuse(
+            errors.RefusalCode.NO_ENDPOINT,
+            "no endpoint of the service is available",
+        )
+
     def _run_attempt(self, choice: endpoint_choice.EndpointChoice) -> None:
         in_flight_attempt = fleet.InFlightAttempt(
             choice.state, choice.expected_response_ms, choice.prefill_tokens
@@ -156,7 +198,8 @@
             in_flight_attempt.record_response()
             choice.state.record_success(self._clock.now())
         except errors.AttemptError as exc:
-            if not exc.unsent and attempt.fields is None:
+            was_sent = not (exc.unsent or exc.withheld)
+            if was_sent and attempt.fields is None:
                 self._attempts += 1
             in_flight_attempt.record_failure()
             raise
@@ -254,10 +297,13 @@
     def _record_failure(
         self, choice: endpoint_choice.EndpointChoice, exc: errors.AttemptError
     ) -> None:
-        self._verdict = self._verdict.combine(exc.verdict)
         self._context.metrics.record_attempt(
-            self._req.service, exc.verdict.value
+            self._req.service,
+            "withheld" if exc.withheld else exc.verdict.value,
         )
+        if exc.withheld:
+            return
+        self._verdict = self._verdict.combine(exc.verdict)
         self._tried.add(choice.state.id)
         if exc.unsent:
             self._unreachable_count += 1
@@ -300,7 +346,9 @@
         if self._retry_granted:
             self._retry_granted = False
             return
-        if exc.unsent and self._unreachable_count < MAX_UNREACHABLE:
+        if exc.withheld or (
+            exc.unsent and self._unreachable_count < MAX_UNREACHABLE
+        ):
             return
         if not self._try_acquire_retry(self._verdict):
             raise self._refuse(errors.RefusalCode.ENDPOINT_FAILED, str(exc))
@@ -315,11 +363,14 @@
         return self._context.budget.try_acquire(self._req.service)
 
     def _refuse(
-        self, code: errors.RefusalCode, message: str
+        self,
+        code: errors.RefusalCode,
+        message: str,
+        retry_after_ms: float = RETRY_AFTER_MS,
     ) -> errors.RefusalError | streams.InterruptedStreamError:
         """Returns the error that ends the request."""
         if self._relay.started:
             return streams.InterruptedStreamError(message)
         return response_checks.make_refusal(
-            code, message, self._verdict, RETRY_AFTER_MS
+            code, message, self._verdict, retry_after_ms
         )
--- a/hornbeampier/log_stream.py
+++ b/hornbeampier/log_stream.py
@@ -10,6 +10,7 @@
 
 from hornbeampier import application
 from hornbeampier import clock as clocks
+from hornbeampier import token_bucket
 
 # Refill rate of the token bucket: sustained rate of a process's log lines.
 LINES_PER_S = 300.0
@@ -28,16 +29,15 @@
 
     def __init__(self, fd: int, clock: clocks.Clock):
         self._fd = fd
-        self._clock = clock
-        self._bucket_tokens = BURST_LINES
-        self._refilled_at_ms = clock.now()
+        self._bucket = token_bucket.TokenBucket(LINES_PER_S, BURST_LINES, clock)
         self._queue: collections.deque[bytes] = collections.deque()
         self._suppressed_count = 0
         self._task: gevent.Greenlet | None = None
 
     def write(self, text: str) -> int:
         """Queues a line, or suppresses and counts it."""
-        if not self._try_take_token() or len(self._queue) >= MAX_QUEUED_LINES:
+        is_full = len(self._queue) >= MAX_QUEUED_LINES
+        if not self._bucket.try_take() or is_full:
             self._suppressed_count += 1
             return len(text)
         if self._suppressed_count:
@@ -65,18 +65,6 @@
         while self._queue and self._try_write_line():
             pass
 
-    def _try_take_token(self) -> bool:
-        now_ms = self._clock.now()
-        refill = (
-            (now_ms - self._refilled_at_ms) / clocks.MS_PER_SECOND * LINES_PER_S
-        )
-        self._bucket_tokens = min(BURST_LINES, self._bucket_tokens + refill)
-        self._refilled_at_ms = now_ms
-        if self._bucket_tokens < 1.0:
-            return False
-        self._bucket_tokens -= 1.0
-        return True
-
     def _describe_suppressed(self) -> bytes:
         line = {
             "event": "log_lines_suppressed",
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -1,6 +1,7 @@
 """The router process of one VM, for a platform with a store of topics."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import pathlib
 import signal
 
@@ -48,6 +49,7 @@
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
+from hornbeampier.routing import limit_shares
 from hornbeampier.routing import load_shedding
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
@@ -79,8 +81,15 @@
         self.app = application.Application(cfg.vm)
         self.catalog = catalog.Catalog()
         self._metrics = node_metrics.NodeMetrics()
-        self._announcements = announcements.Announcements(self._clock)
-        self._fleet = fleet.Fleet(self.catalog, self._clock)
+        self._announcements = announcements.Announcements(
+            limit_shares.LimitShares(cfg.host, self._peer_hosts).share_per_s,
+            self._metrics.record_announcement,
+            self._clock,
+            env.rng,
+        )
+        self._fleet = fleet.Fleet(
+            self.catalog, self._announcements, self._clock
+        )
         self._peer_loads = peer_loads.PeerLoads(self._clock)
         self._endpoint_applier = appliers.EndpointApplier(
             self.catalog, self._clock
@@ -151,6 +160,7 @@
             peer_loads=self._peer_loads,
             pools=self._pools,
             placements=self._placements,
+            announcements=self._announcements,
             crashes=self._crashes,
             prefill_meter=self._prefill_meter,
             catch_up=self._catch_up,
@@ -164,7 +174,12 @@
         )
         group = groups.Group(self._clock)
         exchange = state_exchange.StateExchange(
-            sender, shared, self._membership, group, self._reads_store
+            sender,
+            shared,
+            self._membership,
+            group,
+            self._reads_store,
+            self._clock,
         )
         states = hub_states.HubStates(
             sender,
@@ -215,6 +230,7 @@
             announcements=self._announcements,
             metrics=self._metrics,
             clock=self._clock,
+            rng=self._env.rng,
         )
         self._forwarder = forwarder.Forwarder(context)
         if cfg.control is not None and not cfg.bootstrap:
@@ -250,6 +266,7 @@
             self._env.rng,
         )
         return dispatch.Dispatcher(
+            self._fleet,
             plain_chooser,
             engine_chooser,
             self._pools,
@@ -335,6 +352,11 @@
     def _count_readers(self) -> int:
         return min(1 + self._count_live_peers(), store_readers.READER_COUNT)
 
+    def _peer_hosts(self) -> Collection[str]:
+        """Returns the hosts of the live peers, or else of the seeds."""
+        live = self._membership.live() if self._membership else []
+        return live or [seed.host for seed in self._cfg.seeds]
+
     def _count_live_peers(self) -> int:
         return len(self._membership.live()) if self._membership else 0
 
@@ -348,6 +370,9 @@
         return max(1 + known, len(seeds))
 
     def _maintain(self) -> None:
+        self._announcements.expire(
+            [e.process_id for e in self.catalog.endpoints.values()]
+        )
         self._endpoint_applier.expire()
         self._connection_pool.expire()
         self._prefill_meter.expire()
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -26,6 +26,10 @@
             "hornbeampier_attempts_total",
             "Attempts at endpoints by service and outcome.",
         )
+        self._announcements = self._counter(
+            "hornbeampier_announcements_total",
+            "Changes of what endpoints announce, by service and kind.",
+        )
         self._first_event = aioprometheus.Histogram(
             "hornbeampier_first_event_seconds",
             "Time from a request to the first event of its response stream.",
@@ -60,6 +64,10 @@
         """Counts one attempt at an endpoint of `service`."""
         self._attempts.inc({"service": service, "outcome": outcome})
 
+    def record_announcement(self, service: str, kind: str) -> None:
+        """Counts a change of what an endpoint of `service` announces."""
+        self._announcements.inc({"service": service, "kind": kind})
+
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Records the time to the first event of a streamed response."""
         self._first_event.observe(
--- a/hornbeampier/peers/hub_states.py
+++ b/hornbeampier/peers/hub_states.py
@@ -120,6 +120,7 @@
             sent_tokens=groups.merge_tokens(news),
             placements=groups.merge_placements(news),
             crashes=self._exchange.sent_crashes,
+            notices=self._exchange.recent_notices,
             scope=scope,
             zone=self._sender.zone,
             sources=self._sources(),
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -1,6 +1,7 @@
 """Wire types of the gossip; fields are encoded by position, without names."""
 
 import enum
+import math
 
 import msgspec
 
@@ -40,6 +41,24 @@
     incarnation: str
 
 
+class EndpointNotice(msgspec.Struct, array_like=True, frozen=True):
+    """What a process of an endpoint has announced.
+
+    Attributes:
+        started_ms: Start of the process, see `domain.Endpoint`.
+        leaving: Whether it leaves.
+        limit_per_s: Requests per second from all VMs together, or None if it
+            names no limit any more.
+        limit_age_ms: Age of what is known of the limit; None if nothing is.
+    """
+
+    endpoint: str
+    started_ms: int
+    leaving: bool
+    limit_per_s: float | None
+    limit_age_ms: int | None
+
+
 class Scope(enum.IntEnum):
     """Whose state a message holds, and what the receiver is to the sender.
 
@@ -116,6 +135,7 @@
         readers: Hosts of the VMs that read the store.
         reports: The live members; left out of most messages.
         sources: Some hosts that are furthest ahead, by topic.
+        notices: Recent announcements of endpoints; in a delta only new ones.
     """
 
     vm: str
@@ -137,6 +157,7 @@
     readers: tuple[str, ...] = ()
     reports: tuple[MemberReport, ...] = ()
     sources: dict[str, RecordSources] = {}
+    notices: tuple[EndpointNotice, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -148,6 +169,19 @@
     return _encoder.encode(message)
 
 
+def _check_notices(notices: tuple[EndpointNotice, ...]) -> None:
+    for notice in notices:
+        limit_per_s, age_ms = notice.limit_per_s, notice.limit_age_ms
+        if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
+            raise errors.PeerError(
+                f"invalid gossip datagram: limit {limit_per_s} is out of range"
+            )
+        if age_ms is not None and age_ms < 0:
+            raise errors.PeerError(
+                f"invalid gossip datagram: age {age_ms} is negative"
+            )
+
+
 def decode(data: bytes) -> StateMessage:
     """Returns the message in a datagram.
 
@@ -158,6 +192,7 @@
         message = _decoder.decode(data)
     except errors.DECODE_ERRORS as exc:
         raise errors.PeerError(f"invalid gossip datagram: {exc}") from exc
+    _check_notices(message.notices)
     kind_count = len(prompt_kinds.PromptKind)
     if any(len(values) != kind_count for values in message.workload.values()):
         raise errors.PeerError(
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 import dataclasses
 
+from hornbeampier import clock as clocks
+from hornbeampier.peers import endpoint_notices
 from hornbeampier.peers import groups
 from hornbeampier.peers import load_messages
 from hornbeampier.peers import membership
@@ -10,6 +12,7 @@
 from hornbeampier.replication import catch_up
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
+from hornbeampier.routing import announcements
 from hornbeampier.routing import crashes
 from hornbeampier.routing import domain
 from hornbeampier.routing import fleet
@@ -30,6 +33,7 @@
         sent_tokens: Prompt tokens sent to each engine.
         placements: Prompt segments sent to engines.
         crashes: Crashes of endpoints.
+        notices: Announcements of endpoints.
     """
 
     offsets: dict[str, int]
@@ -37,6 +41,7 @@
     sent_tokens: dict[str, int]
     placements: tuple[messages.Placement, ...]
     crashes: tuple[messages.Crash, ...]
+    notices: tuple[messages.EndpointNotice, ...]
 
     @property
     def is_empty(self) -> bool:
@@ -47,6 +52,7 @@
             or self.sent_tokens
             or self.placements
             or self.crashes
+            or self.notices
         )
 
 
@@ -59,6 +65,7 @@
     peer_loads: peer_loads.PeerLoads
     pools: pools.EnginePools
     placements: placements.Placements
+    announcements: announcements.Announcements
     crashes: crashes.CrashHistory
     prefill_meter: prefill.PrefillMeter
     catch_up: catch_up.CatchUp
@@ -92,6 +99,7 @@
         members: membership.Membership,
         group: groups.Group,
         reads_store: Callable[[], bool],
+        clock: clocks.Clock,
     ):
         self._sender = sender
         self._shared = shared
@@ -100,6 +108,9 @@
         self._reads_store = reads_store
         self._sent_offsets: dict[str, int] = {}
         self._sent_crashes: frozenset[crashes.Crash] = frozenset()
+        self._notices = endpoint_notices.EndpointNotices(
+            shared.announcements, clock
+        )
 
     def collect_delta(self) -> Delta:
         """Returns what has changed since the last call."""
@@ -119,6 +130,7 @@
             crashes=load_messages.to_crash_messages(
                 self._sent_crashes - previous_crashes
             ),
+            notices=self._notices.take_changed(),
         )
         self._sent_offsets = offsets
         return delta
@@ -145,6 +157,12 @@
             crashes=delta.crashes,
             scope=scope,
             zone=self._sender.zone,
+            # A hub gets full states too rarely to make up for a lost delta.
+            notices=(
+                delta.notices
+                if scope is messages.Scope.PEER
+                else self._notices.recent()
+            ),
         )
 
     def make_full_state(
@@ -176,6 +194,7 @@
             scope=scope,
             zone=self._sender.zone,
             reports=self._members.reports() if with_members else (),
+            notices=self._notices.recent(),
         )
 
     def apply(self, host: str, message: messages.StateMessage) -> None:
@@ -203,6 +222,7 @@
             self._shared.crashes.record(
                 crashes.Crash(crash.fingerprint, crash.incarnation)
             )
+        self._notices.apply(message.notices)
         for placement in message.placements:
             segment = domain.PromptSegment(placement.segment, placement.tokens)
             self._shared.placements.record_peer(placement.endpoint, segment)
@@ -245,6 +265,11 @@
         """The recent crashes, also those that peers reported."""
         return load_messages.to_crash_messages(self._sent_crashes)
 
+    @property
+    def recent_notices(self) -> tuple[messages.EndpointNotice, ...]:
+        """The recent announcements, also those that peers reported."""
+        return self._notices.recent()
+
     def own_loads(self) -> dict[str, peer_loads.Load]:
         """Returns the loads that this VM puts on the endpoints."""
         return {
--- a/hornbeampier/routing/announcements.py
+++ b/hornbeampier/routing/announcements.py
@@ -1,11 +1,44 @@
-"""What endpoints announce about themselves in their responses."""
+"""What endpoints announce about themselves in their responses.
 
+Announcements are kept for each process of an endpoint: a restart voids them,
+and a new entry in the store does not.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
+import enum
+import random
 
 import structlog
 
 from hornbeampier import clock as clocks
 from hornbeampier.routing import domain
+from hornbeampier.routing import endpoint_limit
+
+# How long announcements are kept after the process was last known.
+RETENTION_MS = 120_000.0
+# Maximum number of processes whose announcements are kept.
+MAX_PROCESSES = 5_000
+# News are gossiped for this time.
+GOSSIP_MS = 5_000.0
+# Maximum number of processes whose announcements are gossiped at once.
+MAX_GOSSIPED = 50
+
+ShareFunction = Callable[[str, float], float]
+
+
+class AnnouncementKind(enum.StrEnum):
+    """A change of what an endpoint announces, as counted in the metrics."""
+
+    LIMIT = "limit"
+    LIMIT_END = "limit_end"
+    LEAVING = "leaving"
+    WAIT = "wait"
+    INVALID = "invalid"
+
+
+CountFunction = Callable[[str, AnnouncementKind], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,12 +62,51 @@
 NO_ANNOUNCEMENT = Announcement()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What VMs tell each other of the announcements of a process.
+
+    Attributes:
+        limit: The newest observation of its limit, or None if there is none.
+        leaving: Whether it announced that it leaves.
+    """
+
+    process_id: domain.ProcessId
+    limit: endpoint_limit.LimitObservation | None
+    leaving: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Process:
+    """The announcements of one process of an endpoint.
+
+    Attributes:
+        known_ms: When it was last in the catalog or first heard of.
+    """
+
+    known_ms: float
+    limit: endpoint_limit.EndpointLimit | None = None
+
+    @property
+    def is_limited(self) -> bool:
+        return self.limit is not None and self.limit.is_named
+
+
 class Announcements:
-    """The newest announcements of each process of an endpoint."""
+    """Keeps announcements and tells whether an endpoint may get a request."""
 
-    def __init__(self, clock: clocks.Clock):
+    def __init__(
+        self,
+        share_per_s: ShareFunction,
+        count: CountFunction,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ):
+        self._share_per_s = share_per_s
+        self._count = count
         self._clock = clock
-        self._newest: dict[domain.ProcessId, Announcement] = {}
+        self._rng = rng
+        self._processes: dict[domain.ProcessId, _Process] = {}
         self._log = structlog.get_logger(task="announcements")
 
     def record(
@@ -42,19 +114,141 @@
         endpoint: domain.Endpoint,
         announcement: Announcement,
         request_id: str,
+        sent_ms: float,
     ) -> None:
-        """Records the announcements in a response to a request of this VM."""
-        previous = self._newest.get(endpoint.process_id, NO_ANNOUNCEMENT)
-        if announcement == previous:
+        """Records the announcements in a response to a request of this VM.
+
+        Args:
+            endpoint: The endpoint that responded.
+            announcement: Its announcements.
+            request_id: The id of the request.
+            sent_ms: When the request was sent.
+        """
+        process_id = endpoint.process_id
+        if (
+            announcement == NO_ANNOUNCEMENT
+            and process_id not in self._processes
+        ):
             return
-        self._newest[endpoint.process_id] = announcement
-        self._log.info(
-            "endpoint_announced",
-            request_id=request_id,
-            endpoint=endpoint.id,
-            service=endpoint.service,
-            limit_per_s=announcement.limit_per_s,
-            leaving=announcement.leaving,
-            wait_ms=announcement.wait_ms,
-            invalid=announcement.invalid or None,
+        is_limited = announcement.limit_per_s is not None
+        known_ms = self._clock.now() if is_limited else sent_ms
+        observation = endpoint_limit.LimitObservation(
+            announcement.limit_per_s, known_ms
         )
+        kinds = []
+        if self._observe_limit(process_id, observation):
+            kinds.append(
+                AnnouncementKind.LIMIT
+                if is_limited
+                else AnnouncementKind.LIMIT_END
+            )
+        if announcement.invalid:
+            kinds.append(AnnouncementKind.INVALID)
+        for kind in kinds:
+            self._count(endpoint.service, kind)
+        if kinds:
+            self._log.info(
+                "endpoint_announced",
+                request_id=request_id,
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                limit_per_s=announcement.limit_per_s,
+                leaving=announcement.leaving,
+                wait_ms=announcement.wait_ms,
+                invalid=announcement.invalid or None,
+            )
+
+    def record_peer(self, notice: Notice) -> None:
+        """Records what a peer knows of an endpoint's announcements."""
+        limit = notice.limit
+        if limit is not None and self._observe_limit(notice.process_id, limit):
+            self._log.info(
+                "peer_announced",
+                endpoint=notice.process_id[0],
+                limit_per_s=limit and limit.limit_per_s,
+                age_ms=limit and round(self._clock.now() - limit.known_ms),
+            )
+
+    def is_limited(self, endpoint: domain.Endpoint) -> bool:
+        """Whether the endpoint names a limit."""
+        process = self._processes.get(endpoint.process_id)
+        return process is not None and process.is_limited
+
+    def describe(self, endpoint: domain.Endpoint) -> str | None:
+        """Returns why the endpoint may not get a request now, or None."""
+        process = self._processes.get(endpoint.process_id)
+        if process is None:
+            return None
+        if process.limit is not None and process.limit.opens_in_ms():
+            return f"limit {process.limit.observation.limit_per_s:g}/s"
+        return None
+
+    def opens_in_ms(self, endpoint: domain.Endpoint) -> float:
+        """Returns the time until it may get a request; 0 if it may now."""
+        process = self._processes.get(endpoint.process_id)
+        if process is None:
+            return 0.0
+        return process.limit.opens_in_ms() if process.limit else 0.0
+
+    def take(self, endpoint: domain.Endpoint) -> bool:
+        """Accounts for a request; returns False if it may not be sent."""
+        process = self._processes.get(endpoint.process_id)
+        if process is None:
+            return True
+        if self.opens_in_ms(endpoint) > 0.0:
+            return False
+        if process.limit is not None:
+            process.limit.take()
+        return True
+
+    def to_gossip(self) -> list[Notice]:
+        """Returns the recent news, which are to be gossiped."""
+        oldest_ms = self._clock.now() - GOSSIP_MS
+        notices = []
+        for process_id, process in self._processes.items():
+            limit = process.limit.observation if process.limit else None
+            if limit is not None and limit.known_ms < oldest_ms:
+                limit = None
+            if limit is not None:
+                notices.append(Notice(process_id, limit, leaving=False))
+        return notices[-MAX_GOSSIPED:]
+
+    def expire(self, known: Collection[domain.ProcessId]) -> None:
+        """Forgets processes that were not `known` for a long time."""
+        now_ms = self._clock.now()
+        for process_id in known:
+            if process_id in self._processes:
+                self._processes[process_id].known_ms = now_ms
+        for process_id, process in list(self._processes.items()):
+            if process.known_ms < now_ms - RETENTION_MS:
+                del self._processes[process_id]
+
+    def _observe_limit(
+        self,
+        process_id: domain.ProcessId,
+        observation: endpoint_limit.LimitObservation,
+    ) -> bool:
+        """Returns whether the limit changed by an observation."""
+        process = self._processes.get(process_id)
+        if process is not None and process.limit is not None:
+            return process.limit.observe(observation)
+        if observation.limit_per_s is None:
+            return False
+        process = process or self._add(process_id)
+        process.limit = endpoint_limit.EndpointLimit(
+            observation,
+            lambda limit_per_s: self._share_per_s(process_id[0], limit_per_s),
+            self._clock,
+            self._rng,
+        )
+        return True
+
+    def _add(self, process_id: domain.ProcessId) -> _Process:
+        if len(self._processes) >= MAX_PROCESSES:
+            oldest = min(
+                self._processes, key=lambda key: self._processes[key].known_ms
+            )
+            del self._processes[oldest]
+        process = _Process(self._clock.now())
+        self._processes[process_id] = process
+        return process
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -134,23 +134,37 @@
         """Returns the cheapest engine of the request's pool.
 
         If the wait there is too long or the engine is overloaded, an engine of
-        another pool may be chosen.
+        another pool may be chosen, or one that names a limit.
         """
         candidates = self._fleet.candidates(req.service, tried)
         if not candidates:
             return None
-        split = self._pools.split(req, candidates)
+        pooled, limited = self._partition(candidates)
+        split = self._pools.split(req, pooled)
         best = self._choose_cheapest(req, split.pool)
         is_wait_long = (
             best.wait_ms > req.route.latency_target_ms * SPILL_WAIT_FRACTION
         )
         if not is_wait_long and self._load_shedder.accepts(req, best):
             return best
-        spillover = self._choose_cheapest(req, split.overflow)
+        spillover = self._choose_cheapest(req, split.overflow + limited)
         if spillover and self._may_spill_over(req, best, spillover):
             return spillover
         return best
 
+    def _partition(
+        self, candidates: list[fleet.EndpointState]
+    ) -> tuple[list[fleet.EndpointState], list[fleet.EndpointState]]:
+        """Returns the engines that form pools, and those that name a limit.
+
+        The pools of a service would change with each request that a limit
+        allows. If all engines name one, they form the pools.
+        """
+        limited = [s for s in candidates if self._fleet.is_limited(s)]
+        if len(limited) in (0, len(candidates)):
+            return candidates, []
+        return [s for s in candidates if not self._fleet.is_limited(s)], limited
+
     def _may_spill_over(
         self,
         req: requests.Request,
--- a/hornbeampier/routing/dispatch.py
+++ b/hornbeampier/routing/dispatch.py
@@ -3,6 +3,7 @@
 from hornbeampier import errors
 from hornbeampier.routing import choosers
 from hornbeampier.routing import endpoint_choice
+from hornbeampier.routing import fleet
 from hornbeampier.routing import load_shedding
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
@@ -15,6 +16,7 @@
 
     def __init__(
         self,
+        fleet: fleet.Fleet,
         plain_chooser: choosers.Chooser,
         engine_chooser: choosers.Chooser,
         pools: pools.EnginePools,
@@ -22,6 +24,7 @@
         prefill_meter: prefill.PrefillMeter,
         load_shedder: load_shedding.LoadShedder,
     ):
+        self._fleet = fleet
         self._plain_chooser = plain_chooser
         self._engine_chooser = engine_chooser
         self._pools = pools
@@ -51,6 +54,22 @@
         self._prefill_meter.record(choice.state.id, choice.prefill_tokens)
         return choice
 
+    def withheld(self, req: requests.Request) -> dict[str, str]:
+        """Returns why endpoints of the request's service want fewer requests.
+
+        They are keyed by endpoint id.
+        """
+        return self._fleet.withheld(req.service)
+
+    def opens_in_ms(
+        self, req: requests.Request, tried: set[str]
+    ) -> float | None:
+        """Returns when an endpoint that wants fewer requests may get one.
+
+        None if no endpoint of the request's service is left.
+        """
+        return self._fleet.opens_in_ms(req.service, tried)
+
     def _check_overload(
         self, req: requests.Request, choice: endpoint_choice.EndpointChoice
     ) -> None:
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -6,6 +6,7 @@
 import math
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
 from hornbeampier.routing import domain
 from hornbeampier.routing import latency
@@ -128,8 +129,14 @@
 class Fleet:
     """The states of all endpoints, by service."""
 
-    def __init__(self, catalog: catalog.Catalog, clock: clocks.Clock):
+    def __init__(
+        self,
+        catalog: catalog.Catalog,
+        announcements: announcements.Announcements,
+        clock: clocks.Clock,
+    ):
         self._catalog = catalog
+        self._announcements = announcements
         self._clock = clock
         self._states: dict[str, EndpointState] = {}
         self._by_service: dict[str, list[EndpointState]] = {}
@@ -191,15 +198,52 @@
     ) -> list[EndpointState]:
         """Returns the endpoints outside `tried` that may get requests.
 
-        If all are ejected, returns the one whose ejection ends first.
+        Those that asked for fewer requests are left out for now. If all others
+        are ejected, returns the one whose ejection ends first.
         """
         now_ms = self._clock.now()
-        serving = [s for s in self.serving(service) if s.id not in tried]
+        serving = [
+            state
+            for state in self.serving(service)
+            if state.id not in tried
+            and not self._announcements.opens_in_ms(state.endpoint)
+        ]
         eligible = [state for state in serving if state.is_eligible(now_ms)]
         if eligible or not serving:
             return eligible
         return [min(serving, key=lambda state: state.ejected_until_ms)]
 
+    def is_limited(self, state: EndpointState) -> bool:
+        """Whether the endpoint names a limit on its requests."""
+        return self._announcements.is_limited(state.endpoint)
+
+    def withheld(self, service: str) -> dict[str, str]:
+        """Returns why endpoints get no requests because of announcements.
+
+        They are keyed by endpoint id.
+        """
+        reasons = {
+            state.id: self._announcements.describe(state.endpoint)
+            for state in self._by_service.get(service, ())
+        }
+        return {id_: reason for id_, reason in reasons.items() if reason}
+
+    def opens_in_ms(
+        self, service: str, tried: Container[str] = ()
+    ) -> float | None:
+        """Returns when the next endpoint outside `tried` may get a request.
+
+        None if there is no such endpoint.
+        """
+        return min(
+            (
+                self._announcements.opens_in_ms(state.endpoint)
+                for state in self.serving(service)
+                if state.id not in tried
+            ),
+            default=None,
+        )
+
     def take_changed_loads(self) -> frozenset[str]:
         """Returns ids of endpoints whose load changed since the last call."""
         changed = frozenset(self._changed_loads)
--- a/hornbeampier/routing/load_shedding.py
+++ b/hornbeampier/routing/load_shedding.py
@@ -13,6 +13,7 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import requests
+from hornbeampier.routing import retry_delays
 
 # A prompt is accepted if the expected wait for its first event is at most a
 # fraction of its latency target, or at most a fraction of its remaining time.
@@ -24,13 +25,6 @@
 # An engine that spends this fraction of its time on prefill, or more, gets no
 # more batch prompts.
 MAX_BATCH_UTILIZATION = 1.0
-# Maximum Retry-After, as a fraction of the request's remaining time. Callers
-# honor it up to a third of that time.
-MAX_RETRY_AFTER_FRACTION = 0.3
-MIN_RETRY_AFTER_MS = 100.0
-# Callers that are refused together are spread over up to this multiple of the
-# time that the engine needs.
-RETRY_AFTER_SPREAD = 2.0
 
 
 class LoadShedder:
@@ -68,10 +62,7 @@
         if self._is_batch(req) and choice.prefill_utilization > 0.0:
             excess = choice.prefill_utilization / MAX_BATCH_UTILIZATION
             delay_ms = max(delay_ms, prefill.DECAY_TIME_MS * math.log(excess))
-        delay_ms = max(MIN_RETRY_AFTER_MS, delay_ms)
-        delay_ms *= self._rng.uniform(1.0, RETRY_AFTER_SPREAD)
-        max_ms = MAX_RETRY_AFTER_FRACTION * self._remaining_ms(req)
-        return max(0.0, min(delay_ms, max_ms))
+        return retry_delays.spread(delay_ms, self._remaining_ms(req), self._rng)
 
     def _max_wait_ms(self, req: requests.Request) -> float:
         fraction = (
--- a/tests/gossip_cluster.py
+++ b/tests/gossip_cluster.py
@@ -13,10 +13,12 @@
 from hornbeampier.peers import topology
 from hornbeampier.replication import catch_up
 from hornbeampier.replication import store_readers
+from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
 from hornbeampier.routing import crashes
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
+from hornbeampier.routing import limit_shares
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
@@ -39,7 +41,15 @@
     def __init__(self, host, zone, seeds, clock, boot=1):
         self.host = host
         self.catalog = catalog.Catalog()
-        self.fleet = fleet.Fleet(self.catalog, clock)
+        self.announcements = announcements.Announcements(
+            limit_shares.LimitShares(
+                host, lambda: self.members.live()
+            ).share_per_s,
+            lambda service, kind: None,
+            clock,
+            random.Random(host),
+        )
+        self.fleet = fleet.Fleet(self.catalog, self.announcements, clock)
         for number in range(ENGINES):
             self.catalog.apply_endpoint(fakes.endpoint(f"e{number}"))
         self.peer_loads = peer_loads.PeerLoads(clock)
@@ -67,6 +77,7 @@
             peer_loads=self.peer_loads,
             pools=self.pools,
             placements=self.placements,
+            announcements=self.announcements,
             crashes=self.crashes,
             prefill_meter=self.meter,
             catch_up=self.catch_up,
@@ -77,7 +88,12 @@
         self.members = membership.Membership(host, seeds, clock)
         group = groups.Group(clock)
         exchange = state_exchange.StateExchange(
-            sender, shared, self.members, group, self.readers.should_read
+            sender,
+            shared,
+            self.members,
+            group,
+            self.readers.should_read,
+            clock,
         )
         states = hub_states.HubStates(
             sender,
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -4,11 +4,13 @@
 import random
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
 from hornbeampier.routing import choosers
 from hornbeampier.routing import domain
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
+from hornbeampier.routing import limit_shares
 from hornbeampier.routing import load_shedding
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import pools
@@ -89,7 +91,13 @@
     def __init__(self, count):
         self.clock = clocks.ManualClock()
         self.catalog = catalog.Catalog()
-        self.fleet = fleet.Fleet(self.catalog, self.clock)
+        self.announcements = announcements.Announcements(
+            limit_shares.LimitShares("10.0.0.1", tuple).share_per_s,
+            lambda service, kind: None,
+            self.clock,
+            random.Random(1),
+        )
+        self.fleet = fleet.Fleet(self.catalog, self.announcements, self.clock)
         self.peers = peer_loads.PeerLoads(self.clock)
         for number in range(count):
             self.catalog.apply_endpoint(endpoint(f"e{number}"))
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -3,7 +3,6 @@
 from structlog import testing
 import testtools
 
-from hornbeampier import clock as clocks
 from hornbeampier.http1 import messages
 from hornbeampier.platform import announcements as decoder
 from hornbeampier.routing import announcements
@@ -55,17 +54,92 @@
         self.assertEqual((), announcement.invalid)
 
 
-class AnnouncementLogTest(testtools.TestCase):
+class AnnouncementsTestCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        fixture = fakes.RoutingFixture(2)
+        self.clock, self.fleet = fixture.clock, fixture.fleet
+        self.catalog = fixture.catalog
+        self.announcements = fixture.announcements
+        self.endpoint = fixture.states[0].endpoint
+
+    def respond(self, sent_ms=None, **fields):
+        """Records the response to a request that was sent at some time."""
+        self.announcements.record(
+            self.endpoint,
+            announcements.Announcement(**fields),
+            "id-1",
+            self.clock.now() if sent_ms is None else sent_ms,
+        )
+
+    def count_sent(self, seconds, step_ms=10.0):
+        """Returns how many of many requests may be sent within a time."""
+        sent = 0
+        for _ in range(round(seconds * 1_000 / step_ms)):
+            sent += self.announcements.take(self.endpoint)
+            self.clock.advance(step_ms)
+        return sent
+
+
+class AnnouncementLogTest(AnnouncementsTestCase):
     def test_only_changes_are_logged(self):
-        kept = announcements.Announcements(clocks.ManualClock())
-        limited = announcements.Announcement(limit_per_s=2.0)
         with testing.capture_logs() as rows:
-            for announcement in (
-                announcements.NO_ANNOUNCEMENT,
-                limited,
-                limited,
-                announcements.NO_ANNOUNCEMENT,
-            ):
-                kept.record(fakes.endpoint("e1"), announcement, "id-1")
+            for limit_per_s in (None, 2.0, 2.0, None):
+                self.respond(limit_per_s=limit_per_s)
+                self.clock.advance(1.0)
         self.assertEqual([2.0, None], [row["limit_per_s"] for row in rows])
         self.assertEqual({"id-1"}, {row["request_id"] for row in rows})
+
+    def test_invalid_values_are_logged_and_change_nothing(self):
+        with testing.capture_logs() as rows:
+            self.respond(invalid=("server-limit: 'many' is not a number >= 0",))
+        self.assertIn("many", rows[0]["invalid"][0])
+        self.assertTrue(self.announcements.take(self.endpoint))
+
+
+class LimitTest(AnnouncementsTestCase):
+    def test_endpoint_gets_no_more_than_it_accepts(self):
+        self.respond(limit_per_s=2.0)
+        self.assertIn(self.count_sent(10.0), (20, 21, 22))
+
+    def test_limit_ends_when_a_response_names_none(self):
+        self.respond(limit_per_s=1.0)
+        self.clock.advance(100.0)
+        self.respond()
+        self.assertFalse(self.announcements.is_limited(self.endpoint))
+        self.assertEqual(100, self.count_sent(1.0))
+
+    def test_response_to_an_earlier_request_does_not_end_the_limit(self):
+        # It may have been made before the endpoint was in need.
+        self.clock.advance(1_000.0)
+        self.respond(limit_per_s=1.0)
+        self.clock.advance(100.0)
+        self.respond(sent_ms=900.0)
+        self.assertTrue(self.announcements.is_limited(self.endpoint))
+
+    def test_limit_of_zero_allows_a_request_from_time_to_time(self):
+        self.respond(limit_per_s=0.0)
+        self.assertIn(self.count_sent(60.0, 100.0), (3, 4))
+
+    def test_limit_holds_for_the_process_and_not_for_its_address(self):
+        self.respond(limit_per_s=0.0)
+        restarted = fakes.endpoint(self.endpoint.id, started_ms=2)
+        self.assertFalse(self.announcements.is_limited(restarted))
+        moved = fakes.endpoint(self.endpoint.id, host="10.0.0.9")
+        self.assertTrue(self.announcements.is_limited(moved))
+
+    def test_new_entry_of_the_same_process_does_not_end_the_limit(self):
+        self.respond(limit_per_s=0.0)
+        self.announcements.take(self.endpoint)
+        self.catalog.remove_endpoint(self.endpoint.id)
+        self.catalog.apply_endpoint(self.endpoint)
+        ids = [s.id for s in self.fleet.candidates(fakes.SERVICE)]
+        self.assertNotIn(self.endpoint.id, ids)
+
+    def test_endpoint_above_its_limit_is_no_candidate(self):
+        self.respond(limit_per_s=1.0)
+        self.assertEqual(2, len(self.fleet.candidates(fakes.SERVICE)))
+        self.announcements.take(self.endpoint)
+        self.assertEqual(1, len(self.fleet.candidates(fakes.SERVICE)))
+        opens_in_ms = self.fleet.opens_in_ms(fakes.SERVICE, {"e1"})
+        self.assertAlmostEqual(1_000.0, opens_in_ms)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -74,6 +74,7 @@
             peer_loads=self.routing.peers,
             pools=idle,
             placements=idle,
+            announcements=self.routing.announcements,
             crashes=idle,
             prefill_meter=prefill.PrefillMeter(self.clock),
             catch_up=idle,
@@ -82,7 +83,7 @@
         sender = state_exchange.Sender("vm-1", 1, "10.0.0.1", 0)
         group = groups.Group(self.clock)
         self.exchange = state_exchange.StateExchange(
-            sender, shared, self.members, group, lambda: True
+            sender, shared, self.members, group, lambda: True, self.clock
         )
         states = hub_states.HubStates(
             sender, shared, self.members, group, self.exchange, lambda: True
