Wait for as long as an endpoint asks before the next request to it

What callers would see: requests that are sure to be turned away (BUDGET), and retries spent on them. Cause: an endpoint's Retry-After was read by nobody. Change: routing/endpoint_wait.py keeps the time by process; one request tells afterwards whether it is over.

--- a/hornbeampier/routing/announcements.py
+++ b/hornbeampier/routing/announcements.py
@@ -15,6 +15,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier.routing import domain
 from hornbeampier.routing import endpoint_limit
+from hornbeampier.routing import endpoint_wait
 
 # How long announcements are kept after the process was last known.
 RETENTION_MS = 120_000.0
@@ -87,6 +88,7 @@
 
     known_ms: float
     limit: endpoint_limit.EndpointLimit | None = None
+    wait: endpoint_wait.EndpointWait | None = None
     leaving_ms: float | None = None
 
     @property
@@ -146,6 +148,8 @@
             )
         if announcement.leaving and self._record_leaving(process_id):
             kinds.append(AnnouncementKind.LEAVING)
+        if self._record_wait(process_id, announcement.wait_ms, sent_ms):
+            kinds.append(AnnouncementKind.WAIT)
         if announcement.invalid:
             kinds.append(AnnouncementKind.INVALID)
         for kind in kinds:
@@ -196,6 +200,8 @@
             return None
         if process.leaving_ms is not None:
             return "leaving"
+        if process.wait is not None and process.wait.opens_in_ms():
+            return "wait"
         if process.limit is not None and process.limit.opens_in_ms():
             return f"limit {process.limit.observation.limit_per_s:g}/s"
         return None
@@ -205,7 +211,10 @@
         process = self._processes.get(endpoint.process_id)
         if process is None:
             return 0.0
-        return process.limit.opens_in_ms() if process.limit else 0.0
+        return max(
+            process.wait.opens_in_ms() if process.wait else 0.0,
+            process.limit.opens_in_ms() if process.limit else 0.0,
+        )
 
     def take(self, endpoint: domain.Endpoint) -> bool:
         """Accounts for a request; returns False if it may not be sent."""
@@ -216,6 +225,8 @@
             return False
         if process.limit is not None:
             process.limit.take()
+        if process.wait is not None:
+            process.wait.take()
         return True
 
     def to_gossip(self) -> list[Notice]:
@@ -270,6 +281,24 @@
         process.leaving_ms = self._clock.now()
         return True
 
+    def _record_wait(
+        self,
+        process_id: domain.ProcessId,
+        wait_ms: float | None,
+        sent_ms: float,
+    ) -> bool:
+        """Returns whether the endpoint wants no requests for some time."""
+        process = self._processes.get(process_id)
+        if wait_ms is None:
+            if process is not None and process.wait is not None:
+                process.wait.record_response(sent_ms)
+            return False
+        process = process or self._add(process_id)
+        if process.wait is None:
+            process.wait = endpoint_wait.EndpointWait(self._clock, self._rng)
+        process.wait.extend(wait_ms)
+        return True
+
     def _add(self, process_id: domain.ProcessId) -> _Process:
         if len(self._processes) >= MAX_PROCESSES:
             oldest = min(
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,11 +1,14 @@
 """What endpoints announce about themselves in their responses."""
 
+import random
+
 from structlog import testing
 import testtools
 
 from hornbeampier.http1 import messages
 from hornbeampier.platform import announcements as decoder
 from hornbeampier.routing import announcements
+from hornbeampier.routing import endpoint_wait
 from tests import routing_fakes as fakes
 
 
@@ -166,6 +169,42 @@
         self.assertEqual(2, len(self.fleet.serving(fakes.SERVICE)))
 
 
+class WaitTest(AnnouncementsTestCase):
+    def test_endpoint_gets_nothing_for_as_long_as_it_asks(self):
+        self.respond(wait_ms=2_000.0)
+        self.assertEqual(0, self.count_sent(2.0))
+
+    def test_one_request_tells_whether_the_wait_is_over(self):
+        self.respond(wait_ms=1_000.0)
+        self.clock.advance(1_300.0)
+        self.assertEqual(1, self.count_sent(0.5))
+        self.respond()
+        self.assertEqual(10, self.count_sent(0.1))
+
+    def test_trial_without_a_response_is_repeated(self):
+        self.respond(wait_ms=1_000.0)
+        self.clock.advance(1_300.0)
+        self.assertEqual(3, self.count_sent(3.0))
+
+    def test_response_to_an_earlier_request_does_not_end_the_wait(self):
+        self.respond(wait_ms=1_000.0)
+        self.respond(sent_ms=0.0)
+        self.assertEqual(0, self.count_sent(1.0))
+
+    def test_shorter_wait_does_not_replace_a_longer_one(self):
+        self.respond(wait_ms=2_000.0)
+        self.respond(wait_ms=100.0)
+        self.assertEqual(0, self.count_sent(2.0))
+
+    def test_vms_do_not_return_at_the_same_moment(self):
+        ends = set()
+        for seed in range(20):
+            wait = endpoint_wait.EndpointWait(self.clock, random.Random(seed))
+            wait.extend(1_000.0)
+            ends.add(round(wait.opens_in_ms()))
+        self.assertGreater(len(ends), 10)
+
+
 class RetentionTest(AnnouncementsTestCase):
     def test_processes_that_are_gone_are_forgotten(self):
         self.respond(leaving=True)
