--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 import random
 
 import gevent
+import testtools
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
@@ -11,11 +12,11 @@
 from hornbeampier.ingress import listener
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
+from hornbeampier.replication import catch_up
 from hornbeampier.replication import messages
 from hornbeampier.replication import relay
 from hornbeampier.replication import replica
 from tests import nodes
-from tests import store_standin
 
 HOST = "127.0.0.1"
 TOPIC = names.OPERATOR_TOPIC
@@ -107,28 +108,30 @@
         self.patch(relay, "MAX_BODY_BYTES", 1_000)
         self.assertRaises(errors.PlatformError, self.fetch)
 
+
+class CatchUpTest(testtools.TestCase):
+    def fetch_once(self, error):
+        """Returns the hosts known as sources after a fetch has failed."""
+        topic_replica = replica.TopicReplica(TOPIC, IgnoringApplier())
+        task = catch_up.CatchUp(
+            {TOPIC: topic_replica},
+            1,
+            lambda: False,
+            clocks.ManualClock(),
+            random.Random(1),
+        )
+        task.record_peer("10.0.0.2", {TOPIC: 3})
+
+        def fail(*args):
+            raise error
+
+        self.patch(relay, "fetch", fail)
+        task._fetch_if_behind(TOPIC)
+        return task.furthest_ahead(TOPIC)[1]
+
     def test_busy_peer_stays_a_source(self):
-        control_port, peer_port = nodes.free_port(), nodes.free_port()
-        vms = [
-            self.start_ready_node(
-                host=host,
-                control=settings.Address(host, control_port),
-                seeds=(settings.Address("127.0.0.2", control_port),),
-                peer_port=peer_port,
-            )
-            for host in ("127.0.0.2", "127.0.0.3")
-        ]
-        catch_up = vms[1]._catch_up
-        busy = [True]
-        fetch = relay.fetch
-
-        def fetch_later(*args):
-            if busy:
-                busy.pop()
-                raise relay.PeerBusyError("busy")
-            return fetch(*args)
-
-        self.patch(relay, "fetch", fetch_later)
-        catch_up.record_peer("127.0.0.2", {TOPIC: 1_000})
-        store_standin.wait_until(lambda: not busy)
-        self.assertIn("127.0.0.2", catch_up._peer_offsets[TOPIC])
+        hosts = self.fetch_once(relay.PeerBusyError("busy"))
+        self.assertEqual(["10.0.0.2"], hosts)
+
+    def test_failed_peer_is_no_source_until_it_is_heard_again(self):
+        self.assertEqual([], self.fetch_once(errors.PlatformError("reset")))
