Order records by the era of the store, which may return from a copy

What callers would see after such a return: a key that was revoked is valid again on VMs that start, changes are missed on all others, and VMs hand lost records to each other. Cause: a replica took for granted that offsets never go back, and the store's Store-Era was dropped with all other headers of its responses. What is newer than the copy (configurations by version, endpoints by start and sequence) is carried over under the new era and reaches VMs that have only the copy.

--- a/hornbeampier/peers/hub_states.py
+++ b/hornbeampier/peers/hub_states.py
@@ -7,6 +7,7 @@
 from hornbeampier.peers import load_messages
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
+from hornbeampier.peers import record_positions
 from hornbeampier.peers import state_exchange
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import workload
@@ -111,7 +112,10 @@
             sequence=sequence,
             is_delta=False,
             reads_store=self._reads_store(),
-            offsets=self._exchange.sent_offsets,
+            offsets=record_positions.to_offsets(self._exchange.sent_positions),
+            positions=record_positions.to_messages(
+                self._exchange.sent_positions
+            ),
             loads={
                 endpoint_id: load_messages.to_load_message(load)
                 for endpoint_id, load in loads.items()
@@ -134,13 +138,13 @@
         themselves would take too long over three hops.
         """
         sources = {}
-        for topic, own_offset in self._exchange.sent_offsets.items():
-            offset, hosts = self._shared.catch_up.furthest_ahead(topic)
-            if own_offset > offset:
-                offset, hosts = own_offset, []
-            if own_offset == offset:
+        for topic, own in self._exchange.sent_positions.items():
+            furthest, hosts = self._shared.catch_up.furthest_ahead(topic)
+            if own > furthest:
+                furthest, hosts = own, []
+            if own == furthest:
                 hosts = [*hosts, self._sender.host]
-            sources[topic] = messages.RecordSources(offset, tuple(hosts))
+            sources[topic] = record_positions.to_sources(furthest, hosts)
         return sources
 
     def _without(
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -81,15 +81,27 @@
 KNOWN_SCOPES = frozenset(Scope)
 
 
+class RecordPosition(msgspec.Struct, array_like=True, frozen=True):
+    """A `positions.Position` of a topic."""
+
+    era: int
+    offset: int
+    carried: bool
+
+
 class RecordSources(msgspec.Struct, array_like=True, frozen=True):
     """Hosts from which records of a topic can be fetched.
 
     Attributes:
         offset: Offset that these hosts have reached.
+        era: Era of the store to which the offset belongs.
+        carried: See `positions.Position`.
     """
 
     offset: int
     hosts: tuple[str, ...]
+    era: int = 0
+    carried: bool = False
 
 
 class MemberReport(msgspec.Struct, array_like=True, frozen=True):
@@ -115,8 +127,8 @@
         is_delta: Whether it holds only what changed since the last round.
         reads_store: Whether the VM reads the store and its last calls did
             not fail.
-        offsets: Offset that the VM has reached in each topic; a delta leaves
-            out topics that did not advance.
+        offsets: Offset that the VM has reached in each topic, for VMs of
+            versions without `positions`.
         loads: Load by endpoint id. A full state leaves out endpoints without
             load; a delta leaves out those whose load did not change.
         workload: Recent workload by service and kind of prompt, in prompt
@@ -136,6 +148,8 @@
         reports: The live members; left out of most messages.
         sources: Some hosts that are furthest ahead, by topic.
         notices: Recent announcements of endpoints; in a delta only new ones.
+        positions: Position that the VM has reached in each topic; a delta
+            leaves out topics that did not advance.
     """
 
     vm: str
@@ -158,6 +172,7 @@
     reports: tuple[MemberReport, ...] = ()
     sources: dict[str, RecordSources] = {}
     notices: tuple[EndpointNotice, ...] = ()
+    positions: dict[str, RecordPosition] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -9,7 +9,9 @@
 from hornbeampier.peers import load_messages
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
+from hornbeampier.peers import record_positions
 from hornbeampier.replication import catch_up
+from hornbeampier.replication import positions
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import announcements
@@ -28,7 +30,7 @@
     """What changed since the last round of datagrams.
 
     Attributes:
-        offsets: Offset of each topic that advanced.
+        positions: Position of each topic that advanced.
         endpoints: Ids of the endpoints whose load changed.
         sent_tokens: Prompt tokens sent to each engine.
         placements: Prompt segments sent to engines.
@@ -36,7 +38,7 @@
         notices: Announcements of endpoints.
     """
 
-    offsets: dict[str, int]
+    positions: dict[str, positions.Position]
     endpoints: frozenset[str]
     sent_tokens: dict[str, int]
     placements: tuple[messages.Placement, ...]
@@ -47,7 +49,7 @@
     def is_empty(self) -> bool:
         """Whether nothing changed."""
         return not (
-            self.offsets
+            self.positions
             or self.endpoints
             or self.sent_tokens
             or self.placements
@@ -106,7 +108,7 @@
         self._members = members
         self._group = group
         self._reads_store = reads_store
-        self._sent_offsets: dict[str, int] = {}
+        self._sent_positions: dict[str, positions.Position] = {}
         self._sent_crashes: frozenset[crashes.Crash] = frozenset()
         self._notices = endpoint_notices.EndpointNotices(
             shared.announcements, clock
@@ -114,11 +116,11 @@
 
     def collect_delta(self) -> Delta:
         """Returns what has changed since the last call."""
-        offsets = self._offsets()
+        reached = self._positions()
         previous_crashes = self._sent_crashes
         self._sent_crashes = frozenset(self._shared.crashes.to_gossip())
         delta = Delta(
-            offsets=_differences(self._sent_offsets, offsets),
+            positions=_differences(self._sent_positions, reached),
             endpoints=self._shared.fleet.take_changed_loads(),
             sent_tokens=self._shared.prefill_meter.take_unreported(),
             placements=tuple(
@@ -132,7 +134,7 @@
             ),
             notices=self._notices.take_changed(),
         )
-        self._sent_offsets = offsets
+        self._sent_positions = reached
         return delta
 
     def make_delta(
@@ -148,7 +150,8 @@
             sequence=sequence,
             is_delta=True,
             reads_store=self._reads_store(),
-            offsets=delta.offsets,
+            offsets=record_positions.to_offsets(delta.positions),
+            positions=record_positions.to_messages(delta.positions),
             loads=self._changed_loads(delta),
             workload=self._shared.pools.own_workload(),
             pools=self._pool_sizes(),
@@ -183,7 +186,8 @@
             sequence=sequence,
             is_delta=False,
             reads_store=self._reads_store(),
-            offsets=self._sent_offsets,
+            offsets=record_positions.to_offsets(self._sent_positions),
+            positions=record_positions.to_messages(self._sent_positions),
             loads=self._active_loads(),
             workload=self._shared.pools.own_workload(),
             pools=self._pool_sizes(),
@@ -226,7 +230,9 @@
         for placement in message.placements:
             segment = domain.PromptSegment(placement.segment, placement.tokens)
             self._shared.placements.record_peer(placement.endpoint, segment)
-        self._shared.catch_up.record_peer(host, message.offsets)
+        self._shared.catch_up.record_peer(
+            host, record_positions.of_message(message)
+        )
         self._apply_sources(message)
         self._shared.store_readers.record_peer(host, message.reads_store)
         for reader in message.readers:
@@ -237,7 +243,7 @@
             for host in sources.hosts:
                 if host != self._sender.host:
                     self._shared.catch_up.record_peer(
-                        host, {topic: sources.offset}
+                        host, {topic: record_positions.of_sources(sources)}
                     )
 
     def _apply_loads(
@@ -256,9 +262,9 @@
         )
 
     @property
-    def sent_offsets(self) -> dict[str, int]:
-        """The offset that this VM has reached in each topic."""
-        return self._sent_offsets
+    def sent_positions(self) -> dict[str, positions.Position]:
+        """The position that this VM has reached in each topic."""
+        return self._sent_positions
 
     @property
     def sent_crashes(self) -> tuple[messages.Crash, ...]:
@@ -277,11 +283,11 @@
             for state in self._shared.fleet.all()
         }
 
-    def _offsets(self) -> dict[str, int]:
+    def _positions(self) -> dict[str, positions.Position]:
         return {
-            topic: topic_replica.offset
+            topic: topic_replica.position
             for topic, topic_replica in self._shared.replicas.items()
-            if topic_replica.offset is not None
+            if topic_replica.position is not None
         }
 
     def _pool_sizes(self) -> dict[str, tuple[int, int]]:
@@ -307,5 +313,7 @@
         }
 
 
-def _differences(old: dict[str, int], new: dict[str, int]) -> dict[str, int]:
+def _differences(
+    old: dict[str, positions.Position], new: dict[str, positions.Position]
+) -> dict[str, positions.Position]:
     return {key: value for key, value in new.items() if old.get(key) != value}
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -30,6 +30,8 @@
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+# How often the store has returned from an older copy.
+ERA = b"store-era"
 
 # Only VMs and endpoints set these; values from callers are not forwarded. A
 # caller's deadline is read, and endpoints get the remaining time instead.
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -81,6 +81,12 @@
     tenants: list[_Account] | None = None
 
 
+class _Version(msgspec.Struct):
+    """A configuration of which only the version is decoded."""
+
+    version: int
+
+
 class _Endpoint(msgspec.Struct, rename="camel"):
     """An endpoint; `born` is the Unix time of its start in ms."""
 
@@ -95,6 +101,7 @@
     born: int = 0
 
 
+_version_decoder = msgspec.json.Decoder(_Version)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _endpoint_decoder = msgspec.json.Decoder(_Endpoint)
 
@@ -118,6 +125,18 @@
         raise errors.PlatformError(f"malformed configuration: {exc}") from exc
 
 
+def decode_version(value: bytes) -> int:
+    """Decodes the version of a configuration record.
+
+    Raises:
+        errors.PlatformError: The record is malformed.
+    """
+    try:
+        return _version_decoder.decode(value).version
+    except _DECODE_ERRORS as exc:
+        raise errors.PlatformError(f"malformed configuration: {exc}") from exc
+
+
 def decode_endpoint(endpoint_id: str, value: bytes) -> domain.Endpoint:
     """Decodes an endpoint record.
 
@@ -139,6 +158,7 @@
         leaving=record.state == "draining",
         warmup_ms=record.cold_left_ms,
         started_ms=record.born,
+        sequence=record.sequence,
     )
 
 
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -11,12 +11,14 @@
 from hornbeampier.http1 import client
 from hornbeampier.http1 import messages as http
 from hornbeampier.http1 import sockets
+from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.replication import messages
 
 CONNECT_TIMEOUT_MS = 1_000.0
 CALL_TIMEOUT_MS = 3_000.0
 PARTITION = 0
+MAX_ERA_DIGITS = 18
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -52,16 +54,23 @@
         Pages are fetched at different times, so the snapshot has the end
         offset of the first one: reading on from there repeats records that a
         later page already contains, but misses none.
+
+        Raises:
+            errors.PlatformError: The store sent no valid response, or its era
+                changed between two pages.
         """
         records = []
-        end = None
+        first = None
         query = {"topic": topic, "part": PARTITION}
         while True:
-            page = self._newest_page(query)
-            end = page.end if end is None else end
-            records += [_to_record(item) for item in page.items]
+            page, era = self._newest_page(query)
+            first = first or (page.end, era)
+            end, first_era = first
+            if era != first_era:
+                raise errors.PlatformError("the era changed between two pages")
+            records += [_to_record(item, era) for item in page.items]
             if not page.has_more or not page.items:
-                return messages.Snapshot(tuple(records), end)
+                return messages.Snapshot(tuple(records), end, era)
             query["after"] = page.items[-1].key
 
     def read(self, topic: str, offset: int, wait_ms: float) -> messages.Batch:
@@ -84,7 +93,7 @@
             )
         if response.status != 200:
             raise errors.PlatformError(f"log-read returned {response.status}")
-        return _decode_batch(response.body, offset)
+        return _decode_batch(response.body, offset, _decode_era(response))
 
     def close(self) -> None:
         """Closes the connection."""
@@ -92,16 +101,18 @@
             self._conn.close()
             self._conn = None
 
-    def _newest_page(self, query: dict) -> _Page:
+    def _newest_page(self, query: dict) -> tuple[_Page, int]:
+        """Returns a page and the era of the store."""
         response = self._call("/log-newest", query, 0.0)
         if response.status != 200:
             raise errors.PlatformError(f"log-newest returned {response.status}")
         try:
-            return _page_decoder.decode(response.body)
+            page = _page_decoder.decode(response.body)
         except errors.DECODE_ERRORS as exc:
             raise errors.PlatformError(
                 f"malformed log-newest page: {exc}"
             ) from exc
+        return page, _decode_era(response)
 
     def _call(
         self, path: str, query: dict, wait_ms: float
@@ -136,17 +147,29 @@
         return self._conn
 
 
-def _to_record(item: _Item) -> messages.Record:
+def _decode_era(response: client.CompleteResponse) -> int:
+    """Returns the store's era; 0 if it names none.
+
+    Raises:
+        errors.PlatformError: The era is malformed.
+    """
+    value = response.head.get(names.ERA) or b"0"
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        raise errors.PlatformError(f"malformed era: {value[:MAX_ERA_DIGITS]!r}")
+    return int(value)
+
+
+def _to_record(item: _Item, era: int) -> messages.Record:
     try:
         value = base64.b64decode(item.value)
     except ValueError as exc:
         raise errors.PlatformError(
             f"record {item.key}: value is not Base64: {exc}"
         ) from exc
-    return messages.Record(item.key, value, item.offset)
+    return messages.Record(item.key, value, item.offset, era)
 
 
-def _decode_batch(body: bytes, offset: int) -> messages.Batch:
+def _decode_batch(body: bytes, offset: int, era: int) -> messages.Batch:
     """Decodes two offsets and the length-prefixed records after them."""
     try:
         # Only checks the length: the end offset is not needed, because it may
@@ -158,17 +181,17 @@
             (length,) = _LENGTH.unpack_from(body, position)
             position += _LENGTH.size
             record = body[position : position + length]
-            records.append(_decode_record(record, offset + len(records)))
+            records.append(_decode_record(record, offset + len(records), era))
             position += length
     except (struct.error, IndexError) as exc:
         raise errors.PlatformError(
             f"malformed log-read response: {exc}"
         ) from exc
-    return messages.Batch(tuple(records), offset + len(records))
+    return messages.Batch(tuple(records), offset + len(records), era)
 
 
-def _decode_record(record: bytes, offset: int) -> messages.Record:
+def _decode_record(record: bytes, offset: int, era: int) -> messages.Record:
     key_length = record[0]
     key = record[1 : 1 + key_length].decode(errors="replace")
     value = record[1 + key_length :]
-    return messages.Record(key, value or None, offset)
+    return messages.Record(key, value or None, offset, era)
--- a/hornbeampier/replication/appliers.py
+++ b/hornbeampier/replication/appliers.py
@@ -1,5 +1,7 @@
 """Applies endpoint entries and configurations to the catalog."""
 
+import dataclasses
+
 import structlog
 
 from hornbeampier import clock as clocks
@@ -7,12 +9,25 @@
 from hornbeampier.platform import records
 from hornbeampier.replication import messages
 from hornbeampier.routing import catalog
+from hornbeampier.routing import domain
 
 # Time in which an endpoint can register again before it is removed, if its
 # entry expired during or shortly after an outage of the store.
 REREGISTER_MS = 2_000.0
 
 
+# Maximum number of endpoints whose last entry is remembered.
+MAX_REMEMBERED = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _EntryAge:
+    """Orders the entries of an endpoint by when they were written."""
+
+    started_ms: int
+    sequence: int
+
+
 class EndpointApplier:
     """Adds and removes endpoints as their entries in the store change."""
 
@@ -23,6 +38,8 @@
         self._grace_end_ms = 0.0
         # When to remove each endpoint whose removal is delayed.
         self._removal_due_ms: dict[str, float] = {}
+        # The age of each endpoint's last entry, also after its removal.
+        self._last_ages: dict[str, _EntryAge] = {}
         self._log = structlog.get_logger(task="entries")
 
     def on_source_lost(self) -> None:
@@ -54,8 +71,28 @@
             self._catalog.remove_endpoint(record.key)
             return
         self._removal_due_ms.pop(record.key, None)
+        self._remember(endpoint)
         self._catalog.apply_endpoint(endpoint)
 
+    def supersedes(
+        self, record: messages.Record, current: messages.Record
+    ) -> bool:
+        """Whether the endpoint wrote its entry after the last known one.
+
+        An endpoint that has left since is not in use again because the store
+        returned from a copy that is older.
+        """
+        last_age = self._last_ages.get(record.key)
+        if record.value is None or last_age is None:
+            return True
+        try:
+            endpoint = records.decode_endpoint(record.key, record.value)
+        except errors.PlatformError:
+            # Applying it logs the error.
+            return True
+        age = _entry_age(endpoint)
+        return age > last_age or (age == last_age and current.value is not None)
+
     def expire(self) -> None:
         """Removes endpoints that did not register again in time."""
         now_ms = self._clock.now()
@@ -64,6 +101,12 @@
             del self._removal_due_ms[endpoint_id]
             self._catalog.remove_endpoint(endpoint_id)
 
+    def _remember(self, endpoint: domain.Endpoint) -> None:
+        self._last_ages.pop(endpoint.id, None)
+        self._last_ages[endpoint.id] = _entry_age(endpoint)
+        if len(self._last_ages) > MAX_REMEMBERED:
+            del self._last_ages[next(iter(self._last_ages))]
+
     def _remove_or_delay(self, endpoint_id: str) -> None:
         now_ms = self._clock.now()
         due_ms = self._grace_end_ms
@@ -75,6 +118,10 @@
             self._catalog.remove_endpoint(endpoint_id)
 
 
+def _entry_age(endpoint: domain.Endpoint) -> _EntryAge:
+    return _EntryAge(endpoint.started_ms, endpoint.sequence)
+
+
 class ConfigurationApplier:
     """Applies the configurations that operators publish."""
 
@@ -103,3 +150,17 @@
             )
             return
         self._catalog.apply_configuration(cfg)
+
+    def supersedes(
+        self, record: messages.Record, current: messages.Record
+    ) -> bool:
+        """Whether a configuration is not older than the one in force."""
+        if record.key != self._key:
+            return True
+        if record.value is None:
+            return False
+        try:
+            return records.decode_version(record.value) >= self._catalog.version
+        except errors.PlatformError:
+            # Applying it logs the error and keeps the one in force.
+            return True
--- a/hornbeampier/replication/catch_up.py
+++ b/hornbeampier/replication/catch_up.py
@@ -8,6 +8,7 @@
 from hornbeampier import application
 from hornbeampier import clock as clocks
 from hornbeampier import errors
+from hornbeampier.replication import positions
 from hornbeampier.replication import relay
 from hornbeampier.replication import replica
 
@@ -37,30 +38,34 @@
         self._port = port
         self._reads_store = reads_store
         self._clock = clock
-        self._peer_offsets: dict[str, dict[str, int]] = {
+        self._peer_positions: dict[str, dict[str, positions.Position]] = {
             t: {} for t in replicas
         }
         self._behind_since_ms: dict[str, float] = {}
         self._log = structlog.get_logger(task="catch_up")
 
-    def record_peer(self, host: str, offsets: dict[str, int]) -> None:
-        """Records the offsets that a peer has reached."""
-        for topic, offset in offsets.items():
-            if topic in self._peer_offsets:
-                self._peer_offsets[topic][host] = offset
+    def record_peer(
+        self, host: str, reached: dict[str, positions.Position]
+    ) -> None:
+        """Records the positions that a peer has reached, by topic."""
+        for topic, position in reached.items():
+            if topic in self._peer_positions:
+                self._peer_positions[topic][host] = position
 
-    def furthest_ahead(self, topic: str) -> tuple[int, list[str]]:
-        """Returns the highest known offset of a topic and hosts that have it.
+    def furthest_ahead(
+        self, topic: str
+    ) -> tuple[positions.Position, list[str]]:
+        """Returns the highest known position of a topic and hosts that have it.
 
-        There are at most `MAX_SOURCES` of them, chosen at random. The offset is
-        0 if none is known.
+        There are at most `MAX_SOURCES` of them, chosen at random. It is the
+        start of the topic if none is known.
         """
-        offsets = self._peer_offsets[topic]
-        if not offsets:
-            return 0, []
-        hosts = _furthest_ahead(offsets)
+        known = self._peer_positions[topic]
+        if not known:
+            return positions.START, []
+        hosts = _furthest_ahead(known)
         count = min(MAX_SOURCES, len(hosts))
-        return max(offsets.values()), self._rng.sample(hosts, count)
+        return max(known.values()), self._rng.sample(hosts, count)
 
     def run(self) -> None:
         """Checks for peers that are ahead until killed."""
@@ -70,11 +75,11 @@
                 self._fetch_if_behind(topic)
 
     def _fetch_if_behind(self, topic: str) -> None:
-        own_offset = self._replicas[topic].offset
+        own = self._replicas[topic].position
         ahead = {
-            host: offset
-            for host, offset in self._peer_offsets[topic].items()
-            if own_offset is None or offset > own_offset
+            host: position
+            for host, position in self._peer_positions[topic].items()
+            if own is None or position > own
         }
         if not ahead:
             self._behind_since_ms.pop(topic, None)
@@ -89,14 +94,18 @@
         topic_replica = self._replicas[topic]
         try:
             batch = relay.fetch(
-                host, self._port, topic, topic_replica.offset or 0, self._clock
+                host,
+                self._port,
+                topic,
+                topic_replica.position or positions.START,
+                self._clock,
             )
         except relay.PeerBusyError:
             # It stays a source; the next check picks one at random again.
             return
         except errors.PlatformError as exc:
             self._log.info("peer_failed", peer=host, error=str(exc))
-            self._peer_offsets[topic].pop(host, None)
+            self._peer_positions[topic].pop(host, None)
             return
         topic_replica.apply_batch(batch)
         self._log.info(
@@ -105,10 +114,11 @@
             topic=topic,
             records=len(batch.records),
             offset=topic_replica.offset,
+            era=topic_replica.era,
         )
 
 
-def _furthest_ahead(ahead: dict[str, int]) -> list[str]:
+def _furthest_ahead(known: dict[str, positions.Position]) -> list[str]:
     """Returns the hosts that are furthest ahead."""
-    max_offset = max(ahead.values())
-    return [host for host, offset in ahead.items() if offset == max_offset]
+    furthest = max(known.values())
+    return [host for host, position in known.items() if position == furthest]
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -50,6 +50,7 @@
         self._log = structlog.get_logger(task="follower", topic=replica.topic)
         self._backoff_ms = FIRST_BACKOFF_MS
         self._offset: int | None = None
+        self._era = 0
         self.source_lost = False
         self._is_standby = False
 
@@ -81,19 +82,36 @@
             return
         self._resume()
         if self._offset is None:
-            snapshot = self._source.read_snapshot(self._replica.topic)
-            self._on_source_regained()
-            self._replica.apply_snapshot(snapshot)
-            self._offset = snapshot.end
+            self._read_snapshot()
             return
         wait_ms = 0.0 if self.source_lost else self._poll_wait_ms()
         batch = self._source.read(self._replica.topic, self._offset, wait_ms)
+        self._check_era(batch.era)
         self._on_source_regained()
+        if batch.era > self._era:
+            # The records from this offset on may be others than before.
+            self._log.warning("store_era_changed", era=batch.era)
+            self._offset = None
+            return
         self._replica.apply_batch(batch)
         self._offset = batch.end
         if batch.records:
             self._clock.sleep(READ_INTERVAL_MS)
 
+    def _read_snapshot(self) -> None:
+        snapshot = self._source.read_snapshot(self._replica.topic)
+        self._check_era(snapshot.era)
+        self._on_source_regained()
+        self._replica.apply_snapshot(snapshot)
+        self._offset = snapshot.end
+        self._era = snapshot.era
+
+    def _check_era(self, era: int) -> None:
+        if era < self._replica.era:
+            raise errors.PlatformError(
+                f"the store is in era {era}, and was in {self._replica.era}"
+            )
+
     def _stand_by(self) -> None:
         """Stops reading the store; records come from peers instead."""
         if not self._is_standby:
@@ -109,7 +127,8 @@
             return
         self._is_standby = False
         self._offset = self._replica.offset
-        self._log.info("reading", offset=self._offset)
+        self._era = self._replica.era
+        self._log.info("reading", offset=self._offset, era=self._era)
 
     def _poll_wait_ms(self) -> float:
         """Returns a random wait that spreads the calls of all readers evenly.
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -1,22 +1,36 @@
 """Records of a compacted topic, which keeps the newest value of each key.
 
 Peers send each other `Batch` and `Record` as maps, so the names of their fields
-are part of the wire format.
+are part of the wire format. Peers of earlier versions know no eras.
 """
 
 import dataclasses
 from typing import Protocol
 
 from hornbeampier import errors
+from hornbeampier.replication import positions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """One change of a key; a `value` of None removes the key."""
+    """One change of a key; a `value` of None removes the key.
+
+    Attributes:
+        era: The era of the store that assigned the offset.
+        carried: Whether the value is of an earlier era, and newer than what the
+            store has in this one.
+    """
 
     key: str
     value: bytes | None
     offset: int
+    era: int = 0
+    carried: bool = False
+
+    @property
+    def end(self) -> positions.Position:
+        """The position after this record."""
+        return positions.Position(self.era, self.offset + 1, self.carried)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,18 +39,31 @@
 
     records: tuple[Record, ...]
     end: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Records in order of offset; `end` is the offset to read from next."""
+    """Records in order of their positions.
+
+    Attributes:
+        end: The offset to read from next.
+        carried: See `positions.Position`.
+    """
 
     records: tuple[Record, ...]
     end: int
+    era: int = 0
+    carried: bool = False
+
+    @property
+    def position(self) -> positions.Position:
+        """The position to read from next."""
+        return positions.Position(self.era, self.end, self.carried)
 
 
 class RecordsCompactedError(errors.PlatformError):
-    """The store no longer keeps all records from the requested offset on."""
+    """The store does not have all records from the requested offset on."""
 
 
 class RecordSource(Protocol):
@@ -71,10 +98,20 @@
         """Applies one change."""
         ...
 
+    def supersedes(self, record: Record, current: Record) -> bool:
+        """Whether a record of a later era is newer than the current one.
+
+        The record may be from the copy to which the store has returned.
+        """
+        ...
+
     def on_source_lost(self) -> None:
         """Called when the store can no longer be read."""
         ...
 
     def on_source_regained(self) -> None:
-        """Called when the store can be read again after an outage."""
+        """Called when the store can be read again after an outage.
+
+        It is also called when the store has returned from an older copy.
+        """
         ...
--- a/hornbeampier/replication/relay.py
+++ b/hornbeampier/replication/relay.py
@@ -18,6 +18,7 @@
 from hornbeampier.http1 import server
 from hornbeampier.http1 import sockets
 from hornbeampier.replication import messages
+from hornbeampier.replication import positions
 from hornbeampier.replication import replica
 
 PATH = "/records"
@@ -31,6 +32,8 @@
 # Larger bodies are refused after decompression.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 BUSY_STATUS = 503
+# Longer numbers in a query are malformed.
+MAX_DIGITS = 19
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(messages.Batch)
 
@@ -49,15 +52,16 @@
     def respond(
         self, conn: server.ServerConnection, head: http.RequestHead
     ) -> None:
-        """Responds to `GET /records?topic=TOPIC&from=OFFSET`."""
-        query = parse.parse_qs(parse.urlsplit(head.target.decode()).query)
-        topic_replica = self._replicas.get(query.get("topic", [""])[0])
-        offset = query.get("from", ["0"])[0]
-        if (
-            topic_replica is None
-            or topic_replica.offset is None
-            or not offset.isdecimal()
-        ):
+        """Responds to `GET /records?topic=TOPIC&from=OFFSET&era=ERA`."""
+        query = dict(
+            parse.parse_qsl(parse.urlsplit(head.target.decode("latin-1")).query)
+        )
+        topic_replica = self._replicas.get(query.get("topic", ""))
+        if topic_replica is None or topic_replica.position is None:
+            conn.respond(404, [(b"Content-Length", b"0")], b"")
+            return
+        position = _decode_position(query, topic_replica.era)
+        if position is None:
             conn.respond(404, [(b"Content-Length", b"0")], b"")
             return
         if self._transfers >= MAX_TRANSFERS:
@@ -65,7 +69,7 @@
             return
         self._transfers += 1
         try:
-            body = _encoder.encode(topic_replica.records_since(int(offset)))
+            body = _encoder.encode(topic_replica.records_since(position))
             _respond(conn, head, body)
         finally:
             self._transfers -= 1
@@ -87,20 +91,41 @@
         conn.linger()
 
 
+def _decode_position(
+    query: dict[str, str], own_era: int
+) -> positions.Position | None:
+    """Returns the position in a query, or None if it is malformed.
+
+    Peers of earlier versions name no era.
+    """
+    offset = query.get("from", "0")
+    era = query.get("era", str(own_era))
+    for number in (offset, era):
+        if not number.isdecimal() or len(number) > MAX_DIGITS:
+            return None
+    return positions.Position(int(era), int(offset), "carried" in query)
+
+
 def fetch(
-    host: str, port: int, topic: str, offset: int, clock: clocks.Clock
+    host: str,
+    port: int,
+    topic: str,
+    position: positions.Position,
+    clock: clocks.Clock,
 ) -> messages.Batch:
-    """Fetches the records of a topic from `offset` on from a peer.
+    """Fetches the records of a topic from a position on from a peer.
 
     Raises:
         PeerBusyError: The peer has to be asked again later.
         errors.PlatformError: The peer cannot be reached, does not have the
             topic, or sent an unreadable response.
     """
-    query = parse.urlencode({"topic": topic, "from": offset})
+    query = {"topic": topic, "from": position.offset, "era": position.era}
+    if position.carried:
+        query["carried"] = 1
     head = http.RequestHead(
         b"GET",
-        f"{PATH}?{query}".encode(),
+        f"{PATH}?{parse.urlencode(query)}".encode(),
         ((b"host", host.encode()), (b"accept-encoding", CODING)),
     )
     deadline_ms = clock.now() + CALL_TIMEOUT_MS
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -1,6 +1,7 @@
 """This VM's replica of a topic."""
 
 from hornbeampier.replication import messages
+from hornbeampier.replication import positions
 
 # Maximum number of tombstones kept per topic. Peers that missed the removal of
 # a key get its tombstone.
@@ -12,44 +13,56 @@
 
     Records may come from the store and from peers, out of order and repeatedly.
     A record is applied only if it is newer than the current one of its key, and
-    the offset never decreases.
+    the position never decreases. Records of a later era replace all others, but
+    where the applier knows that the store returned from a copy that is older
+    than the current record, that one is carried over.
 
     Attributes:
-        offset: Offset of the next record; None before the first snapshot or
-            batch.
+        position: What has been read; None before the first snapshot or batch.
     """
 
     def __init__(self, topic: str, applier: messages.Applier):
         self.topic = topic
         self._applier = applier
         self._newest: dict[str, messages.Record] = {}
-        self.offset: int | None = None
+        self.position: positions.Position | None = None
+
+    @property
+    def offset(self) -> int | None:
+        """Offset of the next record; None before the first one."""
+        return None if self.position is None else self.position.offset
+
+    @property
+    def era(self) -> int:
+        """The latest era of the store that is known."""
+        return 0 if self.position is None else self.position.era
 
     def apply_snapshot(self, snapshot: messages.Snapshot) -> None:
         """Applies a snapshot and removes older keys that it does not have."""
-        for record in snapshot.records:
-            self._apply(record)
-        snapshot_keys = {record.key for record in snapshot.records}
-        for key, record in list(self._newest.items()):
-            is_missing = key not in snapshot_keys and record.value is not None
-            if is_missing and record.offset < snapshot.end:
-                self._apply(messages.Record(key, None, snapshot.end - 1))
-        self._advance(snapshot.end)
+        position = positions.Position(snapshot.era, snapshot.end)
+        self._apply_complete(snapshot.records, position)
 
     def apply_batch(self, batch: messages.Batch) -> None:
-        """Applies the records of a batch and advances the offset to its end."""
+        """Applies the records of a batch and advances the position to its end.
+
+        A batch of a later era must hold all records of that era.
+        """
+        if batch.era > self.era:
+            self._apply_complete(batch.records, batch.position)
+            return
         for record in batch.records:
-            self._apply(record)
-        self._advance(batch.end)
+            self._apply(record, batch.position)
+        self._advance(batch.position)
 
-    def records_since(self, offset: int) -> messages.Batch:
-        """Returns the newest record of each key changed from `offset` on.
+    def records_since(self, position: positions.Position) -> messages.Batch:
+        """Returns the newest record of each key changed from a position on.
 
-        The records are in order of their offsets.
+        The records are in order of their positions.
         """
-        newer = [r for r in self._newest.values() if r.offset >= offset]
-        newer.sort(key=lambda record: record.offset)
-        return messages.Batch(tuple(newer), self.offset or 0)
+        newer = [r for r in self._newest.values() if r.end > position]
+        newer.sort(key=lambda record: record.end)
+        own = self.position or positions.START
+        return messages.Batch(tuple(newer), own.offset, own.era, own.carried)
 
     def on_source_lost(self) -> None:
         """Reports to the applier that the store cannot be read."""
@@ -59,21 +72,76 @@
         """Reports to the applier that the store can be read again."""
         self._applier.on_source_regained()
 
-    def _apply(self, record: messages.Record) -> None:
-        current = self._newest.get(record.key)
-        if current is not None and current.offset >= record.offset:
+    def _apply_complete(
+        self,
+        records: tuple[messages.Record, ...],
+        position: positions.Position,
+    ) -> None:
+        """Applies all records that a topic has at a position."""
+        if position.era < self.era:
             return
+        if self.position is not None and position.era > self.era:
+            self._applier.on_source_regained()
+        for record in records:
+            self._apply(record, position)
+        keys = {record.key for record in records}
+        last_offset = position.offset - 1
+        for key, record in list(self._newest.items()):
+            is_missing = key not in keys and record.value is not None
+            if is_missing and record.end <= position:
+                tombstone = messages.Record(
+                    key, None, last_offset, position.era
+                )
+                self._apply(tombstone, position)
+        self._advance(position)
+
+    def _apply(
+        self, record: messages.Record, position: positions.Position
+    ) -> None:
+        """Applies a record, unless it is older than the current one.
+
+        Args:
+            record: A record that the topic has at `position`.
+            position: Where the snapshot or batch with the record ends.
+        """
+        current = self._newest.get(record.key)
+        if current is not None:
+            if current.end >= record.end:
+                return
+            if record.era > current.era and not self._applier.supersedes(
+                record, current
+            ):
+                self._carry_over(current, position)
+                return
         self._newest[record.key] = record
         self._applier.apply_record(record)
         if record.value is None:
             self._drop_oldest_tombstone()
 
+    def _carry_over(
+        self, record: messages.Record, position: positions.Position
+    ) -> None:
+        """Keeps a record that the store has lost, until a newer one comes.
+
+        It gets a position after all records of the copy, so that it reaches
+        peers that have read only the copy.
+        """
+        carried = messages.Record(
+            record.key,
+            record.value,
+            position.offset - 1,
+            position.era,
+            carried=True,
+        )
+        self._newest[record.key] = carried
+        self._advance(carried.end)
+
     def _drop_oldest_tombstone(self) -> None:
         tombstones = [r for r in self._newest.values() if r.value is None]
         if len(tombstones) > MAX_TOMBSTONES:
-            oldest = min(tombstones, key=lambda record: record.offset)
+            oldest = min(tombstones, key=lambda record: record.end)
             del self._newest[oldest.key]
 
-    def _advance(self, offset: int) -> None:
-        if self.offset is None or offset > self.offset:
-            self.offset = offset
+    def _advance(self, position: positions.Position) -> None:
+        if self.position is None or position > self.position:
+            self.position = position
--- a/hornbeampier/routing/domain.py
+++ b/hornbeampier/routing/domain.py
@@ -163,6 +163,8 @@
         warmup_ms: How long the endpoint stays slow after its start.
         started_ms: Start time of the process in Unix ms, which distinguishes
             incarnations with the same id.
+        sequence: Number of the entry among those that the process wrote;
+            entries that differ only in it are equal.
     """
 
     id: str
@@ -174,6 +176,7 @@
     leaving: bool
     warmup_ms: float
     started_ms: int
+    sequence: int = dataclasses.field(default=0, compare=False)
 
     @property
     def incarnation(self) -> tuple[str, int, str, int]:
--- a/tests/gossip_cluster.py
+++ b/tests/gossip_cluster.py
@@ -12,6 +12,7 @@
 from hornbeampier.peers import state_exchange
 from hornbeampier.peers import topology
 from hornbeampier.replication import catch_up
+from hornbeampier.replication import positions
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
@@ -32,7 +33,7 @@
 
 class Replica:
     def __init__(self):
-        self.offset = 1
+        self.position = positions.Position(0, 1)
 
 
 class Vm:
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -19,10 +19,13 @@
 
     Attributes:
         down: Whether every call gets a 503 response.
+        era: How often the store has returned from an older copy; None to
+            leave the header out.
     """
 
-    def __init__(self):
+    def __init__(self, era=1):
         self.down = False
+        self.era = era
         self.calls = []
         self._records = {names.OPERATOR_TOPIC: [], names.ENDPOINT_TOPIC: []}
         self._first_offsets = dict.fromkeys(self._records, 0)
@@ -51,6 +54,21 @@
     def put_endpoint(self, endpoint_id, value):
         self.put(names.ENDPOINT_TOPIC, endpoint_id, value)
 
+    def copy(self):
+        """Returns a copy of all records, for `restore`."""
+        return {topic: list(rows) for topic, rows in self._records.items()}
+
+    def restore(self, copy):
+        """Returns from an older copy; waiting calls end without a response."""
+        self.era += 1
+        self._records = {topic: list(rows) for topic, rows in copy.items()}
+        self._first_offsets = {
+            topic: min(first, len(self._records[topic]))
+            for topic, first in self._first_offsets.items()
+        }
+        self._changed.set()
+        self._changed = event.Event()
+
     def compact(self, topic):
         """Trims all records of a topic; `/log-newest` still has the newest."""
         self._first_offsets[topic] = len(self._records[topic])
@@ -59,14 +77,17 @@
         query = dict(parse.parse_qsl(environ["QUERY_STRING"]))
         self.calls.append((environ["PATH_INFO"], query))
         if self.down:
-            start_response("503 Service Unavailable", [])
+            start_response("503 Service Unavailable", self._headers())
             return [b""]
         topic = query["topic"]
         if environ["PATH_INFO"] == "/log-newest":
-            start_response("200 OK", [("Content-Type", "application/json")])
+            start_response("200 OK", self._headers())
             return [json.dumps(self._newest(topic)).encode()]
         return self._read(topic, query, start_response)
 
+    def _headers(self):
+        return [] if self.era is None else [("Store-Era", str(self.era))]
+
     def _newest(self, topic):
         newest = {}
         for offset, (key, value) in enumerate(self._records[topic]):
@@ -85,13 +106,14 @@
 
     def _read(self, topic, query, start_response):
         offset = int(query["from"])
-        if offset < self._first_offsets[topic]:
-            start_response("410 Gone", [])
+        if not self._has(topic, offset):
+            start_response("410 Gone", self._headers())
             return [b'{"first": 0}']
+        era = self.era
         if offset >= len(self._records[topic]):
             self._changed.wait(int(query["waitMs"]) / 1000)
-        if self.down:
-            start_response("503 Service Unavailable", [])
+        if self.down or self.era != era:
+            start_response("503 Service Unavailable", self._headers())
             return [b""]
         body = struct.pack(
             ">QQ", len(self._records[topic]), self._first_offsets[topic]
@@ -100,9 +122,13 @@
             key_bytes = key.encode()
             record = bytes([len(key_bytes)]) + key_bytes + (value or b"")
             body += struct.pack(">I", len(record)) + record
-        start_response("200 OK", [])
+        start_response("200 OK", self._headers())
         return [body]
 
+    def _has(self, topic, offset):
+        first = self._first_offsets[topic]
+        return first <= offset <= len(self._records[topic])
+
 
 def wait_until(condition, timeout_s=5.0):
     """Polls until `condition` holds; raises gevent.Timeout on a timeout."""
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,6 +10,7 @@
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
 from hornbeampier.peers import state_exchange
+from hornbeampier.replication import positions
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import fleet
 from hornbeampier.routing import latency
@@ -25,7 +26,7 @@
 
 class Replica:
     def __init__(self, offset):
-        self.offset = offset
+        self.position = positions.Position(0, offset)
 
 
 class IdleComponent:
--- a/tests/test_gossip_hubs.py
+++ b/tests/test_gossip_hubs.py
@@ -10,6 +10,7 @@
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
 from hornbeampier.peers import topology
+from hornbeampier.replication import positions
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import crashes
 from hornbeampier.routing import fleet
@@ -107,21 +108,23 @@
     def test_all_know_soon_who_has_new_records(self):
         """No hub has fetched them yet, as its link may be slow."""
         reader = self.vms()[7]
-        reader.replica.offset = 5
+        reader.replica.position = positions.Position(0, 5)
         self.cluster.run(SPREAD_S)
         for vm in self.vms():
             if vm is not reader:
                 source = vm.catch_up.furthest_ahead("topic")
-                self.assertEqual((5, [reader.host]), source)
+                self.assertEqual(
+                    (positions.Position(0, 5), [reader.host]), source
+                )
 
     def test_vms_that_have_the_records_become_sources(self):
         for vm in self.vms()[:30]:
-            vm.replica.offset = 5
+            vm.replica.position = positions.Position(0, 5)
         self.cluster.run(SPREAD_S)
         sources = set()
         for vm in self.vms()[30:]:
-            offset, hosts = vm.catch_up.furthest_ahead("topic")
-            self.assertEqual(5, offset)
+            position, hosts = vm.catch_up.furthest_ahead("topic")
+            self.assertEqual(positions.Position(0, 5), position)
             sources.update(hosts)
         self.assertGreater(len(sources), 10)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,6 +14,7 @@
 from hornbeampier.platform import settings
 from hornbeampier.replication import catch_up
 from hornbeampier.replication import messages
+from hornbeampier.replication import positions
 from hornbeampier.replication import relay
 from hornbeampier.replication import replica
 from tests import nodes
@@ -66,7 +67,9 @@
         self.addCleanup(self.listener.stop)
 
     def fetch(self):
-        return relay.fetch(HOST, self.listener.port, TOPIC, 0, self.clock)
+        return relay.fetch(
+            HOST, self.listener.port, TOPIC, positions.START, self.clock
+        )
 
     def connect(self):
         caller = nodes.Caller(settings.Address(HOST, self.listener.port))
@@ -120,7 +123,7 @@
             clocks.ManualClock(),
             random.Random(1),
         )
-        task.record_peer("10.0.0.2", {TOPIC: 3})
+        task.record_peer("10.0.0.2", {TOPIC: positions.Position(0, 3)})
 
         def fail(*args):
             raise error
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -15,6 +15,7 @@
 from hornbeampier.replication import appliers
 from hornbeampier.replication import follower
 from hornbeampier.replication import messages
+from hornbeampier.replication import positions
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import catalog
@@ -70,9 +71,12 @@
         records = (record("a", 0), record("b", 1), record("a", 2, None))
         self.replica.apply_batch(messages.Batch(records, 3))
         other.apply_batch(messages.Batch(records[:1], 1))
-        other.apply_batch(self.replica.records_since(1))
+        other.apply_batch(self.replica.records_since(positions.Position(0, 1)))
         self.assertEqual(3, other.offset)
-        self.assertEqual(self.replica.records_since(0), other.records_since(0))
+        self.assertEqual(
+            self.replica.records_since(positions.START),
+            other.records_since(positions.START),
+        )
 
 
 class FakeSource:
