Tell late copies of responses apart on every reused connection

What callers saw in a test: the response to another caller's request, or 503 (not run) for a request that was running. Cause: a copy was told apart only by its id. One without an id was taken for the response that was due, and so was one whose id two callers had sent. Change: on a reused connection a response must name its request; requests without an id, or with the id of the request before on that connection, and surveys of caches get a new connection.

--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -88,7 +88,7 @@
 
     def _fetch_list(self, state: fleet.EndpointState) -> bytes:
         deadline_ms = self._clock.now() + CALL_TIMEOUT_MS
-        conn = self._connection_pool.acquire(state.endpoint)
+        conn = self._connection_pool.acquire(state.endpoint, request_id="")
         try:
             head = cache_lists.encode_request(state.endpoint)
             response = conn.call(head, deadline_ms)
--- a/hornbeampier/forwarding/connection_pool.py
+++ b/hornbeampier/forwarding/connection_pool.py
@@ -38,21 +38,26 @@
         self._clock = clock
         self._idle: dict[Incarnation, collections.deque[_IdleConnection]] = {}
 
-    def acquire(self, endpoint: domain.Endpoint) -> client.ClientConnection:
-        """Returns an idle or a new connection.
+    def acquire(
+        self, endpoint: domain.Endpoint, request_id: str
+    ) -> client.ClientConnection:
+        """Returns an idle or a new connection for a request.
+
+        A late copy of an earlier response on a connection is told apart by its
+        id. So a request without an id, or with that of the request before, gets
+        a new connection.
 
         Raises:
             OSError: The endpoint did not accept a new connection.
         """
-        idle_conns = self._idle.get(endpoint.incarnation)
-        now_ms = self._clock.now()
-        while idle_conns:
-            idle_conn = idle_conns.pop()
-            if now_ms < idle_conn.expires_ms and idle_conn.conn.has_no_input():
-                return idle_conn.conn
-            idle_conn.conn.close()
+        if request_id:
+            conn = self._take_idle(endpoint, request_id)
+            if conn is not None:
+                return conn
         sock = sockets.connect(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
-        return client.ClientConnection(sock, self._clock)
+        conn = client.ClientConnection(sock, self._clock)
+        conn.request_id = request_id
+        return conn
 
     def probe(self, endpoint: domain.Endpoint) -> bool:
         """Whether the endpoint accepts a connection, which is then pooled."""
@@ -106,6 +111,24 @@
                 idle_conn.conn.close()
         self._idle.clear()
 
+    def _take_idle(
+        self, endpoint: domain.Endpoint, request_id: str
+    ) -> client.ClientConnection | None:
+        idle_conns = self._idle.get(endpoint.incarnation)
+        now_ms = self._clock.now()
+        while idle_conns:
+            idle_conn = idle_conns.pop()
+            conn = idle_conn.conn
+            if (
+                now_ms < idle_conn.expires_ms
+                and conn.request_id != request_id
+                and conn.has_no_input()
+            ):
+                conn.request_id = request_id
+                return conn
+            conn.close()
+        return None
+
     def _keep(
         self,
         endpoint: domain.Endpoint,
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -72,7 +72,7 @@
                 requests, or no valid head of a response arrived in time.
         """
         self._deadline_ms = req.deadline_ms
-        self._connect()
+        self._connect(req.id)
         self._check_announcements()
         sent_ms = self._clock.now()
         remaining_ms = req.deadline_ms - sent_ms
@@ -128,9 +128,9 @@
             self._conn.close()
             self._conn = None
 
-    def _connect(self) -> None:
+    def _connect(self, request_id: str) -> None:
         try:
-            self._conn = self._pool.acquire(self._state.endpoint)
+            self._conn = self._pool.acquire(self._state.endpoint, request_id)
         except OSError as exc:
             raise errors.AttemptError(
                 f"cannot connect to the endpoint: {exc}",
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -36,7 +36,11 @@
 
 
 class ClientConnection:
-    """One connection to a server, used for one request at a time."""
+    """One connection to a server, used for one request at a time.
+
+    Attributes:
+        request_id: The id of the last request; empty if it had none.
+    """
 
     def __init__(self, sock: socket.socket, clock: clocks.Clock):
         self._sock = sock
@@ -45,6 +49,8 @@
         self._sender: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
         self._eof_received = False
+        self._is_reused = False
+        self.request_id = ""
 
     def send(
         self, head: messages.RequestHead, body: bytes, deadline_ms: float
@@ -56,6 +62,7 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
+            self._is_reused = True
         self._request = h11.Request(
             method=head.method, target=head.target, headers=list(head.headers)
         )
@@ -78,7 +85,9 @@
         Args:
             deadline_ms: Time of the monotonic clock at which to give up.
             id_header: Header that the server copies from the request; a
-                response with a different value is discarded.
+                response with a different value is discarded. On a connection
+                that has carried another request, a response without one may
+                be a late copy.
 
         Raises:
             OSError, h11.ProtocolError: No valid response arrived in time.
@@ -92,7 +101,14 @@
                     "connection closed before the response head"
                 )
             head = self._to_head(event)
-            if id_header is None or self._matches_request(head, id_header):
+            if id_header is None:
+                return head
+            received_id = head.get(id_header)
+            if received_id is None and self._is_reused:
+                raise ConnectionLostError(
+                    "the response does not name its request"
+                )
+            if received_id in (None, self._sent_id(id_header)):
                 return head
             self._skip_response(deadline_ms)
 
@@ -195,12 +211,8 @@
             length=int(length) if length is not None else None,
         )
 
-    def _matches_request(
-        self, head: messages.ResponseHead, id_header: bytes
-    ) -> bool:
-        sent_id = messages.get(tuple(self._request.headers), id_header)
-        received_id = head.get(id_header)
-        return received_id is None or received_id == sent_id
+    def _sent_id(self, id_header: bytes) -> bytes | None:
+        return messages.get(tuple(self._request.headers), id_header)
 
     def _skip_response(self, deadline_ms: float) -> None:
         """Discards a response to an earlier request on this connection."""
--- a/tests/test_endpoint_leaving.py
+++ b/tests/test_endpoint_leaving.py
@@ -53,10 +53,10 @@
         pool = router._connection_pool
         acquire = pool.acquire
 
-        def slow_acquire(endpoint):
+        def slow_acquire(endpoint, request_id):
             attempts.append(endpoint.id)
             gevent.sleep(0.1 * len(attempts))
-            return acquire(endpoint)
+            return acquire(endpoint, request_id)
 
         self.patch(pool, "acquire", slow_acquire)
         self.leaving.leaving = True
