Take announcements also from the lists that engines give of their caches

Cause: surveys after a restart speak to engines past the attempts, so what their responses announce was not read, and an engine that wants no requests was asked. Change: the survey asks for permission last and records the announcements. Result: the new test fails without it, as leaving is not known, and passes.

--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -15,7 +15,9 @@
 from hornbeampier import errors
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.http1 import client
+from hornbeampier.platform import announcements as announcement_headers
 from hornbeampier.platform import cache_lists
+from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
 from hornbeampier.routing import fleet
 from hornbeampier.routing import placements
@@ -38,6 +40,7 @@
         catalog: catalog.Catalog,
         connection_pool: connection_pool.ConnectionPool,
         placements: placements.Placements,
+        announcements: announcements.Announcements,
         clock: clocks.Clock,
     ):
         super().__init__()
@@ -47,6 +50,7 @@
         self._catalog = catalog
         self._connection_pool = connection_pool
         self._placements = placements
+        self._announcements = announcements
         self._clock = clock
         self._log = structlog.get_logger(task="cache_survey")
 
@@ -90,10 +94,18 @@
         deadline_ms = self._clock.now() + CALL_TIMEOUT_MS
         conn = self._connection_pool.acquire(state.endpoint, request_id="")
         try:
+            if not self._announcements.take(state.endpoint):
+                raise errors.PlatformError("the engine wants fewer requests")
+            sent_ms = self._clock.now()
             head = cache_lists.encode_request(state.endpoint)
             response = conn.call(head, deadline_ms)
         finally:
             conn.close()
+        announcement = announcement_headers.decode(response.head)
+        if announcement is not None:
+            self._announcements.record(
+                state.endpoint, announcement, "", sent_ms
+            )
         if response.status != 200:
             raise errors.PlatformError(
                 f"the engine responded with status {response.status}"
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -244,6 +244,7 @@
             self.catalog,
             self._connection_pool,
             self._placements,
+            self._announcements,
             self._clock,
         )
 
--- a/tests/test_cache_survey.py
+++ b/tests/test_cache_survey.py
@@ -62,6 +62,20 @@
         request_lines = {req.request_line for req in endpoint.received}
         self.assertEqual({"GET /kv-list HTTP/1.1"}, request_lines)
 
+    def test_survey_reads_announcements_and_keeps_to_them(self):
+        def handler(req):
+            req.headers["x-hornbeampier-attempt-id"] = ""
+            req.respond(
+                json.dumps(CACHE_LIST).encode(), headers=["Server-Leaving: 1"]
+            )
+
+        self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        router = self.start_two_routers()[0]
+        endpoint = router._fleet.all()[0].endpoint
+        store_standin.wait_until(
+            lambda: router._announcements.is_leaving(endpoint)
+        )
+
     def test_unreadable_list_is_ignored(self):
         def handler(req):
             req.headers["x-hornbeampier-attempt-id"] = ""
