End a request whose body trickles in at its deadline

What callers could do: hold a connection and a descriptor for good with a byte each second, as only the wait for each block was bounded. Change: the wait for the whole body ends with the request's deadline (408, not run); a body that is only discarded has the idle time of the defaults.

--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -84,12 +84,15 @@
             raise BadRequestError(431, "the request head is too large")
         return head
 
-    def read_body(self, max_body_bytes: int, timeout_ms: float) -> bytes:
+    def read_body(
+        self, max_body_bytes: int, timeout_ms: float, total_ms: float
+    ) -> bytes:
         """Returns the complete body of the request.
 
         Args:
             max_body_bytes: Largest size of the body.
             timeout_ms: Longest wait for each block of the body.
+            total_ms: Longest wait for all of the body.
 
         Raises:
             BadRequestError: The body is too large, malformed or too slow.
@@ -103,8 +106,11 @@
             )
         blocks = []
         size = 0
+        end_ms = self._clock.now() + total_ms
         while True:
-            event = self._next_event(self._clock.now() + timeout_ms)
+            event = self._next_event(
+                min(self._clock.now() + timeout_ms, end_ms)
+            )
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(blocks)
             if not isinstance(event, h11.Data):
--- a/hornbeampier/ingress/admission.py
+++ b/hornbeampier/ingress/admission.py
@@ -98,11 +98,16 @@
         """The limits that apply to the body of the request."""
         return self._cfg.limits
 
-    def with_body(self, body: bytes) -> requests.Request:
-        """Returns the request to forward, made of this head and `body`."""
+    @property
+    def deadline_ms(self) -> float:
+        """When the response must be complete, on the monotonic clock."""
         timeout_ms = self._route.timeout_ms
         if self._fields.timeout_ms is not None:
             timeout_ms = min(timeout_ms, self._fields.timeout_ms)
+        return self._arrived_ms + timeout_ms
+
+    def with_body(self, body: bytes) -> requests.Request:
+        """Returns the request to forward, made of this head and `body`."""
         fingerprint = _fingerprint(self._head, self._account, body)
         service = route_table.choose_service(
             self._route, self._fields.request_id or fingerprint
@@ -120,7 +125,7 @@
             service=service,
             account=self._account,
             arrived_ms=self._arrived_ms,
-            deadline_ms=self._arrived_ms + timeout_ms,
+            deadline_ms=self.deadline_ms,
             fingerprint=fingerprint,
             prompt=self._prompt(service),
             urgency=self._urgency_ranks.rank(
--- a/hornbeampier/ingress/caller_handler.py
+++ b/hornbeampier/ingress/caller_handler.py
@@ -101,10 +101,18 @@
             # A body left unread would make the connection unusable for the next
             # request.
             limits = self.limits()
-            conn.read_body(limits.body_bytes, limits.header_timeout_ms)
+            conn.read_body(
+                limits.body_bytes,
+                limits.header_timeout_ms,
+                INITIAL_LIMITS.idle_timeout_ms,
+            )
             raise
         limits = accepted.limits
-        body = conn.read_body(limits.body_bytes, limits.header_timeout_ms)
+        body = conn.read_body(
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            accepted.deadline_ms - self._clock.now(),
+        )
         req = accepted.with_body(body)
         self._check_shutdown(req)
         with conn.watch_caller():
--- a/hornbeampier/ingress/handlers.py
+++ b/hornbeampier/ingress/handlers.py
@@ -23,7 +23,11 @@
         self, conn: server.ServerConnection, head: messages.RequestHead
     ) -> bool:
         """Serves a request; `conn` may always carry another."""
-        conn.read_body(LIMITS.body_bytes, LIMITS.header_timeout_ms)
+        conn.read_body(
+            LIMITS.body_bytes,
+            LIMITS.header_timeout_ms,
+            LIMITS.header_timeout_ms,
+        )
         self.respond(conn, head)
         return True
 
