Send nothing after a pause that has outlasted its deadline

What callers saw in a test: 504 (may have run) for a request that no endpoint got, after the process was held up while it connected. Cause: the deadline was checked when the bytes were written, which counts as sent; and the steady clock does not count the time of a suspended VM, so what had run out meanwhile (deadlines, idle connections, the age of peers and announcements) passed for valid. Change: the deadline is checked after connecting, before anything is sent (503, not run). The clock counts suspensions (CLOCK_BOOTTIME).

--- a/hornbeampier/clock.py
+++ b/hornbeampier/clock.py
@@ -24,12 +24,17 @@
         ...
 
 
+# Also counts the time for which the VM is suspended: what was due meanwhile is
+# overdue afterwards.
+_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
     """The clock of the operating system."""
 
     def now(self) -> float:
-        """Returns monotonic time in ms."""
-        return time.monotonic() * MS_PER_SECOND
+        """Returns monotonic time in ms, the time of suspensions included."""
+        return time.clock_gettime(_CLOCK_ID) * MS_PER_SECOND
 
     def unix(self) -> float:
         """Returns ms since the Unix epoch."""
--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -95,8 +95,8 @@
         declines_all: Whether the endpoint declines every request for now.
         timed_out: Whether the endpoint exceeded a timeout.
         unsent: Whether no byte of the request was sent to the endpoint.
-        withheld: Whether it was not sent because the endpoint has announced
-            that it wants fewer requests.
+        withheld: Whether it was not sent, though the endpoint could be reached:
+            the endpoint wants fewer requests, or the deadline has passed.
     """
 
     def __init__(
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -76,6 +76,14 @@
         self._check_announcements()
         sent_ms = self._clock.now()
         remaining_ms = req.deadline_ms - sent_ms
+        if remaining_ms <= 0.0:
+            # The process may have been paused while it connected.
+            raise errors.AttemptError(
+                "the deadline has passed",
+                verdict.Verdict.NOT_RUN,
+                timed_out=True,
+                withheld=True,
+            )
         head = headers.encode_request(
             req,
             self._state.endpoint,
