Resume streams whose engine has gone silent, byte or no byte

What callers saw in a test: a stream that could be resumed stayed with an engine that sent a byte now and then and no event, until its deadline. Cause: the only bound of a stream after its first event was its deadline, or 3 s of TCP keep-alive if the host was silent; callers leave after 2 s. Change: forwarding/stalls.py. After four inter-event targets, a second at least, in which the engine completed no event for any stream of this VM, the stream is resumed elsewhere, if the route, the budget and another engine allow it; else it goes on. Slow streams are not cut.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -7,6 +7,7 @@
 from hornbeampier import errors
 from hornbeampier import verdict
 from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import stalls
 from hornbeampier.http1 import client
 from hornbeampier.http1 import messages
 from hornbeampier.platform import headers
@@ -107,19 +108,37 @@
                 sent_ms,
             )
 
-    def blocks(self) -> Iterator[bytes]:
+    def blocks(self, watch: stalls.StallWatch | None = None) -> Iterator[bytes]:
         """Yields the blocks of the body as they arrive.
 
+        Args:
+            watch: Tells when a stream has stalled; None to read on until the
+                deadline.
+
         Raises:
-            errors.AttemptError: The response was interrupted.
+            errors.AttemptError: The response was interrupted or has stalled.
         """
         try:
-            yield from self._conn.read_body(
-                self._deadline_ms + RESPONSE_SLACK_MS
-            )
+            while (block := self._read_block(watch)) is not None:
+                yield block
         except client.TRANSPORT_ERRORS as exc:
             raise self._lost_response(exc) from exc
 
+    def _read_block(self, watch: stalls.StallWatch | None) -> bytes | None:
+        deadline_ms = self._deadline_ms + RESPONSE_SLACK_MS
+        while True:
+            due_ms = min(deadline_ms, watch.due_ms) if watch else deadline_ms
+            try:
+                return self._conn.read_block(due_ms)
+            except TimeoutError as exc:
+                # With an errno, TCP keep-alive has found the endpoint dead.
+                if exc.errno is not None or due_ms == deadline_ms:
+                    raise
+            if watch.should_resume():
+                raise errors.AttemptError(
+                    "the endpoint has stalled", verdict.Verdict.MAY_HAVE_RUN
+                )
+
     def finish(self) -> None:
         """Releases the connection after the response was read completely."""
         if self.fields.will_close:
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import response_checks
+from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import streams
 from hornbeampier.http1 import server
 from hornbeampier.routing import announcements
@@ -194,7 +195,7 @@
             )
             self._attempts += 1
             self._check_response(attempt)
-            self._deliver(attempt, in_flight_attempt, observer)
+            self._deliver(attempt, in_flight_attempt, observer, choice)
             in_flight_attempt.record_response()
             choice.state.record_success(self._clock.now())
         except errors.AttemptError as exc:
@@ -226,10 +227,17 @@
         attempt: endpoint_attempt.EndpointAttempt,
         in_flight_attempt: fleet.InFlightAttempt,
         observer: engine_model.AttemptObserver,
+        choice: endpoint_choice.EndpointChoice,
     ) -> None:
         is_stream = self._req.route.semantics is domain.RequestSemantics.STREAM
         if is_stream and response_checks.is_success(attempt.fields):
-            self._relay_stream(attempt, in_flight_attempt, observer)
+            watch = stalls.StallWatch(
+                self._req.route,
+                choice.state,
+                lambda: self._may_resume(choice),
+                self._clock,
+            )
+            self._relay_stream(attempt, in_flight_attempt, observer, watch)
             attempt.finish()
             self._relay.end()
             self._record_served(attempt)
@@ -250,6 +258,7 @@
         attempt: endpoint_attempt.EndpointAttempt,
         in_flight_attempt: fleet.InFlightAttempt,
         observer: engine_model.AttemptObserver,
+        watch: stalls.StallWatch,
     ) -> None:
         is_resumed = self._relay.started
 
@@ -258,7 +267,7 @@
             if not is_resumed:
                 observer.on_block()
 
-        self._relay.relay(attempt, on_block)
+        self._relay.relay(attempt, on_block, watch)
         if observer.estimate_ratio is not None and self._req.prompt:
             service = self._req.service
             model = self._context.engine_models.of(service)
@@ -270,6 +279,19 @@
                 self._relay.shortest_delay_ms, self._relay.longest_delay_ms
             )
 
+    def _may_resume(self, choice: endpoint_choice.EndpointChoice) -> bool:
+        """Whether a stalled stream may go on at another endpoint.
+
+        If so, a retry is taken from the budget.
+        """
+        tried = self._tried | {choice.state.id}
+        if not self._context.dispatcher.has_candidates(self._req, tried):
+            return False
+        self._retry_granted = self._try_acquire_retry(
+            verdict.Verdict.MAY_HAVE_RUN
+        )
+        return self._retry_granted
+
     def _record_served(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
         self._count_served(attempt.fields.status)
         self._log.info(
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -8,6 +8,7 @@
 from hornbeampier import verdict
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import sse
+from hornbeampier.forwarding import stalls
 from hornbeampier.http1 import server
 from hornbeampier.platform import headers
 
@@ -49,6 +50,7 @@
         self,
         attempt: endpoint_attempt.EndpointAttempt,
         on_block: Callable[[], None],
+        watch: stalls.StallWatch,
     ) -> None:
         """Passes on the events of one endpoint as they arrive.
 
@@ -57,13 +59,14 @@
         each block of the body.
 
         Raises:
-            errors.AttemptError: The stream was interrupted.
+            errors.AttemptError: The stream was interrupted or has stalled.
         """
         splitter = sse.EventSplitter()
-        for block in attempt.blocks():
+        for block in attempt.blocks(watch):
             on_block()
             data = b"".join(self._accept(e) for e in splitter.feed(block))
             if data:
+                watch.on_event()
                 self._write(attempt, data)
         if splitter.incomplete:
             raise errors.AttemptError(
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -114,16 +114,25 @@
 
     def read_body(self, deadline_ms: float) -> Iterator[bytes]:
         """Yields the body in blocks; raises the same errors as `read_head`."""
-        while True:
-            event = self._next_event(deadline_ms)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise ConnectionLostError(
-                    "connection closed before the end of the response body"
-                )
+        while (block := self.read_block(deadline_ms)) is not None:
+            yield block
+
+    def read_block(self, deadline_ms: float) -> bytes | None:
+        """Returns the next block of the body, or None at its end.
+
+        After a TimeoutError it may be called again.
+
+        Raises:
+            OSError, h11.ProtocolError: No valid block arrived in time.
+        """
+        event = self._next_event(deadline_ms)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionLostError(
+            "connection closed before the end of the response body"
+        )
 
     def call(
         self, head: messages.RequestHead, deadline_ms: float
--- a/hornbeampier/routing/dispatch.py
+++ b/hornbeampier/routing/dispatch.py
@@ -54,6 +54,10 @@
         self._prefill_meter.record(choice.state.id, choice.prefill_tokens)
         return choice
 
+    def has_candidates(self, req: requests.Request, tried: set[str]) -> bool:
+        """Whether an endpoint outside `tried` may get the request now."""
+        return bool(self._fleet.candidates(req.service, tried))
+
     def withheld(self, req: requests.Request) -> dict[str, str]:
         """Returns why endpoints of the request's service want fewer requests.
 
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -43,6 +43,7 @@
         failures: Number of failures since the last reset, see FAILURE_RESET_MS.
         failed_ms: When the last failure was seen.
         ejected_until_ms: Until when the endpoint gets no requests.
+        event_ms: When it last completed an event of a stream of this VM.
     """
 
     endpoint: domain.Endpoint
@@ -55,6 +56,7 @@
     failures: int = 0
     failed_ms: float = -math.inf
     ejected_until_ms: float = 0.0
+    event_ms: float = 0.0
 
     @property
     def id(self) -> str:
