--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -126,6 +126,57 @@
         # Both ends saw an orderly close.
         self.assertEqual(b"", second.sock.recv(1))
 
+    def keep_calling(self, router, name, draining):
+        """Calls on one connection until it is closed.
+
+        Returns the ids of the requests that got no complete response.
+        """
+        caller = self.connect(router)
+        unanswered = []
+        for number in range(10_000):
+            request_id = f"{name}/{number}"
+            headers = {"X-Hornbeampier-Attempt-Id": request_id}
+            try:
+                caller.send("POST", "/unsafe/x", headers, body=b"x" * 200)
+                response = caller.read()
+            except OSError:
+                unanswered.append(request_id)
+                break
+            if not response.complete:
+                unanswered.append(request_id)
+            if response.headers.get("connection") == "close":
+                if draining.ready():
+                    break
+                caller.close()
+                try:
+                    caller = self.connect(router)
+                except OSError:
+                    break
+        return unanswered
+
+    # Guards against requests that were just accepted being cut off without an
+    # answer by a planned stop under load.
+    def test_no_accepted_request_is_cut_off_by_a_stop_under_load(self):
+        def handler(req):
+            gevent.sleep(0.02)
+            req.respond()
+
+        endpoint = self.start_endpoint(nodes.PLAIN_SERVICE, handler)
+        router = self.start_ready_node(grace_ms=4_000.0)
+        draining = event.Event()
+        calls = [
+            gevent.spawn(self.keep_calling, router, f"caller-{n}", draining)
+            for n in range(30)
+        ]
+        gevent.sleep(0.3)
+        router.drain()
+        draining.set()
+        router.stop()
+        unanswered = {id_ for call in calls for id_ in call.get(timeout=5)}
+        forwarded = {req.id for req in endpoint.received}
+        self.assertGreater(len(forwarded), 100)
+        self.assertEqual(set(), unanswered & forwarded)
+
     def test_late_request_that_might_not_finish_is_refused(self):
         def handler(req):
             if "slow" in req.request_line:
