--- a/hornbeampier/routing/announcements.py
+++ b/hornbeampier/routing/announcements.py
@@ -97,7 +97,12 @@
 
 
 class Announcements:
-    """Keeps announcements and tells whether an endpoint may get a request."""
+    """Keeps announcements and tells whether an endpoint may get a request.
+
+    Attributes:
+        endpoint_ids: Ids of the endpoints of which any announcement is kept;
+            all others may get requests.
+    """
 
     def __init__(
         self,
@@ -111,6 +116,7 @@
         self._clock = clock
         self._rng = rng
         self._processes: dict[domain.ProcessId, _Process] = {}
+        self.endpoint_ids: frozenset[str] = frozenset()
         self._log = structlog.get_logger(task="announcements")
 
     def record(
@@ -249,9 +255,15 @@
         for process_id in known:
             if process_id in self._processes:
                 self._processes[process_id].known_ms = now_ms
-        for process_id, process in list(self._processes.items()):
-            if process.known_ms < now_ms - RETENTION_MS:
-                del self._processes[process_id]
+        expired = [
+            process_id
+            for process_id, process in self._processes.items()
+            if process.known_ms < now_ms - RETENTION_MS
+        ]
+        for process_id in expired:
+            del self._processes[process_id]
+        if expired:
+            self._update_ids()
 
     def _observe_limit(
         self,
@@ -307,4 +319,8 @@
             del self._processes[oldest]
         process = _Process(self._clock.now())
         self._processes[process_id] = process
+        self._update_ids()
         return process
+
+    def _update_ids(self) -> None:
+        self.endpoint_ids = frozenset(id_ for id_, _ in self._processes)
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -160,10 +160,11 @@
         The pools of a service would change with each request that a limit
         allows. If all engines name one, they form the pools.
         """
-        limited = [s for s in candidates if self._fleet.is_limited(s)]
+        limited = self._fleet.limited(candidates)
         if len(limited) in (0, len(candidates)):
             return candidates, []
-        return [s for s in candidates if not self._fleet.is_limited(s)], limited
+        limited_ids = {state.id for state in limited}
+        return [s for s in candidates if s.id not in limited_ids], limited
 
     def _may_spill_over(
         self,
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -189,11 +189,17 @@
 
     def serving(self, service: str) -> list[EndpointState]:
         """Returns the endpoints of a service that are not leaving."""
-        return [
+        serving = [
             state
             for state in self._by_service.get(service, ())
             if not state.endpoint.leaving
-            and not self._announcements.is_leaving(state.endpoint)
+        ]
+        if not self._announcements.endpoint_ids:
+            return serving
+        return [
+            state
+            for state in serving
+            if not self._announcements.is_leaving(state.endpoint)
         ]
 
     def candidates(
@@ -205,29 +211,42 @@
         are ejected, returns the one whose ejection ends first.
         """
         now_ms = self._clock.now()
-        serving = [
-            state
-            for state in self.serving(service)
-            if state.id not in tried
-            and not self._announcements.opens_in_ms(state.endpoint)
-        ]
+        serving = [s for s in self.serving(service) if s.id not in tried]
+        if self._announcements.endpoint_ids:
+            serving = [
+                state
+                for state in serving
+                if not self._announcements.opens_in_ms(state.endpoint)
+            ]
         eligible = [state for state in serving if state.is_eligible(now_ms)]
         if eligible or not serving:
             return eligible
         return [min(serving, key=lambda state: state.ejected_until_ms)]
 
-    def is_limited(self, state: EndpointState) -> bool:
-        """Whether the endpoint names a limit on its requests."""
-        return self._announcements.is_limited(state.endpoint)
+    def limited(self, states: list[EndpointState]) -> list[EndpointState]:
+        """Returns those of the endpoints that name a limit on requests."""
+        announced = self._announcements.endpoint_ids
+        if not announced:
+            return []
+        return [
+            state
+            for state in states
+            if state.id in announced
+            and self._announcements.is_limited(state.endpoint)
+        ]
 
     def withheld(self, service: str) -> dict[str, str]:
         """Returns why endpoints get no requests because of announcements.
 
         They are keyed by endpoint id.
         """
+        announced = self._announcements.endpoint_ids
+        if not announced:
+            return {}
         reasons = {
             state.id: self._announcements.describe(state.endpoint)
             for state in self._by_service.get(service, ())
+            if state.id in announced
         }
         return {id_: reason for id_, reason in reasons.items() if reason}
 
