Soak node processes under faults that overlap, drawn from a seed

Change: tests/soak starts real node processes before stand-ins, draws 18 kinds of faults and changes in series and overlapping (signals, restarts, the store down, restored from a copy, compacted; endpoints that name limits, leave, wait, crash, lose, copy, break, stall and slow down), keeps callers on their connections until these are closed, and checks what they and the endpoints saw. tests/test_soak.py plays three seeds.

--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,96 @@
+"""Callers of a soak, which keep their connections until these are closed."""
+
+import random
+
+import gevent
+
+from tests import nodes
+from tests.soak import endpoints
+from tests.soak import records
+
+DEADLINE_MS = 5_000
+# A request that took this part of its deadline may have been ended by it.
+LATE_FRACTION = 0.8
+MAX_PAUSE_S = 0.15
+KINDS = ("safe", "unsafe", "stream", "resume")
+RETRY_S = 0.05
+
+
+class Caller:
+    """One caller with one connection at a time."""
+
+    def __init__(self, name, world, rng):
+        self._name = name
+        self._world = world
+        self._rng = random.Random(rng.random())
+        self._conn = None
+        self._process = None
+        self._number = 0
+
+    def run(self):
+        """Calls until the world ends."""
+        while not self._world.is_over:
+            gevent.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+            if self._conn is None and not self._connect():
+                gevent.sleep(RETRY_S)
+                continue
+            if not self._call():
+                self._conn.close()
+                self._conn = None
+
+    def _connect(self):
+        """Connects to a VM that the load balancer offers."""
+        self._process = self._world.pick_vm(self._rng)
+        if self._process is None:
+            return False
+        try:
+            self._conn = nodes.Caller(self._process.callers)
+        except OSError:
+            return False
+        return True
+
+    def _call(self):
+        """Sends a request; returns whether the connection may be kept."""
+        self._number += 1
+        kind = self._rng.choice(KINDS)
+        name = self._process.name
+        outcome = records.Outcome(
+            f"{name}/{self._name}-{self._number}",
+            kind,
+            name,
+            self._world.clock.now(),
+        )
+        key = nodes.KEY
+        if self._rng.random() < 0.1:
+            key = self._world.revoked_key
+            outcome.key_state = self._world.key_state()
+        self._world.ledger.outcomes.append(outcome)
+        return self._exchange(outcome, key)
+
+    def _exchange(self, outcome, key):
+        is_stream = outcome.kind in ("stream", "resume")
+        headers = {
+            "X-Hornbeampier-Attempt-Id": outcome.request_id,
+            "X-Hornbeampier-Deadline-Ms": str(DEADLINE_MS),
+        }
+        body = endpoints.STREAM_BODY if is_stream else b"plain"
+        try:
+            self._conn.send(
+                "POST", f"/{outcome.kind}/x", headers, body=body, key=key
+            )
+            with gevent.Timeout(DEADLINE_MS / 1_000 + 2.0):
+                response = self._conn.read()
+        except (OSError, gevent.Timeout):
+            self._end(outcome)
+            return False
+        outcome.status = response.status
+        outcome.body = response.body
+        outcome.complete = response.complete
+        self._end(outcome)
+        return (
+            response.complete and response.headers.get("connection") != "close"
+        )
+
+    def _end(self, outcome):
+        took_ms = self._world.clock.now() - outcome.sent_ms
+        outcome.late = took_ms > LATE_FRACTION * DEADLINE_MS
--- /dev/null
+++ b/tests/soak/endpoints.py
@@ -0,0 +1,153 @@
+"""Endpoints of a soak, which announce, lose, copy, break and stall."""
+
+import contextlib
+import itertools
+import random
+
+import gevent
+
+from tests import announcing_endpoint
+from tests import endpoint_standin
+from tests import nodes
+from tests.soak import records
+
+PLAIN_RUN_S = 0.01
+EVENT_GAP_S = 0.02
+SLOW_FACTOR = 15
+# Fraction of the responses that a faulty endpoint spoils.
+SPOILED = 0.3
+STALL_S = 3.0
+# Body of the requests that are answered by a stream.
+STREAM_BODY = b"stream"
+_numbers = itertools.count(1)
+
+
+class SoakEndpoint:
+    """One process of an endpoint.
+
+    Attributes:
+        announcing: What it announces, and the check of what reaches it.
+        faults: Names of its present faults.
+    """
+
+    def __init__(self, service, ledger, clock, rng):
+        self.service = service
+        self.id = f"i-{next(_numbers)}"
+        self.announcing = announcing_endpoint.AnnouncingEndpoint(clock)
+        self.faults = set()
+        self.sequence = 0
+        self.state = "ready"
+        self._ledger = ledger
+        self._rng = random.Random(rng.random())
+        self._open = set()
+        self._standin = endpoint_standin.EndpointStandin(self._handle)
+
+    def entry(self):
+        """Returns its next entry in the store."""
+        self.sequence += 1
+        return nodes.endpoint_record(
+            self.service,
+            self._standin.address,
+            sequence=self.sequence,
+            state=self.state,
+        )
+
+    def stop(self):
+        """Ends the process; its connections are reset."""
+        self._ledger.spoiled.update(self._open)
+        self._standin.stop()
+        for req in self._standin.received:
+            with contextlib.suppress(OSError):
+                req.close_connection()
+
+    def _handle(self, req):
+        if req.headers.get("x-hornbeampier-expect-instance") != self.id:
+            req.respond(b"", "421 Misdirected Request", seal=False)
+            return
+        if req.request_line.startswith("GET /kv-list"):
+            req.respond(b'{"held": []}')
+            return
+        vm = announcing_endpoint.vm_of(req.id)
+        self.announcing.arrive(vm)
+        headers = [f"{k}: {v}" for k, v in self.announcing.announce(req.id)]
+        if self.announcing.wait_s is not None:
+            headers.append("X-Hornbeampier-Not-Executed: 1")
+            req.respond(b"", "503 Service Unavailable", headers, seal=False)
+            return
+        self._ledger.runs[req.id] += 1
+        self._open.add(req.id)
+        try:
+            if req.body == STREAM_BODY:
+                self._run_stream(req, headers)
+            else:
+                self._run_plain(req, headers)
+        finally:
+            self._open.discard(req.id)
+
+    def _is_spoiled(self, fault, req):
+        if fault in self.faults and self._rng.random() < SPOILED:
+            self._ledger.spoiled.add(req.id)
+            return True
+        return False
+
+    def _pause(self, duration_s):
+        gevent.sleep(duration_s * (SLOW_FACTOR if "slow" in self.faults else 1))
+
+    def _run_plain(self, req, headers):
+        self._pause(PLAIN_RUN_S)
+        body = records.body_of(req.id)
+        if self._is_spoiled("lose", req):
+            req.close_connection()
+            return
+        if self._is_spoiled("break", req):
+            req.send(self._head(req, headers, f"Content-Length: {len(body)}"))
+            req.send(body[: len(body) // 2])
+            req.close_connection()
+            return
+        req.respond(body, headers=headers)
+        if "copy" in self.faults and self._rng.random() < SPOILED:
+            gevent.spawn_later(
+                self._rng.uniform(0.0, 0.1), self._respond_again, req, body
+            )
+
+    def _respond_again(self, req, body):
+        with contextlib.suppress(OSError):
+            req.respond(body)
+
+    def _run_stream(self, req, headers):
+        first = int(req.headers.get("last-event-id", 0)) + 1
+        self._pause(PLAIN_RUN_S)
+        if self._is_spoiled("lose", req):
+            req.close_connection()
+            return
+        req.send(self._head(req, headers, "Transfer-Encoding: chunked"))
+        broken = self._is_spoiled("break", req)
+        stalled = self._is_spoiled("stall", req)
+        for number in range(first, records.STREAM_EVENTS + 1):
+            if broken and number == records.STREAM_EVENTS // 2:
+                req.send_chunk(records.event_of(req.id, number)[:5])
+                req.close_connection()
+                return
+            event = records.event_of(req.id, number)
+            if stalled and number == records.STREAM_EVENTS // 2:
+                self._trickle(req, event)
+            else:
+                req.send_chunk(event)
+            self._pause(EVENT_GAP_S)
+        req.end_stream()
+
+    def _trickle(self, req, event):
+        """Sends an event byte by byte, which takes `STALL_S`."""
+        for position in range(len(event)):
+            req.send_chunk(event[position : position + 1])
+            gevent.sleep(STALL_S / len(event))
+
+    def _head(self, req, headers, framing):
+        lines = [
+            "HTTP/1.1 200 OK",
+            framing,
+            endpoint_standin.SEAL,
+            f"X-Hornbeampier-Attempt-Id: {req.id}",
+            *headers,
+        ]
+        return "\r\n".join(lines) + "\r\n\r\n"
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,92 @@
+"""Which faults and changes come when, drawn from a seed."""
+
+import dataclasses
+import enum
+import random
+
+
+class Kind(enum.StrEnum):
+    """A fault or a planned change."""
+
+    TERMINATE = "terminate"
+    KILL = "kill"
+    FREEZE = "freeze"
+    HANGUP = "hangup"
+    STORE_DOWN = "store_down"
+    STORE_RESTORE = "store_restore"
+    STORE_COMPACT = "store_compact"
+    PUBLISH = "publish"
+    REVOKE = "revoke"
+    LIMIT = "limit"
+    LEAVE = "leave"
+    WAIT = "wait"
+    LOSE = "lose"
+    COPY = "copy"
+    BREAK = "break"
+    STALL = "stall"
+    SLOW = "slow"
+    CRASH = "crash"
+
+
+# Weights of the draw; what concerns processes comes more often.
+WEIGHTS = {
+    Kind.TERMINATE: 4,
+    Kind.KILL: 2,
+    Kind.FREEZE: 3,
+    Kind.HANGUP: 1,
+    Kind.STORE_DOWN: 1,
+    Kind.STORE_RESTORE: 2,
+    Kind.STORE_COMPACT: 1,
+    Kind.PUBLISH: 2,
+    Kind.REVOKE: 1,
+    Kind.LIMIT: 2,
+    Kind.LEAVE: 2,
+    Kind.WAIT: 2,
+    Kind.LOSE: 2,
+    Kind.COPY: 2,
+    Kind.BREAK: 2,
+    Kind.STALL: 2,
+    Kind.SLOW: 1,
+    Kind.CRASH: 2,
+}
+MIN_DURATION_S = 0.5
+MAX_DURATION_S = 4.0
+# A series repeats one fault on the same thing.
+SERIES_PROBABILITY = 0.25
+SERIES_LENGTH = 3
+SERIES_GAP_S = 0.7
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Event:
+    """One fault.
+
+    Attributes:
+        at_s: When it begins.
+        target: Picks the VM or endpoint, modulo their number.
+    """
+
+    at_s: float
+    kind: Kind
+    target: int
+    duration_s: float
+
+
+def draw(seed, count, length_s):
+    """Returns the events of a soak, in order of time."""
+    rng = random.Random(seed)
+    kinds = rng.choices(list(WEIGHTS), list(WEIGHTS.values()), k=count)
+    events = []
+    for kind in kinds:
+        first = Event(
+            rng.uniform(0.0, length_s),
+            kind,
+            rng.randrange(1_000),
+            rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
+        )
+        events.append(first)
+        if rng.random() < SERIES_PROBABILITY:
+            for number in range(1, SERIES_LENGTH):
+                at_s = first.at_s + number * SERIES_GAP_S
+                events.append(dataclasses.replace(first, at_s=at_s))
+    return sorted(events)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,25 @@
+"""A short soak of node processes; `python -m tests.soak` plays more seeds."""
+
+import os
+
+import testtools
+
+from tests.soak import world
+
+SEEDS = (1, 6, 7)
+VMS = 3
+EVENTS = 16
+LENGTH_S = 12.0
+
+
+class SoakTest(testtools.TestCase):
+    def play(self, seed):
+        host_prefix = f"127.{10 + os.getpid() % 200}.{seed}"
+        problems, played = world.play(seed, VMS, EVENTS, LENGTH_S, host_prefix)
+        self.assertEqual([], problems)
+        statuses = [o.status for o in played.ledger.outcomes if o.complete]
+        self.assertGreater(statuses.count(200), len(statuses) / 2)
+
+    def test_promises_hold_under_overlapping_faults(self):
+        for seed in SEEDS:
+            self.play(seed)
