--- a/hornbeampier/application.py
+++ b/hornbeampier/application.py
@@ -1,11 +1,14 @@
 """Life cycle of a process: components start in order and stop in reverse."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
 import gevent.event
 import structlog
 
+from hornbeampier import clock as clocks
+
 
 class Component(Protocol):
     """A component of a process that is started, drained and stopped."""
@@ -57,6 +60,27 @@
             self._task = None
 
 
+class PeriodicTask(TaskComponent):
+    """Calls a function at an interval."""
+
+    def __init__(
+        self,
+        interval_ms: float,
+        callback: Callable[[], None],
+        clock: clocks.Clock,
+    ):
+        super().__init__()
+        self._interval_ms = interval_ms
+        self._callback = callback
+        self._clock = clock
+
+    def run(self) -> None:
+        """Calls the function until killed."""
+        while True:
+            self._clock.sleep(self._interval_ms)
+            self._callback()
+
+
 class Application:
     """Owns the components of one process."""
 
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import response_checks
+from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import streams
 from hornbeampier.http1 import server
@@ -24,19 +25,12 @@
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
 from hornbeampier.routing import requests
-from hornbeampier.routing import retry_delays
 
 # Unreachable endpoints do not count as attempts. After this number of them, the
 # next endpoint is tried only if a retry is allowed.
 MAX_UNREACHABLE = 4
-# Retry-After of a refused request that has not run on any endpoint.
-RETRY_AFTER_MS = 200.0
 # No retry is made with less remaining time than this.
 MIN_ATTEMPT_MS = 10.0
-# How long a request may wait for endpoints that want fewer requests, as a
-# fraction of its latency target, and the shortest interval of the checks.
-PERMISSION_WAIT_FRACTION = 0.2
-MIN_PERMISSION_WAIT_MS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +87,9 @@
         self._clock = context.clock
         self._req = req
         self._caller = caller
+        self._selector = selection.EndpointSelector(
+            context.dispatcher, req, context.clock, context.rng
+        )
         self._relay = streams.StreamRelay(caller, context.clock)
         self._tried: set[str] = set()
         self._attempts = 0
@@ -113,9 +110,10 @@
                 self._check_retry(exc)
 
     def _choose_endpoint(self) -> endpoint_choice.EndpointChoice:
-        choice = self._await_choice()
-        if choice is None:
-            raise self._refuse_without_choice()
+        try:
+            choice = self._selector.select(self._tried)
+        except selection.NoEndpointError as exc:
+            raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
         prompt = self._req.prompt
         self._log.info(
             "routed",
@@ -128,52 +126,10 @@
             fetch_from=choice.fetch_from and choice.fetch_from.id,
             prompt_tokens=prompt.input_tokens if prompt else None,
             in_flight=choice.state.in_flight,
-            withheld=self._context.dispatcher.withheld(self._req) or None,
+            withheld=self._selector.withheld() or None,
         )
         return choice
 
-    def _await_choice(self) -> endpoint_choice.EndpointChoice | None:
-        """Returns an endpoint; waits shortly if all want fewer requests."""
-        dispatcher = self._context.dispatcher
-        target_ms = self._req.route.latency_target_ms
-        end_ms = self._req.arrived_ms + PERMISSION_WAIT_FRACTION * target_ms
-        while True:
-            choice = dispatcher.choose(self._req, self._tried)
-            if choice is not None:
-                return choice
-            opens_in_ms = dispatcher.opens_in_ms(self._req, self._tried)
-            now_ms = self._clock.now()
-            if opens_in_ms is None or now_ms + opens_in_ms >= end_ms:
-                return None
-            self._clock.sleep(max(MIN_PERMISSION_WAIT_MS, opens_in_ms))
-
-    def _refuse_without_choice(
-        self,
-    ) -> errors.RefusalError | streams.InterruptedStreamError:
-        """Returns the error of a request for which no endpoint is left."""
-        opens_in_ms = self._context.dispatcher.opens_in_ms(
-            self._req, self._tried
-        )
-        if opens_in_ms is not None:
-            remaining_ms = self._req.deadline_ms - self._clock.now()
-            return self._refuse(
-                errors.RefusalCode.THROTTLED,
-                "all endpoints of the service want fewer requests: "
-                f"{self._context.dispatcher.withheld(self._req)}",
-                retry_delays.spread(
-                    opens_in_ms, remaining_ms, self._context.rng
-                ),
-            )
-        if self._tried:
-            return self._refuse(
-                errors.RefusalCode.ENDPOINT_FAILED,
-                "no other endpoint is left for a retry",
-            )
-        return self._refuse(
-            errors.RefusalCode.NO_ENDPOINT,
-            "no endpoint of the service is available",
-        )
-
     def _run_attempt(self, choice: endpoint_choice.EndpointChoice) -> None:
         in_flight_attempt = fleet.InFlightAttempt(
             choice.state, choice.expected_response_ms, choice.prefill_tokens
@@ -285,7 +241,7 @@
         If so, a retry is taken from the budget.
         """
         tried = self._tried | {choice.state.id}
-        if not self._context.dispatcher.has_candidates(self._req, tried):
+        if not self._selector.has_candidates(tried):
             return False
         self._retry_granted = self._try_acquire_retry(
             verdict.Verdict.MAY_HAVE_RUN
@@ -388,7 +344,7 @@
         self,
         code: errors.RefusalCode,
         message: str,
-        retry_after_ms: float = RETRY_AFTER_MS,
+        retry_after_ms: float = selection.RETRY_AFTER_MS,
     ) -> errors.RefusalError | streams.InterruptedStreamError:
         """Returns the error that ends the request."""
         if self._relay.started:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -1,6 +1,5 @@
 """The router process of one VM, for a platform with a store of topics."""
 
-from collections.abc import Callable
 from collections.abc import Collection
 import pathlib
 import signal
@@ -9,7 +8,6 @@
 import structlog
 
 from hornbeampier import application
-from hornbeampier import clock as clocks
 from hornbeampier import environment
 from hornbeampier import errors
 from hornbeampier import log_stream
@@ -25,13 +23,9 @@
 from hornbeampier.ingress import listener
 from hornbeampier.ingress import readiness
 from hornbeampier.ingress import shutdown
-from hornbeampier.peers import gossip
-from hornbeampier.peers import groups
-from hornbeampier.peers import hub_rounds
-from hornbeampier.peers import hub_states
+from hornbeampier.peers import components
 from hornbeampier.peers import membership
 from hornbeampier.peers import state_exchange
-from hornbeampier.peers import topology
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -62,7 +56,6 @@
 CALLER_FD_FRACTION = 0.5
 # Limit of each of the listeners that do not serve callers.
 MAX_CONTROL_CONNECTIONS = 100
-BOOT_BITS = 32
 
 
 class Node(application.BaseComponent):
@@ -166,46 +159,23 @@
             catch_up=self._catch_up,
             store_readers=self._store_readers,
         )
-        sender = state_exchange.Sender(
-            vm=cfg.vm,
-            boot=self._env.rng.getrandbits(BOOT_BITS),
-            host=cfg.host,
-            zone=topology.zone_code(cfg.availability_zone),
-        )
-        group = groups.Group(self._clock)
-        exchange = state_exchange.StateExchange(
-            sender,
-            shared,
-            self._membership,
-            group,
-            self._reads_store,
-            self._clock,
-        )
-        states = hub_states.HubStates(
-            sender,
-            shared,
-            self._membership,
-            group,
-            exchange,
-            self._reads_store,
-        )
-        rounds = hub_rounds.HubRounds(
-            sender, self._membership, group, exchange, states, self._clock
-        )
         handler = control.ControlHandler(relay.RelayHandler(self._replicas))
         self.app.add(
             listener.Listener(
                 cfg.control, handler, self._clock, MAX_CONTROL_CONNECTIONS
             )
         )
+        identity = components.Identity(
+            cfg.vm, cfg.host, cfg.availability_zone, cfg.peer_port
+        )
         self.app.add(
-            gossip.Gossip(
-                cfg.host,
-                cfg.peer_port,
+            components.build_gossip(
+                identity,
+                shared,
                 self._membership,
-                exchange,
-                rounds,
+                self._reads_store,
                 self._clock,
+                self._env.rng,
             )
         )
         self.app.add(self._catch_up)
@@ -313,7 +283,11 @@
                 self._handler, caller_listener, self._clock, cfg.grace_ms
             )
         )
-        self.app.add(_Maintenance(self._clock, self._maintain))
+        self.app.add(
+            application.PeriodicTask(
+                MAINTENANCE_INTERVAL_MS, self._maintain, self._clock
+            )
+        )
 
     def start(self) -> None:
         """Starts all components."""
@@ -379,21 +353,6 @@
         self._prefill_meter.expire()
 
 
-class _Maintenance(application.TaskComponent):
-    """Calls a function every `MAINTENANCE_INTERVAL_MS`."""
-
-    def __init__(self, clock: clocks.Clock, callback: Callable[[], None]):
-        super().__init__()
-        self._clock = clock
-        self._callback = callback
-
-    def run(self) -> None:
-        """Calls the function until killed."""
-        while True:
-            self._clock.sleep(MAINTENANCE_INTERVAL_MS)
-            self._callback()
-
-
 def main(env: environment.Environment) -> status.ExitStatus:
     """Runs the router until SIGTERM or SIGINT."""
     path = env.variables.get(names.SETTINGS_VARIABLE)
--- /dev/null
+++ b/hornbeampier/peers/components.py
@@ -0,0 +1,59 @@
+"""Builds the components with which a VM speaks to its peers."""
+
+import dataclasses
+import random
+
+from hornbeampier import clock as clocks
+from hornbeampier.peers import gossip
+from hornbeampier.peers import groups
+from hornbeampier.peers import hub_rounds
+from hornbeampier.peers import hub_states
+from hornbeampier.peers import membership
+from hornbeampier.peers import state_exchange
+from hornbeampier.peers import topology
+
+BOOT_BITS = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """What peers know of this VM.
+
+    Attributes:
+        gossip_port: UDP port of gossip, the same on all VMs.
+    """
+
+    vm: str
+    host: str
+    availability_zone: str
+    gossip_port: int
+
+
+def build_gossip(
+    identity: Identity,
+    shared: state_exchange.SharedComponents,
+    members: membership.Membership,
+    reads_store: state_exchange.ReadsStore,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> gossip.Gossip:
+    """Returns the gossip of this VM, for deployments of any size."""
+    sender = state_exchange.Sender(
+        vm=identity.vm,
+        boot=rng.getrandbits(BOOT_BITS),
+        host=identity.host,
+        zone=topology.zone_code(identity.availability_zone),
+    )
+    group = groups.Group(clock)
+    exchange = state_exchange.StateExchange(
+        sender, shared, members, group, reads_store, clock
+    )
+    states = hub_states.HubStates(
+        sender, shared, members, group, exchange, reads_store
+    )
+    rounds = hub_rounds.HubRounds(
+        sender, members, group, exchange, states, clock
+    )
+    return gossip.Gossip(
+        identity.host, identity.gossip_port, members, exchange, rounds, clock
+    )
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -24,6 +24,9 @@
 from hornbeampier.routing import pools
 from hornbeampier.routing import prefill
 
+# Whether this VM reads the store, and its last calls did not fail.
+ReadsStore = Callable[[], bool]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delta:
@@ -100,7 +103,7 @@
         shared: SharedComponents,
         members: membership.Membership,
         group: groups.Group,
-        reads_store: Callable[[], bool],
+        reads_store: ReadsStore,
         clock: clocks.Clock,
     ):
         self._sender = sender
--- a/tests/gossip_cluster.py
+++ b/tests/gossip_cluster.py
@@ -3,14 +3,10 @@
 import random
 
 from hornbeampier import clock as clocks
-from hornbeampier.peers import gossip
-from hornbeampier.peers import groups
-from hornbeampier.peers import hub_rounds
-from hornbeampier.peers import hub_states
+from hornbeampier.peers import components
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
 from hornbeampier.peers import state_exchange
-from hornbeampier.peers import topology
 from hornbeampier.replication import catch_up
 from hornbeampier.replication import positions
 from hornbeampier.replication import store_readers
@@ -84,31 +80,14 @@
             catch_up=self.catch_up,
             store_readers=self.readers,
         )
-        code = topology.zone_code(zone)
-        sender = state_exchange.Sender(f"vm-{host}", boot, host, code)
         self.members = membership.Membership(host, seeds, clock)
-        group = groups.Group(clock)
-        exchange = state_exchange.StateExchange(
-            sender,
+        self.gossip = components.build_gossip(
+            components.Identity(f"vm-{host}", host, zone, 1),
             shared,
             self.members,
-            group,
             self.readers.should_read,
             clock,
-        )
-        states = hub_states.HubStates(
-            sender,
-            shared,
-            self.members,
-            group,
-            exchange,
-            self.readers.should_read,
-        )
-        rounds = hub_rounds.HubRounds(
-            sender, self.members, group, exchange, states, clock
-        )
-        self.gossip = gossip.Gossip(
-            host, 1, self.members, exchange, rounds, clock
+            random.Random(f"{host}/{boot}"),
         )
         self.bursts = []
 
