Do not blame a request for crashes once an equal one was served

Cause: requests with the same path, account and body have one fingerprint. Endpoints that crash while popular equal requests run there, three of them, had these blocked everywhere. Change: a complete response clears the crashes before, also at peers; a late report of a cleared crash changes nothing. A request that crashes whoever runs it is never served, so it is blocked as before.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -249,6 +249,8 @@
         return self._retry_granted
 
     def _record_served(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
+        if response_checks.is_success(attempt.fields):
+            self._context.crashes.record_success(self._req.fingerprint)
         self._count_served(attempt.fields.status)
         self._log.info(
             "served",
--- a/hornbeampier/peers/hub_states.py
+++ b/hornbeampier/peers/hub_states.py
@@ -124,6 +124,7 @@
             sent_tokens=groups.merge_tokens(news),
             placements=groups.merge_placements(news),
             crashes=self._exchange.sent_crashes,
+            cleared=self._exchange.sent_cleared,
             notices=self._exchange.recent_notices,
             scope=scope,
             zone=self._sender.zone,
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -150,6 +150,7 @@
         notices: Recent announcements of endpoints; in a delta only new ones.
         positions: Position that the VM has reached in each topic; a delta
             leaves out topics that did not advance.
+        cleared: Crashes that were not the fault of their request.
     """
 
     vm: str
@@ -173,6 +174,7 @@
     sources: dict[str, RecordSources] = {}
     notices: tuple[EndpointNotice, ...] = ()
     positions: dict[str, RecordPosition] = {}
+    cleared: tuple[Crash, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -39,6 +39,7 @@
         placements: Prompt segments sent to engines.
         crashes: Crashes of endpoints.
         notices: Announcements of endpoints.
+        cleared: Crashes that were not the fault of their request.
     """
 
     positions: dict[str, positions.Position]
@@ -47,6 +48,7 @@
     placements: tuple[messages.Placement, ...]
     crashes: tuple[messages.Crash, ...]
     notices: tuple[messages.EndpointNotice, ...]
+    cleared: tuple[messages.Crash, ...]
 
     @property
     def is_empty(self) -> bool:
@@ -58,6 +60,7 @@
             or self.placements
             or self.crashes
             or self.notices
+            or self.cleared
         )
 
 
@@ -113,6 +116,7 @@
         self._reads_store = reads_store
         self._sent_positions: dict[str, positions.Position] = {}
         self._sent_crashes: frozenset[crashes.Crash] = frozenset()
+        self._sent_cleared: frozenset[crashes.Crash] = frozenset()
         self._notices = endpoint_notices.EndpointNotices(
             shared.announcements, clock
         )
@@ -122,6 +126,8 @@
         reached = self._positions()
         previous_crashes = self._sent_crashes
         self._sent_crashes = frozenset(self._shared.crashes.to_gossip())
+        previous_cleared = self._sent_cleared
+        self._sent_cleared = frozenset(self._shared.crashes.cleared_to_gossip())
         delta = Delta(
             positions=_differences(self._sent_positions, reached),
             endpoints=self._shared.fleet.take_changed_loads(),
@@ -136,6 +142,9 @@
                 self._sent_crashes - previous_crashes
             ),
             notices=self._notices.take_changed(),
+            cleared=load_messages.to_crash_messages(
+                self._sent_cleared - previous_cleared
+            ),
         )
         self._sent_positions = reached
         return delta
@@ -161,6 +170,7 @@
             sent_tokens=delta.sent_tokens,
             placements=delta.placements,
             crashes=delta.crashes,
+            cleared=delta.cleared,
             scope=scope,
             zone=self._sender.zone,
             # A hub gets full states too rarely to make up for a lost delta.
@@ -196,7 +206,8 @@
             pools=self._pool_sizes(),
             sent_tokens=delta.sent_tokens,
             placements=delta.placements,
-            crashes=load_messages.to_crash_messages(self._sent_crashes),
+            crashes=self.sent_crashes,
+            cleared=self.sent_cleared,
             members=tuple(self._members.live()) if with_members else (),
             scope=scope,
             zone=self._sender.zone,
@@ -225,6 +236,10 @@
             self._apply_loads(message, loads)
         for endpoint_id, tokens in message.sent_tokens.items():
             self._shared.prefill_meter.record_peer(endpoint_id, tokens)
+        for crash in message.cleared:
+            self._shared.crashes.clear(
+                crashes.Crash(crash.fingerprint, crash.incarnation)
+            )
         for crash in message.crashes:
             self._shared.crashes.record(
                 crashes.Crash(crash.fingerprint, crash.incarnation)
@@ -274,6 +289,11 @@
         """The recent crashes, also those that peers reported."""
         return load_messages.to_crash_messages(self._sent_crashes)
 
+    @property
+    def sent_cleared(self) -> tuple[messages.Crash, ...]:
+        """The crashes that were cleared recently, also by peers."""
+        return load_messages.to_crash_messages(self._sent_cleared)
+
     @property
     def recent_notices(self) -> tuple[messages.EndpointNotice, ...]:
         """The recent announcements, also those that peers reported."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import pathlib
 import sys
 
 from tests.soak import world
@@ -17,12 +18,20 @@
     parser.add_argument("--vms", type=int, default=3)
     parser.add_argument("--events", type=int, default=16)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument(
+        "--logs", type=pathlib.Path, help="where logs of failed seeds are kept"
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.start, args.start + args.seeds):
         host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
         problems, played = world.play(
-            seed, args.vms, args.events, args.seconds, host_prefix
+            seed,
+            args.vms,
+            args.events,
+            args.seconds,
+            host_prefix,
+            args.logs,
         )
         outcomes = played.ledger.outcomes
         served = sum(o.status == 200 and o.complete for o in outcomes)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -356,8 +356,18 @@
         self._spoil(event, "slow")
 
 
-def play(seed, vms, events, length_s, host_prefix):
-    """Plays one seed; returns the problems and the world's ledger."""
+def _keep_logs(world, directory, problems):
+    directory.mkdir(parents=True, exist_ok=True)
+    (directory / "problems").write_text("\n".join(problems))
+    for vm in world.vms:
+        (directory / f"vm{vm.index}.log").write_text(vm.log_text())
+
+
+def play(seed, vms, events, length_s, host_prefix, log_directory=None):
+    """Plays one seed; returns the problems and the world.
+
+    If there are problems, the logs of all VMs are kept in `log_directory`.
+    """
     world = World(seed, vms, host_prefix)
     try:
         world.start()
@@ -369,6 +379,8 @@
             text = vm.log_text()
             if "internal_error" in text or "Traceback" in text:
                 problems.append(f"vm{vm.index} logged an internal error")
+        if problems and log_directory is not None:
+            _keep_logs(world, log_directory / f"seed-{seed}", problems)
         return problems, world
     finally:
         world.close()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -44,6 +44,9 @@
     def to_gossip(self):
         return []
 
+    def cleared_to_gossip(self):
+        return []
+
     def record_peer(self, *args):
         pass
 
--- a/tests/test_gossip_hubs.py
+++ b/tests/test_gossip_hubs.py
@@ -104,6 +104,10 @@
             cache = other.fleet.get("e1").prefix_cache
             self.assertLessEqual(9_000, cache.cached_prefix_tokens(prompt))
             self.assertEqual(1, other.crashes.count("fingerprint"))
+        vm.crashes.record_success("fingerprint")
+        self.cluster.run(SPREAD_S)
+        for other in self.vms():
+            self.assertEqual(0, other.crashes.count("fingerprint"))
 
     def test_all_know_soon_who_has_new_records(self):
         """No hub has fetched them yet, as its link may be slow."""
--- a/tests/test_routing_crashes.py
+++ b/tests/test_routing_crashes.py
@@ -41,8 +41,54 @@
         self.clock.advance(crashes.RETENTION_MS + 1)
         self.assertFalse(self.crashes.is_blocked("bad"))
 
+    def test_request_that_was_served_is_not_blamed_for_earlier_crashes(self):
+        for number in range(10):
+            self.crash(number, "popular")
+            self.crashes.record_success("popular")
+        self.assertFalse(self.crashes.is_blocked("popular"))
+        self.assertEqual(0, self.crashes.count("popular"))
+
+    def test_late_report_of_a_cleared_crash_changes_nothing(self):
+        self.crash(1)
+        self.crashes.record_success("bad")
+        self.crash(1)
+        self.assertEqual(0, self.crashes.count("bad"))
+        self.assertEqual(1, len(self.crashes.cleared_to_gossip()))
+
+    def test_success_of_another_request_clears_nothing(self):
+        self.crash(1)
+        self.crashes.record_success("good")
+        self.assertEqual(1, self.crashes.count("bad"))
+
 
 class CrashingRequestTest(nodes.NodeTestCase):
+    # Guards against a popular request being refused because endpoints crashed
+    # while it happened to run there.
+    def test_equal_requests_are_served_after_crashes_beside_them(self):
+        def handler(req):
+            if stopping:
+                endpoint = stopping.pop()
+                req.close_connection()
+                endpoint.stop()
+            else:
+                req.respond()
+
+        endpoints = [
+            self.start_endpoint(nodes.PLAIN_SERVICE, handler) for _ in range(5)
+        ]
+        router = self.start_ready_node()
+        stopping = []
+        for _ in range(4):
+            self.call(router, "POST", "/safe/x", body=b"popular")
+            before = [len(e.received) for e in endpoints]
+            self.call(router, "POST", "/safe/x", body=b"popular")
+            after = [len(e.received) for e in endpoints]
+            changed = [a != b for a, b in zip(after, before, strict=True)]
+            stopping.append(endpoints[changed.index(True)])
+            self.call(router, "POST", "/safe/x", body=b"popular")
+        response = self.call(router, "POST", "/safe/x", body=b"popular")
+        self.assertEqual(200, response.status)
+
     def test_crashing_request_reaches_only_three_endpoints(self):
         def crash(req):
             req.close_connection()
