--- a/hornbeampier/routing/announcements.py
+++ b/hornbeampier/routing/announcements.py
@@ -116,7 +116,7 @@
         self._clock = clock
         self._rng = rng
         self._processes: dict[domain.ProcessId, _Process] = {}
-        self.endpoint_ids: frozenset[str] = frozenset()
+        self.endpoint_ids: set[str] = set()
         self._log = structlog.get_logger(task="announcements")
 
     def record(
@@ -263,7 +263,7 @@
         for process_id in expired:
             del self._processes[process_id]
         if expired:
-            self._update_ids()
+            self.endpoint_ids = {id_ for id_, _ in self._processes}
 
     def _observe_limit(
         self,
@@ -319,8 +319,5 @@
             del self._processes[oldest]
         process = _Process(self._clock.now())
         self._processes[process_id] = process
-        self._update_ids()
+        self.endpoint_ids.add(process_id[0])
         return process
-
-    def _update_ids(self) -> None:
-        self.endpoint_ids = frozenset(id_ for id_, _ in self._processes)
