Report crashes to peers by endpoint, so that they do not fill links

At 6.5 and 9.5 s 21 engines crash with their requests. Datagrams were lost for up to 6.6 s on 25 VMs; they noticed after 3 s and read the store. VMs of earlier versions get each crash once.

--- a/hornbeampier/peers/load_messages.py
+++ b/hornbeampier/peers/load_messages.py
@@ -65,6 +65,26 @@
     )
 
 
+def to_crash_reports(
+    crashes_to_send: Iterable[crashes.Crash],
+) -> messages.CrashReports:
+    """Returns the wire type of crashes, by incarnation."""
+    digests: dict[str, list[bytes]] = {}
+    for crash in crashes_to_send:
+        digest = bytes.fromhex(crash.fingerprint)
+        digests.setdefault(crash.incarnation, []).append(digest)
+    return {incarnation: tuple(d) for incarnation, d in digests.items()}
+
+
+def of_crash_reports(reports: messages.CrashReports) -> list[crashes.Crash]:
+    """Returns the crashes in reports."""
+    return [
+        crashes.Crash(digest.hex(), incarnation)
+        for incarnation, digests in reports.items()
+        for digest in digests
+    ]
+
+
 def to_loads(message: messages.StateMessage) -> dict[str, peer_loads.Load]:
     """Returns the loads of a message by endpoint id."""
     return {
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -41,6 +41,11 @@
     incarnation: str
 
 
+# Digests of the requests that were running at crashes, by incarnation of the
+# endpoint. A crash may concern as many requests as an engine runs.
+CrashReports = dict[str, tuple[bytes, ...]]
+
+
 class EndpointNotice(msgspec.Struct, array_like=True, frozen=True):
     """What a process of an endpoint has announced.
 
@@ -138,7 +143,8 @@
         sent_tokens: Prompt tokens sent to each engine since the last round.
         placements: Prompt segments that were sent to engines; each placement
             is gossiped once.
-        crashes: Recent crashes of endpoints; in a delta only new ones.
+        crashes: New crashes of endpoints, for VMs of versions without
+            `crash_reports`; only in deltas to peers.
         members: Hosts of the live members; only in a full state.
         scope: Whose state this is, a `Scope`. Messages of newer versions may
             have an unknown one; they are skipped.
@@ -150,7 +156,8 @@
         notices: Recent announcements of endpoints; in a delta only new ones.
         positions: Position that the VM has reached in each topic; a delta
             leaves out topics that did not advance.
-        cleared: Crashes that were not the fault of their request.
+        crash_reports: Recent crashes; in a delta only new ones.
+        cleared_reports: Crashes that were not the fault of their request.
     """
 
     vm: str
@@ -174,7 +181,8 @@
     sources: dict[str, RecordSources] = {}
     notices: tuple[EndpointNotice, ...] = ()
     positions: dict[str, RecordPosition] = {}
-    cleared: tuple[Crash, ...] = ()
+    crash_reports: CrashReports = {}
+    cleared_reports: CrashReports = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -46,9 +46,9 @@
     endpoints: frozenset[str]
     sent_tokens: dict[str, int]
     placements: tuple[messages.Placement, ...]
-    crashes: tuple[messages.Crash, ...]
+    crashes: frozenset[crashes.Crash]
     notices: tuple[messages.EndpointNotice, ...]
-    cleared: tuple[messages.Crash, ...]
+    cleared: frozenset[crashes.Crash]
 
     @property
     def is_empty(self) -> bool:
@@ -138,13 +138,9 @@
                     self._shared.placements.take_pending()
                 )
             ),
-            crashes=load_messages.to_crash_messages(
-                self._sent_crashes - previous_crashes
-            ),
+            crashes=self._sent_crashes - previous_crashes,
             notices=self._notices.take_changed(),
-            cleared=load_messages.to_crash_messages(
-                self._sent_cleared - previous_cleared
-            ),
+            cleared=self._sent_cleared - previous_cleared,
         )
         self._sent_positions = reached
         return delta
@@ -169,8 +165,13 @@
             pools=self._pool_sizes(),
             sent_tokens=delta.sent_tokens,
             placements=delta.placements,
-            crashes=delta.crashes,
-            cleared=delta.cleared,
+            crashes=(
+                load_messages.to_crash_messages(delta.crashes)
+                if scope is messages.Scope.PEER
+                else ()
+            ),
+            crash_reports=load_messages.to_crash_reports(delta.crashes),
+            cleared_reports=load_messages.to_crash_reports(delta.cleared),
             scope=scope,
             zone=self._sender.zone,
             # A hub gets full states too rarely to make up for a lost delta.
@@ -206,8 +207,8 @@
             pools=self._pool_sizes(),
             sent_tokens=delta.sent_tokens,
             placements=delta.placements,
-            crashes=self.sent_crashes,
-            cleared=self.sent_cleared,
+            crash_reports=self.crash_reports,
+            cleared_reports=self.cleared_reports,
             members=tuple(self._members.live()) if with_members else (),
             scope=scope,
             zone=self._sender.zone,
@@ -236,10 +237,10 @@
             self._apply_loads(message, loads)
         for endpoint_id, tokens in message.sent_tokens.items():
             self._shared.prefill_meter.record_peer(endpoint_id, tokens)
-        for crash in message.cleared:
-            self._shared.crashes.clear(
-                crashes.Crash(crash.fingerprint, crash.incarnation)
-            )
+        for crash in load_messages.of_crash_reports(message.cleared_reports):
+            self._shared.crashes.clear(crash)
+        for crash in load_messages.of_crash_reports(message.crash_reports):
+            self._shared.crashes.record(crash)
         for crash in message.crashes:
             self._shared.crashes.record(
                 crashes.Crash(crash.fingerprint, crash.incarnation)
@@ -285,14 +286,14 @@
         return self._sent_positions
 
     @property
-    def sent_crashes(self) -> tuple[messages.Crash, ...]:
+    def crash_reports(self) -> messages.CrashReports:
         """The recent crashes, also those that peers reported."""
-        return load_messages.to_crash_messages(self._sent_crashes)
+        return load_messages.to_crash_reports(self._sent_crashes)
 
     @property
-    def sent_cleared(self) -> tuple[messages.Crash, ...]:
+    def cleared_reports(self) -> messages.CrashReports:
         """The crashes that were cleared recently, also by peers."""
-        return load_messages.to_crash_messages(self._sent_cleared)
+        return load_messages.to_crash_reports(self._sent_cleared)
 
     @property
     def recent_notices(self) -> tuple[messages.EndpointNotice, ...]:
