Notice silent store readers after 1.5 s

Cause: VMs that heard nothing began to read the store after 3 s, the time within which a configuration must be in force in the grown deployments. Change: a reader that was silent for 1.5 s no longer counts, like any peer.

--- a/hornbeampier/replication/store_readers.py
+++ b/hornbeampier/replication/store_readers.py
@@ -25,7 +25,7 @@
 # ranks high enough, though it has not reported yet.
 ASSUMED_MS = 3_000.0
 # A peer that was silent for longer does not count as a store reader.
-PEER_TIMEOUT_MS = 3_000.0
+PEER_TIMEOUT_MS = 1_500.0
 
 
 class StoreReaders:
