--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -31,6 +31,8 @@
 MAX_UNREACHABLE = 4
 # No retry is made with less remaining time than this.
 MIN_ATTEMPT_MS = 10.0
+# Number of digits of a request's fingerprint in a log line.
+LOGGED_DIGITS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -299,8 +301,21 @@
             error=str(exc),
             endpoint_down=is_down,
             events=self._relay.events,
+            **self._describe_suspect(is_down),
         )
 
+    def _describe_suspect(self, is_down: bool) -> dict[str, object]:
+        """Returns what identifies a request whose endpoint went down."""
+        if not is_down:
+            return {}
+        prompt = self._req.prompt
+        segments = prompt.shared_segments if prompt else ()
+        return {
+            "fingerprint": self._req.fingerprint[:LOGGED_DIGITS],
+            "crashes": self._context.crashes.count(self._req.fingerprint),
+            "segments": [segment.id for segment in segments],
+        }
+
     def _detect_crash(self, choice: endpoint_choice.EndpointChoice) -> bool:
         """Whether the endpoint has crashed, after its response was interrupted.
 
