--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -252,6 +252,20 @@
         store_standin.wait_until(router.is_ready)
         return router
 
+    def start_vms(self, hosts):
+        """Starts nodes that gossip with each other, one on each host."""
+        control, peer_port = free_port(), free_port()
+        seeds = tuple(settings.Address(host, control) for host in hosts)
+        return [
+            self.start_ready_node(
+                host=host,
+                control=settings.Address(host, control),
+                seeds=seeds,
+                peer_port=peer_port,
+            )
+            for host in hosts
+        ]
+
     def connect(self, router):
         caller = Caller(router.cfg.callers)
         self.addCleanup(caller.close)
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -14,19 +14,6 @@
 
 
 class NamedLimitTest(nodes.NodeTestCase):
-    def start_vms(self):
-        control, peer_port = nodes.free_port(), nodes.free_port()
-        seeds = tuple(nodes.settings.Address(h, control) for h in HOSTS)
-        return [
-            self.start_ready_node(
-                host=host,
-                control=nodes.settings.Address(host, control),
-                seeds=seeds,
-                peer_port=peer_port,
-            )
-            for host in HOSTS
-        ]
-
     def call_steadily(self, vm):
         caller = self.connect(vm)
         statuses = []
@@ -50,7 +37,9 @@
         slower = announcing_endpoint.AnnouncingEndpoint()
         slower.delay_s = SLOWER_RESPONSE_S
         self.start_endpoint(nodes.PLAIN_SERVICE, slower)
-        calls = [gevent.spawn(self.call_steadily, v) for v in self.start_vms()]
+        calls = [
+            gevent.spawn(self.call_steadily, v) for v in self.start_vms(HOSTS)
+        ]
         statuses = [status for call in calls for status in call.get()]
         self.assertEqual({200}, set(statuses))
         self.assertEqual(0, limited.requests_over_limit())
