Block prompt segments that crash engines, and only these

Cause: a crash was blamed on the digest of the whole request. Evidence: with attempt_failed naming digest and segments, each crash of the reproduction has another digest, a count of one and the same segment.

Change: a crash has suspects, the request's digest and those of its shared segments, for requests on which the engine had just begun. crash_blocks.py finds the suspects that explain the crashes; what was served is not to blame; suspects with the same crashes are blocked only together, so that prompts with the other segments go on and tell them apart. Engines that crash at the same moment count once. Blocks are gossiped for as long as they hold, so a VM that starts later knows them (the same fault was there for whole requests), and end after an hour or when one request, tried by one VM, is served.

Tests changed: a block now outlasts the retention of single crashes, so the test of the latter uses one crash less and a new one checks the end of the block; record_success and is_blocked take sets. Rendezvous ranking, written twice, is one function now.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -94,6 +94,8 @@
             leaving or full.
         declines_all: Whether the endpoint declines every request for now.
         timed_out: Whether the endpoint exceeded a timeout.
+        silent: Whether the connection was lost because the endpoint's host no
+            longer answered, and not because it closed the connection.
         unsent: Whether no byte of the request was sent to the endpoint.
         withheld: Whether it was not sent, though the endpoint could be reached:
             the endpoint wants fewer requests, or the deadline has passed.
@@ -107,6 +109,7 @@
         declined: bool = False,
         declines_all: bool = False,
         timed_out: bool = False,
+        silent: bool = False,
         unsent: bool = False,
         withheld: bool = False,
     ):
@@ -118,6 +121,7 @@
         self.declined = declined
         self.declines_all = declines_all
         self.timed_out = timed_out
+        self.silent = silent
 
 
 class PreemptedError(Exception):
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -177,11 +177,13 @@
     def _lost_response(self, exc: Exception) -> errors.AttemptError:
         # A TimeoutError with an errno comes from TCP keep-alive: the endpoint
         # is dead. Without an errno, the deadline has passed.
-        timed_out = isinstance(exc, TimeoutError) and exc.errno is None
+        is_timeout = isinstance(exc, TimeoutError)
+        timed_out = is_timeout and exc.errno is None
         return errors.AttemptError(
             "the endpoint did not send a complete response: "
             f"{exc or type(exc).__name__}",
             verdict.Verdict.MAY_HAVE_RUN,
             connection_lost=not timed_out,
             timed_out=timed_out,
+            silent=is_timeout,
         )
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -18,6 +18,8 @@
 from hornbeampier.http1 import server
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
+from hornbeampier.routing import crash_blocks
+from hornbeampier.routing import crash_suspects
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import domain
@@ -31,6 +33,9 @@
 MAX_UNREACHABLE = 4
 # No retry is made with less remaining time than this.
 MIN_ATTEMPT_MS = 10.0
+# An endpoint that crashes later than this after its first block of a response
+# did not crash because of that request.
+MAX_BEGIN_MS = 200.0
 # Number of digits of a request's fingerprint in a log line.
 LOGGED_DIGITS = 8
 
@@ -66,14 +71,10 @@
             streams.InterruptedStreamError: The response was interrupted after
                 the caller had received part of it.
         """
-        if self._context.crashes.is_blocked(req.fingerprint):
-            raise errors.RefusalError(
-                503,
-                errors.RefusalCode.CRASHES_ENDPOINTS,
-                "the request crashed several endpoints that ran it",
-            )
+        forwarding = _Forwarding(self._context, req, caller)
+        forwarding.check_blocked()
         self._context.budget.record_request(req.service)
-        _Forwarding(self._context, req, caller).run()
+        forwarding.run()
 
 
 class _Forwarding:
@@ -98,6 +99,9 @@
         self._unreachable_count = 0
         self._retry_granted = False
         self._verdict = verdict.Verdict.NOT_RUN
+        self._is_trial = False
+        # When the endpoint of the current attempt began its response.
+        self._begun_ms: float | None = None
         self._log = structlog.get_logger(task="forwarder", request_id=req.id)
 
     def run(self) -> None:
@@ -111,11 +115,46 @@
                 self._record_failure(choice, exc)
                 self._check_retry(exc)
 
+    def check_blocked(self) -> None:
+        """Raises the refusal of a request that crashes endpoints."""
+        history = self._context.crashes
+        if not history.is_blocking:
+            return
+        block = history.find_block(crash_suspects.of_request(self._req))
+        if block is None:
+            return
+        if not self._attempts:
+            self._is_trial = self._is_trial or history.take_trial(block)
+            if self._is_trial:
+                return
+        raise self._refuse(
+            errors.RefusalCode.CRASHES_ENDPOINTS,
+            f"{self._describe(block)} crashed {block.count} endpoints that "
+            f"began on it, the last one {block.incarnation}",
+            history.trial_in_ms(block),
+        )
+
+    def _describe(self, block: crash_blocks.Block) -> str:
+        prompt = self._req.prompt
+        ids = [
+            segment.id
+            for segment in (prompt.shared_segments if prompt else ())
+            if crash_suspects.digest_segment(segment.id) in block.suspects
+        ]
+        return (
+            f"the prompt's segment {' with '.join(ids)}"
+            if ids
+            else ("the request")
+        )
+
     def _choose_endpoint(self) -> endpoint_choice.EndpointChoice:
+        self.check_blocked()
         try:
             choice = self._selector.select(self._tried)
         except selection.NoEndpointError as exc:
             raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
+        # The request may have waited for its turn meanwhile.
+        self.check_blocked()
         prompt = self._req.prompt
         self._log.info(
             "routed",
@@ -147,6 +186,7 @@
             choice,
             self._clock,
         )
+        self._begun_ms = None
         try:
             attempt.open(
                 self._req, self._relay.last_event_id, choice.fetch_from
@@ -221,6 +261,8 @@
         is_resumed = self._relay.started
 
         def on_block() -> None:
+            if self._begun_ms is None:
+                self._begun_ms = self._clock.now()
             in_flight_attempt.record_response()
             if not is_resumed:
                 observer.on_block()
@@ -252,7 +294,9 @@
 
     def _record_served(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
         if response_checks.is_success(attempt.fields):
-            self._context.crashes.record_success(self._req.fingerprint)
+            self._context.crashes.record_success(
+                crash_suspects.of_request(self._req)
+            )
         self._count_served(attempt.fields.status)
         self._log.info(
             "served",
@@ -290,7 +334,7 @@
         if exc.unsent:
             self._unreachable_count += 1
         is_down = exc.unsent or (
-            exc.connection_lost and self._detect_crash(choice)
+            exc.connection_lost and self._detect_crash(choice, exc.silent)
         )
         if is_down:
             choice.state.record_failure(self._clock.now())
@@ -316,18 +360,27 @@
             "segments": [segment.id for segment in segments],
         }
 
-    def _detect_crash(self, choice: endpoint_choice.EndpointChoice) -> bool:
+    def _detect_crash(
+        self, choice: endpoint_choice.EndpointChoice, is_silent: bool
+    ) -> bool:
         """Whether the endpoint has crashed, after its response was interrupted.
 
-        A crash is recorded for the request.
+        A crash is recorded for the request if the endpoint had just begun on
+        it. Segments are not suspected if the endpoint's whole host has gone.
         """
         endpoint = choice.state.endpoint
+        lost_ms = self._clock.now()
         if self._context.connection_pool.probe(endpoint):
             return False
+        begun_ms = self._begun_ms
+        if begun_ms is not None and lost_ms - begun_ms > MAX_BEGIN_MS:
+            return True
         incarnation = f"{endpoint.id}/{endpoint.started_ms}"
-        self._context.crashes.record(
-            crashes.Crash(self._req.fingerprint, incarnation)
-        )
+        for suspect in crash_suspects.of_request(self._req):
+            if not (is_silent and crash_suspects.is_segment(suspect)):
+                self._context.crashes.record(
+                    crashes.Crash(suspect, incarnation)
+                )
         return True
 
     def _check_retry(self, exc: errors.AttemptError) -> None:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -50,6 +50,7 @@
 from hornbeampier.routing import pools
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
+from hornbeampier.routing import rendezvous
 
 MAINTENANCE_INTERVAL_MS = 250.0
 # Fraction of the process's file descriptors that callers' connections may use.
@@ -95,7 +96,7 @@
             self.catalog.engine_traits,
             self._clock,
         )
-        self._crashes = crashes.CrashHistory(self._clock)
+        self._crashes = crashes.CrashHistory(self._clock, self._owns)
         self._prefill_meter = prefill.PrefillMeter(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
         self._build_replication()
@@ -332,6 +333,12 @@
         live = self._membership.live() if self._membership else []
         return live or [seed.host for seed in self._cfg.seeds]
 
+    def _owns(self, key: str) -> bool:
+        """Whether this VM, and no live peer, does what `key` names."""
+        host = self._cfg.host
+        peers = self._membership.live() if self._membership else []
+        return rendezvous.rank(key, {host, *peers}, 1) == [host]
+
     def _count_live_peers(self) -> int:
         return len(self._membership.live()) if self._membership else 0
 
--- a/hornbeampier/peers/hub_states.py
+++ b/hornbeampier/peers/hub_states.py
@@ -57,6 +57,7 @@
             vm_count=1 + len(vms),
             readers=tuple(readers + self._own_reader()),
             reports=self._fleet_reports() if with_reports else (),
+            blocks=self._exchange.block_reports if with_reports else (),
         )
 
     def fleet_states(
@@ -77,6 +78,7 @@
         )
         readers = self._shared.store_readers.live() + self._own_reader()
         reports = self._fleet_reports() if with_reports else ()
+        blocks = self._exchange.block_reports if with_reports else ()
         states = {}
         for member in self._group.members():
             states[member.host] = self._make_sums(
@@ -89,6 +91,7 @@
                 vm_count=len(self._members.live()),
                 readers=tuple(h for h in readers if h != member.host),
                 reports=reports,
+                blocks=blocks,
             )
         return states
 
@@ -125,6 +128,7 @@
             placements=groups.merge_placements(news),
             crash_reports=self._exchange.crash_reports,
             cleared_reports=self._exchange.cleared_reports,
+            crash_ages_ms=self._exchange.crash_ages_ms,
             notices=self._exchange.recent_notices,
             scope=scope,
             zone=self._sender.zone,
--- a/hornbeampier/peers/load_messages.py
+++ b/hornbeampier/peers/load_messages.py
@@ -1,9 +1,6 @@
-"""Translates loads and other state to the types of gossip messages."""
-
-from collections.abc import Iterable
+"""Translates loads and pool sizes to the types of gossip messages."""
 
 from hornbeampier.peers import messages
-from hornbeampier.routing import crashes
 from hornbeampier.routing import fleet
 from hornbeampier.routing import latency
 from hornbeampier.routing import peer_loads
@@ -56,35 +53,6 @@
     }
 
 
-def to_crash_messages(
-    crashes_to_send: Iterable[crashes.Crash],
-) -> tuple[messages.Crash, ...]:
-    """Returns the wire types of crashes."""
-    return tuple(
-        messages.Crash(c.fingerprint, c.incarnation) for c in crashes_to_send
-    )
-
-
-def to_crash_reports(
-    crashes_to_send: Iterable[crashes.Crash],
-) -> messages.CrashReports:
-    """Returns the wire type of crashes, by incarnation."""
-    digests: dict[str, list[bytes]] = {}
-    for crash in crashes_to_send:
-        digest = bytes.fromhex(crash.fingerprint)
-        digests.setdefault(crash.incarnation, []).append(digest)
-    return {incarnation: tuple(d) for incarnation, d in digests.items()}
-
-
-def of_crash_reports(reports: messages.CrashReports) -> list[crashes.Crash]:
-    """Returns the crashes in reports."""
-    return [
-        crashes.Crash(digest.hex(), incarnation)
-        for incarnation, digests in reports.items()
-        for digest in digests
-    ]
-
-
 def to_loads(message: messages.StateMessage) -> dict[str, peer_loads.Load]:
     """Returns the loads of a message by endpoint id."""
     return {
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -35,17 +35,33 @@
 
 
 class Crash(msgspec.Struct, array_like=True, frozen=True):
-    """A request that was running when an incarnation of an endpoint crashed."""
+    """A suspect of the crash of an incarnation of an endpoint."""
 
-    fingerprint: str
+    suspect: str
     incarnation: str
 
 
-# Digests of the requests that were running at crashes, by incarnation of the
-# endpoint. A crash may concern as many requests as an engine runs.
+# Digests of the suspects of crashes, by incarnation of the endpoint. A crash
+# may concern as many requests as an engine runs.
 CrashReports = dict[str, tuple[bytes, ...]]
 
 
+class BlockReport(msgspec.Struct, array_like=True, frozen=True):
+    """What is blocked, for VMs that missed the crashes.
+
+    Attributes:
+        suspects: Digests of suspects that have the same crashes.
+        count: Number of these crashes.
+        incarnation: Incarnation of the endpoint that crashed last.
+        age_ms: Time since that crash.
+    """
+
+    suspects: tuple[bytes, ...]
+    count: int
+    incarnation: str
+    age_ms: int
+
+
 class EndpointNotice(msgspec.Struct, array_like=True, frozen=True):
     """What a process of an endpoint has announced.
 
@@ -157,7 +173,9 @@
         positions: Position that the VM has reached in each topic; a delta
             leaves out topics that did not advance.
         crash_reports: Recent crashes; in a delta only new ones.
-        cleared_reports: Crashes that were not the fault of their request.
+        cleared_reports: Crashes that were not the fault of their suspect.
+        crash_ages_ms: Time since each crash in `crash_reports`.
+        blocks: What is blocked; left out of most messages.
     """
 
     vm: str
@@ -183,6 +201,8 @@
     positions: dict[str, RecordPosition] = {}
     crash_reports: CrashReports = {}
     cleared_reports: CrashReports = {}
+    crash_ages_ms: dict[str, int] = {}
+    blocks: tuple[BlockReport, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -207,6 +227,19 @@
             )
 
 
+def _check_crashes(message: StateMessage) -> None:
+    ages_ms = [*message.crash_ages_ms.values()]
+    ages_ms += [block.age_ms for block in message.blocks]
+    if any(age_ms < 0 for age_ms in ages_ms):
+        raise errors.PeerError(
+            "invalid gossip datagram: the age of a crash is negative"
+        )
+    if any(block.count < 1 or not block.suspects for block in message.blocks):
+        raise errors.PeerError(
+            "invalid gossip datagram: a block needs suspects and crashes"
+        )
+
+
 def decode(data: bytes) -> StateMessage:
     """Returns the message in a datagram.
 
@@ -218,6 +251,7 @@
     except errors.DECODE_ERRORS as exc:
         raise errors.PeerError(f"invalid gossip datagram: {exc}") from exc
     _check_notices(message.notices)
+    _check_crashes(message)
     kind_count = len(prompt_kinds.PromptKind)
     if any(len(values) != kind_count for values in message.workload.values()):
         raise errors.PeerError(
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from hornbeampier import clock as clocks
+from hornbeampier.peers import crash_messages
 from hornbeampier.peers import endpoint_notices
 from hornbeampier.peers import groups
 from hornbeampier.peers import load_messages
@@ -39,7 +40,7 @@
         placements: Prompt segments sent to engines.
         crashes: Crashes of endpoints.
         notices: Announcements of endpoints.
-        cleared: Crashes that were not the fault of their request.
+        cleared: Crashes that were not the fault of their suspect.
     """
 
     positions: dict[str, positions.Position]
@@ -114,6 +115,7 @@
         self._members = members
         self._group = group
         self._reads_store = reads_store
+        self._clock = clock
         self._sent_positions: dict[str, positions.Position] = {}
         self._sent_crashes: frozenset[crashes.Crash] = frozenset()
         self._sent_cleared: frozenset[crashes.Crash] = frozenset()
@@ -166,12 +168,15 @@
             sent_tokens=delta.sent_tokens,
             placements=delta.placements,
             crashes=(
-                load_messages.to_crash_messages(delta.crashes)
+                crash_messages.to_pairs(delta.crashes)
                 if scope is messages.Scope.PEER
                 else ()
             ),
-            crash_reports=load_messages.to_crash_reports(delta.crashes),
-            cleared_reports=load_messages.to_crash_reports(delta.cleared),
+            crash_reports=crash_messages.to_reports(delta.crashes),
+            cleared_reports=crash_messages.to_reports(delta.cleared),
+            crash_ages_ms=crash_messages.to_ages(
+                delta.crashes, self._shared.crashes
+            ),
             scope=scope,
             zone=self._sender.zone,
             # A hub gets full states too rarely to make up for a lost delta.
@@ -209,6 +214,8 @@
             placements=delta.placements,
             crash_reports=self.crash_reports,
             cleared_reports=self.cleared_reports,
+            crash_ages_ms=self.crash_ages_ms,
+            blocks=self.block_reports,
             members=tuple(self._members.live()) if with_members else (),
             scope=scope,
             zone=self._sender.zone,
@@ -237,14 +244,7 @@
             self._apply_loads(message, loads)
         for endpoint_id, tokens in message.sent_tokens.items():
             self._shared.prefill_meter.record_peer(endpoint_id, tokens)
-        for crash in load_messages.of_crash_reports(message.cleared_reports):
-            self._shared.crashes.clear(crash)
-        for crash in load_messages.of_crash_reports(message.crash_reports):
-            self._shared.crashes.record(crash)
-        for crash in message.crashes:
-            self._shared.crashes.record(
-                crashes.Crash(crash.fingerprint, crash.incarnation)
-            )
+        crash_messages.apply(message, self._shared.crashes, self._clock)
         self._notices.apply(message.notices)
         for placement in message.placements:
             segment = domain.PromptSegment(placement.segment, placement.tokens)
@@ -288,12 +288,24 @@
     @property
     def crash_reports(self) -> messages.CrashReports:
         """The recent crashes, also those that peers reported."""
-        return load_messages.to_crash_reports(self._sent_crashes)
+        return crash_messages.to_reports(self._sent_crashes)
 
     @property
     def cleared_reports(self) -> messages.CrashReports:
         """The crashes that were cleared recently, also by peers."""
-        return load_messages.to_crash_reports(self._sent_cleared)
+        return crash_messages.to_reports(self._sent_cleared)
+
+    @property
+    def crash_ages_ms(self) -> dict[str, int]:
+        """The time since each recent crash, by incarnation."""
+        return crash_messages.to_ages(self._sent_crashes, self._shared.crashes)
+
+    @property
+    def block_reports(self) -> tuple[messages.BlockReport, ...]:
+        """What is blocked, also by peers."""
+        return crash_messages.to_block_reports(
+            self._shared.crashes, self._clock
+        )
 
     @property
     def recent_notices(self) -> tuple[messages.EndpointNotice, ...]:
--- a/hornbeampier/routing/affinity.py
+++ b/hornbeampier/routing/affinity.py
@@ -1,14 +1,12 @@
 """Prefix affinity: prompts with equal shared segments prefer the same engines.
 
-Uses rendezvous hashing. All VMs rank the engines for a key identically without
-exchanging messages, and adding or removing an engine moves only its own keys.
+All VMs rank the engines for a key alike, by rendezvous hashing.
 """
 
 from collections.abc import Iterable
-import heapq
 
 from hornbeampier.routing import domain
-from hornbeampier.routing import route_table
+from hornbeampier.routing import rendezvous
 
 
 def shared_tokens(prompt: domain.Prompt) -> int:
@@ -26,10 +24,4 @@
     """
     segments = prompt.shared_segments
     key = segments[-1].id if segments else ""
-    return heapq.nlargest(
-        count,
-        endpoint_ids,
-        key=lambda endpoint_id: route_table.uniform_hash(
-            f"{key}/{endpoint_id}"
-        ),
-    )
+    return rendezvous.rank(key, endpoint_ids, count)
--- a/hornbeampier/routing/limit_shares.py
+++ b/hornbeampier/routing/limit_shares.py
@@ -8,10 +8,9 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-import heapq
 import math
 
-from hornbeampier.routing import route_table
+from hornbeampier.routing import rendezvous
 
 # Number of holders beyond one for each request per second.
 EXTRA_HOLDERS = 2
@@ -30,9 +29,5 @@
         """Returns the requests per second that this VM may send; 0 for none."""
         hosts = {self._own_host, *self._peer_hosts()}
         count = min(len(hosts), math.ceil(limit_per_s) + EXTRA_HOLDERS)
-        holders = heapq.nlargest(
-            count,
-            hosts,
-            key=lambda host: route_table.uniform_hash(f"{endpoint_id}/{host}"),
-        )
+        holders = rendezvous.rank(endpoint_id, hosts, count)
         return limit_per_s / count if self._own_host in holders else 0.0
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -47,6 +47,9 @@
     def cleared_to_gossip(self):
         return []
 
+    def blocks_to_gossip(self):
+        return []
+
     def record_peer(self, *args):
         pass
 
--- a/tests/test_gossip_hubs.py
+++ b/tests/test_gossip_hubs.py
@@ -107,7 +107,7 @@
             cache = other.fleet.get("e1").prefix_cache
             self.assertLessEqual(9_000, cache.cached_prefix_tokens(prompt))
             self.assertEqual(2, other.crashes.count("f1"))
-        vm.crashes.record_success("f1")
+        vm.crashes.record_success({"f1"})
         self.cluster.run(SPREAD_S)
         for other in self.vms():
             self.assertEqual(0, other.crashes.count("f1"))
--- a/tests/test_routing_crashes.py
+++ b/tests/test_routing_crashes.py
@@ -3,6 +3,7 @@
 import testtools
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import crash_blocks
 from hornbeampier.routing import crashes
 from tests import nodes
 
@@ -17,11 +18,11 @@
         self.crashes.record(crashes.Crash(fingerprint, f"i-{number}/1"))
 
     def test_request_is_blocked_after_the_third_crash(self):
-        for number in range(crashes.CRASH_LIMIT):
-            self.assertFalse(self.crashes.is_blocked("bad"))
+        for number in range(crash_blocks.CRASH_LIMIT):
+            self.assertFalse(self.crashes.is_blocked({"bad"}))
             self.crash(number)
-        self.assertTrue(self.crashes.is_blocked("bad"))
-        self.assertFalse(self.crashes.is_blocked("good"))
+        self.assertTrue(self.crashes.is_blocked({"bad"}))
+        self.assertFalse(self.crashes.is_blocked({"good"}))
 
     def test_crash_reported_by_several_peers_counts_once(self):
         for _ in range(5):
@@ -36,21 +37,30 @@
         self.assertEqual(1, self.crashes.count("bad"))
 
     def test_crashes_are_forgotten_after_the_retention_time(self):
-        for number in range(crashes.CRASH_LIMIT):
+        for number in range(crash_blocks.CRASH_LIMIT - 1):
             self.crash(number)
         self.clock.advance(crashes.RETENTION_MS + 1)
-        self.assertFalse(self.crashes.is_blocked("bad"))
+        self.assertEqual(0, self.crashes.count("bad"))
+
+    def test_what_is_blocked_is_forgotten_much_later(self):
+        for number in range(crash_blocks.CRASH_LIMIT):
+            self.crash(number)
+        self.assertTrue(self.crashes.is_blocked({"bad"}))
+        self.clock.advance(crashes.BLOCK_RETENTION_MS - 1)
+        self.assertTrue(self.crashes.is_blocked({"bad"}))
+        self.clock.advance(2 + crashes.EXPIRY_INTERVAL_MS)
+        self.assertFalse(self.crashes.is_blocked({"bad"}))
 
     def test_request_that_was_served_is_not_blamed_for_earlier_crashes(self):
         for number in range(10):
             self.crash(number, "popular")
-            self.crashes.record_success("popular")
-        self.assertFalse(self.crashes.is_blocked("popular"))
+            self.crashes.record_success({"popular"})
+        self.assertFalse(self.crashes.is_blocked({"popular"}))
         self.assertEqual(0, self.crashes.count("popular"))
 
     def test_late_report_of_a_cleared_crash_changes_nothing(self):
         self.crash(1)
-        self.crashes.record_success("bad")
+        self.crashes.record_success({"bad"})
         self.crash(1)
         self.assertEqual(0, self.crashes.count("bad"))
 
@@ -59,13 +69,13 @@
         for number in (1, 2):
             self.crash(number, "twice")
         for fingerprint in ("once", "twice"):
-            self.crashes.record_success(fingerprint)
+            self.crashes.record_success({fingerprint})
         cleared = self.crashes.cleared_to_gossip()
-        self.assertEqual(["twice"] * 2, [c.fingerprint for c in cleared])
+        self.assertEqual(["twice"] * 2, [c.suspect for c in cleared])
 
     def test_success_of_another_request_clears_nothing(self):
         self.crash(1)
-        self.crashes.record_success("good")
+        self.crashes.record_success({"good"})
         self.assertEqual(1, self.crashes.count("bad"))
 
 
