Do not take a response that ended as its endpoint went down for a whole one

A response with neither a length nor chunks ends with its connection. When an engine crashed, the end of such a stream at an event, or before the first one, reached the caller as complete, and the crash was not counted. Change: after such an end the endpoint is probed; if it is down and was not leaving, the attempt has failed. A stream that ends within an event counts as a lost connection too, so its engine is probed.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -140,7 +140,18 @@
                 )
 
     def finish(self) -> None:
-        """Releases the connection after the response was read completely."""
+        """Releases the connection after the response was read completely.
+
+        Raises:
+            errors.AttemptError: The response ended with its connection and the
+                endpoint has gone down, so it may have been interrupted.
+        """
+        if self._conn.has_closed and not self._is_up():
+            raise errors.AttemptError(
+                "the endpoint went down as the connection ended the response",
+                verdict.Verdict.MAY_HAVE_RUN,
+                connection_lost=True,
+            )
         if self.fields.will_close:
             self._conn.close()
         else:
@@ -155,6 +166,10 @@
             self._conn.close()
             self._conn = None
 
+    def _is_up(self) -> bool:
+        endpoint = self._state.endpoint
+        return endpoint.leaving or self._pool.probe(endpoint)
+
     def _connect(self, request_id: str) -> None:
         try:
             self._conn = self._pool.acquire(self._state.endpoint, request_id)
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -237,7 +237,7 @@
             )
             self._relay_stream(attempt, in_flight_attempt, observer, watch)
             attempt.finish()
-            self._relay.end()
+            self._relay.end(attempt)
             self._record_served(attempt)
             return
         if self._relay.started:
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -72,12 +72,13 @@
             raise errors.AttemptError(
                 "the endpoint's stream ended in the middle of an event",
                 verdict.Verdict.MAY_HAVE_RUN,
+                connection_lost=True,
             )
+
+    def end(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
+        """Completes the response to the caller, also one without events."""
         if not self.started:
             self._write(attempt, b"")
-
-    def end(self) -> None:
-        """Completes the response to the caller."""
         self._caller.end_response()
 
     def _accept(self, event: sse.Event) -> bytes:
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -134,6 +134,14 @@
             "connection closed before the end of the response body"
         )
 
+    @property
+    def has_closed(self) -> bool:
+        """Whether the server has closed the connection.
+
+        After a complete response this was its end: it had no other framing.
+        """
+        return self._eof_received
+
     def call(
         self, head: messages.RequestHead, deadline_ms: float
     ) -> CompleteResponse:
--- /dev/null
+++ b/tests/test_unframed_responses.py
@@ -0,0 +1,146 @@
+"""Responses with neither a length nor chunks, which end with their connection.
+
+A stream that ends within an event, or a response whose endpoint has gone down
+at its end, is not complete.
+"""
+
+import struct
+
+from gevent import socket
+
+from tests import endpoint_standin
+from tests import nodes
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+EVENTS = [f"id: {n}\ndata: piece-{n}\n\n" for n in range(1, 4)]
+
+
+def send_head(req):
+    lines = [
+        "HTTP/1.1 200 OK",
+        endpoint_standin.SEAL,
+        f"X-Hornbeampier-Attempt-Id: {req.id}",
+        "Content-Type: text/event-stream",
+    ]
+    req.send("\r\n".join(lines) + "\r\n\r\n")
+
+
+class UnframedTestCase(nodes.NodeTestCase):
+    def close(self, req):
+        req.close_connection()
+
+    def reset(self, req):
+        req.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        req.sock.close()
+
+    def crash(self, req):
+        [endpoint] = [e for e in self.endpoints if req in e.received]
+        endpoint.stop()
+        req.close_connection()
+
+    def start(self, service, first, *rest):
+        """Starts endpoints; the first request gets the parts of `first`.
+
+        A part is text to send or a function of the request. Later requests get
+        those of `rest`, or of `first` again.
+        """
+
+        def handler(req):
+            count = sum(len(e.received) for e in self.endpoints)
+            parts = (first, *rest)[min(count - 1, len(rest))]
+            send_head(req)
+            for part in parts:
+                part(req) if callable(part) else req.send(part)
+
+        self.endpoints = [self.start_endpoint(service, handler) for _ in "12"]
+        return self.start_ready_node()
+
+    def received(self):
+        return sum(len(endpoint.received) for endpoint in self.endpoints)
+
+
+class UnframedStreamTest(UnframedTestCase):
+    def stream(self, path, *parts_of_requests):
+        router = self.start(nodes.ENGINE_SERVICE, *parts_of_requests)
+        return self.call(router, "POST", path)
+
+    def check_complete(self, response):
+        self.assertTrue(response.complete)
+        self.assertEqual("".join(EVENTS).encode(), response.body)
+
+    def test_closed_connection_ends_the_stream(self):
+        response = self.stream("/stream/x", [*EVENTS, self.close])
+        self.check_complete(response)
+        self.assertEqual(1, self.received())
+
+    def test_closed_connection_ends_a_resumable_stream(self):
+        response = self.stream("/resume/x", [*EVENTS, self.close])
+        self.check_complete(response)
+        self.assertEqual(1, self.received())
+
+    # Guards against a stream that broke off passing for a complete one.
+    def test_stream_that_ends_within_an_event_is_not_complete(self):
+        response = self.stream("/stream/x", [*EVENTS, "id: 4\nda", self.close])
+        self.assertFalse(response.complete)
+        self.assertEqual(1, self.received())
+
+    def test_stream_that_is_reset_is_not_complete(self):
+        response = self.stream("/stream/x", [*EVENTS, self.reset])
+        self.assertFalse(response.complete)
+
+    # Guards against the streams of a crashed engine passing for complete ones.
+    def test_stream_whose_engine_went_down_is_not_complete(self):
+        response = self.stream("/stream/x", [*EVENTS, self.crash])
+        self.assertFalse(response.complete)
+
+    def test_engine_that_went_down_before_the_first_event_gives_an_error(self):
+        response = self.stream("/stream/x", [self.crash])
+        self.assertEqual(502, response.status)
+
+    def check_resumed(self, *end):
+        response = self.stream(
+            "/resume/x", [EVENTS[0], *end], [*EVENTS[1:], self.close]
+        )
+        self.check_complete(response)
+        self.assertEqual(2, self.received())
+
+    def test_stream_whose_engine_went_down_is_resumed(self):
+        self.check_resumed(self.crash)
+
+    def test_stream_that_ends_within_an_event_is_resumed(self):
+        self.check_resumed("id: 2\nda", self.close)
+
+    def test_stream_that_is_reset_is_resumed(self):
+        self.check_resumed(self.reset)
+
+    # Guards against segments that crash engines not being noticed because the
+    # response has no framing.
+    def test_engine_that_went_down_counts_as_crashed(self):
+        router = self.start(nodes.ENGINE_SERVICE, [self.crash])
+        self.call(router, "POST", "/stream/x")
+        self.assertEqual(1, len(router._crashes.to_gossip()))
+
+
+class UnframedBodyTest(UnframedTestCase):
+    def test_closed_connection_ends_the_body(self):
+        router = self.start(nodes.PLAIN_SERVICE, ["whole", self.close])
+        for _ in range(2):
+            response = self.call(router, "POST", "/unsafe/x", body=b"b")
+            self.assertEqual((200, b"whole"), (response.status, response.body))
+
+    def test_reset_connection_does_not_end_the_body(self):
+        router = self.start(nodes.PLAIN_SERVICE, ["who", self.reset])
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual(502, response.status)
+
+    def test_endpoint_that_went_down_did_not_end_the_body(self):
+        router = self.start(nodes.PLAIN_SERVICE, ["who", self.crash])
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual(502, response.status)
+
+    def test_idempotent_request_is_retried_elsewhere(self):
+        router = self.start(
+            nodes.PLAIN_SERVICE, ["who", self.crash], ["whole", self.close]
+        )
+        response = self.call(router, "POST", "/safe/x", body=b"b")
+        self.assertEqual((200, b"whole"), (response.status, response.body))
