Stop reading from endpoints that send bytes without end

Interim responses, responses to other requests, the body of such a response and a single event of a stream were read until the caller's deadline; an event was kept in memory whole and searched again with each block. Bodies of calls to peers, the store and engines had no bound either. Change: each has a bound, in number or bytes; an unfinished event is searched from its last bytes on.

--- a/hornbeampier/forwarding/sse.py
+++ b/hornbeampier/forwarding/sse.py
@@ -5,6 +5,7 @@
 import re
 
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LONGEST_END = 4
 _ID_LINE = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
 
@@ -31,7 +32,8 @@
         """Adds a block and yields the events that are now complete."""
         data = self._incomplete + block
         start = 0
-        for match in _END_OF_EVENT.finditer(data):
+        searched = max(0, len(self._incomplete) - _LONGEST_END + 1)
+        for match in _END_OF_EVENT.finditer(data, searched):
             yield _to_event(data[start : match.end()])
             start = match.end()
         self._incomplete = data[start:]
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -15,6 +15,7 @@
 # Events that follow each other faster were delayed together on their way.
 MIN_EVENT_DELAY_MS = 1.0
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class InterruptedStreamError(Exception):
@@ -68,6 +69,11 @@
             if data:
                 watch.on_event()
                 self._write(attempt, data)
+            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+                raise errors.AttemptError(
+                    f"an event exceeds {MAX_EVENT_BYTES} bytes",
+                    verdict.Verdict.MAY_HAVE_RUN,
+                )
         if splitter.incomplete:
             raise errors.AttemptError(
                 "the endpoint's stream ended in the middle of an event",
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -16,12 +16,22 @@
 # ones are written by a greenlet of their own.
 INLINE_REQUEST_BYTES = 16_384
 TRANSPORT_ERRORS = (OSError, h11.ProtocolError)
+# Bounds on what is read for one request, apart from the body passed on: a
+# server may send bytes without end.
+MAX_INTERIM_RESPONSES = 16
+MAX_SKIPPED_RESPONSES = 8
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+MAX_CALL_BYTES = 32 * 1024 * 1024
 
 
 class ConnectionLostError(OSError):
     """The server closed the connection before the response was complete."""
 
 
+class EndlessResponseError(OSError):
+    """The server sent more than a client reads of a response."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CompleteResponse:
     """A response with its complete body."""
@@ -92,9 +102,15 @@
         Raises:
             OSError, h11.ProtocolError: No valid response arrived in time.
         """
+        interim_count = skipped_count = 0
         while True:
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise EndlessResponseError("too many interim responses")
+            if skipped_count > MAX_SKIPPED_RESPONSES:
+                raise EndlessResponseError("too many responses to others")
             event = self._next_event(deadline_ms)
             if isinstance(event, h11.InformationalResponse):
+                interim_count += 1
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionLostError(
@@ -111,6 +127,7 @@
             if received_id in (None, self._sent_id(id_header)):
                 return head
             self._skip_response(deadline_ms)
+            skipped_count += 1
 
     def read_body(self, deadline_ms: float) -> Iterator[bytes]:
         """Yields the body in blocks; raises the same errors as `read_head`."""
@@ -152,9 +169,22 @@
         """
         self.send(head, b"", deadline_ms)
         response = self.read_head(deadline_ms)
-        body = b"".join(self.read_body(deadline_ms))
+        body = b"".join(self._read_at_most(MAX_CALL_BYTES, deadline_ms))
         return CompleteResponse(response, body)
 
+    def _read_at_most(
+        self, max_bytes: int, deadline_ms: float
+    ) -> Iterator[bytes]:
+        """Yields the body in blocks, unless it is too long."""
+        size = 0
+        for block in self.read_body(deadline_ms):
+            size += len(block)
+            if size > max_bytes:
+                raise EndlessResponseError(
+                    f"the body exceeds {max_bytes} bytes"
+                )
+            yield block
+
     def is_reusable(self) -> bool:
         """Whether another request may follow on the connection.
 
@@ -233,7 +263,7 @@
 
     def _skip_response(self, deadline_ms: float) -> None:
         """Discards a response to an earlier request on this connection."""
-        for _ in self.read_body(deadline_ms):
+        for _ in self._read_at_most(MAX_SKIPPED_BYTES, deadline_ms):
             pass
         next_data, _ = self._http.trailing_data
         # h11 accepts one response per request. A new state machine is given
