Wait for the claims that are being appended before a test goes on

Seen once on a fresh machine: vm-2 answered 409 in_progress where the golden session has 200 replayed. Cause: the session waited until no claim was queued, but not for the batch that was being appended; with a lost response the outcome is appended 250 ms later, so vm-2 could be asked before it was in the log. The refusal was true. Evidence: with appends that take 50 ms in the stand-in the golden test fails, among others with exactly this line; with the writer's new is_idle, which drain asks as well, it passes with and without that delay.

--- a/hornbeampier/coordination/claim_writer.py
+++ b/hornbeampier/coordination/claim_writer.py
@@ -61,6 +61,11 @@
         """The number of entries that wait to be appended."""
         return len(self._pending)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no entry waits to be appended or is being appended."""
+        return not self._pending and not self._is_appending
+
     def submit_claim(
         self, claim: claim_records.Claim, on_refused: OnRefused
     ) -> None:
@@ -106,7 +111,7 @@
     def drain(self) -> None:
         """Waits up to `DRAIN_TIMEOUT_MS` until the log has all entries."""
         end_ms = self._clock.now() + DRAIN_TIMEOUT_MS
-        while self._pending or self._is_appending:
+        while not self.is_idle:
             if self._clock.now() > end_ms:
                 self._log.error("claims_not_flushed", entries=self.backlog)
                 return
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -106,7 +106,7 @@
         return vm.daemon.claims.next_offset == end
 
     def _has_settled(self, vm):
-        if vm.daemon.claim_writer.backlog or not vm.daemon.claims.available:
+        if not vm.daemon.claim_writer.is_idle or not vm.daemon.claims.available:
             return False
         return self._has_read(vm)
 
