Leave a freed slot to a VM that waits and runs fewer requests

In overload a VM took the slots again that it freed, and a VM without one waited until the others' bursts had ended (the known red test_overload.py). Change: hints already say who waits and what each VM runs; a VM that runs more than a peer which waits in the same tier leaves the slot to it, for 100 ms at most.

--- a/hornbeampier/policy/capacity.py
+++ b/hornbeampier/policy/capacity.py
@@ -1,10 +1,14 @@
 """Estimates of the free slots and the queueing delay of a target."""
 
+import math
+
 from hornbeampier import clock as clocks
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import choice
 
 MIN_SLOTS = 1.0
+# How long a VM leaves a slot to a peer, which learns of it by the next hint.
+MAX_YIELD_MS = 100.0
 
 
 class Capacity:
@@ -19,6 +23,25 @@
         self._chooser = chooser
         self._peers = peers
         self._clock = clock
+        self._yielded_ms = -math.inf
+
+    def yields_to_peer(
+        self, states: list[registry.EndpointState], target: str, tier: int
+    ) -> bool:
+        """Returns whether a slot is left to a peer for a short time.
+
+        That is so if a peer has a request of this tier waiting and runs fewer
+        than this VM. Otherwise a VM that frees a slot would take it again, and
+        one that has none would wait until the bursts of the others have ended.
+        """
+        own = sum(state.in_flight for state in states)
+        names = [state.name for state in states]
+        if not self._peers.is_waiting_with_fewer(target, tier, names, own):
+            return False
+        now_ms = self._clock.now()
+        if now_ms - self._yielded_ms > 2 * MAX_YIELD_MS:
+            self._yielded_ms = now_ms
+        return now_ms - self._yielded_ms < MAX_YIELD_MS
 
     def has_slot_after_higher_tiers(
         self, states: list[registry.EndpointState], target: str, tier: int
--- a/hornbeampier/policy/choice.py
+++ b/hornbeampier/policy/choice.py
@@ -1,6 +1,7 @@
 """Chooses endpoints by estimated occupancy and speed."""
 
 from collections.abc import Container
+from collections.abc import Sequence
 import dataclasses
 import math
 import random
@@ -34,6 +35,12 @@
         """Returns the number of the peers' waiting requests of higher tiers."""
         ...
 
+    def is_waiting_with_fewer(
+        self, target: str, tier: int, endpoints: Sequence[str], own: int
+    ) -> bool:
+        """Returns whether a peer waits and runs fewer than `own` requests."""
+        ...
+
     def all_peers_live(self) -> bool:
         """Returns whether every listed peer sent a hint recently."""
         ...
--- a/hornbeampier/policy/scheduler.py
+++ b/hornbeampier/policy/scheduler.py
@@ -262,6 +262,8 @@
         tier = info.request_class.tier
         if tier == self._top_tier or candidate.entitled or info.retried:
             return True
+        if self._capacity.yields_to_peer(states, info.target, tier):
+            return False
         return self._capacity.has_slot_after_higher_tiers(
             states, info.target, tier
         )
--- a/hornbeampier/vms/hints.py
+++ b/hornbeampier/vms/hints.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 from collections.abc import Set
 import dataclasses
 import math
@@ -114,6 +115,20 @@
             if other == target and other_tier < tier
         )
 
+    def is_waiting_with_fewer(
+        self, target: str, tier: int, endpoints: Sequence[str], own: int
+    ) -> bool:
+        """Returns whether a live peer waits and runs fewer than `own` requests.
+
+        Only its waiting requests for the target in this tier count, and its
+        requests that run at `endpoints`.
+        """
+        return any(
+            received.hint.waiting.get(target, {}).get(tier, 0)
+            and sum(received.hint.in_flight.get(e, 0) for e in endpoints) < own
+            for received in self._recent_hints()
+        )
+
     def live_peer_count(self) -> int:
         """Returns the number of live peers, those with a recent hint."""
         return len(self._summary.vms)
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -47,6 +47,13 @@
     def waiting_in_higher_tiers(self, target, tier):
         return 0
 
+    def is_waiting_with_fewer(self, target, tier, endpoints, own):
+        return any(
+            vm.scheduler.waiting_by_target().get(target, {}).get(tier, 0)
+            and sum(vm.in_flight(name) for name in endpoints) < own
+            for vm in self._reachable_vms()
+        )
+
     def all_peers_live(self):
         return self.reachable
 
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -58,6 +58,15 @@
         self.receive("b", 1, {"e": 4}, reserved=("e",))
         self.assertEqual((7, 2, True), self.view())
         self.assertEqual(4, self.exchange.waiting_in_higher_tiers("notes", 2))
+        self.assertTrue(
+            self.exchange.is_waiting_with_fewer("notes", 1, ["e"], 4)
+        )
+        self.assertFalse(
+            self.exchange.is_waiting_with_fewer("notes", 1, ["e"], 3)
+        )
+        self.assertFalse(
+            self.exchange.is_waiting_with_fewer("notes", 2, ["e"], 4)
+        )
         # Requests that wait for another target do not count.
         self.assertEqual(
             0, self.exchange.waiting_in_higher_tiers("guidance", 2)
--- a/tests/test_tiers.py
+++ b/tests/test_tiers.py
@@ -37,6 +37,10 @@
         del target, tier
         return 0
 
+    def is_waiting_with_fewer(self, target, tier, endpoints, own):
+        del target, tier, endpoints, own
+        return False
+
     def all_peers_live(self):
         return True
 
