Remember which engines rank first for a prompt's segments

Each choice hashed the prompt's last shared segment with every engine, though few segments make most prompts and engines change seldom. Change: the 256 last rankings are kept; digests of segments, too.

--- a/hornbeampier/routing/affinity.py
+++ b/hornbeampier/routing/affinity.py
@@ -4,10 +4,15 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
+import functools
 
 from hornbeampier.routing import domain
 from hornbeampier.routing import rendezvous
 
+# Number of rankings that are kept, by key and engines.
+MAX_RANKINGS = 256
+
 
 def shared_tokens(prompt: domain.Prompt) -> int:
     """Returns the number of tokens in segments that other prompts may share."""
@@ -16,7 +21,7 @@
 
 def preferred_engines(
     prompt: domain.Prompt, endpoint_ids: Iterable[str], count: int
-) -> list[str]:
+) -> Sequence[str]:
     """Returns the `count` engines that rank first for the shared segments.
 
     Only the last shared segment counts. The ranking is the same for all prompts
@@ -24,4 +29,8 @@
     """
     segments = prompt.shared_segments
     key = segments[-1].id if segments else ""
-    return rendezvous.rank(key, endpoint_ids, count)
+    return _rank(key, tuple(endpoint_ids), count)
+
+
+# Prompts with the same segments recur, and engines change seldom.
+_rank = functools.lru_cache(maxsize=MAX_RANKINGS)(rendezvous.rank)
--- a/hornbeampier/routing/crash_suspects.py
+++ b/hornbeampier/routing/crash_suspects.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Iterable
+import functools
 import hashlib
 
 from hornbeampier.routing import requests
@@ -18,6 +19,7 @@
 MAX_SERVED = 1_024
 
 
+@functools.lru_cache(maxsize=MAX_SERVED)
 def digest_segment(segment_id: str) -> str:
     """Returns the suspect for a prompt segment."""
     digest = hashlib.blake2b(
