Do not blame streams that went on for a while for a crash of their engine

Change: what an attempt knows of crashes moves from the forwarder to a class of its own; a request whose stream had gone on for more than 200 ms when the engine crashed counts as served, and a stream that has had events is not refused at its retry: the crashing segment crashes engines as they begin.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -194,11 +194,12 @@
         # is dead. Without an errno, the deadline has passed.
         is_timeout = isinstance(exc, TimeoutError)
         timed_out = is_timeout and exc.errno is None
+        silent = is_timeout and not timed_out
         return errors.AttemptError(
             "the endpoint did not send a complete response: "
             f"{exc or type(exc).__name__}",
             verdict.Verdict.MAY_HAVE_RUN,
             connection_lost=not timed_out,
             timed_out=timed_out,
-            silent=is_timeout,
+            silent=silent,
         )
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from hornbeampier import node_metrics
 from hornbeampier import verdict
 from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import crash_guard
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import response_checks
 from hornbeampier.forwarding import selection
@@ -18,8 +19,6 @@
 from hornbeampier.http1 import server
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
-from hornbeampier.routing import crash_blocks
-from hornbeampier.routing import crash_suspects
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import domain
@@ -33,11 +32,6 @@
 MAX_UNREACHABLE = 4
 # No retry is made with less remaining time than this.
 MIN_ATTEMPT_MS = 10.0
-# An endpoint that crashes later than this after its first block of a response
-# did not crash because of that request.
-MAX_BEGIN_MS = 200.0
-# Number of digits of a request's fingerprint in a log line.
-LOGGED_DIGITS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,9 +93,9 @@
         self._unreachable_count = 0
         self._retry_granted = False
         self._verdict = verdict.Verdict.NOT_RUN
-        self._is_trial = False
-        # When the endpoint of the current attempt began its response.
-        self._begun_ms: float | None = None
+        self._crash_guard = crash_guard.CrashGuard(
+            context.crashes, req, context.clock
+        )
         self._log = structlog.get_logger(task="forwarder", request_id=req.id)
 
     def run(self) -> None:
@@ -117,34 +111,16 @@
 
     def check_blocked(self) -> None:
         """Raises the refusal of a request that crashes endpoints."""
-        history = self._context.crashes
-        if not history.is_blocking:
+        if self._relay.events:
+            # An endpoint has begun on it and did not crash at once.
             return
-        block = history.find_block(crash_suspects.of_request(self._req))
+        block = self._crash_guard.find_block(self._attempts)
         if block is None:
             return
-        if not self._attempts:
-            self._is_trial = self._is_trial or history.take_trial(block)
-            if self._is_trial:
-                return
         raise self._refuse(
             errors.RefusalCode.CRASHES_ENDPOINTS,
-            f"{self._describe(block)} crashed {block.count} endpoints that "
-            f"began on it, the last one {block.incarnation}",
-            history.trial_in_ms(block),
-        )
-
-    def _describe(self, block: crash_blocks.Block) -> str:
-        prompt = self._req.prompt
-        ids = [
-            segment.id
-            for segment in (prompt.shared_segments if prompt else ())
-            if crash_suspects.digest_segment(segment.id) in block.suspects
-        ]
-        return (
-            f"the prompt's segment {' with '.join(ids)}"
-            if ids
-            else ("the request")
+            self._crash_guard.describe(block),
+            self._crash_guard.retry_after_ms(block),
         )
 
     def _choose_endpoint(self) -> endpoint_choice.EndpointChoice:
@@ -186,7 +162,7 @@
             choice,
             self._clock,
         )
-        self._begun_ms = None
+        self._crash_guard.begun_ms = None
         try:
             attempt.open(
                 self._req, self._relay.last_event_id, choice.fetch_from
@@ -261,8 +237,7 @@
         is_resumed = self._relay.started
 
         def on_block() -> None:
-            if self._begun_ms is None:
-                self._begun_ms = self._clock.now()
+            self._crash_guard.on_block()
             in_flight_attempt.record_response()
             if not is_resumed:
                 observer.on_block()
@@ -294,9 +269,7 @@
 
     def _record_served(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
         if response_checks.is_success(attempt.fields):
-            self._context.crashes.record_success(
-                crash_suspects.of_request(self._req)
-            )
+            self._crash_guard.record_served()
         self._count_served(attempt.fields.status)
         self._log.info(
             "served",
@@ -345,42 +318,21 @@
             error=str(exc),
             endpoint_down=is_down,
             events=self._relay.events,
-            **self._describe_suspect(is_down),
+            **(self._crash_guard.describe_suspects() if is_down else {}),
         )
 
-    def _describe_suspect(self, is_down: bool) -> dict[str, object]:
-        """Returns what identifies a request whose endpoint went down."""
-        if not is_down:
-            return {}
-        prompt = self._req.prompt
-        segments = prompt.shared_segments if prompt else ()
-        return {
-            "fingerprint": self._req.fingerprint[:LOGGED_DIGITS],
-            "crashes": self._context.crashes.count(self._req.fingerprint),
-            "segments": [segment.id for segment in segments],
-        }
-
     def _detect_crash(
         self, choice: endpoint_choice.EndpointChoice, is_silent: bool
     ) -> bool:
         """Whether the endpoint has crashed, after its response was interrupted.
 
-        A crash is recorded for the request if the endpoint had just begun on
-        it. Segments are not suspected if the endpoint's whole host has gone.
+        If so, the crash is recorded.
         """
         endpoint = choice.state.endpoint
         lost_ms = self._clock.now()
         if self._context.connection_pool.probe(endpoint):
             return False
-        begun_ms = self._begun_ms
-        if begun_ms is not None and lost_ms - begun_ms > MAX_BEGIN_MS:
-            return True
-        incarnation = f"{endpoint.id}/{endpoint.started_ms}"
-        for suspect in crash_suspects.of_request(self._req):
-            if not (is_silent and crash_suspects.is_segment(suspect)):
-                self._context.crashes.record(
-                    crashes.Crash(suspect, incarnation)
-                )
+        self._crash_guard.record_crash(endpoint, lost_ms, is_silent)
         return True
 
     def _check_retry(self, exc: errors.AttemptError) -> None:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -326,21 +326,19 @@
         return all(f.reads_store for f in self._followers)
 
     def _count_readers(self) -> int:
-        return min(1 + self._count_live_peers(), store_readers.READER_COUNT)
+        return min(1 + len(self._live_peers()), store_readers.READER_COUNT)
 
     def _peer_hosts(self) -> Collection[str]:
         """Returns the hosts of the live peers, or else of the seeds."""
-        live = self._membership.live() if self._membership else []
-        return live or [seed.host for seed in self._cfg.seeds]
+        return self._live_peers() or [seed.host for seed in self._cfg.seeds]
 
     def _owns(self, key: str) -> bool:
         """Whether this VM, and no live peer, does what `key` names."""
         host = self._cfg.host
-        peers = self._membership.live() if self._membership else []
-        return rendezvous.rank(key, {host, *peers}, 1) == [host]
+        return rendezvous.rank(key, {host, *self._live_peers()}, 1) == [host]
 
-    def _count_live_peers(self) -> int:
-        return len(self._membership.live()) if self._membership else 0
+    def _live_peers(self) -> list[str]:
+        return self._membership.live() if self._membership else []
 
     def _count_vms(self) -> int:
         """Returns the number of VMs that share the retry budget.
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from hornbeampier.forwarding import crash_guard
 from tests import crashing_engines
 from tests import nodes
 
@@ -63,3 +64,21 @@
             statuses.append(self.ask(FIRST))
             statuses.append(self.ask(FIRST, "00000001"))
         self.assertEqual([200] * 40, statuses)
+
+
+class LongStreamTest(nodes.NodeTestCase):
+    # Guards against the streams that a crash interrupts being blamed for it.
+    def test_stream_that_went_on_for_a_while_is_no_suspect(self):
+        def handler(req):
+            req.begin_stream()
+            req.send_event(1)
+            gevent.sleep(crash_guard.MAX_BEGIN_MS / 1_000 + 0.1)
+            endpoint.stop()
+            req.close_connection()
+
+        endpoint = self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        router = self.start_ready_node()
+        headers = crashing_engines.prompt_headers(FIRST)
+        response = self.call(router, "POST", "/stream/x", headers=headers)
+        self.assertFalse(response.complete)
+        self.assertEqual([], router._crashes.to_gossip())
