Soak with delayed, reset and cut connections, and crashing prompts

A loopback proxy stands before each endpoint, and before the store for each VM: it delays bytes, resets connections and loses the bytes of one direction. Prompts with one segment that crashes engines come at any VM; the check is the platform's rule. Seeds can be played without these faults, so those that are kept as regression cases draw the same as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,11 @@
     parser.add_argument(
         "--logs", type=pathlib.Path, help="where logs of failed seeds are kept"
     )
+    parser.add_argument(
+        "--without-network",
+        action="store_true",
+        help="without faults of connections and prompts that crash engines",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.start, args.start + args.seeds):
@@ -32,6 +37,7 @@
             args.seconds,
             host_prefix,
             args.logs,
+            not args.without_network,
         )
         outcomes = played.ledger.outcomes
         served = sum(o.status == 200 and o.complete for o in outcomes)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -7,8 +7,10 @@
 import gevent
 
 from tests import announcing_endpoint
+from tests import crashing_engines
 from tests import endpoint_standin
 from tests import nodes
+from tests.soak import proxies
 from tests.soak import records
 
 PLAIN_RUN_S = 0.01
@@ -19,6 +21,8 @@
 STALL_S = 3.0
 # Body of the requests that are answered by a stream.
 STREAM_BODY = b"stream"
+# Prefix of the ids of segments that crash engines.
+POISON = "bad"
 _numbers = itertools.count(1)
 
 
@@ -28,10 +32,14 @@
     Attributes:
         announcing: What it announces, and the check of what reaches it.
         faults: Names of its present faults.
+        proxy: What VMs connect to.
+        was_cut: Whether VMs may have missed what it announced.
     """
 
-    def __init__(self, service, ledger, clock, rng):
+    def __init__(self, service, ledger, clock, rng, on_poison):
         self.service = service
+        self._on_poison = on_poison
+        self.was_cut = False
         self.id = f"i-{next(_numbers)}"
         self.announcing = announcing_endpoint.AnnouncingEndpoint(clock)
         self.faults = set()
@@ -41,25 +49,32 @@
         self._rng = random.Random(rng.random())
         self._open = set()
         self._standin = endpoint_standin.EndpointStandin(self._handle)
+        host, _, port = self._standin.address.partition(":")
+        self.proxy = proxies.Proxy((host, int(port)))
 
     def entry(self):
         """Returns its next entry in the store."""
         self.sequence += 1
         return nodes.endpoint_record(
             self.service,
-            self._standin.address,
+            self.proxy.address,
             sequence=self.sequence,
             state=self.state,
         )
 
     def stop(self):
         """Ends the process; its connections are reset."""
-        self._ledger.spoiled.update(self._open)
+        self.spoil_open_requests()
+        self.proxy.stop()
         self._standin.stop()
         for req in self._standin.received:
             with contextlib.suppress(OSError):
                 req.close_connection()
 
+    def spoil_open_requests(self):
+        """Records that the responses to open requests may be lost."""
+        self._ledger.spoiled.update(self._open)
+
     def _handle(self, req):
         if req.headers.get("x-hornbeampier-expect-instance") != self.id:
             req.respond(b"", "421 Misdirected Request", seal=False)
@@ -68,6 +83,11 @@
             req.respond(b'{"held": []}')
             return
         vm = announcing_endpoint.vm_of(req.id)
+        prefix = req.headers.get(crashing_engines.PREFIX_HEADER, "")
+        if prefix.startswith(POISON):
+            self._ledger.spoiled.add(req.id)
+            self._on_poison(self, prefix.partition(":")[0], vm)
+            return
         self.announcing.arrive(vm)
         headers = [f"{k}: {v}" for k, v in self.announcing.announce(req.id)]
         if self.announcing.wait_s is not None:
@@ -76,6 +96,8 @@
             return
         self._ledger.runs[req.id] += 1
         self._open.add(req.id)
+        if self.proxy.cut:
+            self._ledger.spoiled.add(req.id)
         try:
             if req.body == STREAM_BODY:
                 self._run_stream(req, headers)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -10,6 +10,7 @@
 import gevent
 import yaml
 
+from hornbeampier import clock as clocks
 from tests import nodes
 
 GRACE_S = 8
@@ -24,6 +25,7 @@
     Attributes:
         boots: Number of starts.
         ready: Whether the load balancer offers it.
+        started_ms: When the present process was started.
     """
 
     def __init__(self, index, host, seeds, store_port):
@@ -31,6 +33,7 @@
         self.host = host
         self.boots = 0
         self.ready = False
+        self.started_ms = 0.0
         self.callers = nodes.settings.Address(host, FRONT_PORT)
         self._directory = tempfile.TemporaryDirectory()
         self._settings = pathlib.Path(self._directory.name) / "node.yaml"
@@ -71,6 +74,7 @@
     def start(self):
         """Starts the process."""
         self.boots += 1
+        self.started_ms = clocks.SystemClock().now()
         with self._log.open("a") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "hornbeampier", "node"],
--- /dev/null
+++ b/tests/soak/proxies.py
@@ -0,0 +1,93 @@
+"""A loopback proxy that delays, resets and cuts connections."""
+
+import contextlib
+import enum
+import struct
+
+import gevent
+from gevent import server
+from gevent import socket
+
+from tests import nodes
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+BLOCK_BYTES = 65_536
+
+
+class Direction(enum.Enum):
+    """Towards the server, or back to the client."""
+
+    FORTH = enum.auto()
+    BACK = enum.auto()
+
+
+class Proxy:
+    """Passes bytes between clients and one server.
+
+    Attributes:
+        delay_s: Time by which each block of bytes is held up.
+        cut: Directions in which all bytes are lost.
+    """
+
+    def __init__(self, target):
+        self.delay_s = 0.0
+        self.cut = set()
+        self._target = target
+        self._socks = set()
+        self._server = server.StreamServer((nodes.HOST, 0), self._serve)
+        self._server.start()
+
+    @property
+    def port(self):
+        return self._server.server_port
+
+    @property
+    def address(self):
+        return f"{nodes.HOST}:{self.port}"
+
+    def stop(self):
+        """Refuses connections; those that are open go on."""
+        self._server.stop(timeout=0)
+
+    def reset(self):
+        """Resets all open connections."""
+        for sock in list(self._socks):
+            _reset(sock)
+        self._socks.clear()
+
+    def _serve(self, client, _):
+        try:
+            target = socket.create_connection(self._target)
+        except OSError:
+            _reset(client)
+            return
+        socks = {client, target}
+        self._socks |= socks
+        pumps = [
+            gevent.spawn(self._pump, client, target, Direction.FORTH),
+            gevent.spawn(self._pump, target, client, Direction.BACK),
+        ]
+        gevent.joinall(pumps)
+        for sock in socks:
+            sock.close()
+        self._socks -= socks
+
+    def _pump(self, source, sink, direction):
+        try:
+            while data := source.recv(BLOCK_BYTES):
+                if self.delay_s:
+                    gevent.sleep(self.delay_s)
+                if direction not in self.cut:
+                    sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            _reset(source)
+            _reset(sink)
+
+
+def _reset(sock):
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        # Wakes the greenlet that reads; `close` alone would not.
+        sock.shutdown(socket.SHUT_RD)
+    sock.close()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -26,6 +26,13 @@
     STALL = "stall"
     SLOW = "slow"
     CRASH = "crash"
+    POISON = "poison"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT = "cut"
+    STORE_DELAY = "store_delay"
+    STORE_RESET = "store_reset"
+    STORE_CUT = "store_cut"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -49,6 +56,17 @@
     Kind.SLOW: 1,
     Kind.CRASH: 2,
 }
+# Faults of connections, and prompts that crash engines. Seeds that are played
+# without them draw the same faults as before these were added.
+NETWORK_WEIGHTS = {
+    Kind.POISON: 2,
+    Kind.DELAY: 2,
+    Kind.RESET: 2,
+    Kind.CUT: 2,
+    Kind.STORE_DELAY: 1,
+    Kind.STORE_RESET: 1,
+    Kind.STORE_CUT: 1,
+}
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 # A series repeats one fault on the same thing.
@@ -72,10 +90,18 @@
     duration_s: float
 
 
-def draw(seed, count, length_s):
-    """Returns the events of a soak, in order of time."""
+def draw(seed, count, length_s, network=True):
+    """Returns the events of a soak, in order of time.
+
+    Args:
+        seed: Seed of the draw.
+        count: Number of faults and of series of faults.
+        length_s: Time in which they begin.
+        network: Whether the faults of `NETWORK_WEIGHTS` are among them.
+    """
     rng = random.Random(seed)
-    kinds = rng.choices(list(WEIGHTS), list(WEIGHTS.values()), k=count)
+    weights = {**WEIGHTS, **(NETWORK_WEIGHTS if network else {})}
+    kinds = rng.choices(list(weights), list(weights.values()), k=count)
     events = []
     for kind in kinds:
         first = Event(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,7 +11,9 @@
 from tests import store_standin
 from tests.soak import callers
 from tests.soak import endpoints
+from tests.soak import poison
 from tests.soak import processes
+from tests.soak import proxies
 from tests.soak import records
 from tests.soak import schedule
 
@@ -34,6 +36,11 @@
 LIMIT_PER_S = 2.0
 WAIT_S = 1.5
 REVOKED_KEYS = 20
+MAX_DELAY_S = 0.3
+POISON_S = 8.0
+POISON_INTERVAL_S = 0.2
+# A crashed engine is back, under another id, after this time.
+RETURN_S = 0.5
 
 
 class World:
@@ -59,10 +66,15 @@
         self._endpoints = []
         self._left = []
         hosts = [f"{host_prefix}.{number + 1}" for number in range(vms)]
+        store_address = (nodes.HOST, self.store.port)
+        self._store_proxies = [proxies.Proxy(store_address) for _ in hosts]
         self.vms = [
-            processes.NodeProcess(i, host, hosts[:3], self.store.port)
+            processes.NodeProcess(
+                i, host, hosts[:3], self._store_proxies[i].port
+            )
             for i, host in enumerate(hosts)
         ]
+        self._poison = poison.PoisonLog(self.clock)
         self._tasks = []
 
     # Life cycle
@@ -117,8 +129,12 @@
     def problems(self):
         """Returns a line for each broken promise."""
         lines = self.ledger.problems()
+        lines += self._poison.problems(self.ledger.disturbed)
         reaction_ms = announcing_endpoint.REACTION_MS + self.lag_ms
+        reaction_ms += MAX_DELAY_S * clocks.MS_PER_SECOND
         for endpoint in self._endpoints + self._left:
+            if endpoint.was_cut:
+                continue
             lines += [
                 f"{endpoint.id}: {problem}"
                 for problem in endpoint.announcing.problems(
@@ -135,6 +151,9 @@
             vm.close()
         for endpoint in self._endpoints:
             endpoint.stop()
+        for proxy in self._store_proxies:
+            proxy.stop()
+            proxy.reset()
         self.store.stop()
 
     # What callers ask
@@ -175,7 +194,7 @@
 
     def _add_endpoint(self, service):
         endpoint = endpoints.SoakEndpoint(
-            service, self.ledger, self.clock, self._rng
+            service, self.ledger, self.clock, self._rng, self._crash_by_poison
         )
         self._endpoints.append(endpoint)
         self.store.put_endpoint(endpoint.id, endpoint.entry())
@@ -218,6 +237,9 @@
     # Faults
 
     def _apply(self, event):
+        if event.kind is schedule.Kind.POISON:
+            self._poison_engines(event)
+            return
         getattr(self, f"_{event.kind.value}")(event)
 
     def _vm(self, event):
@@ -329,6 +351,9 @@
         self._remove(endpoint)
 
     def _remove(self, endpoint):
+        if endpoint not in self._endpoints:
+            # It has crashed meanwhile.
+            return
         self._endpoints.remove(endpoint)
         self._left.append(endpoint)
         self.store.put_endpoint(endpoint.id, None)
@@ -340,6 +365,78 @@
         gevent.sleep(event.duration_s)
         endpoint.faults.discard(fault)
 
+    def _poison_engines(self, event):
+        """Prompts with one segment that crashes engines come at any VM."""
+        segment_id = f"{endpoints.POISON}{event.target:05x}"
+        end_ms = self.clock.now() + POISON_S * clocks.MS_PER_SECOND
+        while self.clock.now() < end_ms and not self.is_over:
+            gevent.sleep(POISON_INTERVAL_S)
+            vm = self.pick_vm(self._rng)
+            if vm is not None:
+                gevent.spawn(poison.send, vm, segment_id)
+
+    def _crash_by_poison(self, endpoint, segment_id, vm_name):
+        started_ms = {vm.name: vm.started_ms for vm in self.vms}
+        self._poison.record(segment_id, vm_name, started_ms.get(vm_name))
+        if endpoint in self._endpoints:
+            self._crash_endpoint(endpoint)
+            gevent.spawn_later(RETURN_S, self._add_endpoint, endpoint.service)
+            self.store.put_endpoint(endpoint.id, None)
+
+    def _crash_endpoint(self, endpoint):
+        self._endpoints.remove(endpoint)
+        self._left.append(endpoint)
+        endpoint.stop()
+
+    def _delay(self, event):
+        proxy = self._endpoint(event).proxy
+        proxy.delay_s = MAX_DELAY_S
+        gevent.sleep(event.duration_s)
+        proxy.delay_s = 0.0
+
+    def _reset(self, event):
+        self._reset_connections(self._endpoint(event))
+
+    def _reset_connections(self, endpoint):
+        endpoint.was_cut = True
+        endpoint.spoil_open_requests()
+        endpoint.proxy.reset()
+
+    def _cut(self, event):
+        """One direction is cut; then the connections are reset."""
+        endpoint = self._endpoint(event)
+        endpoint.was_cut = True
+        endpoint.spoil_open_requests()
+        endpoint.proxy.cut.add(self._direction(event))
+        gevent.sleep(event.duration_s)
+        endpoint.proxy.cut.discard(self._direction(event))
+        self._reset_connections(endpoint)
+
+    def _direction(self, event):
+        return list(proxies.Direction)[event.target % 2]
+
+    def _store_proxy(self, event):
+        self._disturbed_ms = self.clock.now()
+        return self._store_proxies[event.target % len(self.vms)]
+
+    def _store_delay(self, event):
+        proxy = self._store_proxy(event)
+        proxy.delay_s = MAX_DELAY_S
+        gevent.sleep(event.duration_s)
+        proxy.delay_s = 0.0
+        self._disturbed_ms = self.clock.now()
+
+    def _store_reset(self, event):
+        self._store_proxy(event).reset()
+
+    def _store_cut(self, event):
+        proxy = self._store_proxy(event)
+        proxy.cut.add(self._direction(event))
+        gevent.sleep(event.duration_s)
+        proxy.cut.clear()
+        proxy.reset()
+        self._disturbed_ms = self.clock.now()
+
     def _lose(self, event):
         self._spoil(event, "lose")
 
@@ -363,7 +460,9 @@
         (directory / f"vm{vm.index}.log").write_text(vm.log_text())
 
 
-def play(seed, vms, events, length_s, host_prefix, log_directory=None):
+def play(
+    seed, vms, events, length_s, host_prefix, log_directory=None, network=True
+):
     """Plays one seed; returns the problems and the world.
 
     If there are problems, the logs of all VMs are kept in `log_directory`.
@@ -371,7 +470,7 @@
     world = World(seed, vms, host_prefix)
     try:
         world.start()
-        world.play(schedule.draw(seed, events, length_s))
+        world.play(schedule.draw(seed, events, length_s, network))
         unsettled = world.settle()
         problems = world.problems()
         problems += [f"{name} does not serve again" for name in unsettled]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,19 +7,26 @@
 from tests.soak import world
 
 SEEDS = (1, 6, 7)
+NETWORK_SEEDS = (300, 301)
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
 
 
 class SoakTest(testtools.TestCase):
-    def play(self, seed):
-        host_prefix = f"127.{10 + os.getpid() % 200}.{seed}"
-        problems, played = world.play(seed, VMS, EVENTS, LENGTH_S, host_prefix)
+    def play(self, seed, network):
+        host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
+        problems, played = world.play(
+            seed, VMS, EVENTS, LENGTH_S, host_prefix, network=network
+        )
         self.assertEqual([], problems)
         statuses = [o.status for o in played.ledger.outcomes if o.complete]
         self.assertGreater(statuses.count(200), len(statuses) / 2)
 
     def test_promises_hold_under_overlapping_faults(self):
         for seed in SEEDS:
-            self.play(seed)
+            self.play(seed, network=False)
+
+    def test_promises_hold_if_connections_fail_and_prompts_crash_engines(self):
+        for seed in NETWORK_SEEDS:
+            self.play(seed, network=True)
