Bound the work and memory of finding what crashed engines

Found while measuring: 512 suspects over their limit took 23 s to sort into blocks, on the thread that serves requests; and evidence could expire before it was looked at. Change: candidates are rated once and again only if a block explains some of their crashes, at most 64 blocks are kept, eight crashes of each suspect, and the oldest suspect is found without looking at all.

--- a/hornbeampier/routing/crash_blocks.py
+++ b/hornbeampier/routing/crash_blocks.py
@@ -22,6 +22,7 @@
 # Endpoints that crash within this time of each other have one cause, such as a
 # loss of power. No segment is blamed twice for that.
 SAME_CAUSE_MS = 150.0
+MAX_BLOCKS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,77 +72,89 @@
     return max(reported, count)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Candidate:
+    """A suspect over its limit, with the crashes that nothing else explains."""
+
+    suspect: str
+    crashes: Crashes
+    count: int
+    was_served: bool
+
+    @property
+    def rank(self) -> tuple[bool, int, str]:
+        """The sort key; the highest is blocked first."""
+        return not self.was_served, self.count, self.suspect
+
+    def is_alike(self, other: "_Candidate") -> bool:
+        """Whether nothing tells two suspects apart."""
+        return (
+            self.crashes.keys() == other.crashes.keys()
+            and self.was_served == other.was_served
+        )
+
+
 def find(
     evidence: Mapping[str, Crashes], was_served: Callable[[str], bool]
 ) -> list[Block]:
-    """Returns the blocks that explain the crashes.
+    """Returns the blocks that explain the crashes, at most MAX_BLOCKS.
 
     Args:
         evidence: The crashes by suspect.
         was_served: Whether prompts with a segment were served before it had
             any of these crashes.
     """
-    unexplained = {
-        suspect: crashes
-        for suspect, crashes in evidence.items()
-        if _is_over_limit(suspect, crashes, was_served)
-    }
+    candidates: dict[str, _Candidate] = {}
+    suspects_of: dict[str, set[str]] = {}
+    for suspect, crashes in evidence.items():
+        candidate = _rate(suspect, crashes, was_served(suspect))
+        if candidate is not None:
+            candidates[suspect] = candidate
+            for incarnation in crashes:
+                suspects_of.setdefault(incarnation, set()).add(suspect)
     blocks = []
-    while unexplained:
-        worst = max(
-            unexplained,
-            key=lambda suspect: (
-                not was_served(suspect),
-                count_crashes(suspect, unexplained[suspect].values()),
-                suspect,
-            ),
-        )
-        blocks.append(_make_block(worst, unexplained, was_served))
-        explained = unexplained[worst].keys()
-        unexplained = _without(unexplained, explained, was_served)
+    while candidates and len(blocks) < MAX_BLOCKS:
+        worst = max(candidates.values(), key=lambda c: c.rank)
+        related = {s for i in worst.crashes for s in suspects_of[i]}
+        blocks.append(_take_block(worst, related, candidates))
     return blocks
 
 
-def _is_over_limit(
-    suspect: str, crashes: Crashes, was_served: Callable[[str], bool]
-) -> bool:
-    limit = SERVED_CRASH_LIMIT if was_served(suspect) else CRASH_LIMIT
-    return count_crashes(suspect, crashes.values()) >= limit
+def _rate(
+    suspect: str, crashes: Crashes, was_served: bool
+) -> _Candidate | None:
+    """Returns a candidate, or None for a suspect below its limit."""
+    limit = SERVED_CRASH_LIMIT if was_served else CRASH_LIMIT
+    count = count_crashes(suspect, crashes.values())
+    if count < limit:
+        return None
+    return _Candidate(suspect, crashes, count, was_served)
 
 
-def _make_block(
-    worst: str,
-    unexplained: Mapping[str, Crashes],
-    was_served: Callable[[str], bool],
+def _take_block(
+    worst: _Candidate,
+    related: Collection[str],
+    candidates: dict[str, _Candidate],
 ) -> Block:
-    crashes = unexplained[worst]
-    last = max(crashes, key=lambda incarnation: crashes[incarnation].at_ms)
-    return Block(
-        frozenset(
-            suspect
-            for suspect, others in unexplained.items()
-            if others.keys() == crashes.keys()
-            and was_served(suspect) == was_served(worst)
-        ),
-        count_crashes(worst, crashes.values()),
-        last,
-        crashes[last].at_ms,
-    )
-
-
-def _without(
-    unexplained: Mapping[str, Crashes],
-    explained: Collection[str],
-    was_served: Callable[[str], bool],
-) -> dict[str, Crashes]:
-    """Returns the suspects that other crashes still speak against."""
-    remaining = {}
-    for suspect, crashes in unexplained.items():
+    """Removes a block from the candidates, and the crashes that it explains.
+
+    `related` are the suspects of any of these crashes.
+    """
+    alike = set()
+    for suspect in related:
+        candidate = candidates.pop(suspect, None)
+        if candidate is None:
+            continue
+        if candidate.is_alike(worst):
+            alike.add(suspect)
+            continue
         left = {
             incarnation: crash
-            for incarnation, crash in crashes.items()
-            if incarnation not in explained
+            for incarnation, crash in candidate.crashes.items()
+            if incarnation not in worst.crashes
         }
-        if _is_over_limit(suspect, left, was_served):
-            remaining[suspect] = left
-    return remaining
+        rated = _rate(suspect, left, candidate.was_served)
+        if rated is not None:
+            candidates[suspect] = rated
+    last = max(worst.crashes, key=lambda key: worst.crashes[key].at_ms)
+    return Block(frozenset(alike), worst.count, last, worst.crashes[last].at_ms)
--- a/hornbeampier/routing/crashes.py
+++ b/hornbeampier/routing/crashes.py
@@ -35,7 +35,7 @@
 MAX_GOSSIPED_BLOCKS = 8
 # Maximum numbers of suspects, of crashes of each, and of cleared crashes.
 MAX_SUSPECTS = 512
-MAX_CRASHES = 16
+MAX_CRASHES = 8
 MAX_CLEARED = 2_048
 # One request is tried this time after the third crash, four times later after
 # each further crash.
@@ -74,7 +74,9 @@
     ):
         self._clock = clock
         self._owns_trial = owns_trial
+        # The suspects with the newest crashes come last.
         self._evidence: dict[str, crash_blocks.Crashes] = {}
+        self._news_ms: dict[Crash, float] = {}
         self._served = crash_suspects.ServedSegments()
         # When crashes were found not to be the fault of their suspect, and
         # those of them that peers are to hear of.
@@ -198,14 +200,12 @@
     def to_gossip(self) -> list[Crash]:
         """Returns the recent crashes, which are to be gossiped."""
         oldest_ms = self._clock.now() - GOSSIP_MS
-        recent = [
-            (seen.at_ms, Crash(suspect, incarnation))
-            for suspect, crashes in self._evidence.items()
-            for incarnation, seen in crashes.items()
-            if seen.at_ms >= oldest_ms
-        ]
-        recent.sort(key=lambda item: item[0])
-        return [crash for _, crash in recent[-MAX_GOSSIPED:]]
+        self._news_ms = {
+            crash: at_ms
+            for crash, at_ms in self._news_ms.items()
+            if at_ms >= oldest_ms
+        }
+        return list(self._news_ms)[-MAX_GOSSIPED:]
 
     def age_ms(self, crash: Crash) -> float:
         """Returns the time since a known crash, or 0."""
@@ -225,33 +225,33 @@
     def _record(self, crash: Crash, age_ms: float, count: int) -> None:
         if crash in self._cleared_ms:
             return
-        crashes = self._evidence.get(crash.suspect)
-        if crashes is None:
-            crashes = self._add_suspect(crash.suspect)
+        crashes = self._evidence.get(crash.suspect, {})
         known = crashes.get(crash.incarnation)
         if known is not None and known.count >= count:
             return
-        at_ms = self._clock.now() - age_ms if known is None else known.at_ms
+        if known is None:
+            at_ms = self._clock.now() - age_ms
+            self._news_ms[crash] = at_ms
+        else:
+            at_ms = known.at_ms
         crashes[crash.incarnation] = crash_blocks.SuspectCrash(at_ms, count)
         if len(crashes) > MAX_CRASHES:
             del crashes[min(crashes, key=lambda key: crashes[key].at_ms)]
+        self._evidence.pop(crash.suspect, None)
+        self._evidence[crash.suspect] = crashes
+        if len(self._evidence) > MAX_SUSPECTS:
+            self._drop_oldest()
         self._has_changed = True
 
-    def _add_suspect(self, suspect: str) -> crash_blocks.Crashes:
-        if len(self._evidence) >= MAX_SUSPECTS:
-            blocked = self._blocked_suspects()
-            oldest = min(
-                self._evidence,
-                key=lambda key: (
-                    key in blocked,
-                    _last_ms(self._evidence[key]),
-                ),
-            )
-            del self._evidence[oldest]
-        return self._evidence.setdefault(suspect, {})
+    def _drop_oldest(self) -> None:
+        """Drops a suspect to keep the bound, one that is not blocked if any."""
+        blocked = self._blocked_suspects()
+        unblocked = (s for s in self._evidence if s not in blocked)
+        del self._evidence[next(unblocked, next(iter(self._evidence)))]
 
     def _forget(self, crash: Crash) -> None:
         self._cleared_ms.setdefault(crash, self._clock.now())
+        self._news_ms.pop(crash, None)
         if len(self._cleared_ms) > MAX_CLEARED:
             oldest = next(iter(self._cleared_ms))
             del self._cleared_ms[oldest]
@@ -294,10 +294,16 @@
         if now_ms - self._expired_ms < EXPIRY_INTERVAL_MS:
             return
         self._expired_ms = now_ms
-        for times_ms in (self._cleared_ms, self._cleared_news_ms):
-            oldest_ms = now_ms - RETENTION_MS
+        oldest_ms = now_ms - RETENTION_MS
+        for times_ms in (
+            self._cleared_ms,
+            self._cleared_news_ms,
+            self._news_ms,
+        ):
             for crash in [c for c, ms in times_ms.items() if ms < oldest_ms]:
                 del times_ms[crash]
+        # What is to be blocked must not expire before.
+        self._current_blocks()
         blocked = self._blocked_suspects()
         for suspect in list(self._evidence):
             self._expire_suspect(suspect, suspect in blocked)
--- a/tests/test_crash_blocks.py
+++ b/tests/test_crash_blocks.py
@@ -199,6 +199,18 @@
         self.assertEqual(crashes.MAX_SUSPECTS, len(self.history._evidence))
         self.assertTrue(self.is_blocked("bad"))
 
+    def test_number_of_blocks_is_bounded(self):
+        for number in range(2 * crash_blocks.MAX_BLOCKS):
+            for _ in range(crash_blocks.CRASH_LIMIT):
+                self.crash(f"segment-{number}")
+        self.assertEqual(crash_blocks.MAX_BLOCKS, len(self.history.blocks()))
+
+    def test_number_of_crashes_of_a_suspect_is_bounded(self):
+        for _ in range(2 * crashes.MAX_CRASHES):
+            self.crash("bad")
+        [block] = self.history.blocks()
+        self.assertEqual(crashes.MAX_CRASHES, block.count)
+
     def test_number_of_cleared_crashes_is_bounded(self):
         for number in range(2 * crashes.MAX_CLEARED):
             self.crash(f"segment-{number}", gap_ms=0.1)
