Judge requests that were served before like segments, and try them earlier

Change: whole requests that were served before are remembered, 256 of them; they need five crashes at different moments, rank after suspects that never were served, and are tried 10 s after the last crash. Trials get rarer with each that failed, not with the crashes before; if the first VM gets no such request, others try.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -96,7 +96,7 @@
             self.catalog.engine_traits,
             self._clock,
         )
-        self._crashes = crashes.CrashHistory(self._clock, self._owns)
+        self._crashes = crashes.CrashHistory(self._clock, self._owns_trial)
         self._prefill_meter = prefill.PrefillMeter(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
         self._build_replication()
@@ -332,10 +332,10 @@
         """Returns the hosts of the live peers, or else of the seeds."""
         return self._live_peers() or [seed.host for seed in self._cfg.seeds]
 
-    def _owns(self, key: str) -> bool:
-        """Whether this VM, and no live peer, does what `key` names."""
+    def _owns_trial(self, key: str, owners: int) -> bool:
+        """Whether this VM is among the `owners` live VMs that try `key`."""
         host = self._cfg.host
-        return rendezvous.rank(key, {host, *self._live_peers()}, 1) == [host]
+        return host in rendezvous.rank(key, {host, *self._live_peers()}, owners)
 
     def _live_peers(self) -> list[str]:
         return self._membership.live() if self._membership else []
--- a/hornbeampier/routing/crash_blocks.py
+++ b/hornbeampier/routing/crash_blocks.py
@@ -12,16 +12,24 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
+import itertools
 
 from hornbeampier.routing import crash_suspects
 
 # Number of crashes after which a suspect is blocked.
 CRASH_LIMIT = 3
-# The same for a segment in prompts that were served before.
+# The same for a suspect that was served before.
 SERVED_CRASH_LIMIT = 5
 # Endpoints that crash within this time of each other have one cause, such as a
-# loss of power. No segment is blamed twice for that.
+# loss of power. No suspect that may run on several of them is blamed twice.
 SAME_CAUSE_MS = 150.0
+# One request is tried this time after the last crash; it is four times as long
+# after each trial that has failed. A suspect that was served before is tried
+# earlier, as it may have been on endpoints that crashed for another reason.
+FIRST_TRIAL_MS = 30_000.0
+SERVED_TRIAL_MS = 10_000.0
+TRIAL_GROWTH = 4.0
+MAX_TRIAL_MS = 1_800_000.0
 MAX_BLOCKS = 64
 
 
@@ -50,18 +58,25 @@
         count: Number of crashes that they explain.
         incarnation: The incarnation that crashed last.
         crashed_ms: When it did, on the monotonic clock.
+        trial_ms: When a request may be tried.
     """
 
     suspects: frozenset[str]
     count: int
     incarnation: str
     crashed_ms: float
+    trial_ms: float = 0.0
 
 
-def count_crashes(suspect: str, crashes: Collection[SuspectCrash]) -> int:
-    """Returns the number of crashes that speak against a suspect."""
+def count_crashes(
+    suspect: str, crashes: Collection[SuspectCrash], was_served: bool
+) -> int:
+    """Returns the number of crashes that speak against a suspect.
+
+    A request that was never served runs on one endpoint after the other.
+    """
     reported = max((crash.count for crash in crashes), default=0)
-    if not crash_suspects.is_segment(suspect):
+    if not (was_served or crash_suspects.is_segment(suspect)):
         return max(reported, len(crashes))
     count = 0
     last_ms = None
@@ -125,7 +140,7 @@
 ) -> _Candidate | None:
     """Returns a candidate, or None for a suspect below its limit."""
     limit = SERVED_CRASH_LIMIT if was_served else CRASH_LIMIT
-    count = count_crashes(suspect, crashes.values())
+    count = count_crashes(suspect, crashes.values(), was_served)
     if count < limit:
         return None
     return _Candidate(suspect, crashes, count, was_served)
@@ -157,4 +172,22 @@
         if rated is not None:
             candidates[suspect] = rated
     last = max(worst.crashes, key=lambda key: worst.crashes[key].at_ms)
-    return Block(frozenset(alike), worst.count, last, worst.crashes[last].at_ms)
+    return Block(
+        frozenset(alike),
+        worst.count,
+        last,
+        worst.crashes[last].at_ms,
+        _trial_ms(worst),
+    )
+
+
+def _trial_ms(candidate: _Candidate) -> float:
+    """Returns when a request may be tried, on the monotonic clock."""
+    first_ms = SERVED_TRIAL_MS if candidate.was_served else FIRST_TRIAL_MS
+    times_ms = sorted(crash.at_ms for crash in candidate.crashes.values())
+    failed_trials = sum(
+        later_ms - earlier_ms >= first_ms
+        for earlier_ms, later_ms in itertools.pairwise(times_ms)
+    )
+    interval_ms = first_ms * TRIAL_GROWTH**failed_trials
+    return times_ms[-1] + min(MAX_TRIAL_MS, interval_ms)
--- a/hornbeampier/routing/crash_suspects.py
+++ b/hornbeampier/routing/crash_suspects.py
@@ -15,8 +15,10 @@
 _SEGMENT_DIGITS = 2 * SEGMENT_DIGEST_BYTES
 # Segments of a prompt beyond this number are not suspected.
 MAX_SEGMENTS = 32
-# Number of segments of which it is remembered that they were served.
+# How many segments and whole requests are remembered as served. Few requests
+# come again.
 MAX_SERVED = 1_024
+MAX_SERVED_REQUESTS = 256
 
 
 @functools.lru_cache(maxsize=MAX_SERVED)
@@ -46,23 +48,33 @@
     )
 
 
-class ServedSegments:
-    """The segments that were last in a prompt which was served."""
+class ServedSuspects:
+    """The segments and requests that were served last."""
 
     def __init__(self):
         self._segments: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._requests: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def add(self, suspects: Iterable[str]) -> None:
         """Records that a request with these suspects was served."""
         for suspect in suspects:
-            if not is_segment(suspect):
-                continue
-            self._segments[suspect] = None
-            self._segments.move_to_end(suspect)
-        while len(self._segments) > MAX_SERVED:
-            self._segments.popitem(last=False)
+            if is_segment(suspect):
+                _remember(self._segments, suspect, MAX_SERVED)
+            else:
+                _remember(self._requests, suspect, MAX_SERVED_REQUESTS)
 
     def __contains__(self, suspect: str) -> bool:
-        return suspect in self._segments
+        return suspect in self._segments or suspect in self._requests
+
+
+def _remember(
+    served: collections.OrderedDict[str, None], suspect: str, size: int
+) -> None:
+    served[suspect] = None
+    served.move_to_end(suspect)
+    if len(served) > size:
+        served.popitem(last=False)
--- a/hornbeampier/routing/crashes.py
+++ b/hornbeampier/routing/crashes.py
@@ -37,15 +37,12 @@
 MAX_SUSPECTS = 512
 MAX_CRASHES = 8
 MAX_CLEARED = 2_048
-# One request is tried this time after the third crash, four times later after
-# each further crash.
-FIRST_TRIAL_MS = 30_000.0
-TRIAL_GROWTH = 4.0
-MAX_TRIAL_MS = 1_800_000.0
-# A trial without an outcome is repeated after this time.
-TRIAL_TIMEOUT_MS = 30_000.0
+# A trial without an outcome is repeated after this time, and one more VM may
+# make it: the first may get no such request.
+TRIAL_TIMEOUT_MS = 10_000.0
 
-OwnsTrial = Callable[[str], bool]
+# Whether this VM is among the given number of VMs that try what a key names.
+OwnsTrial = Callable[[str, int], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +58,7 @@
     incarnation: str
 
 
-def _own_all_trials(key: str) -> bool:
+def _own_all_trials(key: str, owners: int) -> bool:
     """Default of `owns_trial`: no other VM tries what is blocked."""
     return True
 
@@ -77,7 +74,7 @@
         # The suspects with the newest crashes come last.
         self._evidence: dict[str, crash_blocks.Crashes] = {}
         self._news_ms: dict[Crash, float] = {}
-        self._served = crash_suspects.ServedSegments()
+        self._served = crash_suspects.ServedSuspects()
         # When crashes were found not to be the fault of their suspect, and
         # those of them that peers are to hear of.
         self._cleared_ms: dict[Crash, float] = {}
@@ -164,12 +161,13 @@
         a long time after the last crash.
         """
         now_ms = self._clock.now()
-        if self.trial_in_ms(block) > 0.0:
+        if now_ms < block.trial_ms:
             return False
         tried_ms = self._tried_ms.get(block.suspects, -math.inf)
         if now_ms - tried_ms < TRIAL_TIMEOUT_MS:
             return False
-        if not self._owns_trial("".join(sorted(block.suspects))):
+        owners = 1 + int((now_ms - block.trial_ms) / TRIAL_TIMEOUT_MS)
+        if not self._owns_trial("".join(sorted(block.suspects)), owners):
             return False
         self._tried_ms[block.suspects] = now_ms
         self._log.info("suspects_tried", suspects=sorted(block.suspects))
@@ -177,15 +175,15 @@
 
     def trial_in_ms(self, block: crash_blocks.Block) -> float:
         """Returns when a blocked request may be tried on one of the VMs."""
-        growth = TRIAL_GROWTH ** (block.count - crash_blocks.CRASH_LIMIT)
-        interval_ms = min(MAX_TRIAL_MS, FIRST_TRIAL_MS * growth)
-        return max(0.0, block.crashed_ms + interval_ms - self._clock.now())
+        return max(0.0, block.trial_ms - self._clock.now())
 
     def count(self, suspect: str) -> int:
         """Returns the number of crashes that speak against a suspect."""
         self._expire()
         crashes = self._evidence.get(suspect, {})
-        return crash_blocks.count_crashes(suspect, crashes.values())
+        return crash_blocks.count_crashes(
+            suspect, crashes.values(), suspect in self._served
+        )
 
     def blocks(self) -> list[crash_blocks.Block]:
         """Returns all that is blocked."""
