--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -18,6 +18,7 @@
 PLAIN_SERVICE = "plain-service"
 ENGINE_SERVICE = "engine-service"
 PORT_TRIES = 10
+ROUTE_TIMEOUT_MS = 3_000
 _ids = itertools.count(1)
 
 
@@ -54,7 +55,7 @@
         "host": "site.example",
         "pathPrefix": prefix,
         "kind": kind,
-        "timeoutMs": 3000,
+        "timeoutMs": ROUTE_TIMEOUT_MS,
         "sloMs": 500,
         "priority": 1,
         "service": service,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -93,4 +93,7 @@
 
     def _end(self, outcome):
         took_ms = self._world.clock.now() - outcome.sent_ms
-        outcome.late = took_ms > LATE_FRACTION * DEADLINE_MS
+        outcome.late = (
+            took_ms > LATE_FRACTION * DEADLINE_MS
+            or took_ms >= nodes.ROUTE_TIMEOUT_MS
+        )
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -49,7 +49,7 @@
         vm: Name of the VM's process that took the request.
         status: None if no head of a response came.
         complete: Whether the response was complete.
-        late: Whether it took most of its deadline.
+        late: Whether it took most of its deadline, or its route's timeout.
         key_state: Whether its key was valid.
     """
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,10 @@
 from tests.soak import world
 
 SEEDS = (1, 6, 7)
-NETWORK_SEEDS = (300, 301)
+# Seeds that failed, with the faults of connections: 416, as requests that all
+# callers send alike were blocked beside crashes; 432, as SIGHUP ended a VM that
+# was starting; 507, as the check took a route's timeout for a cut.
+NETWORK_SEEDS = (416, 432, 507)
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
