--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -5,6 +5,7 @@
 import gevent
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import crash_suspects
 from tests import nodes
 
 PREFIX_HEADER = "x-hornbeampier-prompt-prefix"
@@ -28,6 +29,11 @@
 _own_ids = itertools.count(1)
 
 
+def suspects_of(*segment_ids):
+    """Returns the suspects for some segments."""
+    return {crash_suspects.digest_segment(id_) for id_ in segment_ids}
+
+
 class CrashingEngines:
     """A service whose engines end under any of some segments.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 from tests import store_standin
 from tests.soak import callers
 from tests.soak import endpoints
+from tests.soak import network_faults
 from tests.soak import poison
 from tests.soak import processes
 from tests.soak import proxies
@@ -36,15 +37,10 @@
 LIMIT_PER_S = 2.0
 WAIT_S = 1.5
 REVOKED_KEYS = 20
-MAX_DELAY_S = 0.3
 HANGUP_S = 0.3
-POISON_S = 8.0
-POISON_INTERVAL_S = 0.2
-# A crashed engine is back, under another id, after this time.
-RETURN_S = 0.5
 
 
-class World:
+class World(network_faults.NetworkFaults, network_faults.ResponseFaults):
     """One soak.
 
     Attributes:
@@ -133,7 +129,7 @@
         lines = self.ledger.problems()
         lines += self._poison.problems(self.ledger.disturbed)
         reaction_ms = announcing_endpoint.REACTION_MS + self.lag_ms
-        reaction_ms += MAX_DELAY_S * clocks.MS_PER_SECOND
+        reaction_ms += network_faults.MAX_DELAY_S * clocks.MS_PER_SECOND
         for endpoint in self._endpoints + self._left:
             if endpoint.was_cut:
                 continue
@@ -367,99 +363,6 @@
         self.store.put_endpoint(endpoint.id, None)
         endpoint.stop()
 
-    def _spoil(self, event, fault):
-        endpoint = self._endpoint(event)
-        endpoint.faults.add(fault)
-        gevent.sleep(event.duration_s)
-        endpoint.faults.discard(fault)
-
-    def _poison_engines(self, event):
-        """Prompts with one segment that crashes engines come at any VM."""
-        segment_id = f"{endpoints.POISON}{event.target:05x}"
-        end_ms = self.clock.now() + POISON_S * clocks.MS_PER_SECOND
-        while self.clock.now() < end_ms and not self.is_over:
-            gevent.sleep(POISON_INTERVAL_S)
-            vm = self.pick_vm(self._rng)
-            if vm is not None:
-                gevent.spawn(poison.send, vm, segment_id)
-
-    def _crash_by_poison(self, endpoint, segment_id, vm_name):
-        started_ms = {vm.name: vm.started_ms for vm in self.vms}
-        self._poison.record(segment_id, vm_name, started_ms.get(vm_name))
-        if endpoint in self._endpoints:
-            self._crash_endpoint(endpoint)
-            gevent.spawn_later(RETURN_S, self._add_endpoint, endpoint.service)
-            self.store.put_endpoint(endpoint.id, None)
-
-    def _crash_endpoint(self, endpoint):
-        self._endpoints.remove(endpoint)
-        self._left.append(endpoint)
-        endpoint.stop()
-
-    def _delay(self, event):
-        proxy = self._endpoint(event).proxy
-        proxy.delay_s = MAX_DELAY_S
-        gevent.sleep(event.duration_s)
-        proxy.delay_s = 0.0
-
-    def _reset(self, event):
-        self._reset_connections(self._endpoint(event))
-
-    def _reset_connections(self, endpoint):
-        endpoint.was_cut = True
-        endpoint.spoil_open_requests()
-        endpoint.proxy.reset()
-
-    def _cut(self, event):
-        """One direction is cut; then the connections are reset."""
-        endpoint = self._endpoint(event)
-        endpoint.was_cut = True
-        endpoint.spoil_open_requests()
-        endpoint.proxy.cut.add(self._direction(event))
-        gevent.sleep(event.duration_s)
-        endpoint.proxy.cut.discard(self._direction(event))
-        self._reset_connections(endpoint)
-
-    def _direction(self, event):
-        return list(proxies.Direction)[event.target % 2]
-
-    def _store_proxy(self, event):
-        self._disturbed_ms = self.clock.now()
-        return self._store_proxies[event.target % len(self.vms)]
-
-    def _store_delay(self, event):
-        proxy = self._store_proxy(event)
-        proxy.delay_s = MAX_DELAY_S
-        gevent.sleep(event.duration_s)
-        proxy.delay_s = 0.0
-        self._disturbed_ms = self.clock.now()
-
-    def _store_reset(self, event):
-        self._store_proxy(event).reset()
-
-    def _store_cut(self, event):
-        proxy = self._store_proxy(event)
-        proxy.cut.add(self._direction(event))
-        gevent.sleep(event.duration_s)
-        proxy.cut.clear()
-        proxy.reset()
-        self._disturbed_ms = self.clock.now()
-
-    def _lose(self, event):
-        self._spoil(event, "lose")
-
-    def _copy(self, event):
-        self._spoil(event, "copy")
-
-    def _break(self, event):
-        self._spoil(event, "break")
-
-    def _stall(self, event):
-        self._spoil(event, "stall")
-
-    def _slow(self, event):
-        self._spoil(event, "slow")
-
 
 def _keep_logs(world, directory, problems):
     directory.mkdir(parents=True, exist_ok=True)
