--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -27,11 +27,13 @@
     Attributes:
         delay_s: Time by which each block of bytes is held up.
         cut: Directions in which all bytes are lost.
+        refuses: Whether new connections are reset.
     """
 
     def __init__(self, target):
         self.delay_s = 0.0
         self.cut = set()
+        self.refuses = False
         self._target = target
         self._socks = set()
         self._server = server.StreamServer((nodes.HOST, 0), self._serve)
@@ -56,6 +58,9 @@
         self._socks.clear()
 
     def _serve(self, client, _):
+        if self.refuses:
+            _reset(client)
+            return
         try:
             target = socket.create_connection(self._target)
         except OSError:
