Tell in the logs which software version a stream is sent to

No line named an engine's software version, nor that a request takes up a stream. Change: an endpoint's version is decoded and kept. `routed` lines have `software`, `resumes` (the request that brought the first event) and `after_event`, `endpoint_changed` lines have `software`. Nothing decides by them yet.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -132,9 +132,11 @@
         # The request may have waited for its turn meanwhile.
         self.check_blocked()
         prompt = self._req.prompt
+        resumed = self._req.resumed
         self._log.info(
             "routed",
             endpoint=choice.state.id,
+            software=choice.state.endpoint.software_version,
             route=self._req.route.name,
             urgency=self._req.urgency,
             attempt=self._attempts + 1,
@@ -144,6 +146,9 @@
             prompt_tokens=prompt.input_tokens if prompt else None,
             in_flight=choice.state.in_flight,
             withheld=self._selector.withheld() or None,
+            resumes=resumed and resumed.request_id,
+            after_event=self._relay.last_event_id
+            or (resumed and resumed.last_event_id),
         )
         return choice
 
--- a/hornbeampier/ingress/admission.py
+++ b/hornbeampier/ingress/admission.py
@@ -131,8 +131,14 @@
             urgency=self._urgency_ranks.rank(
                 self._account, self._route, headers.URGENCY_RANK_COUNT
             ),
+            resumed=self._resumed(),
         )
 
+    def _resumed(self) -> requests.ResumedStream | None:
+        if self._route.semantics is not domain.RequestSemantics.STREAM:
+            return None
+        return self._fields.resumed
+
     def _prompt(self, service_name: str) -> domain.Prompt | None:
         service = self._cfg.services.get(service_name)
         if service is None or service.engine_traits is None:
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -32,6 +32,7 @@
         names.PROMPT_SEGMENTS,
         names.LENGTH_HINT,
         names.LAST_EVENT_ID,
+        names.RESUMES,
     }
 )
 _HIDDEN_FROM_CALLERS = frozenset({names.LOAD, b"content-length"})
@@ -45,12 +46,14 @@
         timeout_ms: How long the caller waits from now on, or None.
         key: The key of a client account, or None.
         prompt: Tokens and segments of the prompt, or None.
+        resumed: The stream that the caller takes up again, or None.
     """
 
     request_id: str
     timeout_ms: float | None
     key: str | None
     prompt: domain.Prompt | None
+    resumed: requests.ResumedStream | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +90,7 @@
         timeout_ms=_decode_number(head.get(names.DEADLINE)),
         key=_decode_key(head.get(b"authorization")),
         prompt=_decode_prompt(head),
+        resumed=_decode_resumed(head),
     )
 
 
@@ -189,6 +193,18 @@
     return key.strip().decode("latin-1") or None
 
 
+def _decode_resumed(
+    head: messages.RequestHead,
+) -> requests.ResumedStream | None:
+    request_id = (head.get(names.RESUMES) or b"").decode("latin-1").strip()
+    last_event_id = head.get(names.LAST_EVENT_ID) or b""
+    if not request_id and not last_event_id.strip():
+        return None
+    return requests.ResumedStream(
+        request_id, last_event_id.decode("latin-1").strip()
+    )
+
+
 def _decode_prompt(head: messages.RequestHead) -> domain.Prompt | None:
     tokens = head.get(names.TOKENS)
     if tokens is None:
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -26,6 +26,9 @@
 KV_FROM = b"kv-from"
 KV_FETCH = b"kv-fetch"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the client attempt that brought the first event of a stream which the
+# caller takes up again.
+RESUMES = b"resumes"
 # Requests per second that an endpoint accepts from all VMs together.
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -88,7 +88,10 @@
 
 
 class _Endpoint(msgspec.Struct, rename="camel"):
-    """An endpoint; `born` is the Unix time of its start in ms."""
+    """An endpoint.
+
+    `version` is that of its software, `born` the Unix time of its start in ms.
+    """
 
     service: str
     address: str
@@ -158,6 +161,7 @@
         leaving=record.state == "draining",
         warmup_ms=record.cold_left_ms,
         started_ms=record.born,
+        software_version=record.version,
         sequence=record.sequence,
     )
 
--- a/hornbeampier/routing/catalog.py
+++ b/hornbeampier/routing/catalog.py
@@ -57,6 +57,7 @@
             service=endpoint.service,
             address=f"{endpoint.host}:{endpoint.port}",
             leaving=endpoint.leaving,
+            software=endpoint.software_version,
         )
         self._notify()
 
--- a/hornbeampier/routing/domain.py
+++ b/hornbeampier/routing/domain.py
@@ -161,6 +161,8 @@
     Attributes:
         leaving: Whether it is draining and takes no new requests.
         warmup_ms: How long the endpoint stays slow after its start.
+        software_version: Version of the software that it runs; several may
+            serve side by side.
         started_ms: Start time of the process in Unix ms, which distinguishes
             incarnations with the same id.
         sequence: Number of the entry among those that the process wrote;
@@ -176,6 +178,7 @@
     leaving: bool
     warmup_ms: float
     started_ms: int
+    software_version: str = ""
     sequence: int = dataclasses.field(default=0, compare=False)
 
     @property
--- a/hornbeampier/routing/requests.py
+++ b/hornbeampier/routing/requests.py
@@ -6,6 +6,21 @@
 from hornbeampier.routing import domain
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumedStream:
+    """A stream that was interrupted and that its caller takes up again.
+
+    Attributes:
+        request_id: Id of the request that brought the stream's first event;
+            empty if the caller did not name it.
+        last_event_id: Id of the last event that the caller has; empty if it
+            did not name it.
+    """
+
+    request_id: str
+    last_event_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request that was accepted and has been read completely.
@@ -21,6 +36,7 @@
         fingerprint: Digest of the request, equal for the caller's retries.
         prompt: The prompt of a generation request, otherwise None.
         urgency: Rank among all requests; 0 is the most urgent.
+        resumed: The stream that the request takes up again, or None.
     """
 
     id: str
@@ -37,3 +53,4 @@
     fingerprint: str
     prompt: domain.Prompt | None
     urgency: int
+    resumed: ResumedStream | None = None
