--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -222,12 +222,12 @@
         self.store = store_standin.StoreStandin()
         self.addCleanup(self.store.stop)
 
-    def start_endpoint(self, service, handler, endpoint_id=None):
+    def start_endpoint(self, service, handler, endpoint_id=None, **fields):
         endpoint = endpoint_standin.EndpointStandin(handler)
         self.addCleanup(endpoint.stop)
         endpoint.id = endpoint_id or f"i-{next(_ids)}"
         self.store.put_endpoint(
-            endpoint.id, endpoint_record(service, endpoint.address)
+            endpoint.id, endpoint_record(service, endpoint.address, **fields)
         )
         return endpoint
 
@@ -253,12 +253,13 @@
         store_standin.wait_until(router.is_ready)
         return router
 
-    def start_vms(self, hosts):
+    def start_vms(self, hosts, cfg=None):
         """Starts nodes that gossip with each other, one on each host."""
         control, peer_port = free_port(), free_port()
         seeds = tuple(settings.Address(host, control) for host in hosts)
         return [
             self.start_ready_node(
+                cfg,
                 host=host,
                 control=settings.Address(host, control),
                 seeds=seeds,
