Resume a stream only at engines of the software version that began it

Cause: an endpoint's version was decoded and dropped, so a retry within a response chose among all engines of the service. Change: once the first event is about to be passed on, all further attempts at the request need its endpoint's version (forwarding/version_guard.py), as does the check whether a stalled stream may go on elsewhere. An engine of the own pool goes first, any other of the version next; pools are still formed of all engines. Without an engine of the version the response is cut off, and the caller may take the stream up. Streams that callers take up are not mended yet.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -55,6 +55,11 @@
         self.fields: headers.ResponseFields | None = None
         self.head: messages.ResponseHead | None = None
 
+    @property
+    def endpoint(self) -> domain.Endpoint:
+        """The endpoint."""
+        return self._state.endpoint
+
     def open(
         self,
         req: requests.Request,
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import streams
+from hornbeampier.forwarding import version_guard
 from hornbeampier.http1 import server
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
@@ -87,7 +88,10 @@
         self._selector = selection.EndpointSelector(
             context.dispatcher, req, context.clock, context.rng
         )
-        self._relay = streams.StreamRelay(caller, context.clock)
+        self._version_guard = version_guard.VersionGuard()
+        self._relay = streams.StreamRelay(
+            caller, context.clock, self._version_guard.record_begin
+        )
         self._tried: set[str] = set()
         self._attempts = 0
         self._unreachable_count = 0
@@ -126,7 +130,9 @@
     def _choose_endpoint(self) -> endpoint_choice.EndpointChoice:
         self.check_blocked()
         try:
-            choice = self._selector.select(self._tried)
+            choice = self._selector.select(
+                self._tried, self._version_guard.version
+            )
         except selection.NoEndpointError as exc:
             raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
         # The request may have waited for its turn meanwhile.
@@ -265,7 +271,8 @@
         If so, a retry is taken from the budget.
         """
         tried = self._tried | {choice.state.id}
-        if not self._selector.has_candidates(tried):
+        version = self._version_guard.version
+        if not self._selector.has_candidates(tried, version):
             return False
         self._retry_granted = self._try_acquire_retry(
             verdict.Verdict.MAY_HAVE_RUN
--- a/hornbeampier/forwarding/selection.py
+++ b/hornbeampier/forwarding/selection.py
@@ -51,9 +51,15 @@
         self._clock = clock
         self._rng = rng
 
-    def select(self, tried: set[str]) -> endpoint_choice.EndpointChoice:
+    def select(
+        self, tried: set[str], version: str | None = None
+    ) -> endpoint_choice.EndpointChoice:
         """Returns an endpoint; waits shortly if all want fewer requests.
 
+        Args:
+            tried: Ids of endpoints to leave out.
+            version: Software version that the endpoint must run; None for any.
+
         Raises:
             NoEndpointError: None is left, or none may get a request in time.
             errors.RefusalError: The chosen engine is overloaded.
@@ -61,19 +67,23 @@
         target_ms = self._req.route.latency_target_ms
         end_ms = self._req.arrived_ms + PERMISSION_WAIT_FRACTION * target_ms
         while True:
-            choice = self._dispatcher.choose(self._req, tried)
+            choice = self._dispatcher.choose(self._req, tried, version)
             if choice is not None:
                 return choice
-            opens_in_ms = self._dispatcher.opens_in_ms(self._req, tried)
+            opens_in_ms = self._dispatcher.opens_in_ms(
+                self._req, tried, version
+            )
             if opens_in_ms is None:
-                raise _no_endpoint_left(tried)
+                raise _no_endpoint_left(tried, version)
             if self._clock.now() + opens_in_ms >= end_ms:
                 raise self._throttled(opens_in_ms)
             self._clock.sleep(max(MIN_PERMISSION_WAIT_MS, opens_in_ms))
 
-    def has_candidates(self, tried: set[str]) -> bool:
+    def has_candidates(
+        self, tried: set[str], version: str | None = None
+    ) -> bool:
         """Whether an endpoint outside `tried` may get the request now."""
-        return self._dispatcher.has_candidates(self._req, tried)
+        return self._dispatcher.has_candidates(self._req, tried, version)
 
     def withheld(self) -> dict[str, str]:
         """Returns why endpoints want fewer requests, by endpoint id."""
@@ -89,7 +99,13 @@
         )
 
 
-def _no_endpoint_left(tried: set[str]) -> NoEndpointError:
+def _no_endpoint_left(tried: set[str], version: str | None) -> NoEndpointError:
+    if version is not None:
+        return NoEndpointError(
+            errors.RefusalCode.NO_ENDPOINT,
+            f"no other endpoint of software version {version}, which began the "
+            "stream, is available",
+        )
     if tried:
         return NoEndpointError(
             errors.RefusalCode.ENDPOINT_FAILED,
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -11,6 +11,7 @@
 from hornbeampier.forwarding import stalls
 from hornbeampier.http1 import server
 from hornbeampier.platform import headers
+from hornbeampier.routing import domain
 
 # Events that follow each other faster were delayed together on their way.
 MIN_EVENT_DELAY_MS = 1.0
@@ -36,9 +37,23 @@
         events: Number of events passed on.
     """
 
-    def __init__(self, caller: server.ServerConnection, clock: clocks.Clock):
+    def __init__(
+        self,
+        caller: server.ServerConnection,
+        clock: clocks.Clock,
+        on_begin: Callable[[domain.Endpoint], None],
+    ):
+        """Creates a relay.
+
+        Args:
+            caller: The connection to the caller.
+            clock: The clock.
+            on_begin: Called with the endpoint that begins the stream, before
+                its first event is passed on.
+        """
         self._caller = caller
         self._clock = clock
+        self._on_begin = on_begin
         self.first_event_ms: float | None = None
         self.longest_delay_ms = 0.0
         self.shortest_delay_ms = math.inf
@@ -124,6 +139,7 @@
             self._caller.write_body(data)
             return
         self.started = True
+        self._on_begin(attempt.endpoint)
         self._caller.start_response(
             attempt.fields.status,
             [
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -57,9 +57,15 @@
     """Interface for choosing an endpoint of a request's service."""
 
     def choose(
-        self, req: requests.Request, tried: Container[str]
+        self,
+        req: requests.Request,
+        tried: Container[str],
+        version: str | None = None,
     ) -> endpoint_choice.EndpointChoice | None:
-        """Returns an endpoint that is not in `tried`, or None."""
+        """Returns an endpoint that is not in `tried`, or None.
+
+        If `version` is not None, the endpoint runs this software version.
+        """
         ...
 
 
@@ -77,13 +83,16 @@
         self._rng = rng
 
     def choose(
-        self, req: requests.Request, tried: Container[str]
+        self,
+        req: requests.Request,
+        tried: Container[str],
+        version: str | None = None,
     ) -> endpoint_choice.EndpointChoice | None:
         """Returns the endpoint with the fewest requests per slot.
 
         The load is weighted by how slowly the endpoint responds.
         """
-        candidates = self._fleet.candidates(req.service, tried)
+        candidates = self._fleet.candidates(req.service, tried, version)
         if not candidates:
             return None
         state = min(
@@ -129,7 +138,10 @@
         self._rng = rng
 
     def choose(
-        self, req: requests.Request, tried: Container[str]
+        self,
+        req: requests.Request,
+        tried: Container[str],
+        version: str | None = None,
     ) -> endpoint_choice.EndpointChoice | None:
         """Returns the cheapest engine of the request's pool.
 
@@ -137,6 +149,8 @@
         another pool may be chosen, or one that names a limit.
         """
         candidates = self._fleet.candidates(req.service, tried)
+        if version is not None:
+            return self._choose_of_version(req, tried, version, candidates)
         if not candidates:
             return None
         pooled, limited = self._partition(candidates)
@@ -152,6 +166,37 @@
             return spillover
         return best
 
+    def _choose_of_version(
+        self,
+        req: requests.Request,
+        tried: Container[str],
+        version: str,
+        candidates: list[fleet.EndpointState],
+    ) -> endpoint_choice.EndpointChoice | None:
+        """Returns the cheapest engine that runs a software version.
+
+        The request's pool goes first. If it has no such engine, or an
+        overloaded one, the engines of the other pools are as good: a stream
+        that has begun can go on nowhere else.
+
+        Args:
+            req: The request.
+            tried: Ids of endpoints to leave out.
+            version: The software version.
+            candidates: The engines of all versions, which form the pools.
+        """
+        allowed = self._fleet.candidates(req.service, tried, version)
+        if not allowed:
+            return None
+        pool = self._pools.split(req, self._partition(candidates)[0]).pool
+        allowed_ids = {state.id for state in allowed}
+        best = self._choose_cheapest(
+            req, [state for state in pool if state.id in allowed_ids]
+        )
+        if best is not None and self._load_shedder.accepts(req, best):
+            return best
+        return self._choose_cheapest(req, allowed)
+
     def _partition(
         self, candidates: list[fleet.EndpointState]
     ) -> tuple[list[fleet.EndpointState], list[fleet.EndpointState]]:
--- a/hornbeampier/routing/dispatch.py
+++ b/hornbeampier/routing/dispatch.py
@@ -33,17 +33,25 @@
         self._load_shedder = load_shedder
 
     def choose(
-        self, req: requests.Request, tried: set[str]
+        self,
+        req: requests.Request,
+        tried: set[str],
+        version: str | None = None,
     ) -> endpoint_choice.EndpointChoice | None:
         """Returns the endpoint for the next attempt, or None if none is left.
 
+        Args:
+            req: The request.
+            tried: Ids of endpoints to leave out.
+            version: Software version that the endpoint must run; None for any.
+
         Raises:
             errors.RefusalError: The request has not been sent anywhere yet, and
                 the chosen engine is overloaded.
         """
         if req.prompt is None:
-            return self._plain_chooser.choose(req, tried)
-        choice = self._engine_chooser.choose(req, tried)
+            return self._plain_chooser.choose(req, tried, version)
+        choice = self._engine_chooser.choose(req, tried, version)
         if choice is None:
             return None
         slots = choice.state.endpoint.slots
@@ -54,9 +62,14 @@
         self._prefill_meter.record(choice.state.id, choice.prefill_tokens)
         return choice
 
-    def has_candidates(self, req: requests.Request, tried: set[str]) -> bool:
+    def has_candidates(
+        self,
+        req: requests.Request,
+        tried: set[str],
+        version: str | None = None,
+    ) -> bool:
         """Whether an endpoint outside `tried` may get the request now."""
-        return bool(self._fleet.candidates(req.service, tried))
+        return bool(self._fleet.candidates(req.service, tried, version))
 
     def withheld(self, req: requests.Request) -> dict[str, str]:
         """Returns why endpoints of the request's service want fewer requests.
@@ -66,13 +79,16 @@
         return self._fleet.withheld(req.service)
 
     def opens_in_ms(
-        self, req: requests.Request, tried: set[str]
+        self,
+        req: requests.Request,
+        tried: set[str],
+        version: str | None = None,
     ) -> float | None:
         """Returns when an endpoint that wants fewer requests may get one.
 
         None if no endpoint of the request's service is left.
         """
-        return self._fleet.opens_in_ms(req.service, tried)
+        return self._fleet.opens_in_ms(req.service, tried, version)
 
     def _check_overload(
         self, req: requests.Request, choice: endpoint_choice.EndpointChoice
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -203,15 +203,23 @@
         ]
 
     def candidates(
-        self, service: str, tried: Container[str] = ()
+        self,
+        service: str,
+        tried: Container[str] = (),
+        version: str | None = None,
     ) -> list[EndpointState]:
         """Returns the endpoints outside `tried` that may get requests.
 
         Those that asked for fewer requests are left out for now. If all others
         are ejected, returns the one whose ejection ends first.
+
+        Args:
+            service: The service.
+            tried: Ids of endpoints to leave out.
+            version: Software version that the endpoints must run; None for any.
         """
         now_ms = self._clock.now()
-        serving = [s for s in self.serving(service) if s.id not in tried]
+        serving = self._untried(service, tried, version)
         if self._announcements.endpoint_ids:
             serving = [
                 state
@@ -223,6 +231,14 @@
             return eligible
         return [min(serving, key=lambda state: state.ejected_until_ms)]
 
+    def _untried(
+        self, service: str, tried: Container[str], version: str | None
+    ) -> list[EndpointState]:
+        serving = [s for s in self.serving(service) if s.id not in tried]
+        if version is None:
+            return serving
+        return [s for s in serving if s.endpoint.software_version == version]
+
     def limited(self, states: list[EndpointState]) -> list[EndpointState]:
         """Returns those of the endpoints that name a limit on requests."""
         announced = self._announcements.endpoint_ids
@@ -251,17 +267,19 @@
         return {id_: reason for id_, reason in reasons.items() if reason}
 
     def opens_in_ms(
-        self, service: str, tried: Container[str] = ()
+        self,
+        service: str,
+        tried: Container[str] = (),
+        version: str | None = None,
     ) -> float | None:
         """Returns when the next endpoint outside `tried` may get a request.
 
-        None if there is no such endpoint.
+        None if there is no such endpoint. `version` is as in `candidates`.
         """
         return min(
             (
                 self._announcements.opens_in_ms(state.endpoint)
-                for state in self.serving(service)
-                if state.id not in tried
+                for state in self._untried(service, tried, version)
             ),
             default=None,
         )
--- /dev/null
+++ b/tests/test_routing_versions.py
@@ -0,0 +1,84 @@
+"""Choice of an engine for a stream that one software version has begun."""
+
+import random
+
+import testtools
+
+from hornbeampier.routing import choosers
+from hornbeampier.routing import fleet
+from tests import routing_fakes as fakes
+
+ENGINES = 8
+
+
+class EngineOfVersionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fixture = fakes.RoutingFixture(0)
+        for number in range(ENGINES):
+            version = "old" if number < 2 else "new"
+            self.fixture.catalog.apply_endpoint(
+                fakes.endpoint(f"e{number}", software_version=version)
+            )
+        self.chooser_fixture = fakes.ChooserFixture(self.fixture)
+        self.chooser = self.chooser_fixture.chooser
+
+    def choose(self, version, tried=()):
+        req = fakes.request(fakes.prompt(8_000, ("doc", 6_000)))
+        return self.chooser.choose(req, set(tried), version)
+
+    def chosen_ids(self, version):
+        return {self.choose(version).state.id for _ in range(20)}
+
+    # Guards against engines of another version that are less loaded.
+    def test_loaded_engines_of_the_version_go_before_idle_ones_of_another(self):
+        for id_ in ("e0", "e1"):
+            fleet.InFlightAttempt(self.fixture.fleet.get(id_), None, 50_000.0)
+        self.assertLessEqual(self.chosen_ids("old"), {"e0", "e1"})
+
+    def test_engine_of_another_pool_is_chosen_if_the_own_has_none(self):
+        for short, batch in ((200, 12_000), (12_000, 200)):
+            for _ in range(200):
+                self.chooser_fixture.pools.record(
+                    fakes.request(fakes.prompt(short)), short, 8
+                )
+                self.chooser_fixture.pools.record(
+                    fakes.request(fakes.prompt(batch)), batch, 8
+                )
+            self.assertLessEqual(self.chosen_ids("old"), {"e0", "e1"})
+
+    def test_none_is_chosen_if_no_engine_of_the_version_is_left(self):
+        self.assertIsNone(self.choose("other"))
+        self.assertIsNone(self.choose("old", tried=("e0", "e1")))
+
+    def test_ejected_engine_is_chosen_if_it_is_the_last_of_its_version(self):
+        self.fixture.fleet.get("e1").record_failure(0.0)
+        self.assertEqual("e1", self.choose("old", tried=("e0",)).state.id)
+
+    # Pools of the few engines of one version would be resized for all prompts.
+    def test_choice_for_a_version_leaves_the_pools_as_they_are(self):
+        for _ in range(50):
+            self.choose(None)
+        self.fixture.clock.advance(5_000.0)
+        self.choose(None)
+        before = self.chooser_fixture.pools.own_pool_sizes()
+        for _ in range(50):
+            self.choose("old")
+        self.assertEqual(before, self.chooser_fixture.pools.own_pool_sizes())
+
+
+class PlainEndpointOfVersionTest(testtools.TestCase):
+    def test_only_endpoints_of_the_version_are_chosen(self):
+        fixture = fakes.RoutingFixture(0)
+        for number in range(4):
+            fixture.catalog.apply_endpoint(
+                fakes.endpoint(f"e{number}", software_version=f"v{number % 2}")
+            )
+        chooser = choosers.LeastLoadedChooser(
+            fixture.fleet, fixture.peers, random.Random(1)
+        )
+        ids = {
+            chooser.choose(fakes.request(), (), "v1").state.id
+            for _ in range(20)
+        }
+        self.assertEqual({"e1", "e3"}, ids)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -92,6 +92,19 @@
             begun, resumed = self.engines.versions(f"a{number}")
             self.assertEqual(begun, resumed)
 
+    def test_stream_is_cut_off_if_no_engine_of_its_version_is_left(self):
+        self.engines.start("v1", count=1)
+        router = self.start_ready_node()
+        self.engines.start("v2", count=1)
+        store_standin.wait_until(lambda: len(router.catalog.endpoints) == 2)
+        versions = set()
+        for number in range(STREAMS):
+            response = self.stream(router, f"a{number}")
+            self.assertFalse(response.complete)
+            self.assertEqual(1, len(self.engines.runs[f"a{number}"]))
+            versions.update(self.engines.versions(f"a{number}"))
+        self.assertEqual(set(VERSIONS), versions)
+
 
 class ResumedByCallerTest(StreamVersionTestCase):
     # Guards against streams that callers take up at another VM, where they went
