Let streams that callers take up go on at the version that began them

Cause: no VM knew where a stream of another VM had begun. Change: before the first event is passed on, a VM records the origin (service and version) under a digest of the request's id. VMs that start learn of versions that have left. A stream also keeps its service if the route's split, or a new configuration, would send the next attempt to another one. New port: the second of `portRange`. New codes stream_origin_unknown and stream_origin_gone, event stream_taken_up, metric hornbeampier_resumptions_total.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -33,6 +33,8 @@
     ENDPOINT_TIMEOUT = "endpoint_timeout"
     INCOMPLETE_ANSWER = "incomplete_answer"
     CRASHES_ENDPOINTS = "crashes_endpoints"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_ORIGIN_GONE = "stream_origin_gone"
     IN_PROGRESS = "in_progress"
     ALREADY_RAN = "already_ran"
     MAY_HAVE_RUN = "may_have_run"
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from hornbeampier.forwarding import crash_guard
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import response_checks
+from hornbeampier.forwarding import resumption
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import streams
@@ -27,6 +28,7 @@
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
 from hornbeampier.routing import requests
+from hornbeampier.routing import stream_origins
 
 # Unreachable endpoints do not count as attempts. After this number of them, the
 # next endpoint is tried only if a retry is allowed.
@@ -45,6 +47,7 @@
     budget: budget.RetryBudget
     engine_models: engine_model.EngineModels
     announcements: announcements.Announcements
+    resumption: resumption.Resumption
     metrics: node_metrics.NodeMetrics
     clock: clocks.Clock
     rng: random.Random
@@ -66,7 +69,10 @@
             streams.InterruptedStreamError: The response was interrupted after
                 the caller had received part of it.
         """
-        forwarding = _Forwarding(self._context, req, caller)
+        origin = self._context.resumption.find_origin(req)
+        if origin is not None:
+            req = dataclasses.replace(req, service=origin.service)
+        forwarding = _Forwarding(self._context, req, caller, origin)
         forwarding.check_blocked()
         self._context.budget.record_request(req.service)
         forwarding.run()
@@ -80,6 +86,7 @@
         context: Context,
         req: requests.Request,
         caller: server.ServerConnection,
+        origin: stream_origins.Origin | None,
     ):
         self._context = context
         self._clock = context.clock
@@ -88,7 +95,9 @@
         self._selector = selection.EndpointSelector(
             context.dispatcher, req, context.clock, context.rng
         )
-        self._version_guard = version_guard.VersionGuard()
+        self._version_guard = version_guard.VersionGuard(
+            req, origin, context.resumption
+        )
         self._relay = streams.StreamRelay(
             caller, context.clock, self._version_guard.record_begin
         )
--- /dev/null
+++ b/hornbeampier/forwarding/resumption.py
@@ -0,0 +1,140 @@
+"""Binds streams that callers take up to the software version that began them.
+
+Events of two versions do not fit together, and endpoints do not check this.
+"""
+
+from collections.abc import Callable
+
+import structlog
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier import node_metrics
+from hornbeampier.routing import domain
+from hornbeampier.routing import origin_history
+from hornbeampier.routing import requests
+from hornbeampier.routing import stream_origins
+
+# Retry-After if other VMs may know more than this one.
+RETRY_AFTER_MS = 200.0
+
+
+class Resumption:
+    """Finds where streams began, and records where they begin."""
+
+    def __init__(
+        self,
+        origins: stream_origins.StreamOrigins,
+        history: origin_history.OriginHistory,
+        directory: stream_origins.Directory,
+        in_touch: Callable[[], bool],
+        metrics: node_metrics.NodeMetrics,
+        clock: clocks.Clock,
+    ):
+        """Creates the component.
+
+        Args:
+            origins: The streams that are recorded on this VM.
+            history: Where streams may have begun.
+            directory: The streams that are recorded on other VMs.
+            in_touch: Whether this VM hears of new endpoints at the moment.
+            metrics: Counts the streams that are taken up.
+            clock: The clock.
+        """
+        self._origins = origins
+        self._history = history
+        self._directory = directory
+        self._in_touch = in_touch
+        self._metrics = metrics
+        self._clock = clock
+        self._log = structlog.get_logger(task="resumption")
+
+    def find_origin(
+        self, req: requests.Request
+    ) -> stream_origins.Origin | None:
+        """Returns where the stream began that a request takes up.
+
+        The result is None if the request begins a stream, or if the route has
+        no endpoint at all.
+
+        Raises:
+            errors.RefusalError: Nobody knows, or the route does not go there
+                any more. The request has not been sent anywhere.
+        """
+        if req.resumed is None or not self._history.possible(req.route):
+            return None
+        origin, source = self._find(req, req.resumed.request_id)
+        self._metrics.record_resumption(source)
+        self._log.info(
+            "stream_taken_up",
+            request_id=req.id,
+            resumes=req.resumed.request_id,
+            service=origin.service,
+            software=origin.version,
+            source=source,
+        )
+        if origin.service not in req.route.services:
+            raise errors.RefusalError(
+                503,
+                errors.RefusalCode.STREAM_ORIGIN_GONE,
+                f"the stream began at service {origin.service}, to which the "
+                "route does not go any more",
+            )
+        return origin
+
+    def record_begin(
+        self, req: requests.Request, endpoint: domain.Endpoint
+    ) -> None:
+        """Records that a stream begins, or goes on, at an endpoint.
+
+        It is called before the first event is passed on. From then on the
+        caller may take the stream up at any VM.
+        """
+        request_id = req.resumed.request_id if req.resumed else req.id
+        if not request_id or not req.route.resumable:
+            return
+        remaining_ms = req.caller_deadline_ms - self._clock.now()
+        self._history.record_stream(remaining_ms)
+        stream = stream_origins.RecordedStream(
+            stream_origins.digest_id(request_id),
+            stream_origins.Origin(endpoint.service, endpoint.software_version),
+            self._clock.now() + stream_origins.bound_retention(remaining_ms),
+        )
+        self._directory.record(stream, not self._is_unambiguous(req))
+
+    def _find(
+        self, req: requests.Request, request_id: str
+    ) -> tuple[stream_origins.Origin, str]:
+        """Returns where a stream began, and how this VM learnt it."""
+        key = stream_origins.digest_id(request_id) if request_id else None
+        recorded = self._origins.find(key) if key is not None else None
+        if recorded is not None:
+            return recorded, "own_record"
+        if key is None and not self._is_unambiguous(req):
+            raise self._unknown("its caller does not name it", None)
+        result = self._directory.lookup(key, lambda: self._is_unambiguous(req))
+        if result.origin is not None:
+            return result.origin, "peer"
+        is_in_touch = result.replies > 0 or self._in_touch()
+        if is_in_touch and self._is_unambiguous(req):
+            return next(iter(self._history.possible(req.route))), "one_version"
+        may_know_more = not (is_in_touch and result.is_complete)
+        raise self._unknown(
+            f"none of {result.replies} VMs that replied knows it",
+            RETRY_AFTER_MS if may_know_more else None,
+        )
+
+    def _is_unambiguous(self, req: requests.Request) -> bool:
+        return len(self._history.possible(req.route)) == 1
+
+    def _unknown(
+        self, reason: str, retry_after_ms: float | None
+    ) -> errors.RefusalError:
+        self._metrics.record_resumption("unknown")
+        return errors.RefusalError(
+            503,
+            errors.RefusalCode.STREAM_ORIGIN_UNKNOWN,
+            "several software versions serve, and it is not known which one "
+            f"began the stream: {reason}",
+            retry_after_ms=retry_after_ms,
+        )
--- a/hornbeampier/forwarding/selection.py
+++ b/hornbeampier/forwarding/selection.py
@@ -102,7 +102,7 @@
 def _no_endpoint_left(tried: set[str], version: str | None) -> NoEndpointError:
     if version is not None:
         return NoEndpointError(
-            errors.RefusalCode.NO_ENDPOINT,
+            errors.RefusalCode.STREAM_ORIGIN_GONE,
             f"no other endpoint of software version {version}, which began the "
             "stream, is available",
         )
--- a/hornbeampier/ingress/admission.py
+++ b/hornbeampier/ingress/admission.py
@@ -101,11 +101,15 @@
     @property
     def deadline_ms(self) -> float:
         """When the response must be complete, on the monotonic clock."""
-        timeout_ms = self._route.timeout_ms
-        if self._fields.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, self._fields.timeout_ms)
+        timeout_ms = min(self._route.timeout_ms, self._caller_timeout_ms)
         return self._arrived_ms + timeout_ms
 
+    @property
+    def _caller_timeout_ms(self) -> float:
+        if self._fields.timeout_ms is None:
+            return self._route.timeout_ms
+        return self._fields.timeout_ms
+
     def with_body(self, body: bytes) -> requests.Request:
         """Returns the request to forward, made of this head and `body`."""
         fingerprint = _fingerprint(self._head, self._account, body)
@@ -126,6 +130,7 @@
             account=self._account,
             arrived_ms=self._arrived_ms,
             deadline_ms=self.deadline_ms,
+            caller_deadline_ms=self._arrived_ms + self._caller_timeout_ms,
             fingerprint=fingerprint,
             prompt=self._prompt(service),
             urgency=self._urgency_ranks.rank(
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -17,6 +17,7 @@
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import forwarder
+from hornbeampier.forwarding import resumption
 from hornbeampier.ingress import admission
 from hornbeampier.ingress import caller_handler
 from hornbeampier.ingress import control
@@ -25,7 +26,10 @@
 from hornbeampier.ingress import shutdown
 from hornbeampier.peers import components
 from hornbeampier.peers import membership
+from hornbeampier.peers import origin_exchange
+from hornbeampier.peers import origin_messages
 from hornbeampier.peers import state_exchange
+from hornbeampier.peers import udp_transport
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -45,14 +49,18 @@
 from hornbeampier.routing import fleet
 from hornbeampier.routing import limit_shares
 from hornbeampier.routing import load_shedding
+from hornbeampier.routing import origin_history
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import rendezvous
+from hornbeampier.routing import stream_origins
 
 MAINTENANCE_INTERVAL_MS = 250.0
+# A VM that hears none of its peers for this time may miss new endpoints.
+IN_TOUCH_MS = 2_000.0
 # Fraction of the process's file descriptors that callers' connections may use.
 CALLER_FD_FRACTION = 0.5
 # Limit of each of the listeners that do not serve callers.
@@ -99,6 +107,13 @@
         self._crashes = crashes.CrashHistory(self._clock, self._owns_trial)
         self._prefill_meter = prefill.PrefillMeter(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
+        self._origins = stream_origins.StreamOrigins(self._clock)
+        self._origin_history = origin_history.OriginHistory(
+            self.catalog, self._clock
+        )
+        self._directory: stream_origins.Directory = (
+            stream_origins.LocalDirectory(self._origins)
+        )
         self._build_replication()
         self._build_peers()
         self._build_forwarder()
@@ -180,6 +195,27 @@
             )
         )
         self.app.add(self._catch_up)
+        self._build_origin_exchange()
+
+    def _build_origin_exchange(self) -> None:
+        transport = udp_transport.UdpTransport(
+            self._cfg.host, self._cfg.origin_port
+        )
+        exchange = origin_exchange.OriginExchange(
+            self._cfg.host,
+            self._peer_hosts,
+            transport,
+            self._origins,
+            self._origin_history,
+            self._clock,
+            self._env.rng,
+        )
+        transport.receiver = lambda host, data: exchange.accept(
+            host, origin_messages.decode(data)
+        )
+        self._directory = exchange
+        self.app.add(transport)
+        self.app.add(exchange)
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
@@ -199,6 +235,14 @@
             ),
             engine_models=self._engine_models,
             announcements=self._announcements,
+            resumption=resumption.Resumption(
+                self._origins,
+                self._origin_history,
+                self._directory,
+                self._is_in_touch,
+                self._metrics,
+                self._clock,
+            ),
             metrics=self._metrics,
             clock=self._clock,
             rng=self._env.rng,
@@ -325,6 +369,15 @@
     def _reads_store(self) -> bool:
         return all(f.reads_store for f in self._followers)
 
+    def _is_in_touch(self) -> bool:
+        """Whether this VM hears of new endpoints, from the store or peers."""
+        if self._reads_store() or not self._cfg.seeds:
+            return True
+        if self._membership is None:
+            return False
+        silent_ms = self._clock.now() - self._membership.last_seen_ms()
+        return silent_ms < IN_TOUCH_MS
+
     def _count_readers(self) -> int:
         return min(1 + len(self._live_peers()), store_readers.READER_COUNT)
 
@@ -354,6 +407,8 @@
             [e.process_id for e in self.catalog.endpoints.values()]
         )
         self._endpoint_applier.expire()
+        self._origin_history.expire()
+        self._directory.expire()
         self._connection_pool.expire()
         self._prefill_meter.expire()
 
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -30,6 +30,10 @@
             "hornbeampier_announcements_total",
             "Changes of what endpoints announce, by service and kind.",
         )
+        self._resumptions = self._counter(
+            "hornbeampier_resumptions_total",
+            "Streams that callers took up, by how their origin was found.",
+        )
         self._first_event = aioprometheus.Histogram(
             "hornbeampier_first_event_seconds",
             "Time from a request to the first event of its response stream.",
@@ -68,6 +72,13 @@
         """Counts a change of what an endpoint of `service` announces."""
         self._announcements.inc({"service": service, "kind": kind})
 
+    def record_resumption(self, source: str) -> None:
+        """Counts a stream that a caller took up.
+
+        `source` tells how its origin was found, or that it is unknown.
+        """
+        self._resumptions.inc({"source": source})
+
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Records the time to the first event of a streamed response."""
         self._first_event.observe(
--- a/hornbeampier/peers/membership.py
+++ b/hornbeampier/peers/membership.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from hornbeampier import clock as clocks
 from hornbeampier.peers import messages
@@ -94,6 +95,13 @@
         self._expire()
         return sorted(self._members)
 
+    def last_seen_ms(self) -> float:
+        """Returns when any peer was last heard, on the monotonic clock."""
+        return max(
+            (member.seen_ms for member in self._members.values()),
+            default=-math.inf,
+        )
+
     def known_count(self) -> int:
         """Returns the number of members, including recently lost ones."""
         self._expire()
--- /dev/null
+++ b/hornbeampier/peers/origin_messages.py
@@ -0,0 +1,150 @@
+"""Wire types of the records of streams; fields are encoded by position."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from hornbeampier import errors
+from hornbeampier.routing import origin_history
+from hornbeampier.routing import stream_origins
+
+# Maximum number of streams in one datagram.
+MAX_STREAMS = 20
+
+
+class StreamEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A stream, by the digest of the request that brought its first event.
+
+    Attributes:
+        remaining_ms: Time until its caller gives up.
+    """
+
+    key: bytes
+    remaining_ms: int
+
+
+class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A software version of a service."""
+
+    service: str
+    version: str
+
+
+class StreamsOfOrigin(msgspec.Struct, array_like=True, frozen=True):
+    """Streams that began at one software version."""
+
+    origin: OriginEntry
+    streams: tuple[StreamEntry, ...]
+
+
+class OriginAge(msgspec.Struct, array_like=True, frozen=True):
+    """A version at which streams may have begun.
+
+    Attributes:
+        age_ms: Time since it served last; 0 if it does.
+    """
+
+    origin: OriginEntry
+    age_ms: int
+
+
+class Announcement(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Records of streams, for a VM that is to hold them."""
+
+    groups: tuple[StreamsOfOrigin, ...]
+
+
+class Lookup(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Asks a VM where a stream began.
+
+    Attributes:
+        number: Repeated in the reply.
+        key: The stream; None to ask only for the versions that served.
+    """
+
+    number: int
+    key: bytes | None
+
+
+class LookupReply(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """The reply to a `Lookup`.
+
+    Attributes:
+        origin: Where the stream began; None if the VM does not know.
+        ages: All versions at which streams may have begun, as the VM knows.
+    """
+
+    number: int
+    origin: OriginEntry | None
+    ages: tuple[OriginAge, ...]
+
+
+Message = Announcement | Lookup | LookupReply
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as a datagram."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message in a datagram.
+
+    Raises:
+        errors.PeerError: The datagram is not a valid message.
+    """
+    try:
+        return _decoder.decode(data)
+    except errors.DECODE_ERRORS as exc:
+        raise errors.PeerError(f"invalid datagram on origins: {exc}") from exc
+
+
+def to_entry(origin: stream_origins.Origin) -> OriginEntry:
+    """Returns the wire type of an origin."""
+    return OriginEntry(origin.service, origin.version)
+
+
+def of_entry(entry: OriginEntry) -> stream_origins.Origin:
+    """Returns the origin in an entry."""
+    return stream_origins.Origin(entry.service, entry.version)
+
+
+def to_ages(ages_ms: origin_history.OriginAges) -> tuple[OriginAge, ...]:
+    """Returns the wire type of the ages of origins."""
+    return tuple(
+        OriginAge(to_entry(origin), round(age_ms))
+        for origin, age_ms in ages_ms.items()
+    )
+
+
+def of_ages(ages: Iterable[OriginAge]) -> origin_history.OriginAges:
+    """Returns the ages of origins; one that is negative counts as 0."""
+    return {of_entry(age.origin): max(0.0, age.age_ms) for age in ages}
+
+
+def to_announcements(
+    streams: list[stream_origins.RecordedStream], now_ms: float
+) -> list[Announcement]:
+    """Returns the messages that announce some streams to one VM."""
+    return [
+        _to_announcement(streams[start : start + MAX_STREAMS], now_ms)
+        for start in range(0, len(streams), MAX_STREAMS)
+    ]
+
+
+def _to_announcement(
+    streams: list[stream_origins.RecordedStream], now_ms: float
+) -> Announcement:
+    entries: dict[stream_origins.Origin, list[StreamEntry]] = {}
+    for stream in streams:
+        remaining_ms = max(0, round(stream.expires_ms - now_ms))
+        entry = StreamEntry(stream.key, remaining_ms)
+        entries.setdefault(stream.origin, []).append(entry)
+    return Announcement(
+        tuple(
+            StreamsOfOrigin(to_entry(origin), tuple(group))
+            for origin, group in entries.items()
+        )
+    )
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -34,6 +34,7 @@
             IP address differs on each VM; the port is the same on all of them.
         seeds: `control` addresses of some VMs; some of them may be down.
         peer_port: UDP port of gossip between VMs, the same on all of them.
+        origin_port: UDP port of records of streams, the same on all VMs.
         store: Address of the platform's store.
         bootstrap: Whether this is the first start of the deployment.
         max_open_files: Limit of open file descriptors.
@@ -52,6 +53,7 @@
     control: Address | None
     seeds: tuple[Address, ...]
     peer_port: int
+    origin_port: int
     store: Address
     bootstrap: bool
     max_open_files: int
@@ -89,6 +91,7 @@
     listen = fields["listen"]
     bounds = fields["bounds"]
     control = listen.get("control")
+    peer_port, origin_port = _first_ports(fields["portRange"])
     return NodeSettings(
         vm=str(fields["nodeId"]),
         host=str(fields["ip"]),
@@ -97,7 +100,8 @@
         readiness=parse_address(listen["readyAddr"]),
         control=parse_address(control) if control else None,
         seeds=tuple(parse_address(a) for a in fields.get("seeds") or ()),
-        peer_port=int(fields["portRange"][0]),
+        peer_port=peer_port,
+        origin_port=origin_port,
         store=parse_address(fields["platform"]["address"]),
         bootstrap=bool(fields.get("bootstrap")),
         max_open_files=int(fields["limits"]["maxFds"]),
@@ -108,6 +112,14 @@
     )
 
 
+def _first_ports(port_range: list) -> tuple[int, int]:
+    """Returns the first two ports of a range that is given by its ends."""
+    first, last = (int(port) for port in port_range)
+    if last <= first:
+        raise ValueError("portRange needs two ports")
+    return first, first + 1
+
+
 def parse_address(text: str) -> Address:
     """Parses IP:PORT; raises ValueError if the text is malformed."""
     host, separator, port = str(text).rpartition(":")
--- a/hornbeampier/routing/domain.py
+++ b/hornbeampier/routing/domain.py
@@ -68,6 +68,11 @@
     anonymous: bool
     resumable: bool
 
+    @property
+    def services(self) -> set[str]:
+        """The services that its requests may go to."""
+        return {s.service for s in self.traffic_split if s.weight > 0}
+
     @property
     def idempotent(self) -> bool:
         """Whether a request may safely run more than once."""
--- a/hornbeampier/routing/requests.py
+++ b/hornbeampier/routing/requests.py
@@ -33,6 +33,7 @@
         account: The client account, or None for an anonymous request.
         arrived_ms: When its head was read, on the monotonic clock.
         deadline_ms: When its response must be complete, on the monotonic clock.
+        caller_deadline_ms: When its caller gives up, over all its retries.
         fingerprint: Digest of the request, equal for the caller's retries.
         prompt: The prompt of a generation request, otherwise None.
         urgency: Rank among all requests; 0 is the most urgent.
@@ -50,6 +51,7 @@
     account: domain.ClientAccount | None
     arrived_ms: float
     deadline_ms: float
+    caller_deadline_ms: float
     fingerprint: str
     prompt: domain.Prompt | None
     urgency: int
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -38,6 +38,7 @@
         "control": None,
         "seeds": (),
         "peer_port": 0,
+        "origin_port": 0,
         "store": settings.Address(HOST, store_port),
         "bootstrap": True,
         "max_open_files": 1000,
@@ -255,7 +256,7 @@
 
     def start_vms(self, hosts, cfg=None):
         """Starts nodes that gossip with each other, one on each host."""
-        control, peer_port = free_port(), free_port()
+        control, peer_port, origin_port = (free_port() for _ in range(3))
         seeds = tuple(settings.Address(host, control) for host in hosts)
         return [
             self.start_ready_node(
@@ -264,6 +265,7 @@
                 control=settings.Address(host, control),
                 seeds=seeds,
                 peer_port=peer_port,
+                origin_port=origin_port,
             )
             for host in hosts
         ]
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -78,6 +78,7 @@
         "account": None,
         "arrived_ms": 0.0,
         "deadline_ms": 10_000.0,
+        "caller_deadline_ms": 10_000.0,
         "fingerprint": "f",
         "prompt": prompt,
         "urgency": 0,
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -54,6 +54,7 @@
         self.assertEqual("10.1.0.40:8227", str(cfg.callers))
         self.assertEqual(("10.2.0.29:8229",), tuple(map(str, cfg.seeds)))
         self.assertEqual(7340, cfg.peer_port)
+        self.assertEqual(7341, cfg.origin_port)
         self.assertEqual(8_000.0, cfg.grace_ms)
         self.assertEqual(10_000.0, cfg.retry_window_ms)
         self.assertTrue(cfg.bootstrap)
@@ -66,6 +67,7 @@
         for text, problem in (
             (TEXT.replace("nodeId", "node"), "nodeId"),
             (TEXT.replace(":8227", ""), "is not IP:PORT"),
+            (TEXT.replace("7355", "7340"), "portRange needs two ports"),
             (TEXT.replace("graceS: 8", "graceS: soon"), "soon"),
             ("listen: [", "node.yaml"),
             ("", "node.yaml"),
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,10 +1,13 @@
 """Streams go on only at the software version of engines that began them."""
 
 import collections
+import dataclasses
+import json
 
 from tests import nodes
 from tests import store_standin
 
+HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 VERSIONS = ("v1", "v2")
 ENGINES_PER_VERSION = 3
 STREAMS = 8
@@ -107,43 +110,151 @@
 
 
 class ResumedByCallerTest(StreamVersionTestCase):
-    # Guards against streams that callers take up at another VM, where they went
-    # on at another software version than the one that began them.
-    def test_streams_taken_up_at_another_vm_keep_their_software_version(self):
-        for version in VERSIONS:
-            self.engines.start(version, STREAMS + 1)
-        # The router may not resume these streams itself.
-        cfg = nodes.configuration(
-            routes=[
-                nodes.route(
-                    "resume",
-                    "/resume/",
-                    "streaming",
-                    nodes.ENGINE_SERVICE,
-                    streamResume=True,
-                    maxAttempts=1,
-                )
-            ]
+    def configuration(self, version=1, **fields):
+        """A configuration with which the router does not resume streams."""
+        route = {
+            "service": nodes.ENGINE_SERVICE,
+            "streamResume": True,
+            "maxAttempts": 1,
+            **fields,
+        }
+        service = route.pop("service")
+        return nodes.configuration(
+            version,
+            [nodes.route("resume", "/resume/", "streaming", service, **route)],
         )
-        first, second = self.start_vms(["127.0.0.1", "127.0.0.2"], cfg)
-        for number in range(STREAMS):
-            begun = self.stream(first, f"a{number}")
-            self.assertFalse(begun.complete)
-            engine_id = self.engines.runs[f"a{number}"][0]
-            self.engines.stop(engine_id)
+
+    def start_vms(self, hosts=HOSTS):
+        return super().start_vms(hosts, self.configuration())
+
+    def begin(self, router, request_id):
+        response = self.stream(router, request_id)
+        self.assertFalse(response.complete)
+        return response
+
+    def take_up(self, router, request_id, resumes):
+        fields = {"Last-Event-Id": str(EVENTS_BEFORE)}
+        if resumes:
+            fields["Resumes"] = resumes
+        return self.stream(router, request_id, **fields)
+
+    def stop_engine_of(self, request_id, *routers):
+        engine_id = self.engines.runs[request_id][0]
+        self.engines.stop(engine_id)
+        for router in routers:
             store_standin.wait_until(
-                lambda id_=engine_id: id_ not in second.catalog.endpoints
+                lambda r=router: engine_id not in r.catalog.endpoints
             )
-            resumed = self.stream(
-                second,
-                f"b{number}",
-                **{
-                    "Resumes": f"a{number}",
-                    "Last-Event-Id": str(EVENTS_BEFORE),
-                },
+
+    def wait_for_engines(self, count, *routers):
+        for router in routers:
+            store_standin.wait_until(
+                lambda r=router: len(r.catalog.endpoints) == count
             )
-            self.assertEqual(ALL_EVENTS, begun.body + resumed.body)
+
+    def assert_refused(self, code, response, request_id):
+        self.assertEqual(503, response.status)
+        self.assertEqual(code, json.loads(response.body)["error"])
+        self.assertEqual([], self.engines.runs[request_id])
+
+    def assert_taken_up(self, router, count=STREAMS):
+        """Streams `a0`, `a1`, ... go on as they began, at another engine."""
+        for number in range(count):
+            self.stop_engine_of(f"a{number}", router)
+            resumed = self.take_up(router, f"b{number}", f"a{number}")
+            self.assertEqual(200, resumed.status, resumed.body)
             self.assertEqual(
                 self.engines.versions(f"a{number}"),
                 self.engines.versions(f"b{number}"),
             )
+
+    # Guards against streams that callers take up at another VM, where they went
+    # on at another software version than the one that began them.
+    def test_streams_taken_up_at_another_vm_keep_their_software_version(self):
+        for version in VERSIONS:
+            self.engines.start(version, STREAMS + 1)
+        first, second, _ = self.start_vms()
+        for number in range(STREAMS):
+            self.begin(first, f"a{number}")
+        self.assert_taken_up(second)
+
+    def test_streams_whose_vm_is_gone_keep_their_software_version(self):
+        for version in VERSIONS:
+            self.engines.start(version, STREAMS + 1)
+        first, second, _ = self.start_vms()
+        for number in range(STREAMS):
+            self.begin(first, f"a{number}")
+        first.stop()
+        self.assert_taken_up(second)
+
+    # The VM that began a stream told no other, as one version alone served.
+    def test_streams_that_began_before_the_second_version_are_taken_up(self):
+        self.engines.start("v1", STREAMS + 1)
+        first, second, third = self.start_vms()
+        for number in range(STREAMS):
+            self.begin(first, f"a{number}")
+        self.engines.start("v2", STREAMS + 1)
+        self.wait_for_engines(2 * STREAMS + 2, first, second, third)
+        store_standin.wait_until(lambda: len(third._origins) == STREAMS)
+        first.stop()
+        self.assert_taken_up(second)
+
+    def test_vm_that_has_just_started_learns_where_a_stream_began(self):
+        for version in VERSIONS:
+            self.engines.start(version, STREAMS + 1)
+        first, second, third = self.start_vms()
+        for number in range(STREAMS):
+            self.begin(first, f"a{number}")
+        first.stop()
+        third.stop()
+        started = self.restart(third)
+        self.assert_taken_up(started)
+
+    def test_stream_is_refused_if_nobody_knows_where_it_began(self):
+        for version in VERSIONS:
+            self.engines.start(version)
+        first, *_ = self.start_vms()
+        response = self.take_up(first, "b0", "no-such-stream")
+        self.assert_refused("stream_origin_unknown", response, "b0")
+        response = self.take_up(first, "b1", None)
+        self.assert_refused("stream_origin_unknown", response, "b1")
+
+    def test_stream_is_taken_up_without_a_record_while_one_version_serves(self):
+        self.engines.start("v1")
+        first, *_ = self.start_vms()
+        self.assertEqual(200, self.take_up(first, "b0", "unrecorded").status)
+        self.assertEqual(200, self.take_up(first, "b1", None).status)
+
+    # The last engine of the version that began the stream has just left.
+    def test_version_that_has_left_counts_while_its_streams_last(self):
+        self.engines.start("v1", 1)
+        first, second, _ = self.start_vms()
+        self.begin(first, "a0")
+        self.engines.start("v2", 2)
+        self.wait_for_engines(3, first, second)
+        self.stop_engine_of("a0", first, second)
+        response = self.take_up(second, "b0", "a0")
+        self.assert_refused("stream_origin_gone", response, "b0")
+        response = self.take_up(second, "b1", "no-such-stream")
+        self.assert_refused("stream_origin_unknown", response, "b1")
+
+    def test_vm_that_has_just_started_knows_the_version_that_has_left(self):
+        self.engines.start("v1", 1)
+        first, second, third = self.start_vms()
+        self.begin(first, "a0")
+        self.engines.start("v2", 2)
+        self.wait_for_engines(3, first, second, third)
+        self.stop_engine_of("a0", first, second, third)
+        first.stop()
+        third.stop()
+        started = self.restart(third)
+        response = self.take_up(started, "b0", "a0")
+        self.assert_refused("stream_origin_gone", response, "b0")
+
+    def restart(self, router):
+        """Starts a VM again with the same settings."""
+        fields = {
+            field.name: getattr(router.cfg, field.name)
+            for field in dataclasses.fields(router.cfg)
+        }
+        return self.start_ready_node(self.configuration(), **fields)
