Resume responses of the product's own interface at the version that began them

Change: an engine may name its software version in its load reports and in the head of each response. A response is resumed only at endpoints that report the version of its first text, and a response to a resume whose head names another one is not used.

--- a/hornbeampier/attempts.py
+++ b/hornbeampier/attempts.py
@@ -12,6 +12,8 @@
 
     Attributes:
         texts: The text of each event that had any.
+        software_version: Version of the engine that wrote them, which alone can
+            resume them; None as long as there is no text.
         first_token_ms: Monotonic time of the first token, or None.
         attempts: Number of attempts made at endpoints.
         failed_endpoints: Names of the endpoints to avoid while others are open.
@@ -25,6 +27,7 @@
     """
 
     texts: list[str] = dataclasses.field(default_factory=list)
+    software_version: str | None = None
     first_token_ms: float | None = None
     attempts: int = 0
     failed_endpoints: frozenset[str] = frozenset()
--- a/hornbeampier/endpoints/engine.py
+++ b/hornbeampier/endpoints/engine.py
@@ -16,6 +16,9 @@
 CANCEL_PATH = "/cancel/{request_id}/{attempt}"
 RESUME_HEADER = "X-Resume-Tokens"
 RESUME_FIELD = "resume_text"
+# In a response, the version of the engine's software; in a request to resume a
+# response, the version that began it.
+VERSION_HEADER = "X-Software-Version"
 SSE_COMMENT = b":"
 # Status codes by which an engine says that it did not run the request.
 NOT_RUN_STATUSES = frozenset({404, 429, 503})
@@ -48,6 +51,8 @@
         priority: The tier; engines run lower numbers first.
         resume_text: The text received in earlier attempts.
         resume_tokens: The number of events in `resume_text`.
+        resume_version: The software version that wrote `resume_text`; empty if
+            its engine named none.
         attempt: Number of the attempt at the request, from 1 on.
         new_connection: Whether to use a new connection, not an idle one.
     """
@@ -58,6 +63,7 @@
     timeouts: Timeouts
     resume_text: str = ""
     resume_tokens: int = 0
+    resume_version: str = ""
     attempt: int = 1
     new_connection: bool = False
 
@@ -71,6 +77,8 @@
         ]
         if self.resume_tokens:
             rows.append((RESUME_HEADER, str(self.resume_tokens)))
+        if self.resume_tokens and self.resume_version:
+            rows.append((VERSION_HEADER, self.resume_version))
         return tuple(rows)
 
     def full_body(self) -> bytes:
@@ -90,12 +98,15 @@
 
     Attributes:
         resumable: Whether another engine can resume the response from its text.
+        software_version: Version of the engine's software; empty if it names
+            none.
     """
 
     line: bytes
     text: str
     finish_reason: str | None
     resumable: bool = True
+    software_version: str = ""
 
 
 @dataclasses.dataclass
@@ -191,7 +202,7 @@
                 _check_finished(finished)
                 _read_to_end(resp)
                 return
-            event = _parse(req.request_id, line)
+            event = _parse(req.request_id, line, _version(resp))
             finished = finished or event.finish_reason is not None
             if event_timeout.limit_ms != req.timeouts.between_tokens_ms:
                 event_timeout.limit_ms = req.timeouts.between_tokens_ms
@@ -223,6 +234,11 @@
             req.resume_tokens
         ):
             raise _invalid_stream("the engine did not resume the response")
+        if req.resume_tokens and _version(resp) != req.resume_version:
+            raise _invalid_stream(
+                f"software version {_version(resp)!r} cannot resume what "
+                f"{req.resume_version!r} began"
+            )
         return
     if status in INVALID_REQUEST_STATUSES and not req.resume_tokens:
         raise errors.RefusalError(
@@ -255,7 +271,11 @@
         raise _invalid_stream("the stream ended without a finish reason")
 
 
-def _parse(request_id: str, line: bytes) -> EngineEvent:
+def _version(resp: http_client.HttpResponse) -> str:
+    return resp.header(VERSION_HEADER) or ""
+
+
+def _parse(request_id: str, line: bytes, software_version: str) -> EngineEvent:
     if not line.startswith(messages.DATA_PREFIX):
         raise _invalid_stream("a line of the stream is not an SSE data line")
     payload = line[len(messages.DATA_PREFIX) :]
@@ -266,13 +286,14 @@
     if chunk.id != request_id:
         raise _invalid_stream("a stream event belongs to another request")
     if not chunk.choices:
-        return EngineEvent(line, "", None)
+        return EngineEvent(line, "", None, software_version=software_version)
     choice = chunk.choices[0]
     return EngineEvent(
         line,
         choice.delta.content or "",
         choice.finish_reason,
         not choice.delta.tool_calls,
+        software_version,
     )
 
 
--- a/hornbeampier/endpoints/messages.py
+++ b/hornbeampier/endpoints/messages.py
@@ -40,6 +40,8 @@
         leaving: Whether it declines new requests.
         boot: Identifies the endpoint's process, so that a restart is noticed;
             empty if the endpoint reports none.
+        software_version: Version of the software that it runs; empty if it
+            reports none.
     """
 
     running: int
@@ -47,3 +49,4 @@
     slots: int
     leaving: bool = False
     boot: str = ""
+    software_version: str = ""
--- a/hornbeampier/endpoints/registry.py
+++ b/hornbeampier/endpoints/registry.py
@@ -54,6 +54,16 @@
         """The endpoint's name."""
         return self.cfg.name
 
+    def may_run(self, software_version: str | None) -> bool:
+        """Returns whether the endpoint may run this version of its software.
+
+        None stands for any version. An endpoint that has not reported any load
+        may run each.
+        """
+        if software_version is None or self.report is None:
+            return True
+        return self.report.software_version == software_version
+
     def serves(self, target: str) -> bool:
         """Returns whether the endpoint can run requests for `target`."""
         if self.cfg.kind is schema.EndpointKind.SERVICE:
--- a/hornbeampier/endpoints/standin_engine.py
+++ b/hornbeampier/endpoints/standin_engine.py
@@ -59,6 +59,7 @@
         fault_after: Number of events of a stream before its fault.
         fault_count: How many streams have the fault.
         no_resume: Ignore the text and tokens to resume from.
+        software_version: Version that the engine names; empty for none.
     """
 
     leaving: bool = False
@@ -68,6 +69,7 @@
     fault_after: int = 0
     fault_count: int = 0
     no_resume: bool = False
+    software_version: str = ""
 
 
 class EngineRun(msgspec.Struct):
@@ -77,6 +79,7 @@
         start: Number of tokens computed by earlier attempts.
         resume_text: The text of these tokens, as the router sent it.
         tokens: Number of tokens sent by this execution.
+        software_version: Version that the engine named.
     """
 
     request_id: str
@@ -85,6 +88,7 @@
     start: int = 0
     resume_text: str = ""
     tokens: int = 0
+    software_version: str = ""
     finished: bool = False
     cancelled: bool = False
 
@@ -164,6 +168,7 @@
             self._batch.profile.slots,
             self.control.leaving,
             f"{self.name}:{self._boots}",
+            self.control.software_version,
         )
         self._reports.append((now, current))
         max_at_ms = now - self._batch.profile.report_lag_ms
@@ -206,6 +211,7 @@
             request_id=environ.get("HTTP_X_REQUEST_ID", ""),
             priority=int(environ.get("HTTP_X_PRIORITY", "1")),
             prompt=_prompt(body)[:PROMPT_CHARS],
+            software_version=self.control.software_version,
         )
         if not self.control.no_resume:
             run.start = int(environ.get("HTTP_X_RESUME_TOKENS", "0"))
@@ -327,9 +333,12 @@
 
 
 def _headers(run: EngineRun) -> list[tuple[str, str]]:
-    if not run.start:
-        return SSE_HEADERS
-    return [*SSE_HEADERS, ("X-Resume-Tokens", str(run.start))]
+    headers = list(SSE_HEADERS)
+    if run.start:
+        headers.append(("X-Resume-Tokens", str(run.start)))
+    if run.software_version:
+        headers.append(("X-Software-Version", run.software_version))
+    return headers
 
 
 def _prompt(body: _Body) -> str:
--- a/hornbeampier/router.py
+++ b/hornbeampier/router.py
@@ -1,6 +1,5 @@
 """Routes accepted requests to endpoints and retries failed attempts."""
 
-from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -10,6 +9,7 @@
 from hornbeampier import attempts
 from hornbeampier import clock
 from hornbeampier import errors
+from hornbeampier import excluded_endpoints
 from hornbeampier import refusals
 from hornbeampier import request_info
 from hornbeampier import verdict
@@ -32,39 +32,6 @@
 PREEMPTED_WAIT_MS = 120_000.0
 
 
-class _ExcludedEndpoints:
-    """Endpoints that a request must not use, evaluated at each `in` test."""
-
-    def __init__(
-        self,
-        info: request_info.RequestInfo,
-        progress: attempts.Progress,
-        suspects: suspects.Suspects,
-        has_alternative: Callable[[str, frozenset[str]], bool],
-    ):
-        self._info = info
-        self._failed_endpoints = progress.failed_endpoints
-        self._kv_cache_holder = progress.kv_cache_holder
-        self._suspects = suspects
-        self._has_alternative = has_alternative
-
-    def __contains__(self, name: str) -> bool:
-        if self._is_cached_elsewhere(name):
-            return True
-        if name in self._failed_endpoints and self._has_alternative(
-            self._info.target, self._failed_endpoints
-        ):
-            return True
-        return self._suspects.must_avoid(self._info, name)
-
-    def _is_cached_elsewhere(self, name: str) -> bool:
-        """Returns whether another endpoint has the KV cache and a free slot."""
-        holder = self._kv_cache_holder
-        if holder is None or holder.name == name:
-            return False
-        return holder.in_flight < holder.cfg.slots
-
-
 class Router:
     """Sends each request to the endpoint that the scheduler grants."""
 
@@ -191,8 +158,12 @@
         body: bytes,
         progress: attempts.Progress,
     ) -> Iterator[engine.EngineEvent]:
-        excluded = _ExcludedEndpoints(
-            info, progress, self._suspects, self._has_alternative
+        excluded = excluded_endpoints.ExcludedEndpoints(
+            info,
+            progress,
+            self._suspects,
+            self._endpoints,
+            self._has_alternative,
         )
         grant = self._acquire(info, excluded)
         state = grant.endpoint
@@ -246,6 +217,7 @@
             timeouts.derive(info, started_ms),
             progress.text,
             len(progress.texts),
+            progress.software_version or "",
             progress.attempts,
             new_connection=not progress.permit.retry_safe,
         )
@@ -283,6 +255,7 @@
         progress.finished = progress.finished or event.finish_reason is not None
         if event.text:
             progress.texts.append(event.text)
+            progress.software_version = event.software_version
             if progress.first_token_ms is None:
                 progress.first_token_ms = now_ms
         if wait_start_ms is None:
@@ -387,13 +360,18 @@
     def _back_off(
         self, info: request_info.RequestInfo, progress: attempts.Progress
     ) -> None:
-        if not self._has_alternative(info.target, progress.failed_endpoints):
+        if not self._has_alternative(progress, info.target):
             self._clock.sleep(BACKOFF_MS * 2 ** (progress.attempts - 1))
 
-    def _has_alternative(self, target: str, failed: frozenset[str]) -> bool:
+    def _has_alternative(
+        self, progress: attempts.Progress, target: str
+    ) -> bool:
+        """Whether an endpoint that has not failed may go on with a response."""
         now_ms = self._clock.now()
         return any(
-            state.name not in failed and health.is_open(state, now_ms)
+            state.name not in progress.failed_endpoints
+            and state.may_run(progress.software_version)
+            and health.is_open(state, now_ms)
             for state in self._endpoints.serving(target)
         )
 
--- a/tests/clusters.py
+++ b/tests/clusters.py
@@ -211,6 +211,19 @@
         app = self.engines[index].app
         app.control = msgspec.convert(faults, standin_engine.EngineControl)
 
+    def wait_for_versions(self, *versions):
+        """Waits until the first VM knows the engines' software versions."""
+        processes.wait_until(
+            lambda: (
+                [
+                    state.report and state.report.software_version
+                    for state in self.vm.endpoints.all()
+                ]
+                == list(versions)
+            ),
+            10,
+        )
+
     def runs(self):
         return [run for e in self.engines for run in e.app.runs]
 
