Fetch cached segments only from engines of the same software version

Change: no transfer is planned between versions; the segment is prefilled. Result: KvTransferTest failed before (e0 named as the source) and passes.

--- a/hornbeampier/routing/estimates.py
+++ b/hornbeampier/routing/estimates.py
@@ -107,6 +107,8 @@
             return NO_TRANSFER
         if self._traits is None or not self._traits.link_mbps:
             return NO_TRANSFER
+        if holder.endpoint.software_version != state.endpoint.software_version:
+            return NO_TRANSFER
         tokens = (
             holder.prefix_cache.cached_prefix_tokens(self._prompt)
             - cached_tokens
--- a/tests/test_routing_versions.py
+++ b/tests/test_routing_versions.py
@@ -7,6 +7,7 @@
 from hornbeampier import errors
 from hornbeampier.routing import choosers
 from hornbeampier.routing import dispatch
+from hornbeampier.routing import domain
 from hornbeampier.routing import fleet
 from hornbeampier.routing import placements
 from hornbeampier.routing import requests
@@ -128,6 +129,33 @@
         self.assertEqual(0, self.count_begun("old", resumed))
 
 
+class KvTransferTest(testtools.TestCase):
+    def fetch_source(self, holder_version):
+        """Returns from where an engine of version `new` fetches a segment."""
+        fixture = fakes.RoutingFixture(0)
+        for id_, version in (("e0", holder_version), ("e1", "new")):
+            fixture.catalog.apply_endpoint(
+                fakes.endpoint(id_, software_version=version)
+            )
+        prompt = fakes.prompt(8_000, ("doc", 6_000))
+        holder = fixture.fleet.get("e0")
+        holder.prefix_cache.record(prompt)
+        fleet.InFlightAttempt(holder, None, 10 * QUEUED_TOKENS)
+        chooser = fakes.ChooserFixture(fixture, self.traits).chooser
+        choice = chooser.choose(fakes.request(prompt), set())
+        self.assertEqual("e1", choice.state.id)
+        return choice.fetch_from and choice.fetch_from.id
+
+    def traits(self, service):
+        del service
+        return domain.EngineTraits(64, 400_000, 1_000.0, 100_000.0, 4.0)
+
+    # What two versions write does not fit together, KV caches neither.
+    def test_cached_segments_are_not_fetched_from_another_version(self):
+        self.assertEqual("e0", self.fetch_source("new"))
+        self.assertIsNone(self.fetch_source("old"))
+
+
 class PlainEndpointOfVersionTest(testtools.TestCase):
     def test_only_endpoints_of_the_version_are_chosen(self):
         fixture = fakes.RoutingFixture(0)
