Test that streams keep their service over splits and configurations

Cause: the id of an attempt decides to which service of a split route it goes, and a configuration may move a route; a stream that its caller takes up then went on at another service.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -9,6 +9,7 @@
 
 HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 VERSIONS = ("v1", "v2")
+OTHER_SERVICE = "other-engine-service"
 ENGINES_PER_VERSION = 3
 STREAMS = 8
 EVENTS_BEFORE = 2
@@ -32,10 +33,12 @@
         self._engines = {}
         self.runs = collections.defaultdict(list)
 
-    def start(self, version, count=ENGINES_PER_VERSION):
+    def start(
+        self, version, count=ENGINES_PER_VERSION, service=nodes.ENGINE_SERVICE
+    ):
         for _ in range(count):
             engine = self._case.start_endpoint(
-                nodes.ENGINE_SERVICE,
+                service,
                 lambda req: self._run(req),
                 version=version,
             )
@@ -119,10 +122,12 @@
             **fields,
         }
         service = route.pop("service")
-        return nodes.configuration(
+        cfg = nodes.configuration(
             version,
             [nodes.route("resume", "/resume/", "streaming", service, **route)],
         )
+        other = {**cfg["services"][-1], "name": OTHER_SERVICE}
+        return {**cfg, "services": [*cfg["services"], other]}
 
     def start_vms(self, hosts=HOSTS):
         return super().start_vms(hosts, self.configuration())
@@ -251,6 +256,35 @@
         response = self.take_up(started, "b0", "a0")
         self.assert_refused("stream_origin_gone", response, "b0")
 
+    # Guards against streams that go on at another service, as the attempt's id
+    # decides to which of a route's services a request goes.
+    def test_streams_of_a_split_route_keep_their_service(self):
+        split = [
+            {"service": nodes.ENGINE_SERVICE, "weight": 50},
+            {"service": OTHER_SERVICE, "weight": 50},
+        ]
+        cfg = self.configuration(service=None, split=split)
+        self.engines.start("of-one", STREAMS + 1)
+        self.engines.start("of-other", STREAMS + 1, OTHER_SERVICE)
+        first, second, _ = super().start_vms(HOSTS, cfg)
+        for number in range(STREAMS):
+            self.begin(first, f"a{number}")
+        self.assert_taken_up(second)
+
+    def test_stream_is_refused_if_its_route_has_left_its_service(self):
+        self.engines.start("of-one", 2)
+        self.engines.start("of-other", 2, OTHER_SERVICE)
+        first, second, _ = self.start_vms()
+        self.begin(first, "a0")
+        self.store.put_configuration(
+            self.configuration(2, service=OTHER_SERVICE)
+        )
+        for router in (first, second):
+            store_standin.wait_until(lambda r=router: r.catalog.version == 2)
+        # The second VM learns it from the first one, and later by itself.
+        response = self.take_up(second, "b0", "a0")
+        self.assert_refused("stream_origin_gone", response, "b0")
+
     def restart(self, router):
         """Starts a VM again with the same settings."""
         fields = {
