--- a/hornbeampier/peers/hash_ring.py
+++ b/hornbeampier/peers/hash_ring.py
@@ -1,4 +1,4 @@
-"""Consistent hashing: which VMs hold the record of a key.
+"""Consistent hashing: which VMs have a replica of a key's record.
 
 Rendezvous hashing spreads keys better, but hashes all names for each key. Here
 a key costs a binary search.
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random
 from typing import Protocol
 
@@ -21,9 +22,9 @@
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
 
-# Number of VMs that hold the record of a stream, besides the one that serves
-# it, and number of VMs that are asked: the members may have changed since.
-HOLDER_COUNT = 5
+# Number of VMs that get a replica of a stream's record, and number of VMs that
+# are asked for it: the members may have changed since.
+REPLICA_COUNT = 5
 ASKED_COUNT = 10
 # How long replies are awaited before the remaining VMs are asked again, or, the
 # last time, before the lookup ends.
@@ -34,6 +35,8 @@
 # versions served before.
 LEARN_INTERVAL_MS = 200.0
 LEARN_ATTEMPTS = 10
+# How often the members are compared with those on the ring.
+RING_INTERVAL_MS = 100.0
 # Maximum number of datagrams sent at once, and their interval.
 BURST_SIZE = 10
 BURST_INTERVAL_MS = 25.0
@@ -105,6 +108,7 @@
         self._rng = rng
         self._ring = hash_ring.HashRing([host])
         self._ring_hosts: frozenset[str] = frozenset([host])
+        self._ring_ms = -math.inf
         # This VM's streams that no other VM holds a record of.
         self._unannounced: dict[bytes, stream_origins.RecordedStream] = {}
         self._lookups: dict[int, _PendingLookup] = {}
@@ -224,6 +228,10 @@
         return [host for host in hosts if host != self._host][:ASKED_COUNT]
 
     def _current_ring(self) -> hash_ring.HashRing:
+        now_ms = self._clock.now()
+        if now_ms - self._ring_ms < RING_INTERVAL_MS:
+            return self._ring
+        self._ring_ms = now_ms
         hosts = frozenset([self._host, *self._peers()])
         if hosts != self._ring_hosts:
             self._ring_hosts = hosts
@@ -237,7 +245,7 @@
         ring = self._current_ring()
         by_host: dict[str, list[stream_origins.RecordedStream]] = {}
         for stream in streams:
-            for host in ring.successors(stream.key, HOLDER_COUNT):
+            for host in ring.successors(stream.key, REPLICA_COUNT):
                 if host != self._host:
                     by_host.setdefault(host, []).append(stream)
         now_ms = self._clock.now()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -136,7 +136,7 @@
 
 
 class HashRingTest(testtools.TestCase):
-    def test_holders_stay_when_another_vm_joins(self):
+    def test_replicas_stay_when_another_vm_joins(self):
         hosts = [f"10.0.0.{number}" for number in range(20)]
         before = hash_ring.HashRing(hosts)
         after = hash_ring.HashRing([*hosts, "10.0.0.99"])
@@ -147,7 +147,7 @@
             )
             self.assertLessEqual(len(lost), 1)
 
-    def test_holders_are_different_vms(self):
+    def test_replicas_are_on_different_vms(self):
         ring = hash_ring.HashRing(["a", "b", "c"])
         key = stream_origins.digest_id("x")
         self.assertEqual({"a", "b", "c"}, set(ring.successors(key, 5)))
