--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -230,6 +230,18 @@
         self.assertEqual(200, self.take_up(first, "b0", "unrecorded").status)
         self.assertEqual(200, self.take_up(first, "b1", None).status)
 
+    # A new version may serve by now, and have begun streams at other VMs.
+    def test_vm_out_of_touch_does_not_take_its_version_for_the_only_one(self):
+        self.engines.start("v1")
+        first, second, third = self.start_vms()
+        second.stop()
+        third.stop()
+        self.store.down = True
+        store_standin.wait_until(lambda: not first._is_in_touch())
+        response = self.take_up(first, "b0", "a0")
+        self.assert_refused("stream_origin_unknown", response, "b0")
+        self.assertIn("retry-after", response.headers)
+
     # The last engine of the version that began the stream has just left.
     def test_version_that_has_left_counts_while_its_streams_last(self):
         self.engines.start("v1", 1)
