Drop endpoints that have left at once on a VM that alone lost the store

Cause: a VM that had lost the store took every removal that it heard for an expiry in an outage and waited 2 s for the entry to come back. An entry expires after three heartbeats without a new one; this one had been written shortly before, and peers had passed it on. Change: while entries come regularly, a removal within two heartbeats of the endpoint's last entry counts at once. The interval is read from the settings. After any silence of all endpoints, for 2 s, nothing is inferred: what comes then may have been written before. The known red test: its endpoint wrote its entry once, and the platform's write one at every heartbeat, so the test now does, too.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -94,7 +94,7 @@
         )
         self._peer_loads = peer_loads.PeerLoads(self._clock)
         self._endpoint_applier = appliers.EndpointApplier(
-            self.catalog, self._clock
+            self.catalog, self._cfg.heartbeat_ms, self._clock
         )
         self._classifier = prompt_kinds.PromptClassifier()
         self._engine_models = engine_model.EngineModels()
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -36,6 +36,7 @@
         peer_port: UDP port of gossip between VMs, the same on all of them.
         origin_port: UDP port of records of streams, the same on all VMs.
         store: Address of the platform's store.
+        heartbeat_ms: Interval at which endpoints write their entries.
         bootstrap: Whether this is the first start of the deployment.
         max_open_files: Limit of open file descriptors.
         grace_ms: Time from the signal to stop until the process is killed.
@@ -55,6 +56,7 @@
     peer_port: int
     origin_port: int
     store: Address
+    heartbeat_ms: float
     bootstrap: bool
     max_open_files: int
     grace_ms: float
@@ -103,6 +105,7 @@
         peer_port=peer_port,
         origin_port=origin_port,
         store=parse_address(fields["platform"]["address"]),
+        heartbeat_ms=float(fields["heartbeatMs"]),
         bootstrap=bool(fields.get("bootstrap")),
         max_open_files=int(fields["limits"]["maxFds"]),
         grace_ms=float(bounds["graceS"]) * clocks.MS_PER_SECOND,
--- a/hornbeampier/replication/appliers.py
+++ b/hornbeampier/replication/appliers.py
@@ -1,6 +1,7 @@
 """Applies endpoint entries and configurations to the catalog."""
 
 import dataclasses
+import math
 
 import structlog
 
@@ -14,8 +15,12 @@
 # Time in which an endpoint can register again before it is removed, if its
 # entry expired during or shortly after an outage of the store.
 REREGISTER_MS = 2_000.0
-
-
+# An entry expires after three heartbeats without a new one. If it is removed
+# within this number of heartbeats, its endpoint has left.
+DEPARTURE_HEARTBEATS = 2.0
+# Endpoints could not write for a while if no entry came for this number of
+# heartbeats.
+SILENCE_HEARTBEATS = 1.5
 # Maximum number of endpoints whose last entry is remembered.
 MAX_REMEMBERED = 20_000
 
@@ -31,13 +36,31 @@
 class EndpointApplier:
     """Adds and removes endpoints as their entries in the store change."""
 
-    def __init__(self, catalog: catalog.Catalog, clock: clocks.Clock):
+    def __init__(
+        self,
+        catalog: catalog.Catalog,
+        heartbeat_ms: float,
+        clock: clocks.Clock,
+    ):
+        """Creates an applier.
+
+        Args:
+            catalog: What the entries are applied to.
+            heartbeat_ms: Interval at which endpoints write their entries.
+            clock: The clock.
+        """
         self._catalog = catalog
+        self._heartbeat_ms = heartbeat_ms
         self._clock = clock
         self._source_lost = False
         self._grace_end_ms = 0.0
         # When to remove each endpoint whose removal is delayed.
         self._removal_due_ms: dict[str, float] = {}
+        # When the last entry of any endpoint came, and of each endpoint. Since
+        # `_steady_ms` entries have come soon after they were written.
+        self._entry_ms = -math.inf
+        self._entries_ms: dict[str, float] = {}
+        self._steady_ms = math.inf
         # The age of each endpoint's last entry, also after its removal.
         self._last_ages: dict[str, _EntryAge] = {}
         self._log = structlog.get_logger(task="entries")
@@ -71,6 +94,7 @@
             self._catalog.remove_endpoint(record.key)
             return
         self._removal_due_ms.pop(record.key, None)
+        self._record_time(record.key)
         self._remember(endpoint)
         self._catalog.apply_endpoint(endpoint)
 
@@ -101,6 +125,26 @@
             del self._removal_due_ms[endpoint_id]
             self._catalog.remove_endpoint(endpoint_id)
 
+    def _record_time(self, endpoint_id: str) -> None:
+        now_ms = self._clock.now()
+        if now_ms - self._entry_ms > SILENCE_HEARTBEATS * self._heartbeat_ms:
+            # What comes now may have been written before the silence.
+            self._steady_ms = now_ms + REREGISTER_MS
+        self._entry_ms = now_ms
+        self._entries_ms[endpoint_id] = now_ms
+
+    def _has_left(self, endpoint_id: str) -> bool:
+        """Whether an endpoint whose entry was removed has itself removed it.
+
+        The entry had no time to expire.
+        """
+        entry_ms = self._entries_ms.pop(endpoint_id, -math.inf)
+        age_ms = self._clock.now() - entry_ms
+        return (
+            entry_ms >= self._steady_ms
+            and age_ms < DEPARTURE_HEARTBEATS * self._heartbeat_ms
+        )
+
     def _remember(self, endpoint: domain.Endpoint) -> None:
         self._last_ages.pop(endpoint.id, None)
         self._last_ages[endpoint.id] = _entry_age(endpoint)
@@ -109,10 +153,11 @@
 
     def _remove_or_delay(self, endpoint_id: str) -> None:
         now_ms = self._clock.now()
+        has_left = self._has_left(endpoint_id)
         due_ms = self._grace_end_ms
         if self._source_lost:
             due_ms = now_ms + REREGISTER_MS
-        if now_ms < due_ms:
+        if now_ms < due_ms and not has_left:
             self._removal_due_ms[endpoint_id] = due_ms
         else:
             self._catalog.remove_endpoint(endpoint_id)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -19,6 +19,7 @@
 ENGINE_SERVICE = "engine-service"
 PORT_TRIES = 10
 ROUTE_TIMEOUT_MS = 3_000
+HEARTBEAT_MS = 1_200.0
 _ids = itertools.count(1)
 
 
@@ -40,6 +41,7 @@
         "peer_port": 0,
         "origin_port": 0,
         "store": settings.Address(HOST, store_port),
+        "heartbeat_ms": HEARTBEAT_MS,
         "bootstrap": True,
         "max_open_files": 1000,
         "grace_ms": 4_000.0,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -59,6 +59,7 @@
             },
             "portRange": [GOSSIP_PORT, GOSSIP_PORT + 10],
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+            "heartbeatMs": 1_000,
             "bootstrap": True,
             "limits": {"maxFds": 1_000},
             "bounds": {
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -25,6 +25,7 @@
   - 7355
 seeds:
   - "10.2.0.29:8229"
+heartbeatMs: 1200
 bootstrap: true
 limits:
   maxFds: 4100
@@ -57,6 +58,7 @@
         self.assertEqual(7341, cfg.origin_port)
         self.assertEqual(8_000.0, cfg.grace_ms)
         self.assertEqual(10_000.0, cfg.retry_window_ms)
+        self.assertEqual(1_200.0, cfg.heartbeat_ms)
         self.assertTrue(cfg.bootstrap)
 
     def test_control_address_is_optional(self):
--- a/tests/test_removal_after_outage.py
+++ b/tests/test_removal_after_outage.py
@@ -1,5 +1,7 @@
 """Removal of endpoints on a VM that alone could not reach the store."""
 
+import itertools
+
 import gevent
 
 from tests import nodes
@@ -10,6 +12,9 @@
 # By the platform's rule, an endpoint that has left gets no request after this.
 DRAIN_S = 2.0
 LOST_S = 0.5
+HEARTBEAT_S = nodes.HEARTBEAT_MS / 1_000
+# Time in which a VM that has started learns that entries come regularly.
+STEADY_S = 4.0
 
 
 class RemovalTest(nodes.NodeTestCase):
@@ -32,11 +37,25 @@
             )
         ]
 
+    def beat(self, endpoint):
+        """Writes an endpoint's entry at intervals, as endpoints do."""
+        for sequence in itertools.count(2):
+            gevent.sleep(HEARTBEAT_S)
+            self.store.put_endpoint(
+                endpoint.id,
+                nodes.endpoint_record(
+                    nodes.PLAIN_SERVICE, endpoint.address, sequence=sequence
+                ),
+            )
+
     # Guards against DRAIN: a VM that alone could not reach the store taking the
     # removal of an endpoint for one by the store's outage, and waiting 2 s.
     def test_removal_is_in_force_in_time_if_a_peer_read_the_store(self):
         endpoint = self.start_endpoint(nodes.PLAIN_SERVICE, None)
         _, vm = self.start_vms()
+        beats = gevent.spawn(self.beat, endpoint)
+        self.addCleanup(beats.kill)
+        gevent.sleep(STEADY_S)
         self.assertIn(endpoint.id, vm.catalog.endpoints)
         self.proxy.refuses = True
         self.proxy.reset()
@@ -45,6 +64,7 @@
         )
         gevent.sleep(LOST_S)
         self.proxy.refuses = False
+        beats.kill()
         self.store.put_endpoint(endpoint.id, None)
         gevent.sleep(DRAIN_S)
         self.assertNotIn(endpoint.id, vm.catalog.endpoints)
