Do not let the soak's callers lose the connection of their next request

Traced: the timer that loses a stream's connection fired after the stream had ended, in the request that followed on the connection; the VM's log has caller_gone 10 ms after that request's start, and nothing else. Change: the timer ends with its request. The check is as it was.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -72,20 +72,25 @@
             key = self._world.revoked_key
             outcome.key_state = self._world.key_state()
         self._world.ledger.outcomes.append(outcome)
+        loss = None
         if kind == "resume" and self._world.has_versions:
-            self._lose_connection(outcome)
+            loss = self._plan_loss(outcome)
         may_keep = self._exchange(outcome, key)
+        if loss is not None:
+            # The connection may be used for the next request.
+            loss.kill()
         if not may_keep and kind == "resume":
             self._take_up(outcome, key)
         return may_keep
 
-    def _lose_connection(self, outcome):
-        """Loses the connection after a while, in some requests."""
-        if self._rng.random() < LOST_FRACTION:
-            self._world.ledger.spoiled.add(outcome.request_id)
-            gevent.spawn_later(
-                self._rng.uniform(0.0, MAX_LOST_S), self._conn.close
-            )
+    def _plan_loss(self, outcome):
+        """Returns the task that loses the connection later, or None."""
+        if self._rng.random() >= LOST_FRACTION:
+            return None
+        self._world.ledger.spoiled.add(outcome.request_id)
+        return gevent.spawn_later(
+            self._rng.uniform(0.0, MAX_LOST_S), self._conn.close
+        )
 
     def _take_up(self, begun, key):
         """Goes on with a stream that was interrupted, at any VM."""
