Compute members, hubs and sums of loads only when they change

Change: members are looked through when the first of them may have expired; the list is sorted, and the topology computed, when a member comes, goes or changes its zone; equal loads are skipped.

--- a/hornbeampier/peers/hub_rounds.py
+++ b/hornbeampier/peers/hub_rounds.py
@@ -61,6 +61,8 @@
         self._states = states
         self._clock = clock
         self._hub: str | None = None
+        self._shape_key: tuple[int, frozenset[str]] | None = None
+        self._computed_shape: topology.Topology | None = None
         # Since when this VM expects an answer of each hub.
         self._expected_ms: dict[str, float] = {}
         self._silent_hubs_ms: dict[str, float] = {}
@@ -111,12 +113,17 @@
         return shape
 
     def _shape(self) -> topology.Topology:
-        shape = topology.compute(
-            self._sender.host,
-            self._sender.zone,
-            self._members.members(),
-            self._silent_hubs_ms,
-        )
+        members = self._members.members()
+        key = (self._members.version, frozenset(self._silent_hubs_ms))
+        if key != self._shape_key:
+            self._shape_key = key
+            self._computed_shape = topology.compute(
+                self._sender.host,
+                self._sender.zone,
+                members,
+                self._silent_hubs_ms,
+            )
+        shape = self._computed_shape
         if self._group.members():
             return topology.Topology(hub=None, hubs=shape.hubs)
         return shape
--- a/hornbeampier/peers/membership.py
+++ b/hornbeampier/peers/membership.py
@@ -36,7 +36,12 @@
 
 
 class Membership:
-    """The live peers and the seeds to contact."""
+    """The live peers and the seeds to contact.
+
+    Attributes:
+        changed_ms: When a member was last added or lost.
+        version: Grows with each change of the members or their zones.
+    """
 
     def __init__(
         self, own_host: str, seeds: Iterable[str], clock: clocks.Clock
@@ -48,7 +53,11 @@
         self._lost_ms: dict[str, float] = {}
         self._seed_interval_ms = FIRST_SEED_INTERVAL_MS
         self._next_seed_ms = clock.now()
+        self._hosts: list[str] | None = None
+        # Nobody expires before this time.
+        self._next_expiry_ms = math.inf
         self.changed_ms = clock.now()
+        self.version = 0
 
     def record_received(self, host: str, zone: int = 0) -> None:
         """Records that a datagram came from a host."""
@@ -87,13 +96,14 @@
 
     def members(self) -> list[Member]:
         """Returns the live members, ordered by host."""
-        self._expire()
-        return [self._members[host] for host in sorted(self._members)]
+        return [self._members[host] for host in self.live()]
 
     def live(self) -> list[str]:
         """Returns the hosts of the live members, in order."""
         self._expire()
-        return sorted(self._members)
+        if self._hosts is None:
+            self._hosts = sorted(self._members)
+        return list(self._hosts)
 
     def last_seen_ms(self) -> float:
         """Returns when any peer was last heard, on the monotonic clock."""
@@ -123,18 +133,36 @@
         return self.live() + self.due_seeds()
 
     def _update(self, member: Member) -> None:
-        if member.host not in self._members:
-            self.changed_ms = self._clock.now()
+        known = self._members.get(member.host)
+        if known is None:
+            self._record_change()
+        elif known.zone != member.zone:
+            self.version += 1
         self._members[member.host] = member
         self._lost_ms.pop(member.host, None)
+        self._next_expiry_ms = min(
+            self._next_expiry_ms, member.seen_ms + MEMBER_TIMEOUT_MS
+        )
+
+    def _record_change(self) -> None:
+        self._hosts = None
+        self.changed_ms = self._clock.now()
+        self.version += 1
 
     def _expire(self) -> None:
         now_ms = self._clock.now()
+        if now_ms <= self._next_expiry_ms:
+            return
         for host, member in list(self._members.items()):
             if member.seen_ms < now_ms - MEMBER_TIMEOUT_MS:
                 del self._members[host]
                 self._lost_ms[host] = now_ms
-                self.changed_ms = now_ms
+                self._record_change()
         for host, lost_ms in list(self._lost_ms.items()):
             if lost_ms < now_ms - RETENTION_MS:
                 del self._lost_ms[host]
+        self._next_expiry_ms = min(
+            min((m.seen_ms for m in self._members.values()), default=math.inf)
+            + MEMBER_TIMEOUT_MS,
+            min(self._lost_ms.values(), default=math.inf) + RETENTION_MS,
+        )
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -102,7 +102,10 @@
     def _replace(
         self, loads_of_peer: dict[str, Load], endpoint_id: str, load: Load
     ) -> None:
-        old = loads_of_peer.pop(endpoint_id, NO_LOAD)
+        old = loads_of_peer.get(endpoint_id, NO_LOAD)
+        if old == load:
+            return
+        loads_of_peer.pop(endpoint_id, None)
         total = self._totals.get(endpoint_id, NO_LOAD)
         total = total.with_replaced(old, load)
         if load != NO_LOAD:
