Know which peer is furthest ahead without a look at all of them

Change: the furthest position and the hosts that have reached it are kept as positions come; ranks of hosts are kept, 4,096 at most.

--- a/hornbeampier/replication/catch_up.py
+++ b/hornbeampier/replication/catch_up.py
@@ -21,6 +21,52 @@
 MAX_SOURCES = 6
 
 
+class _PeerPositions:
+    """The positions that peers have reached in one topic.
+
+    Attributes:
+        furthest: The highest of them; the start of the topic without peers.
+        hosts_ahead: The hosts that have reached it.
+    """
+
+    def __init__(self):
+        self._positions: dict[str, positions.Position] = {}
+        self.furthest = positions.START
+        self.hosts_ahead: set[str] = set()
+
+    def get(self, host: str) -> positions.Position | None:
+        """Returns the position of a host, or None if it is unknown."""
+        return self._positions.get(host)
+
+    def record(self, host: str, position: positions.Position) -> None:
+        """Records the position of a host, which may have started again."""
+        self._positions[host] = position
+        if position > self.furthest:
+            self.furthest = position
+            self.hosts_ahead = {host}
+        elif position == self.furthest:
+            self.hosts_ahead.add(host)
+        elif host in self.hosts_ahead:
+            self._remove_ahead(host)
+
+    def remove(self, host: str) -> None:
+        """Forgets a host."""
+        self._positions.pop(host, None)
+        if host in self.hosts_ahead:
+            self._remove_ahead(host)
+
+    def _remove_ahead(self, host: str) -> None:
+        self.hosts_ahead.remove(host)
+        if self.hosts_ahead:
+            return
+        self.furthest = max(self._positions.values(), default=positions.START)
+        self.hosts_ahead = {
+            host
+            for host, position in self._positions.items()
+            if position == self.furthest
+        }
+
+
 class CatchUp(application.TaskComponent):
     """Fetches records from a peer once this VM has been behind for a while."""
 
@@ -38,8 +84,8 @@
         self._port = port
         self._reads_store = reads_store
         self._clock = clock
-        self._peer_positions: dict[str, dict[str, positions.Position]] = {
-            t: {} for t in replicas
+        self._peers: dict[str, _PeerPositions] = {
+            topic: _PeerPositions() for topic in replicas
         }
         self._behind_since_ms: dict[str, float] = {}
         self._log = structlog.get_logger(task="catch_up")
@@ -49,8 +95,8 @@
     ) -> None:
         """Records the positions that a peer has reached, by topic."""
         for topic, position in reached.items():
-            if topic in self._peer_positions:
-                self._peer_positions[topic][host] = position
+            if topic in self._peers:
+                self._peers[topic].record(host, position)
 
     def furthest_ahead(
         self, topic: str
@@ -60,12 +106,10 @@
         There are at most `MAX_SOURCES` of them, chosen at random. It is the
         start of the topic if none is known.
         """
-        known = self._peer_positions[topic]
-        if not known:
-            return positions.START, []
-        hosts = _furthest_ahead(known)
+        peers = self._peers[topic]
+        hosts = sorted(peers.hosts_ahead)
         count = min(MAX_SOURCES, len(hosts))
-        return max(known.values()), self._rng.sample(hosts, count)
+        return peers.furthest, self._rng.sample(hosts, count)
 
     def run(self) -> None:
         """Checks for peers that are ahead until killed."""
@@ -76,19 +120,16 @@
 
     def _fetch_if_behind(self, topic: str) -> None:
         own = self._replicas[topic].position
-        ahead = {
-            host: position
-            for host, position in self._peer_positions[topic].items()
-            if own is None or position > own
-        }
-        if not ahead:
+        peers = self._peers[topic]
+        is_behind = own is None or peers.furthest > own
+        if not peers.hosts_ahead or not is_behind:
             self._behind_since_ms.pop(topic, None)
             return
         now_ms = self._clock.now()
         behind_since_ms = self._behind_since_ms.setdefault(topic, now_ms)
         grace_ms = STORE_GRACE_MS if self._reads_store() else 0.0
         if now_ms - behind_since_ms >= grace_ms:
-            self._fetch(topic, self._rng.choice(_furthest_ahead(ahead)))
+            self._fetch(topic, self._rng.choice(sorted(peers.hosts_ahead)))
 
     def _fetch(self, topic: str, host: str) -> None:
         topic_replica = self._replicas[topic]
@@ -105,7 +146,7 @@
             return
         except errors.PlatformError as exc:
             self._log.info("peer_failed", peer=host, error=str(exc))
-            self._peer_positions[topic].pop(host, None)
+            self._peers[topic].remove(host)
             return
         topic_replica.apply_batch(batch)
         self._log.info(
@@ -116,9 +157,3 @@
             offset=topic_replica.offset,
             era=topic_replica.era,
         )
-
-
-def _furthest_ahead(known: dict[str, positions.Position]) -> list[str]:
-    """Returns the hosts that are furthest ahead."""
-    furthest = max(known.values())
-    return [host for host, position in known.items() if position == furthest]
--- a/hornbeampier/replication/store_readers.py
+++ b/hornbeampier/replication/store_readers.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable
+import functools
 import math
 
 from hornbeampier import clock as clocks
@@ -24,6 +25,8 @@
 # A member that this VM has known for less is assumed to read the store if it
 # ranks high enough, though it has not reported yet.
 ASSUMED_MS = 3_000.0
+# Number of hosts whose hashes are kept.
+MAX_RANKS = 4_096
 # A peer that was silent for longer does not count as a store reader.
 PEER_TIMEOUT_MS = 1_500.0
 
@@ -83,5 +86,6 @@
         return list(self._reported_ms)
 
 
+@functools.lru_cache(maxsize=MAX_RANKS)
 def _rank(host: str) -> float:
     return route_table.uniform_hash(f"reader/{host}")
--- a/tests/test_record_gossip.py
+++ b/tests/test_record_gossip.py
@@ -29,8 +29,7 @@
 
     def heard(self):
         """The position of the reader that the other VM knows."""
-        known = self.other.catch_up._peer_positions["topic"]
-        return known.get(self.reader.host)
+        return self.other.catch_up._peers["topic"].get(self.reader.host)
 
     # Guards against the load of a large fleet, whose VMs fetched records four
     # times a second, as endpoints wrote that they are alive.
