--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -69,10 +69,20 @@
 
     def record(self, vm: str, loads: dict[str, Load]) -> None:
         """Replaces all loads of a peer by those of its full state."""
+        if self._live_loads.keys() <= {vm}:
+            self._record_only_peer(vm, loads)
+            return
         loads_of_peer = self._live_loads.get(vm, {})
         ended = dict.fromkeys(loads_of_peer.keys() - loads.keys(), NO_LOAD)
         self.update(vm, {**ended, **loads})
 
+    def _record_only_peer(self, vm: str, loads: dict[str, Load]) -> None:
+        """Records the loads of a peer whose loads alone make up the sums."""
+        self._received_ms[vm] = self._clock.now()
+        loads = {id_: load for id_, load in loads.items() if load != NO_LOAD}
+        self._live_loads = {vm: loads}
+        self._totals = dict(loads)
+
     def update(self, vm: str, loads: dict[str, Load]) -> None:
         """Updates the loads of a peer that have changed."""
         self._received_ms[vm] = self._clock.now()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -204,6 +204,18 @@
             self.peers.record(f"vm-{number}", {"e0": load(1, 100)})
         self.assertEqual(500, self.peers.total("e0").prefill_tokens)
 
+    def test_sums_are_the_same_for_one_peer_and_for_several(self):
+        self.peers.record("hub", {"e0": load(3, 0), "e1": load(1, 0)})
+        self.peers.record("hub", {"e0": load(2, 0), "e2": peer_loads.NO_LOAD})
+        self.assertEqual({"e0": load(2, 0)}, self.peers.totals())
+        self.peers.record("other", {"e0": load(4, 0)})
+        self.peers.record("hub", {"e1": load(5, 0)})
+        self.assertEqual(
+            {"e0": load(4, 0), "e1": load(5, 0)}, self.peers.totals()
+        )
+        self.peers.keep_only({"hub"})
+        self.assertEqual({"e1": load(5, 0)}, self.peers.totals())
+
     def test_load_of_a_silent_peer_expires(self):
         self.peers.record("a", {"e0": load(1, 100)})
         self.clock.advance(
