Tell the age of what decided a choice; forget VMs that are gone

Change: `routed` lines name the configuration's version and the age of the oldest report of a live peer.

--- a/hornbeampier/core.py
+++ b/hornbeampier/core.py
@@ -23,9 +23,9 @@
     if env is None:
         env = environment.Environment()
     if list(args) == [NODE_COMMAND]:
-        from hornbeampier import node
+        from hornbeampier import node_process
 
-        return node.main(env)
+        return node_process.main(env)
     return _run_command(args, env)
 
 
--- /dev/null
+++ b/hornbeampier/forwarding/context.py
@@ -0,0 +1,34 @@
+"""The components that all forwarded requests share."""
+
+import dataclasses
+import random
+
+from hornbeampier import clock as clocks
+from hornbeampier import node_metrics
+from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import resumption
+from hornbeampier.routing import announcements
+from hornbeampier.routing import budget
+from hornbeampier.routing import catalog
+from hornbeampier.routing import crashes
+from hornbeampier.routing import dispatch
+from hornbeampier.routing import engine_model
+from hornbeampier.routing import peer_loads
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """The components that all forwarded requests share."""
+
+    catalog: catalog.Catalog
+    connection_pool: connection_pool.ConnectionPool
+    peer_loads: peer_loads.PeerLoads
+    dispatcher: dispatch.Dispatcher
+    crashes: crashes.CrashHistory
+    budget: budget.RetryBudget
+    engine_models: engine_model.EngineModels
+    announcements: announcements.Announcements
+    resumption: resumption.Resumption
+    metrics: node_metrics.NodeMetrics
+    clock: clocks.Clock
+    rng: random.Random
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -1,28 +1,20 @@
 """Forwards a request to endpoints until the caller has its response."""
 
 import dataclasses
-import random
 
 import structlog
 
-from hornbeampier import clock as clocks
 from hornbeampier import errors
-from hornbeampier import node_metrics
 from hornbeampier import verdict
-from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import context as contexts
 from hornbeampier.forwarding import crash_guard
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import response_checks
-from hornbeampier.forwarding import resumption
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import streams
 from hornbeampier.forwarding import version_guard
 from hornbeampier.http1 import server
-from hornbeampier.routing import announcements
-from hornbeampier.routing import budget
-from hornbeampier.routing import crashes
-from hornbeampier.routing import dispatch
 from hornbeampier.routing import domain
 from hornbeampier.routing import endpoint_choice
 from hornbeampier.routing import engine_model
@@ -37,26 +29,10 @@
 MIN_ATTEMPT_MS = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Context:
-    """The components that all forwarded requests share."""
-
-    connection_pool: connection_pool.ConnectionPool
-    dispatcher: dispatch.Dispatcher
-    crashes: crashes.CrashHistory
-    budget: budget.RetryBudget
-    engine_models: engine_model.EngineModels
-    announcements: announcements.Announcements
-    resumption: resumption.Resumption
-    metrics: node_metrics.NodeMetrics
-    clock: clocks.Clock
-    rng: random.Random
-
-
 class Forwarder:
     """Forwards requests, with retries where these are safe."""
 
-    def __init__(self, context: Context):
+    def __init__(self, context: contexts.Context):
         self._context = context
 
     def forward(
@@ -83,7 +59,7 @@
 
     def __init__(
         self,
-        context: Context,
+        context: contexts.Context,
         req: requests.Request,
         caller: server.ServerConnection,
         origin: stream_origins.Origin | None,
@@ -146,8 +122,13 @@
             raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
         # The request may have waited for its turn meanwhile.
         self.check_blocked()
+        self._log_choice(choice)
+        return choice
+
+    def _log_choice(self, choice: endpoint_choice.EndpointChoice) -> None:
         prompt = self._req.prompt
         resumed = self._req.resumed
+        loads_age_ms = self._context.peer_loads.age_ms()
         self._log.info(
             "routed",
             endpoint=choice.state.id,
@@ -164,8 +145,9 @@
             resumes=resumed and resumed.request_id,
             after_event=self._relay.last_event_id
             or (resumed and resumed.last_event_id),
+            version=self._context.catalog.version,
+            loads_age_ms=None if loads_age_ms is None else round(loads_age_ms),
         )
-        return choice
 
     def _run_attempt(self, choice: endpoint_choice.EndpointChoice) -> None:
         in_flight_attempt = fleet.InFlightAttempt(
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -1,21 +1,13 @@
 """The router process of one VM, for a platform with a store of topics."""
 
 from collections.abc import Collection
-import pathlib
-import signal
-
-import gevent
-import structlog
 
 from hornbeampier import application
 from hornbeampier import environment
-from hornbeampier import errors
-from hornbeampier import log_stream
-from hornbeampier import logs
 from hornbeampier import node_metrics
-from hornbeampier import status
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import context
 from hornbeampier.forwarding import forwarder
 from hornbeampier.forwarding import resumption
 from hornbeampier.ingress import admission
@@ -26,10 +18,7 @@
 from hornbeampier.ingress import shutdown
 from hornbeampier.peers import components
 from hornbeampier.peers import membership
-from hornbeampier.peers import origin_exchange
-from hornbeampier.peers import origin_messages
 from hornbeampier.peers import state_exchange
-from hornbeampier.peers import udp_transport
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -198,21 +187,15 @@
         self._build_origin_exchange()
 
     def _build_origin_exchange(self) -> None:
-        transport = udp_transport.UdpTransport(
-            self._cfg.host, self._cfg.origin_port
-        )
-        exchange = origin_exchange.OriginExchange(
+        transport, exchange = components.build_origin_exchange(
             self._cfg.host,
+            self._cfg.origin_port,
             self._peer_hosts,
-            transport,
             self._origins,
             self._origin_history,
             self._clock,
             self._env.rng,
         )
-        transport.receiver = lambda host, data: exchange.accept(
-            host, origin_messages.decode(data)
-        )
         self._directory = exchange
         self.app.add(transport)
         self.app.add(exchange)
@@ -222,7 +205,9 @@
         self._connection_pool = connection_pool.ConnectionPool(
             self._fleet, self._clock
         )
-        context = forwarder.Context(
+        shared = context.Context(
+            catalog=self.catalog,
+            peer_loads=self._peer_loads,
             connection_pool=self._connection_pool,
             dispatcher=self._make_dispatcher(),
             crashes=self._crashes,
@@ -247,7 +232,7 @@
             clock=self._clock,
             rng=self._env.rng,
         )
-        self._forwarder = forwarder.Forwarder(context)
+        self._forwarder = forwarder.Forwarder(shared)
         if cfg.control is not None and not cfg.bootstrap:
             self.app.add(self._make_cache_survey())
 
@@ -411,44 +396,3 @@
         self._directory.expire()
         self._connection_pool.expire()
         self._prefill_meter.expire()
-
-
-def main(env: environment.Environment) -> status.ExitStatus:
-    """Runs the router until SIGTERM or SIGINT."""
-    path = env.variables.get(names.SETTINGS_VARIABLE)
-    if not path:
-        env.print_error(
-            f"{names.SETTINGS_VARIABLE} is not set",
-            "set it to the path of the settings file",
-        )
-        return status.ExitStatus.USAGE
-    try:
-        cfg = settings.load(pathlib.Path(path))
-    except errors.InvalidFileError as exc:
-        for problem in exc.problems:
-            env.print_error(problem)
-        return status.ExitStatus.INVALID_FILE
-    stream = log_stream.LogStream(env.stdout.fileno(), env.clock)
-    logs.configure(stream, "info", json_lines=True)
-    log = structlog.get_logger(vm=cfg.vm)
-    app = application.Application(cfg.vm)
-    app.add(stream)
-    app.add(Node(env, cfg))
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, app.request_stop)
-    gevent.signal_handler(
-        signal.SIGHUP, _check_settings, pathlib.Path(path), log
-    )
-    log.info("started", callers=str(cfg.callers), store=str(cfg.store))
-    app.run()
-    return status.ExitStatus.OK
-
-
-def _check_settings(path: pathlib.Path, log) -> None:
-    """Logs whether the changed settings are valid; they are not applied."""
-    try:
-        settings.load(path)
-    except errors.InvalidFileError as exc:
-        log.error("settings_unreadable", problems=exc.problems)
-        return
-    log.info("settings_checked")
--- a/hornbeampier/peers/components.py
+++ b/hornbeampier/peers/components.py
@@ -1,5 +1,7 @@
 """Builds the components with which a VM speaks to its peers."""
 
+from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import random
 
@@ -9,8 +11,13 @@
 from hornbeampier.peers import hub_rounds
 from hornbeampier.peers import hub_states
 from hornbeampier.peers import membership
+from hornbeampier.peers import origin_exchange
+from hornbeampier.peers import origin_messages
 from hornbeampier.peers import state_exchange
 from hornbeampier.peers import topology
+from hornbeampier.peers import udp_transport
+from hornbeampier.routing import origin_history
+from hornbeampier.routing import stream_origins
 
 BOOT_BITS = 32
 
@@ -57,3 +64,23 @@
     return gossip.Gossip(
         identity.host, identity.gossip_port, members, exchange, rounds, clock
     )
+
+
+def build_origin_exchange(
+    host: str,
+    port: int,
+    peers: Callable[[], Collection[str]],
+    origins: stream_origins.StreamOrigins,
+    history: origin_history.OriginHistory,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> tuple[udp_transport.UdpTransport, origin_exchange.OriginExchange]:
+    """Returns this VM's part in keeping records of streams, with its socket."""
+    transport = udp_transport.UdpTransport(host, port)
+    exchange = origin_exchange.OriginExchange(
+        host, peers, transport, origins, history, clock, rng
+    )
+    transport.receiver = lambda peer, data: exchange.accept(
+        peer, origin_messages.decode(data)
+    )
+    return transport, exchange
--- a/hornbeampier/peers/gossip.py
+++ b/hornbeampier/peers/gossip.py
@@ -26,6 +26,8 @@
 # Maximum rate of the full states that a VM sends, summed over its peers.
 MAX_FULL_STATES_PER_S = 20.0
 MAX_DATAGRAM_BYTES = 60_000
+# Interval at which VMs that are gone are forgotten.
+FORGET_INTERVAL_MS = 10_000.0
 
 
 class Gossip(application.BaseComponent):
@@ -55,6 +57,7 @@
         # Boot and sequence of the newest message by host, and the boot before.
         self._last_received: dict[str, tuple[int, int]] = {}
         self._previous_boots: dict[str, int] = {}
+        self._forgotten_ms = clock.now()
         self._delta_sent_ms = -math.inf
         self._full_state_sent_ms: dict[str, float] = {}
         self._sock: socket.socket | None = None
@@ -87,6 +90,7 @@
 
         There is at least one burst; it may be empty.
         """
+        self._forget_gone()
         if len(self._membership.live()) < topology.MESH_LIMIT:
             return self._make_round(self._membership.targets()) or [[]]
         self._sequence += 1
@@ -186,3 +190,14 @@
             self._previous_boots[host] = boot
         self._last_received[host] = (message.boot, message.sequence)
         return True
+
+    def _forget_gone(self) -> None:
+        """Forgets the sequence numbers of VMs that are gone for good."""
+        now_ms = self._clock.now()
+        if now_ms - self._forgotten_ms < FORGET_INTERVAL_MS:
+            return
+        self._forgotten_ms = now_ms
+        for host in list(self._last_received):
+            if not self._membership.knows(host):
+                del self._last_received[host]
+                self._previous_boots.pop(host, None)
--- a/hornbeampier/peers/membership.py
+++ b/hornbeampier/peers/membership.py
@@ -117,6 +117,11 @@
         self._expire()
         return len(self._members) + len(self._lost_ms)
 
+    def knows(self, host: str) -> bool:
+        """Whether a host is a member, or was one recently."""
+        self._expire()
+        return host in self._members or host in self._lost_ms
+
     def due_seeds(self) -> list[str]:
         """Returns the seeds that are not members, if they are due."""
         now_ms = self._clock.now()
--- a/hornbeampier/routing/peer_loads.py
+++ b/hornbeampier/routing/peer_loads.py
@@ -95,6 +95,13 @@
         self._sweep()
         return self._totals.get(endpoint_id, NO_LOAD)
 
+    def age_ms(self) -> float | None:
+        """Returns the age of the oldest report of a live peer, or None."""
+        self._sweep()
+        if not self._received_ms:
+            return None
+        return self._clock.now() - min(self._received_ms.values())
+
     def of(self, vm: str) -> dict[str, Load]:
         """Returns the loads that a live peer reported."""
         return self._live_loads.get(vm, {})
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -77,3 +77,12 @@
         self.members.record_received(OTHER)
         self.clock.advance(membership.MAX_SEED_INTERVAL_MS)
         self.assertEqual([], self.members.due_seeds())
+
+    def test_vm_that_is_gone_for_good_is_not_known(self):
+        self.members.record_received("10.0.0.2")
+        self.assertTrue(self.members.knows("10.0.0.2"))
+        self.clock.advance(membership.MEMBER_TIMEOUT_MS + 1)
+        self.assertEqual([], self.members.live())
+        self.assertTrue(self.members.knows("10.0.0.2"))
+        self.clock.advance(membership.RETENTION_MS + 1)
+        self.assertFalse(self.members.knows("10.0.0.2"))
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -8,7 +8,7 @@
 
 from hornbeampier import environment
 from hornbeampier import errors
-from hornbeampier import node
+from hornbeampier import node_process
 from hornbeampier import status
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
@@ -86,7 +86,7 @@
     def run_main(self, variables):
         self.stderr = io.StringIO()
         env = environment.Environment(stderr=self.stderr, variables=variables)
-        return node.main(env)
+        return node_process.main(env)
 
     def test_missing_settings_variable_is_a_usage_error(self):
         self.assertEqual(status.ExitStatus.USAGE, self.run_main({}))
--- a/tests/test_record_gossip.py
+++ b/tests/test_record_gossip.py
@@ -91,3 +91,17 @@
     def test_snapshot_is_a_change(self):
         self.replica.apply_snapshot(messages.Snapshot((), 7))
         self.assertEqual(positions.Position(0, 7), self.replica.changed)
+
+
+class GoneVmTest(testtools.TestCase):
+    # Guards against state that grows with each VM that is replaced.
+    def test_sequence_numbers_of_vms_that_are_gone_are_forgotten(self):
+        cluster = gossip_cluster.Cluster(3, 3, random.Random(1))
+        cluster.run(2)
+        gone, *_ = cluster.vms
+        cluster.kill([gone])
+        cluster.run(20)
+        gossips = [vm.gossip for vm in cluster.vms.values()]
+        self.assertTrue(all(gone in g._last_received for g in gossips))
+        cluster.run(130)
+        self.assertFalse(any(gone in g._last_received for g in gossips))
