Let gossip use the same transport as records, and sleep through empty bursts

Cause: the socket of datagrams stood twice (gossip, and now records of streams); with hubs, a VM woke up 40 times a second and mostly sent nothing. Change: both use UdpTransport; the sender sleeps once for empty bursts. Result: a round of ten empty bursts is one sleep of 250 ms; bursts keep their interval.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -173,21 +173,20 @@
         identity = components.Identity(
             cfg.vm, cfg.host, cfg.availability_zone, cfg.peer_port
         )
-        self.app.add(
-            components.build_gossip(
-                identity,
-                shared,
-                self._membership,
-                self._reads_store,
-                self._clock,
-                self._env.rng,
-            )
-        )
+        for component in components.build_gossip(
+            identity,
+            shared,
+            self._membership,
+            self._reads_store,
+            self._clock,
+            self._env.rng,
+        ):
+            self.app.add(component)
         self.app.add(self._catch_up)
         self._build_origin_exchange()
 
     def _build_origin_exchange(self) -> None:
-        transport, exchange = components.build_origin_exchange(
+        transport, self._directory = components.build_origin_exchange(
             self._cfg.host,
             self._cfg.origin_port,
             self._peer_hosts,
@@ -196,9 +195,8 @@
             self._clock,
             self._env.rng,
         )
-        self._directory = exchange
         self.app.add(transport)
-        self.app.add(exchange)
+        self.app.add(self._directory)
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
--- a/hornbeampier/peers/components.py
+++ b/hornbeampier/peers/components.py
@@ -11,6 +11,7 @@
 from hornbeampier.peers import hub_rounds
 from hornbeampier.peers import hub_states
 from hornbeampier.peers import membership
+from hornbeampier.peers import messages
 from hornbeampier.peers import origin_exchange
 from hornbeampier.peers import origin_messages
 from hornbeampier.peers import state_exchange
@@ -43,8 +44,8 @@
     reads_store: state_exchange.ReadsStore,
     clock: clocks.Clock,
     rng: random.Random,
-) -> gossip.Gossip:
-    """Returns the gossip of this VM, for deployments of any size."""
+) -> tuple[udp_transport.UdpTransport, gossip.Gossip]:
+    """Returns the gossip of this VM, for any number of VMs, with its socket."""
     sender = state_exchange.Sender(
         vm=identity.vm,
         boot=rng.getrandbits(BOOT_BITS),
@@ -61,9 +62,12 @@
     rounds = hub_rounds.HubRounds(
         sender, members, group, exchange, states, clock
     )
-    return gossip.Gossip(
-        identity.host, identity.gossip_port, members, exchange, rounds, clock
+    transport = udp_transport.UdpTransport(identity.host, identity.gossip_port)
+    vm_gossip = gossip.Gossip(transport, members, exchange, rounds, clock)
+    transport.receiver = lambda peer, data: vm_gossip.accept(
+        peer, messages.decode(data)
     )
+    return transport, vm_gossip
 
 
 def build_origin_exchange(
--- a/hornbeampier/peers/gossip.py
+++ b/hornbeampier/peers/gossip.py
@@ -2,18 +2,14 @@
 
 import math
 
-import gevent
-from gevent import socket
-import structlog
-
 from hornbeampier import application
 from hornbeampier import clock as clocks
-from hornbeampier import errors
 from hornbeampier.peers import hub_rounds
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
 from hornbeampier.peers import state_exchange
 from hornbeampier.peers import topology
+from hornbeampier.peers import udp_transport
 
 # A round is sent in bursts of at most `BURST_SIZE` datagrams, one burst per
 # interval. All at once they would fill a slow link and delay the streams on it.
@@ -25,12 +21,11 @@
 FULL_STATE_INTERVAL_MS = 500.0
 # Maximum rate of the full states that a VM sends, summed over its peers.
 MAX_FULL_STATES_PER_S = 20.0
-MAX_DATAGRAM_BYTES = 60_000
 # Interval at which VMs that are gone are forgotten.
 FORGET_INTERVAL_MS = 10_000.0
 
 
-class Gossip(application.BaseComponent):
+class Gossip(application.TaskComponent):
     """Exchanges datagrams with all peers, or with hubs if there are many.
 
     Without hubs, each round sends all peers a delta of what changed, or nothing
@@ -40,15 +35,14 @@
 
     def __init__(
         self,
-        host: str,
-        port: int,
+        transport: udp_transport.Transport,
         membership: membership.Membership,
         exchange: state_exchange.StateExchange,
         rounds: hub_rounds.HubRounds,
         clock: clocks.Clock,
     ):
-        self._host = host
-        self._port = port
+        super().__init__()
+        self._transport = transport
         self._membership = membership
         self._exchange = exchange
         self._hub_rounds = rounds
@@ -60,30 +54,23 @@
         self._forgotten_ms = clock.now()
         self._delta_sent_ms = -math.inf
         self._full_state_sent_ms: dict[str, float] = {}
-        self._sock: socket.socket | None = None
-        self._tasks: list[gevent.Greenlet] = []
-        self._log = structlog.get_logger(task="gossip")
-
-    def start(self) -> None:
-        """Binds the port and starts to send and receive."""
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sock.bind((self._host, self._port))
-        self._tasks = [
-            gevent.spawn(self._receive),
-            gevent.spawn(self._send),
-        ]
 
-    def stop(self) -> None:
-        """Stops sending and receiving and closes the socket."""
-        gevent.killall(self._tasks)
-        if self._sock is not None:
-            self._sock.close()
-
-    def _send(self) -> None:
+    def run(self) -> None:
+        """Sends round after round until killed."""
         while True:
-            for burst in self.next_round():
-                self._send_burst(burst)
-                self._clock.sleep(BURST_INTERVAL_MS)
+            self._send_round(self.next_round())
+
+    def _send_round(self, bursts: list[list[hub_rounds.Datagram]]) -> None:
+        """Sends bursts at intervals; does not wake up for empty ones."""
+        pause_ms = 0.0
+        for burst in bursts:
+            if burst and pause_ms:
+                self._clock.sleep(pause_ms)
+                pause_ms = 0.0
+            for datagram in burst:
+                self._transport.send(datagram.host, datagram.data)
+            pause_ms += BURST_INTERVAL_MS
+        self._clock.sleep(pause_ms)
 
     def next_round(self) -> list[list[hub_rounds.Datagram]]:
         """Returns the datagrams of the next round, in bursts.
@@ -141,27 +128,6 @@
         self._full_state_sent_ms = {**sent_ms, **dict.fromkeys(due, now_ms)}
         return due
 
-    def _send_burst(self, datagrams: list[hub_rounds.Datagram]) -> None:
-        for datagram in datagrams:
-            self._send_datagram(datagram)
-
-    def _send_datagram(self, datagram: hub_rounds.Datagram) -> None:
-        try:
-            self._sock.sendto(datagram.data, (datagram.host, self._port))
-        except OSError as exc:
-            self._log.debug("datagram_lost", peer=datagram.host, error=str(exc))
-
-    def _receive(self) -> None:
-        while True:
-            try:
-                data, (host, _) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                self.accept(host, messages.decode(data))
-            except errors.PeerError as exc:
-                self._log.warning("datagram_unreadable", error=str(exc))
-            except OSError as exc:
-                # The kernel reports a peer's closed port here.
-                self._log.debug("datagram_refused", error=str(exc))
-
     def accept(self, host: str, message: messages.StateMessage) -> None:
         """Updates the membership and the state, unless it is outdated."""
         if not self._is_newest(host, message):
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterable
 import math
 import random
-from typing import Protocol
 
 import gevent
 from gevent import event
@@ -19,6 +18,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier.peers import hash_ring
 from hornbeampier.peers import origin_messages
+from hornbeampier.peers import udp_transport
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
 
@@ -42,14 +42,6 @@
 BURST_INTERVAL_MS = 25.0
 
 
-class Transport(Protocol):
-    """Sends datagrams to other VMs."""
-
-    def send(self, host: str, data: bytes) -> None:
-        """Sends a datagram, which may be lost."""
-        ...
-
-
 class _PendingLookup:
     """A lookup that waits for replies.
 
@@ -93,7 +85,7 @@
         self,
         host: str,
         peers: Callable[[], Iterable[str]],
-        transport: Transport,
+        transport: udp_transport.Transport,
         origins: stream_origins.StreamOrigins,
         history: origin_history.OriginHistory,
         clock: clocks.Clock,
--- a/hornbeampier/peers/udp_transport.py
+++ b/hornbeampier/peers/udp_transport.py
@@ -1,6 +1,7 @@
 """Datagrams to and from the same UDP port of all VMs."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 from gevent import socket
@@ -14,6 +15,14 @@
 Receiver = Callable[[str, bytes], None]
 
 
+class Transport(Protocol):
+    """Sends datagrams to other VMs."""
+
+    def send(self, host: str, data: bytes) -> None:
+        """Sends a datagram, which may be lost."""
+        ...
+
+
 class UdpTransport(application.BaseComponent):
     """Sends datagrams, and passes those received on.
 
--- a/tests/gossip_cluster.py
+++ b/tests/gossip_cluster.py
@@ -91,7 +91,7 @@
             store_readers=self.readers,
         )
         self.members = membership.Membership(host, seeds, clock)
-        self.gossip = components.build_gossip(
+        _, self.gossip = components.build_gossip(
             components.Identity(f"vm-{host}", host, zone, 1),
             shared,
             self.members,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -24,6 +24,9 @@
 ROUND_MS = BURSTS_PER_ROUND * gossip.BURST_INTERVAL_MS
 
 
+EMPTY_MESSAGE = messages.StateMessage("vm-1", 1, 1, True, False, {}, {})
+
+
 class Replica:
     def __init__(self, offset):
         self.position = self.changed = positions.Position(0, offset)
@@ -54,14 +57,14 @@
         pass
 
 
-class FakeSocket:
-    """A socket that keeps datagrams instead of sending them."""
+class FakeTransport:
+    """Keeps datagrams instead of sending them."""
 
     def __init__(self):
         self.sent = []
 
-    def sendto(self, data, address):
-        self.sent.append((address[0], messages.decode(data), len(data)))
+    def send(self, host, data):
+        self.sent.append((host, messages.decode(data), len(data)))
 
 
 class GossipTest(testtools.TestCase):
@@ -98,19 +101,17 @@
         rounds = hub_rounds.HubRounds(
             sender, self.members, group, self.exchange, states, self.clock
         )
+        self.transport = FakeTransport()
         self.gossip = gossip.Gossip(
-            "10.0.0.1", 1, self.members, self.exchange, rounds, self.clock
+            self.transport, self.members, self.exchange, rounds, self.clock
         )
-        self.sock = self.gossip._sock = FakeSocket()
 
     def run_round(self):
-        self.sock.sent.clear()
-        self.bursts = []
-        for burst in self.gossip._make_round(self.hosts):
-            self.gossip._send_burst(burst)
-            self.bursts.append(len(burst))
-            self.clock.advance(gossip.BURST_INTERVAL_MS)
-        return self.sock.sent
+        self.transport.sent.clear()
+        bursts = self.gossip._make_round(self.hosts)
+        self.bursts = [len(burst) for burst in bursts]
+        self.gossip._send_round(bursts)
+        return self.transport.sent
 
     def settle(self):
         for _ in range(20):
@@ -140,6 +141,22 @@
         self.assertEqual(BURSTS_PER_ROUND, len(self.bursts))
         self.assertLessEqual(max(self.bursts), gossip.BURST_SIZE)
 
+    # Guards against waking up 40 times a second to send nothing.
+    def test_vm_does_not_wake_up_for_empty_bursts(self):
+        pauses_ms = []
+        sleep = self.clock.sleep
+        self.patch(
+            self.clock, "sleep", lambda ms: (pauses_ms.append(ms), sleep(ms))
+        )
+        datagram = hub_rounds.Datagram(
+            self.hosts[0], messages.encode(EMPTY_MESSAGE)
+        )
+        self.gossip._send_round([[], [datagram], [], [], [datagram]])
+        self.assertEqual([25.0, 75.0, 25.0], pauses_ms)
+        pauses_ms.clear()
+        self.gossip._send_round([[]] * 10)
+        self.assertEqual([250.0], pauses_ms)
+
     def test_every_peer_gets_the_full_state_within_ten_rounds(self):
         self.settle()
         reached = set()
