Bound what waits to be announced, and see versions four times a second

Endpoints that change one after the other, as at a start, are looked through once, at the next use or within 250 ms, and not for each of them. Result: tests of streams' origins and versions pass.

--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -129,6 +129,8 @@
         self._origins.record(stream)
         if not is_ambiguous:
             self._unannounced[stream.key] = stream
+            if len(self._unannounced) > stream_origins.MAX_STREAMS:
+                del self._unannounced[next(iter(self._unannounced))]
             return
         for datagram in self._make_announcements([stream]):
             self._transport.send(*datagram)
--- a/hornbeampier/routing/origin_history.py
+++ b/hornbeampier/routing/origin_history.py
@@ -14,6 +14,8 @@
 # Age of each origin in ms: the time since the last endpoint of the version
 # was known to be registered, 0 if one is.
 OriginAges = dict[stream_origins.Origin, float]
+# Maximum number of origins that are remembered after they have ended.
+MAX_ENDED = 1_000
 # Host and path prefix, which identify a route over all configurations.
 _RouteKey = tuple[str, str]
 
@@ -33,6 +35,7 @@
         self._catalog = catalog
         self._clock = clock
         self._serving: frozenset[stream_origins.Origin] = frozenset()
+        self._is_stale = True
         self._ended_ms: dict[stream_origins.Origin, float] = {}
         self._by_service: dict[str, list[stream_origins.Origin]] = {}
         # When routes went to services that they do not go to any more.
@@ -40,25 +43,11 @@
         self._longest_stream_ms = 0.0
         self._cfg: domain.Configuration | None = None
         self.on_change: Callable[[], None] = _ignore
-        catalog.subscribe(self.refresh)
-
-    def refresh(self) -> None:
-        """Takes over the versions of the endpoints that are registered."""
-        serving = frozenset(
-            stream_origins.Origin(e.service, e.software_version)
-            for e in self._catalog.endpoints.values()
-        )
-        if serving == self._serving:
-            return
-        now_ms = self._clock.now()
-        self._ended_ms.update(dict.fromkeys(self._serving - serving, now_ms))
-        for origin in serving:
-            self._ended_ms.pop(origin, None)
-        self._serving = serving
-        self._index()
+        catalog.subscribe(self._mark_stale)
 
     def possible(self, route: domain.Route) -> set[stream_origins.Origin]:
         """Returns where streams of a route may have begun."""
+        self._refresh()
         services = route.services | set(self._left_ms.get(_key(route), ()))
         return {
             origin
@@ -75,6 +64,7 @@
 
     def ages(self) -> OriginAges:
         """Returns the origins that are known, for peers."""
+        self._refresh()
         now_ms = self._clock.now()
         ages = dict.fromkeys(self._serving, 0.0)
         for origin, ended_ms in self._ended_ms.items():
@@ -83,6 +73,7 @@
 
     def merge(self, ages: OriginAges) -> None:
         """Adds the origins that a peer knows."""
+        self._refresh()
         now_ms = self._clock.now()
         for origin, age_ms in ages.items():
             if origin not in self._serving:
@@ -93,9 +84,12 @@
 
     def expire(self) -> None:
         """Forgets what ended so long ago that no stream of it is left."""
+        self._refresh()
         self._take_over_configuration()
         oldest_ms = self._clock.now() - self._longest_stream_ms
         self._ended_ms = _newer(self._ended_ms, oldest_ms)
+        while len(self._ended_ms) > MAX_ENDED:
+            del self._ended_ms[min(self._ended_ms, key=self._ended_ms.get)]
         self._left_ms = {
             route: newer
             for route, left_ms in self._left_ms.items()
@@ -103,6 +97,28 @@
         }
         self._index()
 
+    def _mark_stale(self) -> None:
+        """Called when an endpoint changes, which may be many at once."""
+        self._is_stale = True
+
+    def _refresh(self) -> None:
+        """Takes over the versions of the endpoints that are registered."""
+        if not self._is_stale:
+            return
+        self._is_stale = False
+        serving = frozenset(
+            stream_origins.Origin(e.service, e.software_version)
+            for e in self._catalog.endpoints.values()
+        )
+        if serving == self._serving:
+            return
+        now_ms = self._clock.now()
+        self._ended_ms.update(dict.fromkeys(self._serving - serving, now_ms))
+        for origin in serving:
+            self._ended_ms.pop(origin, None)
+        self._serving = serving
+        self._index()
+
     def _take_over_configuration(self) -> None:
         """Takes over how long streams last, and which services routes left."""
         cfg, previous = self._catalog.cfg, self._cfg
--- a/tests/origin_network.py
+++ b/tests/origin_network.py
@@ -34,6 +34,8 @@
         for version in versions:
             self.add_version(version)
         self.history.record_stream(CALLER_TIMEOUT_MS)
+        # As the maintenance of a node does, four times a second.
+        self.history.expire()
 
     def add_version(self, version):
         self.catalog.apply_endpoint(
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -5,6 +5,7 @@
 from hornbeampier import errors
 from hornbeampier.peers import hash_ring
 from hornbeampier.peers import origin_messages
+from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
 from tests import origin_network
 
@@ -98,6 +99,7 @@
         network = origin_network.OriginNetwork(1, VERSIONS)
         vm = network.vms[network.hosts[0]]
         vm.catalog.remove_endpoint("v1-1")
+        vm.history.expire()
         network.clock.advance(origin_network.CALLER_TIMEOUT_MS - 1.0)
         vm.history.expire()
         self.assertFalse(vm.is_unambiguous())
@@ -116,6 +118,28 @@
         self.assertIsNone(vm.find("a0"))
         self.assertEqual("v1", vm.find("a10"))
 
+    def test_number_of_streams_to_announce_is_bounded(self):
+        network = origin_network.OriginNetwork(2, VERSIONS[:1])
+        vm = network.vms[network.hosts[0]]
+        for number in range(stream_origins.MAX_STREAMS + 10):
+            vm.begin(f"a{number}", "v1")
+        self.assertEqual(
+            stream_origins.MAX_STREAMS, len(vm.exchange._unannounced)
+        )
+
+    def test_number_of_versions_that_have_left_is_bounded(self):
+        network = origin_network.OriginNetwork(1, VERSIONS[:1])
+        vm = network.vms[network.hosts[0]]
+        vm.history.merge(
+            {
+                stream_origins.Origin("s", f"v{number}"): float(number)
+                for number in range(origin_history.MAX_ENDED + 10)
+            }
+        )
+        kept = [o for o in vm.history.ages() if o.service == "s"]
+        self.assertEqual(origin_history.MAX_ENDED, len(kept))
+        self.assertIn(stream_origins.Origin("s", "v0"), kept)
+
     def test_records_expire_when_their_callers_have_given_up(self):
         network = origin_network.OriginNetwork(2, VERSIONS[:1])
         vm, other = network.vms.values()
