--- a/tests/test_routing_versions.py
+++ b/tests/test_routing_versions.py
@@ -19,15 +19,21 @@
 QUEUED_TOKENS = 100_000.0
 
 
+def mixed_fixture():
+    """Two engines of the version `old`, and others of the version `new`."""
+    fixture = fakes.RoutingFixture(0)
+    for number in range(ENGINES):
+        version = "old" if number < 2 else "new"
+        fixture.catalog.apply_endpoint(
+            fakes.endpoint(f"e{number}", software_version=version)
+        )
+    return fixture
+
+
 class EngineOfVersionTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.fixture = fakes.RoutingFixture(0)
-        for number in range(ENGINES):
-            version = "old" if number < 2 else "new"
-            self.fixture.catalog.apply_endpoint(
-                fakes.endpoint(f"e{number}", software_version=version)
-            )
+        self.fixture = mixed_fixture()
         self.chooser_fixture = fakes.ChooserFixture(self.fixture)
         self.chooser = self.chooser_fixture.chooser
 
@@ -80,12 +86,7 @@
 
     def setUp(self):
         super().setUp()
-        self.fixture = fakes.RoutingFixture(0)
-        for number in range(ENGINES):
-            version = "old" if number < 2 else "new"
-            self.fixture.catalog.apply_endpoint(
-                fakes.endpoint(f"e{number}", software_version=version)
-            )
+        self.fixture = mixed_fixture()
         chooser_fixture = fakes.ChooserFixture(self.fixture)
         self.dispatcher = dispatch.Dispatcher(
             self.fixture.fleet,
