Do not blame an isolated run for an endpoint that was down before

Change: the run is to blame only if the endpoint has sent a load report since a peer reported a crash there.

--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -374,9 +374,11 @@
     def _was_alone(
         self, isolated_run: _IsolatedRun, state: registry.EndpointState
     ) -> bool:
-        """Returns whether no other request of any VM was at the endpoint.
+        """Returns whether the run alone can have crashed the endpoint.
 
-        Waits until the peers had time to report crashes of their own there.
+        No other request of any VM was there, and the endpoint was up: it has
+        sent a load report since a peer reported a crash there. Waits until the
+        peers had time to report crashes of their own.
         """
         crashed_ms = self._clock.now()
         if isolated_run.shared or self._peers.in_flight(state.name):
@@ -385,4 +387,7 @@
         reported_ms = self._peer_crash_reported_ms.get(
             state.name, float("-inf")
         )
-        return reported_ms < crashed_ms - PEER_CRASH_REPORT_MS
+        return (
+            reported_ms < crashed_ms - PEER_CRASH_REPORT_MS
+            and reported_ms < state.reported_at_ms
+        )
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -108,6 +108,7 @@
                 leaving=False,
                 report=None,
                 ejected_until_ms=0.0,
+                reported_at_ms=0.0,
             )
             for name in names
         }
@@ -184,6 +185,20 @@
         self.crash(subject, "x", "c")
         self.assertFalse(self.is_blocked(subject, "x"))
 
+    # Guards against blocking a bystander whose isolated run came to an endpoint
+    # that a request of another VM had crashed, and that was not back yet.
+    def test_crash_is_inconclusive_if_the_endpoint_may_have_been_down(self):
+        subject = self.make_suspects()
+        for name in "ab":
+            self.crash(subject, "x", name)
+        subject.merge((messages.Suspicion("y", (7,), "c", False),))
+        self.clock.advance(2 * suspects.PEER_CRASH_REPORT_MS)
+        self.crash(subject, "x", "c")
+        self.assertFalse(self.is_blocked(subject, "x"))
+        self.endpoints.find("c").reported_at_ms = self.clock.now()
+        self.crash(subject, "x", "c")
+        self.assertTrue(self.is_blocked(subject, "x"))
+
     def test_suspects_do_not_share_an_endpoint(self):
         subject = self.make_suspects()
         self.crash(subject, "x", "a")
