Decode duties, bounds of orders and spot endpoints

Cause: settings and configuration name duties of one VM at a time and bounds of endpoint orders; the router dropped both. Contradictory bounds order nothing and leave the configuration valid. Result: tests of decoding; nothing uses the values yet.

--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -6,6 +6,14 @@
 CONFIGURATION_KEY = "config"
 ENDPOINT_TOPIC = "keyed.servers"
 
+# Topic in which VMs keep leases and what their holders have fixed.
+DUTY_TOPIC = "keyed.duties"
+USAGE_DUTY = "metering"
+SCALING_DUTY = "autoscaling"
+DUTIES = (USAGE_DUTY, SCALING_DUTY)
+DUTY_HOLDER = b"x-hornbeampier-duty-holder"
+FENCING_TOKEN = b"x-hornbeampier-fencing-token"
+
 REQUEST_ID = b"x-hornbeampier-attempt-id"
 DEADLINE = b"x-hornbeampier-deadline-ms"
 ACCOUNT = b"x-hornbeampier-tenant"
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier.platform import settings
 from hornbeampier.routing import domain
@@ -51,11 +52,20 @@
     stride: float = 1.0
 
 
+class _Autoscale(msgspec.Struct, rename="camel"):
+    min: int
+    max: int
+    boot_time_s: float
+    spot_price: float | None = None
+    zone_prices: dict[str, float] = {}
+
+
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     health_path: str
     max_conns: int
     engine: _Engine | None = None
+    autoscale: _Autoscale | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -102,6 +112,8 @@
     cold_left_ms: float
     sequence: int
     born: int = 0
+    spot: bool = False
+    leaves: float | None = msgspec.field(default=None, name="leaves_ms")
 
 
 _version_decoder = msgspec.json.Decoder(_Version)
@@ -163,6 +175,8 @@
         started_ms=record.born,
         software_version=record.version,
         sequence=record.sequence,
+        spot=record.spot,
+        leaves_in_ms=record.leaves,
     )
 
 
@@ -208,6 +222,28 @@
         health_path=record.health_path,
         max_connections=record.max_conns,
         engine_traits=traits,
+        autoscale=_to_autoscale(record.autoscale),
+    )
+
+
+def _to_autoscale(record: _Autoscale | None) -> domain.Autoscale | None:
+    """Returns the bounds of orders, or None if they contradict each other.
+
+    Such bounds are not followed, but do not make the configuration invalid.
+    """
+    if record is None or not 0 <= record.min <= record.max:
+        return None
+    prices = [record.boot_time_s, *record.zone_prices.values()]
+    if record.spot_price is not None:
+        prices.append(record.spot_price)
+    if any(number < 0 for number in prices):
+        return None
+    return domain.Autoscale(
+        min_per_zone=record.min,
+        max_per_zone=record.max,
+        boot_ms=record.boot_time_s * clocks.MS_PER_SECOND,
+        spot_price=record.spot_price,
+        zone_prices=record.zone_prices,
     )
 
 
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -1,12 +1,14 @@
 """The settings file that the platform writes for each node."""
 
 import dataclasses
+import math
 import pathlib
 
 import yaml
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
+from hornbeampier.platform import names
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +22,29 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Duties that one VM at a time fulfils through the platform's API.
+
+    Attributes:
+        api: Address of the platform's API.
+        names: The duties, from the platform's list; unknown ones are left out.
+        calls_per_s: Calls that the API accepts from all VMs together.
+        requires_fence: Whether the API refuses calls with an older token.
+        lease_ms: Time within which holders must not alternate.
+        usage_window_ms: Length of the windows of usage reports.
+        usage_due_ms: When the report of a window is due after its end.
+    """
+
+    api: Address
+    names: tuple[str, ...]
+    calls_per_s: float
+    requires_fence: bool
+    lease_ms: float
+    usage_window_ms: float
+    usage_due_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSettings:
     """The settings of a node.
@@ -44,6 +69,9 @@
         retry_extra: Further retries allowed to all VMs together.
         retry_window_ms: Sliding window in which requests and retries are
             counted.
+        duty_port: UDP port for the exchange of usage, the same on all VMs; 0
+            if there is no duty.
+        duties: Duties of one VM at a time; None if there are none.
     """
 
     vm: str
@@ -63,6 +91,8 @@
     retry_ratio: float
     retry_extra: float
     retry_window_ms: float
+    duty_port: int = 0
+    duties: DutySettings | None = None
 
 
 def load(path: pathlib.Path) -> NodeSettings:
@@ -94,6 +124,7 @@
     bounds = fields["bounds"]
     control = listen.get("control")
     peer_port, origin_port = _first_ports(fields["portRange"])
+    duties = _decode_duties(fields)
     return NodeSettings(
         vm=str(fields["nodeId"]),
         host=str(fields["ip"]),
@@ -112,9 +143,44 @@
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_extra=float(bounds["budgetExtra"]),
         retry_window_ms=float(bounds["budgetWindowS"]) * clocks.MS_PER_SECOND,
+        duty_port=origin_port + 1 if duties is not None else 0,
+        duties=duties,
     )
 
 
+def _decode_duties(fields: dict) -> DutySettings | None:
+    """Returns the duties that the settings name, or None without any."""
+    api = fields.get("cloudApi") or {}
+    duties = tuple(d for d in api.get("duties") or () if d in names.DUTIES)
+    if not duties:
+        return None
+    _, last_port = (int(port) for port in fields["portRange"])
+    if last_port < _first_ports(fields["portRange"])[1] + 1:
+        raise ValueError("portRange needs three ports for duties")
+    bounds = fields["bounds"]
+    return DutySettings(
+        api=parse_address(api["address"]),
+        names=duties,
+        calls_per_s=_positive("dutyPerS", api.get("dutyPerS", 1.0)),
+        requires_fence=bool(bounds.get("requireFence")),
+        lease_ms=_positive("leaseMs", bounds["leaseMs"]),
+        usage_window_ms=_seconds("reportWindowS", bounds),
+        usage_due_ms=_seconds("usageLateS", bounds),
+    )
+
+
+def _seconds(key: str, bounds: dict) -> float:
+    """Returns a time in ms that a bound gives in seconds."""
+    return _positive(key, bounds[key]) * clocks.MS_PER_SECOND
+
+
+def _positive(key: str, value: object) -> float:
+    number = float(value)
+    if not 0 < number < math.inf:
+        raise ValueError(f"{key} must be positive, not {value!r}")
+    return number
+
+
 def _first_ports(port_range: list) -> tuple[int, int]:
     """Returns the first two ports of a range that is given by its ends."""
     first, last = (int(port) for port in port_range)
--- a/hornbeampier/routing/domain.py
+++ b/hornbeampier/routing/domain.py
@@ -106,6 +106,28 @@
         return bits / (self.link_mbps * BITS_PER_MBPS_MS)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Autoscale:
+    """Bounds and prices of the endpoints that may be ordered for a service.
+
+    Attributes:
+        min_per_zone: Fewest endpoints in an availability zone, both kinds
+            together.
+        max_per_zone: Most endpoints in an availability zone, both kinds
+            together.
+        boot_ms: Time from an order until a new endpoint serves.
+        spot_price: Price of a spot endpoint as a fraction of that of a lasting
+            one; None if there are no spot endpoints.
+        zone_prices: Price of a lasting endpoint by availability zone.
+    """
+
+    min_per_zone: int
+    max_per_zone: int
+    boot_ms: float
+    spot_price: float | None
+    zone_prices: dict[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A group of endpoints that serve the same requests.
@@ -113,12 +135,14 @@
     Attributes:
         max_connections: Connections that an endpoint accepts in total.
         engine_traits: Traits of its engines; None for a plain service.
+        autoscale: How many endpoints may be ordered; None if none may.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine_traits: EngineTraits | None
+    autoscale: Autoscale | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +196,9 @@
             incarnations with the same id.
         sequence: Number of the entry among those that the process wrote;
             entries that differ only in it are equal.
+        spot: Whether the platform may reclaim the endpoint at short notice.
+        leaves_in_ms: Time from the entry until the endpoint is reclaimed, or
+            None.
     """
 
     id: str
@@ -185,6 +212,8 @@
     started_ms: int
     software_version: str = ""
     sequence: int = dataclasses.field(default=0, compare=False)
+    spot: bool = False
+    leaves_in_ms: float | None = dataclasses.field(default=None, compare=False)
 
     @property
     def incarnation(self) -> tuple[str, int, str, int]:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -98,3 +98,52 @@
             status.ExitStatus.INVALID_FILE, self.run_main(variables)
         )
         self.assertIn("listen", self.stderr.getvalue())
+
+
+DUTY_TEXT = (
+    TEXT.replace(
+        "bounds:\n",
+        "bounds:\n  requireFence: true\n  leaseMs: 3000\n"
+        "  reportWindowS: 5\n  usageLateS: 10\n",
+    )
+    + """\
+cloudApi:
+  address: "10.200.0.113:8424"
+  duties:
+    - "metering"
+    - "unheard-of"
+  dutyPerS: 50.0
+"""
+)
+
+
+class DutySettingsTest(SettingsTestCase):
+    def test_duties_are_decoded_and_unknown_ones_left_out(self):
+        cfg = settings.load(self.write(DUTY_TEXT))
+        self.assertEqual(("metering",), cfg.duties.names)
+        self.assertEqual(5_000.0, cfg.duties.usage_window_ms)
+        self.assertEqual(3_000.0, cfg.duties.lease_ms)
+        self.assertEqual("10.200.0.113:8424", str(cfg.duties.api))
+        self.assertEqual(7342, cfg.duty_port)
+
+    def test_there_are_no_duties_unless_the_settings_name_one(self):
+        for text in (
+            TEXT,
+            TEXT + "cloudApi:\n",
+            DUTY_TEXT.replace('    - "metering"\n', ""),
+        ):
+            cfg = settings.load(self.write(text))
+            self.assertIsNone(cfg.duties)
+            self.assertEqual(0, cfg.duty_port)
+
+    def test_invalid_bounds_of_duties_are_named(self):
+        for text, problem in (
+            (DUTY_TEXT.replace("leaseMs: 3000", "leaseMs: -1"), "leaseMs"),
+            (DUTY_TEXT.replace("  usageLateS: 10\n", ""), "usageLateS"),
+            (DUTY_TEXT.replace("dutyPerS: 50.0", "dutyPerS: 0"), "dutyPerS"),
+            (DUTY_TEXT.replace("7355", "7341"), "three ports"),
+        ):
+            exc = self.assertRaises(
+                errors.InvalidFileError, settings.load, self.write(text)
+            )
+            self.assertIn(problem, str(exc))
