--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -108,7 +108,7 @@
         offset = int(query["from"])
         if not self._has(topic, offset):
             start_response("410 Gone", self._headers())
-            return [b'{"first": 0}']
+            return [json.dumps({"first": self._first_offsets[topic]}).encode()]
         era = self.era
         if offset >= len(self._records[topic]):
             self._changed.wait(int(query["waitMs"]) / 1000)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -49,6 +49,10 @@
         self._engines[engine_id].stop()
         self._case.store.put_endpoint(engine_id, None)
 
+    def ids(self):
+        """Returns the ids of all engines that were started."""
+        return self._engines.keys()
+
     def _run(self, req):
         self.runs[req.id].append(req.headers["x-hornbeampier-expect-instance"])
         req.begin_stream()
@@ -112,7 +116,9 @@
         self.assertEqual(set(VERSIONS), versions)
 
 
-class ResumedByCallerTest(StreamVersionTestCase):
+class CallerTestCase(StreamVersionTestCase):
+    """Streams that break off and that their callers take up."""
+
     def configuration(self, version=1, **fields):
         """A configuration with which the router does not resume streams."""
         route = {
@@ -129,8 +135,8 @@
         other = {**cfg["services"][-1], "name": OTHER_SERVICE}
         return {**cfg, "services": [*cfg["services"], other]}
 
-    def start_vms(self, hosts=HOSTS):
-        return super().start_vms(hosts, self.configuration())
+    def start_vms(self, hosts=HOSTS, cfg=None):
+        return super().start_vms(hosts, cfg or self.configuration())
 
     def begin(self, router, request_id):
         response = self.stream(router, request_id)
@@ -173,6 +179,16 @@
                 self.engines.versions(f"b{number}"),
             )
 
+    def restart(self, router):
+        """Starts a VM again with the same settings."""
+        fields = {
+            field.name: getattr(router.cfg, field.name)
+            for field in dataclasses.fields(router.cfg)
+        }
+        return self.start_ready_node(self.configuration(), **fields)
+
+
+class ResumedByCallerTest(CallerTestCase):
     # Guards against streams that callers take up at another VM, where they went
     # on at another software version than the one that began them.
     def test_streams_taken_up_at_another_vm_keep_their_software_version(self):
@@ -278,7 +294,7 @@
         cfg = self.configuration(service=None, split=split)
         self.engines.start("of-one", STREAMS + 1)
         self.engines.start("of-other", STREAMS + 1, OTHER_SERVICE)
-        first, second, _ = super().start_vms(HOSTS, cfg)
+        first, second, _ = self.start_vms(HOSTS, cfg)
         for number in range(STREAMS):
             self.begin(first, f"a{number}")
         self.assert_taken_up(second)
@@ -296,11 +312,3 @@
         # The second VM learns it from the first one, and later by itself.
         response = self.take_up(second, "b0", "a0")
         self.assert_refused("stream_origin_gone", response, "b0")
-
-    def restart(self, router):
-        """Starts a VM again with the same settings."""
-        fields = {
-            field.name: getattr(router.cfg, field.name)
-            for field in dataclasses.fields(router.cfg)
-        }
-        return self.start_ready_node(self.configuration(), **fields)
