Do not continue streams at a version that nobody can prove to be the only one

Cause: after all VMs were killed, each one took the versions registered at the moment for all that had ever served, and so did the peers that it asked. Versions are taken over with each change of an endpoint, also from records read after newer ones. A VM that was out of touch or suspended begins its observation anew.

--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -28,6 +28,7 @@
         history: origin_history.OriginHistory,
         directory: stream_origins.Directory,
         in_touch: Callable[[], bool],
+        is_learning: Callable[[], bool],
         metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
     ):
@@ -38,6 +39,8 @@
             history: Where streams may have begun.
             directory: The streams that are recorded on other VMs.
             in_touch: Whether this VM hears of new endpoints at the moment.
+            is_learning: Whether this VM may soon learn which versions served
+                before it started.
             metrics: Counts the streams that are taken up.
             clock: The clock.
         """
@@ -45,6 +48,7 @@
         self._history = history
         self._directory = directory
         self._in_touch = in_touch
+        self._is_learning = is_learning
         self._metrics = metrics
         self._clock = clock
         self._log = structlog.get_logger(task="resumption")
@@ -100,7 +104,7 @@
             stream_origins.Origin(endpoint.service, endpoint.software_version),
             self._clock.now() + stream_origins.bound_retention(remaining_ms),
         )
-        self._directory.record(stream, not self._is_unambiguous(req))
+        self._directory.record(stream, not self._has_one_origin(req))
 
     def _find(
         self, req: requests.Request, request_id: str
@@ -110,31 +114,62 @@
         recorded = self._origins.find(key) if key is not None else None
         if recorded is not None:
             return recorded, "own_record"
-        if key is None and not self._is_unambiguous(req):
+        if key is None and not self._has_one_origin(req):
             raise self._unknown("its caller does not name it", None)
+        remaining_ms = req.caller_deadline_ms - self._clock.now()
+        self._history.record_stream(remaining_ms)
         result = self._directory.lookup(key, lambda: self._is_unambiguous(req))
         if result.origin is not None:
             return result.origin, "peer"
         is_in_touch = result.replies > 0 or self._in_touch()
         if is_in_touch and self._is_unambiguous(req):
             return next(iter(self._history.possible(req.route))), "one_version"
-        may_know_more = not (is_in_touch and result.is_complete)
-        raise self._unknown(
-            f"none of {result.replies} VMs that replied knows it",
-            RETRY_AFTER_MS if may_know_more else None,
-        )
+        reason = f"none of {result.replies} VMs that replied knows it"
+        if not (is_in_touch and result.is_complete):
+            raise self._unknown(reason, RETRY_AFTER_MS)
+        if not self._has_one_origin(req):
+            raise self._unknown(reason, None)
+        raise self._unproved(req, reason)
+
+    def _has_one_origin(self, req: requests.Request) -> bool:
+        """Whether this VM knows only one origin of streams of the route."""
+        return len(self._history.possible(req.route)) == 1
 
     def _is_unambiguous(self, req: requests.Request) -> bool:
-        return len(self._history.possible(req.route)) == 1
+        """Whether streams of the route cannot have begun at two origins."""
+        return self._has_one_origin(req) and self._history.is_proved()
+
+    def _unproved(
+        self, req: requests.Request, reason: str
+    ) -> errors.RefusalError:
+        """Returns the refusal of a stream that began at an unknown time."""
+        missing_ms = self._history.missing_ms()
+        self._log.warning(
+            "origin_unproved",
+            request_id=req.id,
+            covered_ms=round(self._history.coverage.length_ms()),
+            missing_ms=round(missing_ms),
+            learning=self._is_learning(),
+        )
+        remaining_ms = req.caller_deadline_ms - self._clock.now()
+        retry_after_ms = None
+        if self._is_learning():
+            retry_after_ms = RETRY_AFTER_MS
+        elif missing_ms < remaining_ms:
+            retry_after_ms = max(missing_ms, RETRY_AFTER_MS)
+        return self._unknown(reason, retry_after_ms, "unproved")
 
     def _unknown(
-        self, reason: str, retry_after_ms: float | None
+        self,
+        reason: str,
+        retry_after_ms: float | None,
+        source: str = "unknown",
     ) -> errors.RefusalError:
-        self._metrics.record_resumption("unknown")
+        self._metrics.record_resumption(source)
         return errors.RefusalError(
             503,
             errors.RefusalCode.STREAM_ORIGIN_UNKNOWN,
-            "several software versions serve, and it is not known which one "
-            f"began the stream: {reason}",
+            "several software versions may have served, and it is not known "
+            f"which one began the stream: {reason}",
             retry_after_ms=retry_after_ms,
         )
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -5,11 +5,11 @@
 from hornbeampier import application
 from hornbeampier import environment
 from hornbeampier import node_metrics
+from hornbeampier import origin_components
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import context
 from hornbeampier.forwarding import forwarder
-from hornbeampier.forwarding import resumption
 from hornbeampier.ingress import admission
 from hornbeampier.ingress import caller_handler
 from hornbeampier.ingress import control
@@ -38,14 +38,12 @@
 from hornbeampier.routing import fleet
 from hornbeampier.routing import limit_shares
 from hornbeampier.routing import load_shedding
-from hornbeampier.routing import origin_history
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import rendezvous
-from hornbeampier.routing import stream_origins
 
 MAINTENANCE_INTERVAL_MS = 250.0
 # A VM that hears none of its peers for this time may miss new endpoints.
@@ -96,12 +94,8 @@
         self._crashes = crashes.CrashHistory(self._clock, self._owns_trial)
         self._prefill_meter = prefill.PrefillMeter(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
-        self._origins = stream_origins.StreamOrigins(self._clock)
-        self._origin_history = origin_history.OriginHistory(
-            self.catalog, self._clock
-        )
-        self._directory: stream_origins.Directory = (
-            stream_origins.LocalDirectory(self._origins)
+        self._origins = origin_components.OriginComponents(
+            cfg, self.catalog, self._clock
         )
         self._build_replication()
         self._build_peers()
@@ -123,6 +117,11 @@
         self._store_readers = store_readers.StoreReaders(
             self._cfg.host, self._clock, expects_peers=bool(seeds)
         )
+        registrations = self._origins.build_reader(
+            self._replicas[names.ENDPOINT_TOPIC], self._should_read_store
+        )
+        # The log is read before the first snapshot makes this VM ready.
+        before_first = {names.ENDPOINT_TOPIC: registrations.read_before}
         self._followers = [
             follower.TopicFollower(
                 topic_replica,
@@ -131,11 +130,12 @@
                 self._env.rng,
                 self._count_readers,
                 self._should_read_store,
+                before_first.get(topic, follower.ignore_snapshot),
             )
-            for topic_replica in self._replicas.values()
+            for topic, topic_replica in self._replicas.items()
         ]
-        for topic_follower in self._followers:
-            self.app.add(topic_follower)
+        for component in (*self._followers, registrations):
+            self.app.add(component)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
@@ -183,20 +183,10 @@
         ):
             self.app.add(component)
         self.app.add(self._catch_up)
-        self._build_origin_exchange()
-
-    def _build_origin_exchange(self) -> None:
-        transport, self._directory = components.build_origin_exchange(
-            self._cfg.host,
-            self._cfg.origin_port,
-            self._peer_hosts,
-            self._origins,
-            self._origin_history,
-            self._clock,
-            self._env.rng,
-        )
-        self.app.add(transport)
-        self.app.add(self._directory)
+        for component in self._origins.build_exchange(
+            self._peer_hosts, self._env.rng
+        ):
+            self.app.add(component)
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
@@ -218,13 +208,8 @@
             ),
             engine_models=self._engine_models,
             announcements=self._announcements,
-            resumption=resumption.Resumption(
-                self._origins,
-                self._origin_history,
-                self._directory,
-                self._is_in_touch,
-                self._metrics,
-                self._clock,
+            resumption=self._origins.build_resumption(
+                self._is_in_touch, self._metrics
             ),
             metrics=self._metrics,
             clock=self._clock,
@@ -390,7 +375,6 @@
             [e.process_id for e in self.catalog.endpoints.values()]
         )
         self._endpoint_applier.expire()
-        self._origin_history.expire()
-        self._directory.expire()
+        self._origins.maintain(self._is_in_touch())
         self._connection_pool.expire()
         self._prefill_meter.expire()
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -198,12 +198,14 @@
             message.number,
             None if origin is None else origin_messages.to_entry(origin),
             origin_messages.to_ages(self._history.ages()),
+            origin_messages.to_covered(self._history.coverage.length_ms()),
         )
         self._transport.send(host, origin_messages.encode(reply))
 
     def _record_reply(
         self, host: str, message: origin_messages.LookupReply
     ) -> None:
+        self._history.coverage.extend(message.covered_ms)
         self._history.merge(origin_messages.of_ages(message.ages))
         pending = self._lookups.get(message.number)
         if pending is None:
@@ -264,8 +266,13 @@
             self._clock.sleep(BURST_INTERVAL_MS)
 
     def _learn(self) -> None:
-        """Asks which versions served before this VM started."""
+        """Asks which versions served before this VM started.
+
+        It ends when a reply, or the store's log, shows all versions at which
+        streams may have begun.
+        """
         for _ in range(LEARN_ATTEMPTS):
-            if self.lookup(None, lambda: True).replies:
+            self.lookup(None, self._history.is_proved)
+            if self._history.is_proved():
                 return
             self._clock.sleep(LEARN_INTERVAL_MS)
--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -72,11 +72,14 @@
     Attributes:
         origin: Where the stream began; None if the VM does not know.
         ages: All versions at which streams may have begun, as the VM knows.
+        covered_ms: Time up to now in which no other version served. VMs of
+            earlier versions do not say.
     """
 
     number: int
     origin: OriginEntry | None
     ages: tuple[OriginAge, ...]
+    covered_ms: int = 0
 
 
 Message = Announcement | Lookup | LookupReply
@@ -124,6 +127,11 @@
     return {of_entry(age.origin): max(0.0, age.age_ms) for age in ages}
 
 
+def to_covered(covered_ms: float) -> int:
+    """Returns a covered time; none needs more than records are retained."""
+    return int(min(covered_ms, stream_origins.MAX_RETENTION_MS))
+
+
 def to_announcements(
     streams: list[stream_origins.RecordedStream], now_ms: float
 ) -> list[Announcement]:
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -37,7 +37,14 @@
     has_more: bool = False
 
 
+class _Trimmed(msgspec.Struct):
+    """The body of a 410 response; `first` is the first retained offset."""
+
+    first: int
+
+
 _page_decoder = msgspec.json.Decoder(_Page)
+_trimmed_decoder = msgspec.json.Decoder(_Trimmed)
 
 
 class StoreClient:
@@ -89,7 +96,8 @@
         response = self._call("/log-read", query, wait_ms)
         if response.status == 410:
             raise messages.RecordsCompactedError(
-                "the store no longer has the requested records"
+                "the store no longer has the requested records",
+                _decode_first(response.body),
             )
         if response.status != 200:
             raise errors.PlatformError(f"log-read returned {response.status}")
@@ -159,6 +167,13 @@
     return int(value)
 
 
+def _decode_first(body: bytes) -> int | None:
+    try:
+        return _trimmed_decoder.decode(body).first
+    except errors.DECODE_ERRORS:
+        return None
+
+
 def _to_record(item: _Item, era: int) -> messages.Record:
     try:
         value = base64.b64decode(item.value)
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -24,6 +24,10 @@
 STANDBY_CHECK_INTERVAL_MS = 200.0
 
 
+def ignore_snapshot(snapshot: messages.Snapshot) -> None:
+    """Default `before_first`: does nothing."""
+
+
 class TopicFollower(application.TaskComponent):
     """Reads one topic from the store and applies its records to the replica.
 
@@ -39,10 +43,23 @@
         rng: random.Random,
         count_readers: Callable[[], int],
         should_read: Callable[[], bool],
+        before_first: Callable[[messages.Snapshot], None] = ignore_snapshot,
     ):
+        """Creates a follower.
+
+        Args:
+            replica: What the records are applied to.
+            source: The store.
+            clock: The clock.
+            rng: Spreads the calls.
+            count_readers: Returns the number of VMs that read the store.
+            should_read: Whether this VM has to read the store.
+            before_first: Called with the first snapshot, before it is applied.
+        """
         super().__init__()
         self._count_readers = count_readers
         self._should_read = should_read
+        self._before_first = before_first
         self._replica = replica
         self._source = source
         self._clock = clock
@@ -102,6 +119,8 @@
         snapshot = self._source.read_snapshot(self._replica.topic)
         self._check_era(snapshot.era)
         self._on_source_regained()
+        if self._replica.offset is None:
+            self._before_first(snapshot)
         self._replica.apply_snapshot(snapshot)
         self._offset = snapshot.end
         self._era = snapshot.era
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -63,7 +63,15 @@
 
 
 class RecordsCompactedError(errors.PlatformError):
-    """The store does not have all records from the requested offset on."""
+    """The store does not have all records from the requested offset on.
+
+    Attributes:
+        first: Offset of the first record that it has; None if it did not say.
+    """
+
+    def __init__(self, message: str, first: int | None = None):
+        super().__init__(message)
+        self.first = first
 
 
 class RecordSource(Protocol):
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -1,5 +1,7 @@
 """This VM's replica of a topic."""
 
+from collections.abc import Callable
+
 from hornbeampier.replication import messages
 from hornbeampier.replication import positions
 
@@ -8,6 +10,10 @@
 MAX_TOMBSTONES = 2_000
 
 
+def _ignore(record: messages.Record) -> None:
+    """Default `on_superseded`: does nothing."""
+
+
 class TopicReplica:
     """The newest record of each key.
 
@@ -21,6 +27,8 @@
         position: What has been read; None before the first snapshot or batch.
         changed: What had been read when anything last changed that peers are to
             learn of at once.
+        on_superseded: Called with each record that is read after a newer one
+            of its key, and so is not applied.
     """
 
     def __init__(self, topic: str, applier: messages.Applier):
@@ -29,6 +37,7 @@
         self._newest: dict[str, messages.Record] = {}
         self.position: positions.Position | None = None
         self.changed: positions.Position | None = None
+        self.on_superseded: Callable[[messages.Record], None] = _ignore
 
     @property
     def offset(self) -> int | None:
@@ -117,6 +126,8 @@
         current = self._newest.get(record.key)
         if current is not None:
             if current.end >= record.end:
+                if current.end > record.end:
+                    self.on_superseded(record)
                 return False
             if record.era > current.era and not self._applier.supersedes(
                 record, current
--- a/hornbeampier/replication/store_readers.py
+++ b/hornbeampier/replication/store_readers.py
@@ -8,6 +8,7 @@
 enough live peers that rank before it report that they do.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import functools
 import math
@@ -86,6 +87,17 @@
         return list(self._reported_ms)
 
 
+def reads_at_start(host: str, seeds: Collection[str]) -> bool:
+    """Whether a VM is sure to be one of the few first among the seeds.
+
+    It may read more than a snapshot before it has settled.
+    """
+    if not seeds:
+        return True
+    ranked_before = sum(_rank(seed) < _rank(host) for seed in seeds)
+    return host in seeds and ranked_before < READER_COUNT
+
+
 @functools.lru_cache(maxsize=MAX_RANKS)
 def _rank(host: str) -> float:
     return route_table.uniform_hash(f"reader/{host}")
--- a/hornbeampier/routing/catalog.py
+++ b/hornbeampier/routing/catalog.py
@@ -1,6 +1,7 @@
 """The configuration in force and the known endpoints, as this VM sees them."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import structlog
 
@@ -9,6 +10,16 @@
 from hornbeampier.routing import urgency
 
 
+class EndpointWatcher(Protocol):
+    """Is told of each change of an endpoint, before the next one is made."""
+
+    def endpoint_changed(
+        self, previous: domain.Endpoint | None, current: domain.Endpoint | None
+    ) -> None:
+        """Called after a change; None stands for no endpoint."""
+        ...
+
+
 class Catalog:
     """Holds the configuration in force and the known endpoints."""
 
@@ -18,12 +29,17 @@
         self.urgency_ranks: urgency.UrgencyRanks | None = None
         self.endpoints: dict[str, domain.Endpoint] = {}
         self._subscribers: list[Callable[[], None]] = []
+        self._watchers: list[EndpointWatcher] = []
         self._log = structlog.get_logger(task="catalog")
 
     def subscribe(self, subscriber: Callable[[], None]) -> None:
         """Registers a function that is called after each endpoint change."""
         self._subscribers.append(subscriber)
 
+    def watch(self, watcher: EndpointWatcher) -> None:
+        """Registers what is told which endpoint changes, and how."""
+        self._watchers.append(watcher)
+
     @property
     def version(self) -> int:
         """Version of the configuration in force, or -1 if there is none."""
@@ -48,7 +64,8 @@
 
     def apply_endpoint(self, endpoint: domain.Endpoint) -> bool:
         """Adds or updates an endpoint; returns whether anything changed."""
-        if self.endpoints.get(endpoint.id) == endpoint:
+        previous = self.endpoints.get(endpoint.id)
+        if previous == endpoint:
             return False
         self.endpoints[endpoint.id] = endpoint
         self._log.info(
@@ -59,16 +76,21 @@
             leaving=endpoint.leaving,
             software=endpoint.software_version,
         )
-        self._notify()
+        self._notify(previous, endpoint)
         return True
 
     def remove_endpoint(self, endpoint_id: str) -> None:
         """Removes an endpoint; does nothing if it is unknown."""
-        if self.endpoints.pop(endpoint_id, None) is None:
+        previous = self.endpoints.pop(endpoint_id, None)
+        if previous is None:
             return
         self._log.info("endpoint_removed", endpoint=endpoint_id)
-        self._notify()
+        self._notify(previous, None)
 
-    def _notify(self) -> None:
+    def _notify(
+        self, previous: domain.Endpoint | None, current: domain.Endpoint | None
+    ) -> None:
+        for watcher in self._watchers:
+            watcher.endpoint_changed(previous, current)
         for subscriber in self._subscribers:
             subscriber()
--- /dev/null
+++ b/hornbeampier/routing/registration_log.py
@@ -0,0 +1,131 @@
+"""What the store's log of registrations shows: versions, and since when."""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from hornbeampier.routing import domain
+from hornbeampier.routing import stream_origins
+
+# Entries of a process that may have come without a heartbeat between them, as
+# an endpoint also writes one when its state changes.
+EXTRA_ENTRIES = 2
+# VMs may use an endpoint for this time after its entry was removed.
+REMOVAL_DELAY_MS = 2_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registration:
+    """One record of the log.
+
+    Attributes:
+        endpoint: The entry; None if it was removed, or is unreadable.
+    """
+
+    endpoint_id: str
+    endpoint: domain.Endpoint | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogSummary:
+    """What a part of the log up to its end shows.
+
+    Attributes:
+        ages_ms: Lower bound on the time since each version in the log was
+            registered; 0 if it is.
+        covered_ms: Time up to now in which no other version was registered.
+    """
+
+    ages_ms: dict[stream_origins.Origin, float]
+    covered_ms: float
+
+
+# Identifies a process of an endpoint.
+_Process = tuple[str, int]
+
+
+def summarize(
+    registrations: Iterable[Registration],
+    heartbeat_ms: float,
+    is_complete: bool,
+    has_losses: bool,
+) -> LogSummary:
+    """Returns what the log shows.
+
+    Args:
+        registrations: The records, in order, up to the end of the log.
+        heartbeat_ms: Interval at which endpoints write their entries.
+        is_complete: Whether the log holds all records that were ever written.
+        has_losses: Whether the store may have lost records in between.
+    """
+    rows = list(registrations)
+    reaches_ms = _reaches(rows, heartbeat_ms)
+    ages_ms = _version_ages(rows, reaches_ms)
+    if is_complete and not has_losses:
+        return LogSummary(ages_ms, math.inf)
+    first = _first_after_loss(rows) if has_losses else 0
+    return LogSummary(ages_ms, _bounded(reaches_ms[first]))
+
+
+def _reaches(rows: list[Registration], heartbeat_ms: float) -> list[float]:
+    """Returns a lower bound on the age of each record, and 0 for the end.
+
+    It is the time that one process needed to write its later entries.
+    """
+    last: dict[_Process, int] = {}
+    reaches_ms = [0.0] * (len(rows) + 1)
+    for index in range(len(rows) - 1, -1, -1):
+        reaches_ms[index] = reaches_ms[index + 1]
+        endpoint = rows[index].endpoint
+        if endpoint is None:
+            continue
+        spread = last.setdefault(_process(endpoint), endpoint.sequence)
+        spread -= endpoint.sequence + EXTRA_ENTRIES
+        reaches_ms[index] = max(reaches_ms[index], spread * heartbeat_ms)
+    return reaches_ms
+
+
+def _version_ages(
+    rows: list[Registration], reaches_ms: list[float]
+) -> dict[stream_origins.Origin, float]:
+    """Returns the age of each version, by when it was registered last."""
+    current: dict[str, stream_origins.Origin] = {}
+    counts: collections.Counter[stream_origins.Origin] = collections.Counter()
+    ages_ms: dict[stream_origins.Origin, float] = {}
+    for index, row in enumerate(rows):
+        previous = current.pop(row.endpoint_id, None)
+        if previous is not None:
+            counts[previous] -= 1
+            ages_ms[previous] = _bounded(reaches_ms[index])
+        if row.endpoint is not None:
+            origin = stream_origins.of_endpoint(row.endpoint)
+            current[row.endpoint_id] = origin
+            counts[origin] += 1
+            ages_ms[origin] = 0.0
+    return {
+        origin: 0.0 if counts[origin] > 0 else age_ms
+        for origin, age_ms in ages_ms.items()
+    }
+
+
+def _first_after_loss(rows: list[Registration]) -> int:
+    """Returns the index of the last record whose predecessor is missing."""
+    first = 0
+    last: dict[_Process, int] = {}
+    for index, row in enumerate(rows):
+        if row.endpoint is None:
+            continue
+        process = _process(row.endpoint)
+        if row.endpoint.sequence > last.get(process, 0) + 1:
+            first = index
+        last[process] = row.endpoint.sequence
+    return first
+
+
+def _bounded(reach_ms: float) -> float:
+    return max(0.0, reach_ms - REMOVAL_DELAY_MS)
+
+
+def _process(endpoint: domain.Endpoint) -> _Process:
+    return endpoint.id, endpoint.started_ms
--- a/hornbeampier/routing/stream_origins.py
+++ b/hornbeampier/routing/stream_origins.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import domain
 
 # Size of the digest of a request's id under which its stream is recorded.
 KEY_BYTES = 8
@@ -41,6 +42,11 @@
     expires_ms: float
 
 
+def of_endpoint(endpoint: domain.Endpoint) -> Origin:
+    """Returns the origin of streams that begin at an endpoint."""
+    return Origin(endpoint.service, endpoint.software_version)
+
+
 def digest_id(request_id: str) -> bytes:
     """Returns the key under which a request's stream is recorded."""
     return hashlib.blake2b(request_id.encode(), digest_size=KEY_BYTES).digest()
