Test the coverage of versions without a network; keep it over short silence

Cause: a VM that starts stands by for 1.5 s before it reads the store again; if it hears no peer meanwhile it would forget what the log has proved. Streams are announced to other VMs while one version is not proved either, so that these can be resumed when their VM goes.

--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -104,7 +104,7 @@
             stream_origins.Origin(endpoint.service, endpoint.software_version),
             self._clock.now() + stream_origins.bound_retention(remaining_ms),
         )
-        self._directory.record(stream, not self._has_one_origin(req))
+        self._directory.record(stream, not self._is_unambiguous(req))
 
     def _find(
         self, req: requests.Request, request_id: str
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -99,9 +99,9 @@
         )
 
     def maintain(self, is_in_touch: bool) -> None:
-        """Records whether this VM follows registrations; drops what is old."""
-        has_endpoints = self._replica.offset is not None
-        self._history.coverage.observe(has_endpoints and is_in_touch)
+        """Records that this VM follows registrations; drops what is old."""
+        if is_in_touch and self._replica.offset is not None:
+            self._history.coverage.observe()
         self._history.expire()
         self._directory.expire()
         self._log_change(is_in_touch)
--- a/hornbeampier/replication/registration_reader.py
+++ b/hornbeampier/replication/registration_reader.py
@@ -86,6 +86,8 @@
         self._clock = clock
         self._reads_left = MAX_READS
         self._due_ms: float | None = None
+        # Whether the first snapshot waits for the log.
+        self._is_reading = False
         self._log = structlog.get_logger(task="registrations")
 
     @property
@@ -96,14 +98,16 @@
     def read_before(self, snapshot: messages.Snapshot) -> None:
         """Reads the log up to the first snapshot, if this VM reads early."""
         if self._reads_early:
+            self._is_reading = True
             self._read(snapshot.end)
+            self._is_reading = False
 
     def run(self) -> None:
         """Reads the log once this VM is known to be a store reader."""
         while self._reads_left:
             self._clock.sleep(RETRY_INTERVAL_MS)
             end = self._offset()
-            if end is not None:
+            if end is not None and not self._is_reading:
                 self._read_if_needed(end)
         self._source.close()
 
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -100,6 +100,14 @@
             response, _ = self.take_up_with_retries(vms, number)
             self.assertEqual(200, response.status, response.body)
 
+    def test_vm_that_joins_learns_from_its_peers_that_one_version_served(self):
+        vms = self.begin_streams()
+        self.store.compact(names.ENDPOINT_TOPIC)
+        vms[2].stop()
+        started = self.restart(vms[2])
+        response, _ = self.take_up_with_retries([started], 2)
+        self.assertEqual(200, response.status, response.body)
+
     # Without a history another version may have begun the stream, until the
     # VMs have seen for long enough that there is none.
     def test_streams_are_refused_without_history_until_the_longest_ends(self):
