--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -144,16 +144,20 @@
     ) -> errors.RefusalError:
         """Returns the refusal of a stream that began at an unknown time."""
         missing_ms = self._history.missing_ms()
+        # A VM that was suspended can learn from its peers in a moment.
+        is_learning = self._is_learning() or not (
+            self._history.coverage.is_current
+        )
         self._log.warning(
             "origin_unproved",
             request_id=req.id,
             covered_ms=round(self._history.coverage.length_ms()),
             missing_ms=round(missing_ms),
-            learning=self._is_learning(),
+            learning=is_learning,
         )
         remaining_ms = req.caller_deadline_ms - self._clock.now()
         retry_after_ms = None
-        if self._is_learning():
+        if is_learning:
             retry_after_ms = RETRY_AFTER_MS
         elif missing_ms < remaining_ms:
             retry_after_ms = max(missing_ms, RETRY_AFTER_MS)
--- a/hornbeampier/routing/coverage.py
+++ b/hornbeampier/routing/coverage.py
@@ -56,5 +56,10 @@
             return 0.0
         return self._clock.now() - self._since_ms
 
+    @property
+    def is_current(self) -> bool:
+        """Whether this VM follows the registrations, so that it can learn."""
+        return not self._is_interrupted()
+
     def _is_interrupted(self) -> bool:
         return self._clock.now() - self._followed_ms > MAX_GAP_MS
--- a/hornbeampier/routing/origin_history.py
+++ b/hornbeampier/routing/origin_history.py
@@ -147,14 +147,21 @@
         if begun == ended:
             return
         if begun is not None:
-            self._serving[begun] += 1
-            self._ended_ms.pop(begun, None)
+            self._add_endpoint(begun)
         if ended is not None:
-            self._serving[ended] -= 1
-            if self._serving[ended] == 0:
-                del self._serving[ended]
-                self._ended_ms[ended] = self._clock.now()
-        self._index()
+            self._remove_endpoint(ended)
+
+    def _add_endpoint(self, origin: stream_origins.Origin) -> None:
+        self._serving[origin] += 1
+        if self._serving[origin] == 1:
+            self._ended_ms.pop(origin, None)
+            self._index()
+
+    def _remove_endpoint(self, origin: stream_origins.Origin) -> None:
+        self._serving[origin] -= 1
+        if self._serving[origin] == 0:
+            del self._serving[origin]
+            self._ended_ms[origin] = self._clock.now()
 
     def _forget(self, kept_ms: dict[stream_origins.Origin, float]) -> None:
         """Forgets all ended versions but some."""
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -69,9 +69,9 @@
         self._changed.set()
         self._changed = event.Event()
 
-    def compact(self, topic):
-        """Trims all records of a topic; `/log-newest` still has the newest."""
-        self._first_offsets[topic] = len(self._records[topic])
+    def compact(self, topic, retained=0):
+        """Trims all but the last records; `/log-newest` has the newest."""
+        self._first_offsets[topic] = len(self._records[topic]) - retained
 
     def _respond(self, environ, start_response):
         query = dict(parse.parse_qsl(environ["QUERY_STRING"]))
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -100,6 +100,21 @@
             response, _ = self.take_up_with_retries(vms, number)
             self.assertEqual(200, response.status, response.body)
 
+    # The log begins with an entry that is older than the longest stream.
+    def test_streams_go_on_if_what_is_left_of_history_reaches_far_enough(self):
+        vms = self.begin_streams()
+        self.kill_all(vms)
+        engine = self.start_endpoint("service", lambda req: req.respond())
+        for sequence in range(2, 12):
+            record = nodes.endpoint_record(
+                "service", engine.address, sequence=sequence
+            )
+            self.store.put_endpoint(engine.id, record)
+        self.store.compact(names.ENDPOINT_TOPIC, retained=9)
+        vms = self.restart_all(vms)
+        response, _ = self.take_up_with_retries(vms, 0)
+        self.assertEqual(200, response.status, response.body)
+
     def test_vm_that_joins_learns_from_its_peers_that_one_version_served(self):
         vms = self.begin_streams()
         self.store.compact(names.ENDPOINT_TOPIC)
--- a/tests/test_version_coverage.py
+++ b/tests/test_version_coverage.py
@@ -220,6 +220,12 @@
         self.is_learning = True
         self.assertEqual(resumption.RETRY_AFTER_MS, self.refuse(1_900.0))
 
+    # Its peers prove it as soon as it follows the registrations again.
+    def test_retry_helps_at_a_vm_that_was_suspended(self):
+        self.vm.history.coverage.begin(math.inf)
+        self.network.clock.advance(60_000.0)
+        self.assertEqual(resumption.RETRY_AFTER_MS, self.refuse(1_900.0))
+
 
 class FakeLog:
     """A log that returns a few records at a time."""
