--- a/hornbeampier/replication/registration_reader.py
+++ b/hornbeampier/replication/registration_reader.py
@@ -23,6 +23,8 @@
 # Bounds of what is read: the newest records, and their size.
 MAX_RECORDS = 16_000
 MAX_BYTES = 4 * 1024 * 1024
+# Number of entries that are decoded at once.
+DECODE_COUNT = 500
 # Bytes that a record takes beside its key and value.
 RECORD_OVERHEAD = 5
 # The first snapshot waits no longer than this for the log.
@@ -133,14 +135,14 @@
         except (errors.PlatformError, gevent.Timeout) as exc:
             self._log.warning("registrations_unread", error=str(exc))
             return
-        self._reads_left = 0
         summary = registration_log.summarize(
-            [_to_registration(record) for record in log.records],
+            self._decode(log.records),
             self._heartbeat_ms,
             log.is_complete,
             has_losses=log.era > FIRST_ERA,
         )
         self._history.record_log(summary)
+        self._reads_left = 0
         self._log.info(
             "registrations_read",
             records=len(log.records),
@@ -153,6 +155,17 @@
             took_ms=round(self._clock.now() - began_ms),
         )
 
+    def _decode(
+        self, log_records: tuple[messages.Record, ...]
+    ) -> list[registration_log.Registration]:
+        """Decodes entries; other tasks run after each `DECODE_COUNT`."""
+        decoded = []
+        for index, record in enumerate(log_records):
+            if index % DECODE_COUNT == 0:
+                self._clock.sleep(0.0)
+            decoded.append(_to_registration(record))
+        return decoded
+
     def _fetch(self, end: int) -> _Log:
         """Returns the newest records, at least up to an offset."""
         start = max(0, end - MAX_RECORDS)
