--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -69,9 +69,9 @@
         self._changed.set()
         self._changed = event.Event()
 
-    def compact(self, topic):
-        """Trims all records of a topic; `/log-newest` still has the newest."""
-        self._first_offsets[topic] = len(self._records[topic])
+    def compact(self, topic, retained=0):
+        """Trims all but the last records; `/log-newest` has the newest."""
+        self._first_offsets[topic] = len(self._records[topic]) - retained
 
     def _respond(self, environ, start_response):
         query = dict(parse.parse_qsl(environ["QUERY_STRING"]))
@@ -108,7 +108,7 @@
         offset = int(query["from"])
         if not self._has(topic, offset):
             start_response("410 Gone", self._headers())
-            return [b'{"first": 0}']
+            return [json.dumps({"first": self._first_offsets[topic]}).encode()]
         era = self.era
         if offset >= len(self._records[topic]):
             self._changed.wait(int(query["waitMs"]) / 1000)
