Skeleton of the lease of a duty

The usage and order parts call build_duty while the lease itself is written. The keeper never has a term yet and the API client sends nothing. Importing the module was run; no tests yet.

--- /dev/null
+++ b/hornbeampier/duties/components.py
@@ -0,0 +1,47 @@
+"""Builds the components with which a VM takes part in a duty."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from hornbeampier import clock as clocks
+from hornbeampier import node_metrics
+from hornbeampier.duties import lease_keeper
+from hornbeampier.duties import terms
+from hornbeampier.platform import duty_api
+from hornbeampier.platform import settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duty:
+    """One duty of this VM.
+
+    Attributes:
+        keeper: Component that holds the lease. An application adds it last, so
+            that its drain releases the lease before callers are drained.
+        api: The platform's calls; usable only with a term of the keeper.
+    """
+
+    keeper: lease_keeper.LeaseKeeper
+    api: terms.DutyApi
+
+
+def build_duty(
+    duty: str,
+    cfg: settings.NodeSettings,
+    live_peers: Callable[[], list[str]],
+    metrics: node_metrics.NodeMetrics,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> Duty:
+    """Returns the components of one duty.
+
+    Args:
+        duty: One of the duties that the settings name.
+        cfg: The settings of this VM.
+        live_peers: Returns the hosts of the other live VMs.
+        metrics: Where the lease and the calls are counted.
+        clock: The clock, which counts the time of suspensions.
+        rng: Source of the process's number and of jitter.
+    """
+    return Duty(lease_keeper.LeaseKeeper(), duty_api.DutyApiClient())
