Lease of a duty: decision, keeper, store and API clients

One VM at a time acts on a duty; the store's partition of the duty decides which. The store client's connection moves to a module of its own, as the API client needs the same one, and gets conditional appends.

Keepers over HTTP are not tested yet.

--- a/hornbeampier/duties/components.py
+++ b/hornbeampier/duties/components.py
@@ -6,10 +6,20 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import node_metrics
+from hornbeampier.duties import lease
 from hornbeampier.duties import lease_keeper
 from hornbeampier.duties import terms
 from hornbeampier.platform import duty_api
+from hornbeampier.platform import duty_store
 from hornbeampier.platform import settings
+from hornbeampier.routing import rendezvous
+
+# Live VMs, by rank, that try to acquire a free lease. More than one, as a VM
+# that was killed or is draining counts as live for some seconds.
+CANDIDATE_COUNT = 3
+# Timeout of a call to the store: a renewal without a response leaves time for
+# a read and another renewal within the term.
+STORE_TIMEOUT_LEASES = 1 / 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,4 +54,23 @@
         clock: The clock, which counts the time of suspensions.
         rng: Source of the process's number and of jitter.
     """
-    return Duty(lease_keeper.LeaseKeeper(), duty_api.DutyApiClient())
+    duties = cfg.duties
+    store = duty_store.DutyStore(
+        cfg.store,
+        duties.names.index(duty),
+        duties.lease_ms * STORE_TIMEOUT_LEASES,
+        clock,
+    )
+    api = duty_api.DutyApiClient(duty, duties, metrics, clock)
+    decision = lease.Lease(
+        duty, cfg.vm, duties.lease_ms, duties.requires_fence, clock, rng
+    )
+
+    def is_candidate() -> bool:
+        hosts = {cfg.host, *live_peers()}
+        return cfg.host in rendezvous.rank(duty, hosts, CANDIDATE_COUNT)
+
+    keeper = lease_keeper.LeaseKeeper(
+        duty, decision, store, is_candidate, api.drain, metrics, clock
+    )
+    return Duty(keeper, api)
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -160,14 +160,14 @@
         return self._eof_received
 
     def call(
-        self, head: messages.RequestHead, deadline_ms: float
+        self, head: messages.RequestHead, deadline_ms: float, body: bytes = b""
     ) -> CompleteResponse:
-        """Sends a request without a body and returns the complete response.
+        """Sends a request and returns the complete response.
 
         Raises:
             OSError, h11.ProtocolError: No complete response arrived in time.
         """
-        self.send(head, b"", deadline_ms)
+        self.send(head, body, deadline_ms)
         response = self.read_head(deadline_ms)
         body = b"".join(self._read_at_most(MAX_CALL_BYTES, deadline_ms))
         return CompleteResponse(response, body)
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -52,6 +52,20 @@
             "Learned prefill rate of an engine by service.",
             registry=self._registry,
         )
+        self._duty_calls = self._counter(
+            "hornbeampier_duty_calls_total",
+            "Calls to the platform's API by duty and outcome.",
+        )
+        self._lease_held = aioprometheus.Gauge(
+            "hornbeampier_lease_held",
+            "Whether this VM may act on a duty.",
+            registry=self._registry,
+        )
+        self._lease_token = aioprometheus.Gauge(
+            "hornbeampier_lease_token",
+            "Fencing token of the lease that this VM holds; 0 if none.",
+            registry=self._registry,
+        )
         self._version = aioprometheus.Gauge(
             "hornbeampier_configuration_version",
             "Version of the configuration in force.",
@@ -100,6 +114,15 @@
             {"service": service}, tokens_per_ms * clocks.MS_PER_SECOND
         )
 
+    def record_duty_call(self, duty: str, outcome: str) -> None:
+        """Counts a call to the platform's API."""
+        self._duty_calls.inc({"duty": duty, "outcome": outcome})
+
+    def record_lease(self, duty: str, is_held: bool, token: int | None) -> None:
+        """Shows whether this VM may act on a duty, and its token."""
+        self._lease_held.set({"duty": duty}, float(is_held))
+        self._lease_token.set({"duty": duty}, float(token or 0))
+
     def render(self, version: int) -> bytes:
         """Returns the metrics in Prometheus' text exposition format."""
         self._version.set({}, version)
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -1,23 +1,24 @@
 """Client of the platform's store."""
 
 import base64
+from collections.abc import Iterable
 import struct
+from typing import Annotated
 from urllib import parse
 
 import msgspec
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
+from hornbeampier.duties import lease_records
 from hornbeampier.http1 import client
-from hornbeampier.http1 import messages as http
-from hornbeampier.http1 import sockets
+from hornbeampier.platform import connection
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.replication import messages
 
-CONNECT_TIMEOUT_MS = 1_000.0
 CALL_TIMEOUT_MS = 3_000.0
-PARTITION = 0
+FIRST_PARTITION = 0
 MAX_ERA_DIGITS = 18
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -37,16 +38,38 @@
     has_more: bool = False
 
 
+class _AppendOffsets(msgspec.Struct):
+    offset: Annotated[int, msgspec.Meta(ge=0)]
+    end: Annotated[int, msgspec.Meta(ge=1)]
+
+
 _page_decoder = msgspec.json.Decoder(_Page)
+_append_decoder = msgspec.json.Decoder(_AppendOffsets)
+
+
+class UnexpectedStatusError(errors.PlatformError):
+    """The store responded with an error status."""
+
+    def __init__(self, call: str, status: int, era: int):
+        super().__init__(f"{call} returned {status}")
+        self.status = status
+        self.era = era
 
 
 class StoreClient:
     """A client with one connection to the store, for one call at a time."""
 
-    def __init__(self, address: settings.Address, clock: clocks.Clock):
-        self._address = address
+    def __init__(
+        self,
+        address: settings.Address,
+        clock: clocks.Clock,
+        partition: int = FIRST_PARTITION,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+    ):
         self._clock = clock
-        self._conn: client.ClientConnection | None = None
+        self._partition = partition
+        self._timeout_ms = timeout_ms
+        self._conn = connection.ServiceConnection(address, clock)
 
     def read_snapshot(self, topic: str) -> messages.Snapshot:
         """Returns the latest record of each key.
@@ -61,7 +84,7 @@
         """
         records = []
         first = None
-        query = {"topic": topic, "part": PARTITION}
+        query = {"topic": topic, "part": self._partition}
         while True:
             page, era = self._newest_page(query)
             first = first or (page.end, era)
@@ -82,7 +105,7 @@
         """
         query = {
             "topic": topic,
-            "part": PARTITION,
+            "part": self._partition,
             "from": offset,
             "waitMs": round(wait_ms),
         }
@@ -91,21 +114,45 @@
             raise messages.RecordsCompactedError(
                 "the store no longer has the requested records"
             )
-        if response.status != 200:
-            raise errors.PlatformError(f"log-read returned {response.status}")
+        _check_status("log-read", response)
         return _decode_batch(response.body, offset, _decode_era(response))
 
+    def append(
+        self, topic: str, at: int, records: Iterable[tuple[str, bytes]]
+    ) -> lease_records.Appended:
+        """Appends records if the topic ends at offset `at`.
+
+        Raises:
+            lease_records.AppendConflictError: The topic ends elsewhere.
+            errors.PlatformError: The store sent no valid response. It may have
+                executed the append, or may later.
+        """
+        query = {"topic": topic, "part": self._partition, "at": at}
+        body = b"".join(_encode_record(*record) for record in records)
+        response = self._call("/log-append", query, method=b"POST", body=body)
+        if response.status == 412:
+            raise lease_records.AppendConflictError(
+                f"the topic does not end at {at}"
+            )
+        _check_status("log-append", response)
+        try:
+            offsets = _append_decoder.decode(response.body)
+        except errors.DECODE_ERRORS as exc:
+            raise errors.PlatformError(
+                f"malformed log-append response: {exc}"
+            ) from exc
+        return lease_records.Appended(
+            offsets.offset, offsets.end, _decode_era(response)
+        )
+
     def close(self) -> None:
         """Closes the connection."""
-        if self._conn is not None:
-            self._conn.close()
-            self._conn = None
+        self._conn.close()
 
     def _newest_page(self, query: dict) -> tuple[_Page, int]:
         """Returns a page and the era of the store."""
-        response = self._call("/log-newest", query, 0.0)
-        if response.status != 200:
-            raise errors.PlatformError(f"log-newest returned {response.status}")
+        response = self._call("/log-newest", query)
+        _check_status("log-newest", response)
         try:
             page = _page_decoder.decode(response.body)
         except errors.DECODE_ERRORS as exc:
@@ -115,36 +162,16 @@
         return page, _decode_era(response)
 
     def _call(
-        self, path: str, query: dict, wait_ms: float
+        self,
+        path: str,
+        query: dict,
+        wait_ms: float = 0.0,
+        method: bytes = b"GET",
+        body: bytes = b"",
     ) -> client.CompleteResponse:
-        deadline_ms = self._clock.now() + wait_ms + CALL_TIMEOUT_MS
-        head = http.RequestHead(
-            b"GET",
-            f"{path}?{parse.urlencode(query)}".encode(),
-            ((b"host", str(self._address).encode()),),
-        )
-        try:
-            conn = self._connect()
-            response = conn.call(head, deadline_ms)
-        except client.TRANSPORT_ERRORS as exc:
-            self.close()
-            raise errors.PlatformError(f"store call failed: {exc}") from exc
-        except BaseException:
-            self.close()
-            raise
-        if not conn.is_reusable():
-            self.close()
-        return response
-
-    def _connect(self) -> client.ClientConnection:
-        if self._conn is not None and not self._conn.has_no_input():
-            self.close()
-        if self._conn is None:
-            sock = sockets.connect(
-                self._address.host, self._address.port, CONNECT_TIMEOUT_MS
-            )
-            self._conn = client.ClientConnection(sock, self._clock)
-        return self._conn
+        deadline_ms = self._clock.now() + wait_ms + self._timeout_ms
+        target = f"{path}?{parse.urlencode(query)}"
+        return self._conn.call(method, target, deadline_ms, body=body)
 
 
 def _decode_era(response: client.CompleteResponse) -> int:
@@ -159,6 +186,13 @@
     return int(value)
 
 
+def _check_status(call: str, response: client.CompleteResponse) -> None:
+    if response.status != 200:
+        raise UnexpectedStatusError(
+            call, response.status, _decode_era(response)
+        )
+
+
 def _to_record(item: _Item, era: int) -> messages.Record:
     try:
         value = base64.b64decode(item.value)
@@ -195,3 +229,9 @@
     key = record[1 : 1 + key_length].decode(errors="replace")
     value = record[1 + key_length :]
     return messages.Record(key, value or None, offset, era)
+
+
+def _encode_record(key: str, value: bytes) -> bytes:
+    key_bytes = key.encode()
+    record = bytes([len(key_bytes)]) + key_bytes + value
+    return _LENGTH.pack(len(record)) + record
