Count requests by window and report usage while holding the duty

The platform bills operators by usage reports, which one VM sends for all. Each VM counts by window and account and sends its counts to three collectors and the holder, which fixes a window's counts in the duty's partition before it reports them. Without the duty nothing is counted, sent or started.

--- a/hornbeampier/forwarding/context.py
+++ b/hornbeampier/forwarding/context.py
@@ -6,6 +6,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import node_metrics
 from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import request_usage
 from hornbeampier.forwarding import resumption
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
@@ -32,3 +33,4 @@
     metrics: node_metrics.NodeMetrics
     clock: clocks.Clock
     rng: random.Random
+    usage: request_usage.UsageRecorder = request_usage.NoUsage()
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -37,6 +37,7 @@
     Attributes:
         fields: The decoded head of the response; None before it is read.
         head: The head as received.
+        sent_ms: When the request was sent, on the monotonic clock, or None.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self._deadline_ms = 0.0
         self.fields: headers.ResponseFields | None = None
         self.head: messages.ResponseHead | None = None
+        self.sent_ms: float | None = None
 
     @property
     def endpoint(self) -> domain.Endpoint:
@@ -97,6 +99,7 @@
             last_event_id,
             fetch_from,
         )
+        self.sent_ms = sent_ms
         try:
             self._conn.send(head, req.body, self._deadline_ms)
             self.head = self._conn.read_head(
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 from hornbeampier.forwarding import context as contexts
 from hornbeampier.forwarding import crash_guard
 from hornbeampier.forwarding import endpoint_attempt
+from hornbeampier.forwarding import request_usage
 from hornbeampier.forwarding import response_checks
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
@@ -77,6 +78,9 @@
         self._relay = streams.StreamRelay(
             caller, context.clock, self._version_guard.record_begin
         )
+        self._usage = request_usage.RequestUsage(
+            context.usage, req, context.clock
+        )
         self._tried: set[str] = set()
         self._attempts = 0
         self._unreachable_count = 0
@@ -165,12 +169,14 @@
             self._clock,
         )
         self._crash_guard.begun_ms = None
+        self._usage.begin(attempt)
         try:
             attempt.open(
                 self._req, self._relay.last_event_id, choice.fetch_from
             )
             self._attempts += 1
             self._check_response(attempt)
+            self._usage.record_run()
             self._deliver(attempt, in_flight_attempt, observer, choice)
             in_flight_attempt.record_response()
             choice.state.record_success(self._clock.now())
@@ -178,9 +184,12 @@
             was_sent = not (exc.unsent or exc.withheld)
             if was_sent and attempt.fields is None:
                 self._attempts += 1
+            if exc.verdict.may_have_run:
+                self._usage.record_run()
             in_flight_attempt.record_failure()
             raise
         finally:
+            self._usage.end()
             in_flight_attempt.end()
             attempt.close()
 
@@ -242,6 +251,7 @@
             self._crash_guard.on_block()
             in_flight_attempt.record_response()
             if not is_resumed:
+                self._usage.on_block()
                 observer.on_block()
 
         self._relay.relay(attempt, on_block, watch)
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -5,6 +5,7 @@
 from hornbeampier import application
 from hornbeampier import environment
 from hornbeampier import node_metrics
+from hornbeampier.duties import wiring
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import context
@@ -105,8 +106,13 @@
         )
         self._build_replication()
         self._build_peers()
+        self._duties = wiring.Duties(
+            cfg, self._live_peers, self._metrics, self._clock, env.rng
+        )
+        self.app.add(*self._duties.exchanges)
         self._build_forwarder()
         self._build_listeners()
+        self.app.add(*self._duties.actors)
 
     def _build_replication(self) -> None:
         configuration_applier = appliers.ConfigurationApplier(
@@ -134,8 +140,7 @@
             )
             for topic_replica in self._replicas.values()
         ]
-        for topic_follower in self._followers:
-            self.app.add(topic_follower)
+        self.app.add(*self._followers)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
@@ -173,16 +178,17 @@
         identity = components.Identity(
             cfg.vm, cfg.host, cfg.availability_zone, cfg.peer_port
         )
-        for component in components.build_gossip(
-            identity,
-            shared,
-            self._membership,
-            self._reads_store,
-            self._clock,
-            self._env.rng,
-        ):
-            self.app.add(component)
-        self.app.add(self._catch_up)
+        self.app.add(
+            *components.build_gossip(
+                identity,
+                shared,
+                self._membership,
+                self._reads_store,
+                self._clock,
+                self._env.rng,
+            ),
+            self._catch_up,
+        )
         self._build_origin_exchange()
 
     def _build_origin_exchange(self) -> None:
@@ -195,8 +201,7 @@
             self._clock,
             self._env.rng,
         )
-        self.app.add(transport)
-        self.app.add(self._directory)
+        self.app.add(transport, self._directory)
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
@@ -229,6 +234,7 @@
             metrics=self._metrics,
             clock=self._clock,
             rng=self._env.rng,
+            usage=self._duties.usage,
         )
         self._forwarder = forwarder.Forwarder(shared)
         if cfg.control is not None and not cfg.bootstrap:
@@ -295,26 +301,20 @@
                 readiness.ReadinessHandler(self.is_ready),
                 self._clock,
                 MAX_CONTROL_CONNECTIONS,
-            )
-        )
-        self.app.add(
+            ),
             listener.Listener(
                 self._metrics_address,
                 control.MetricsHandler(self._render_metrics),
                 self._clock,
                 MAX_CONTROL_CONNECTIONS,
-            )
-        )
-        self.app.add(caller_listener)
-        self.app.add(
+            ),
+            caller_listener,
             shutdown.GracefulShutdown(
                 self._handler, caller_listener, self._clock, cfg.grace_ms
-            )
-        )
-        self.app.add(
+            ),
             application.PeriodicTask(
                 MAINTENANCE_INTERVAL_MS, self._maintain, self._clock
-            )
+            ),
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/hornbeampier/peers/usage_messages.py
@@ -0,0 +1,129 @@
+"""Wire types of the usage exchange; fields are encoded by position."""
+
+import msgspec
+
+from hornbeampier import errors
+
+
+class WindowEntry(msgspec.Struct, array_like=True, frozen=True):
+    """Cumulative counts of one process in a window.
+
+    Attributes:
+        pairs: Number of an account and its count, in turns. The number is the
+            position of its name among all names the process has sent.
+    """
+
+    window: int
+    is_final: bool
+    pairs: tuple[int, ...]
+
+
+class Counts(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """What a process has counted.
+
+    Attributes:
+        process: Random number of the process.
+        sequence: Repeated in the acknowledgment.
+        first_name: Position of the first of `names` among all names.
+        names: Names of accounts that the receiver may not know yet.
+        windows: The windows that have changed.
+        wants_ack: Whether the receiver is to acknowledge them.
+    """
+
+    process: int
+    sequence: int
+    first_name: int
+    names: tuple[str, ...]
+    windows: tuple[WindowEntry, ...]
+    wants_ack: bool
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Acknowledges `Counts`.
+
+    Attributes:
+        known_names: Number of names of the process that the sender knows.
+        is_complete: Whether it knew the names of all counts.
+        time_ms: The sender's time, in ms since the Unix epoch.
+    """
+
+    process: int
+    sequence: int
+    known_names: int
+    is_complete: bool
+    time_ms: int
+
+
+class Subscription(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """Asks a VM for its counts, from now on; the duty's holder repeats it.
+
+    Attributes:
+        number: Differs each time a VM takes the duty over.
+    """
+
+    number: int
+
+
+class Query(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """Asks a VM what it holds of a window.
+
+    Attributes:
+        known: The processes whose final counts the sender has.
+    """
+
+    window: int
+    known: tuple[int, ...]
+
+
+class HeldRow(msgspec.Struct, array_like=True, frozen=True):
+    """Counts of one process, as another VM holds them."""
+
+    host: str
+    process: int
+    is_final: bool
+    counts: dict[str, int]
+
+
+class QueryReply(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Some of what a VM holds of a window.
+
+    Attributes:
+        is_last: Whether no further datagram follows.
+    """
+
+    window: int
+    is_last: bool
+    rows: tuple[HeldRow, ...]
+
+
+Message = Counts | Ack | Subscription | Query | QueryReply
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as a datagram."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message in a datagram.
+
+    Raises:
+        errors.PeerError: The datagram is not a valid message.
+    """
+    try:
+        message = _decoder.decode(data)
+    except errors.DECODE_ERRORS as exc:
+        raise errors.PeerError(f"invalid datagram on usage: {exc}") from exc
+    if isinstance(message, Counts):
+        _check_pairs(message)
+    return message
+
+
+def _check_pairs(message: Counts) -> None:
+    for entry in message.windows:
+        if len(entry.pairs) % 2 or any(number < 0 for number in entry.pairs):
+            raise errors.PeerError(
+                "invalid datagram on usage: counts need pairs of numbers"
+            )
