--- a/hornbeampier/duties/usage_clock.py
+++ b/hornbeampier/duties/usage_clock.py
@@ -16,6 +16,10 @@
 # within a short exchange: the process may have been paused meanwhile.
 SAMPLE_RETENTION_MS = 20_000.0
 MAX_ROUND_TRIP_MS = 500.0
+# At the start of a process its time is not relied on before this number of
+# peers has shown theirs, or this time has passed.
+SETTLING_SAMPLES = 2
+SETTLING_MS = 1_500.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +37,7 @@
         self._clock = clock
         self._offset_ms = clock.unix() - clock.now()
         self._adjusted_ms = clock.now()
+        self._started_ms = clock.now()
         self._samples: dict[str, _Sample] = {}
         self._log = structlog.get_logger(task="usage_clock")
 
@@ -44,6 +49,13 @@
         """Returns the time in ms since the Unix epoch at a monotonic time."""
         return monotonic_ms + self._offset_ms
 
+    def is_settled(self) -> bool:
+        """Whether peers have shown their time, or had the time to do so."""
+        uptime_ms = self._clock.now() - self._started_ms
+        return (
+            len(self._samples) >= SETTLING_SAMPLES or uptime_ms >= SETTLING_MS
+        )
+
     def record_peer(
         self, host: str, peer_ms: float, round_trip_ms: float
     ) -> None:
--- a/hornbeampier/duties/usage_counts.py
+++ b/hornbeampier/duties/usage_counts.py
@@ -13,6 +13,8 @@
 DECISION_MS = 1_500.0
 # Counts of new accounts beyond this number in a window are not kept.
 MAX_ACCOUNTS = 2_000
+# Requests that are kept until the time is settled.
+MAX_UNSETTLED = 100_000
 
 
 class UndecidedRequest(Protocol):
@@ -44,9 +46,19 @@
     counts: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _UnsettledRequest:
+    """A request that was counted before the time was settled."""
+
+    account: str
+    at_ms: float
+
+
 class UsageCounts:
     """The requests of recent windows on this VM, cumulative by account.
 
+    Until the time is settled, requests are kept and belong to no window.
+
     Attributes:
         first_whole_window: The first window for all of which this VM was up.
     """
@@ -63,6 +75,8 @@
         self._windows: dict[int, WindowCounts] = {}
         self._undecided: set[UndecidedRequest] = set()
         self._revision = 0
+        self._started_ms = clock.now()
+        self._unsettled: list[_UnsettledRequest] | None = []
         self._next_final = self.current_window()
         self.first_whole_window = self._next_final + 1
 
@@ -72,6 +86,10 @@
 
     def record(self, account: str, at_ms: float) -> None:
         """Counts a request of an account at a monotonic time."""
+        if self._unsettled is not None:
+            if len(self._unsettled) < MAX_UNSETTLED:
+                self._unsettled.append(_UnsettledRequest(account, at_ms))
+            return
         window = int(self._time.at(at_ms) // self._window_ms)
         if window <= self.current_window() - self._kept_windows():
             return
@@ -80,6 +98,17 @@
             row.counts[account] = row.counts.get(account, 0) + 1
             self._touch(row)
 
+    def settle(self) -> None:
+        """Assigns the requests so far to windows; the time is right now."""
+        if self._unsettled is None:
+            return
+        unsettled, self._unsettled = self._unsettled, None
+        started_ms = self._time.at(self._started_ms)
+        self._next_final = int(started_ms // self._window_ms)
+        self.first_whole_window = self._next_final + 1
+        for req in unsettled:
+            self.record(req.account, req.at_ms)
+
     def add_undecided(self, req: UndecidedRequest) -> None:
         """Adds a request that is about to be sent to an endpoint."""
         self._undecided.add(req)
@@ -90,11 +119,14 @@
 
     def windows(self) -> list[WindowCounts]:
         """Returns the recent windows in order, after closing ended ones."""
+        if self._unsettled is not None:
+            return []
         self._close_ended()
         return [self._windows[window] for window in sorted(self._windows)]
 
     def close_all(self) -> None:
         """Marks all windows as final; this VM counts no more requests."""
+        self.settle()
         for req in list(self._undecided):
             req.count()
         self._row(self.current_window())
@@ -105,6 +137,8 @@
 
     def restart_windows(self) -> None:
         """Starts over with the current window after the time was set."""
+        if self._unsettled is not None:
+            return
         current = self.current_window()
         self._next_final = min(self._next_final, current)
         self.first_whole_window = current + 1
--- a/hornbeampier/duties/usage_reporter.py
+++ b/hornbeampier/duties/usage_reporter.py
@@ -20,7 +20,7 @@
 QUERY_INTERVAL_MS = 500.0
 # A new holder repeats its subscription until it is unlikely to be lost.
 FIRST_SUBSCRIPTIONS = 3
-SUBSCRIPTION_INTERVAL_MS = 4_000.0
+SUBSCRIPTION_INTERVAL_MS = 8_000.0
 SUBSCRIPTION_BITS = 32
 # Reports are this many times slower than what the API accepts, as it serves
 # other duties and VMs, too.
--- a/hornbeampier/peers/usage_exchange.py
+++ b/hornbeampier/peers/usage_exchange.py
@@ -26,7 +26,12 @@
 COLLECTOR_COUNT = 3
 SEND_INTERVAL_MS = 500.0
 # A subscriber that does not repeat its subscription gets no more counts.
-SUBSCRIPTION_MS = 12_000.0
+SUBSCRIPTION_MS = 24_000.0
+# A VM that becomes a collector asks the others what they hold of VMs that have
+# gone. By then, those that are live have sent it their own counts.
+FIRST_PULL_MS = 2_000.0
+PULL_INTERVAL_MS = 1_000.0
+PULL_COUNT = 3
 # On drain, the last counts are repeated until they are acknowledged.
 DRAIN_ATTEMPTS = 5
 DRAIN_INTERVAL_MS = 40.0
@@ -81,6 +86,9 @@
         self._receivers: dict[str, usage_receiver.Receiver] = {}
         self._subscribers: dict[str, _Subscriber] = {}
         self._known: dict[usage_windows.Source, _KnownNames] = {}
+        self._is_collector = False
+        self._pulls_left = 0
+        self._next_pull_ms = 0.0
         self._log = structlog.get_logger(task="usage_exchange")
 
     def run(self) -> None:
@@ -126,6 +134,8 @@
         """
         if self._time.adjust():
             self._counts.restart_windows()
+        if self._time.is_settled():
+            self._counts.settle()
         rows = self._counts.windows()
         now_ms = self._time.now()
         for row in rows:
@@ -134,6 +144,7 @@
             )
         self._windows.expire(now_ms)
         self._expire(self._windows.open_windows(now_ms).start)
+        self._pull()
         sent = [self._send_rows(host, rows) for host in self._choose_hosts()]
         return any(sent)
 
@@ -151,6 +162,23 @@
             case usage_messages.QueryReply():
                 self._record_reply(host, message)
 
+    def _pull(self) -> None:
+        """Gets what the other collectors hold after this VM has become one."""
+        collectors = self.collectors()
+        now_ms = self._clock.now()
+        was_collector = self._is_collector
+        self._is_collector = self._own.host in collectors
+        if self._is_collector and not was_collector:
+            self._pulls_left = PULL_COUNT
+            self._next_pull_ms = now_ms + FIRST_PULL_MS
+        if not self._pulls_left or now_ms < self._next_pull_ms:
+            return
+        self._pulls_left -= 1
+        self._next_pull_ms = now_ms + PULL_INTERVAL_MS
+        others = [host for host in collectors if host != self._own.host]
+        for window in self._windows.open_windows(self._time.now())[:-1]:
+            self.query(window, others)
+
     def _choose_hosts(self) -> list[str]:
         hosts = {*self.collectors(), *self._subscribers} - {self._own.host}
         self._receivers = {
