Count requests through a node and test what counts

Calls are spaced and counted by the API's client, so the reporter only backs off after a call without success.

--- a/hornbeampier/duties/usage_clock.py
+++ b/hornbeampier/duties/usage_clock.py
@@ -19,7 +19,7 @@
 # At the start of a process its time is not relied on before this number of
 # peers has shown theirs, or this time has passed.
 SETTLING_SAMPLES = 2
-SETTLING_MS = 1_500.0
+SETTLING_MS = 2_500.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampier/duties/usage_reporter.py
+++ b/hornbeampier/duties/usage_reporter.py
@@ -4,7 +4,6 @@
 import random
 from typing import Protocol
 
-import gevent
 import structlog
 
 from hornbeampier import application
@@ -22,13 +21,9 @@
 FIRST_SUBSCRIPTIONS = 3
 SUBSCRIPTION_INTERVAL_MS = 8_000.0
 SUBSCRIPTION_BITS = 32
-# Reports are this many times slower than what the API accepts, as it serves
-# other duties and VMs, too.
-RATE_DIVISOR = 2.0
+# Wait after a call without success; calls as such are spaced by the API.
 FIRST_BACKOFF_MS = 250.0
 MAX_BACKOFF_MS = 2_000.0
-# How long a drain waits for a call in progress.
-DRAIN_MS = 1_000.0
 # Number of VMs without counts that are named in a log line.
 LOGGED_VMS = 5
 
@@ -60,7 +55,6 @@
         self,
         host: str,
         due_ms: float,
-        calls_per_s: float,
         lease: terms.DutyLease,
         api: terms.DutyApi,
         collector: Collector,
@@ -76,7 +70,6 @@
         Args:
             host: The host of this VM.
             due_ms: When a report is due after the end of its window.
-            calls_per_s: Calls that the API accepts from all VMs.
             lease: The lease of the duty.
             api: The platform's calls.
             collector: Gets the counts of other VMs.
@@ -90,9 +83,6 @@
         super().__init__()
         self._host = host
         self._due_ms = due_ms
-        self._call_interval_ms = (
-            RATE_DIVISOR * clocks.MS_PER_SECOND / calls_per_s
-        )
         self._lease = lease
         self._api = api
         self._collector = collector
@@ -114,29 +104,20 @@
         self._accepted: set[int] = set()
         self._skipped: set[int] = set()
         self._is_draining = False
-        self._is_in_step = False
         self._log = structlog.get_logger(task="usage_reporter")
 
     def run(self) -> None:
         """Takes steps until drained or killed."""
         while not self._is_draining:
-            self._is_in_step = True
             try:
                 self.step()
             except Exception:
                 self._log.exception("usage_step_failed")
-            finally:
-                self._is_in_step = False
             self._clock.sleep(STEP_INTERVAL_MS)
 
     def drain(self) -> None:
-        """Finishes a call in progress; a successor reports what is left."""
+        """Begins no more steps; a successor reports what is left."""
         self._is_draining = True
-        if self._task is not None and self._is_in_step:
-            with gevent.Timeout(DRAIN_MS / clocks.MS_PER_SECOND, False):
-                while self._is_in_step:
-                    gevent.sleep(0.01)
-        self.stop()
 
     def step(self) -> None:
         """Does what is due if this VM may act."""
@@ -322,18 +303,14 @@
     def _record_outcome(
         self, term: terms.Term, window: int, outcome: terms.Outcome
     ) -> None:
-        wait_ms = self._call_interval_ms
-        match outcome:
-            case terms.Outcome.ACCEPTED:
-                self._accepted.add(window)
-                self._backoff_ms = FIRST_BACKOFF_MS
-            case terms.Outcome.REFUSED:
-                self._lease.record_refused(term.token)
-            case _:
-                wait_ms = max(wait_ms, self._backoff_ms)
-                self._backoff_ms = min(2 * self._backoff_ms, MAX_BACKOFF_MS)
-        self._next_call_ms = self._clock.now() + wait_ms
-        self._metrics.record_usage_report(outcome.value)
+        if outcome is terms.Outcome.ACCEPTED:
+            self._accepted.add(window)
+            self._backoff_ms = FIRST_BACKOFF_MS
+        else:
+            self._next_call_ms = self._clock.now() + self._backoff_ms
+            self._backoff_ms = min(2 * self._backoff_ms, MAX_BACKOFF_MS)
+        if outcome is terms.Outcome.REFUSED:
+            self._lease.record_refused(term.token)
         self._log.info(
             "usage_reported",
             window=window,
--- a/hornbeampier/duties/wiring.py
+++ b/hornbeampier/duties/wiring.py
@@ -87,7 +87,6 @@
         reporter = usage_reporter.UsageReporter(
             self._cfg.host,
             duties.usage_due_ms,
-            duties.calls_per_s,
             duty.keeper,
             duty.api,
             exchange,
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -38,10 +38,6 @@
             "hornbeampier_usage_windows_total",
             "Windows of usage that this VM finalized or skipped, by result.",
         )
-        self._usage_reports = self._counter(
-            "hornbeampier_usage_reports_total",
-            "Calls that report usage to the platform, by outcome.",
-        )
         self._first_event = aioprometheus.Histogram(
             "hornbeampier_first_event_seconds",
             "Time from a request to the first event of its response stream.",
@@ -105,10 +101,6 @@
         """Counts a window of usage that is finalized or skipped."""
         self._usage_windows.inc({"result": result})
 
-    def record_usage_report(self, outcome: str) -> None:
-        """Counts a call that reports the usage of a window."""
-        self._usage_reports.inc({"outcome": outcome})
-
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Records the time to the first event of a streamed response."""
         self._first_event.observe(
--- /dev/null
+++ b/tests/test_usage_counting.py
@@ -0,0 +1,137 @@
+"""Which requests through a node count for their client account."""
+
+from hornbeampier.platform import names
+from hornbeampier.platform import settings
+from tests import nodes
+
+PROMPT = {
+    "X-Hornbeampier-Model": "m",
+    "X-Hornbeampier-Token-Usage": "1000,50",
+    "X-Hornbeampier-Prompt-Prefix": "aa:600,bb:400",
+}
+DECLINED = ["X-Hornbeampier-Not-Executed: 1"]
+# Longer than any test, so that all requests belong to one or two windows.
+WINDOW_MS = 60_000.0
+
+
+def duty_settings():
+    return settings.DutySettings(
+        api=settings.Address(nodes.HOST, nodes.free_port()),
+        names=(names.USAGE_DUTY,),
+        calls_per_s=4.0,
+        requires_fence=True,
+        lease_ms=3_000.0,
+        usage_window_ms=WINDOW_MS,
+        usage_due_ms=10_000.0,
+    )
+
+
+class CountingTest(nodes.NodeTestCase):
+    def start_counting_node(self):
+        return self.start_ready_node(
+            duties=duty_settings(), duty_port=nodes.free_port()
+        )
+
+    def count(self, router):
+        """Returns the counted requests by account."""
+        router._duties.usage.settle()
+        totals = {}
+        for row in router._duties.usage.windows():
+            for account, count in row.counts.items():
+                totals[account] = totals.get(account, 0) + count
+        return totals
+
+    def test_plain_request_counts_once_over_its_attempts(self):
+        def handler(req):
+            if len(endpoint.received) + len(other.received) == 1:
+                req.close_connection()
+            else:
+                req.respond()
+
+        endpoint = self.start_endpoint(nodes.PLAIN_SERVICE, handler)
+        other = self.start_endpoint(nodes.PLAIN_SERVICE, handler)
+        router = self.start_counting_node()
+        self.assertEqual(200, self.call(router).status)
+        self.assertEqual(2, len(endpoint.received) + len(other.received))
+        self.assertEqual({"account-1": 1}, self.count(router))
+
+    def test_error_of_an_endpoint_counts(self):
+        self.start_endpoint(
+            nodes.PLAIN_SERVICE,
+            lambda req: req.respond(status="500 Internal Server Error"),
+        )
+        router = self.start_counting_node()
+        self.call(router, "POST", "/unsafe/x", body=b"{}")
+        self.assertEqual({"account-1": 1}, self.count(router))
+
+    def test_declined_request_does_not_count(self):
+        self.start_endpoint(
+            nodes.PLAIN_SERVICE,
+            lambda req: req.respond(
+                status="503 Service Unavailable", headers=DECLINED
+            ),
+        )
+        router = self.start_counting_node()
+        self.assertEqual(503, self.call(router).status)
+        self.assertEqual({}, self.count(router))
+
+    def test_request_without_any_response_counts(self):
+        self.start_endpoint(
+            nodes.PLAIN_SERVICE, lambda req: req.close_connection()
+        )
+        router = self.start_counting_node()
+        self.call(router, "POST", "/unsafe/x", body=b"{}")
+        self.assertEqual({"account-1": 1}, self.count(router))
+
+    # An interrupted stream goes on elsewhere; that attempt must not count.
+    def test_stream_counts_once_at_its_first_event(self):
+        def handler(req):
+            req.begin_stream()
+            if "last-event-id" not in req.headers:
+                req.send_event(1)
+                req.close_connection()
+            else:
+                req.send_event(2)
+                req.end_stream()
+
+        for _ in range(2):
+            self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        router = self.start_counting_node()
+        response = self.call(
+            router, "POST", "/resume/x", headers=PROMPT, body=b"{}"
+        )
+        self.assertIn(b"piece-2", response.body)
+        self.assertEqual({"account-1": 1}, self.count(router))
+
+    def test_stream_without_an_event_does_not_count(self):
+        def handler(req):
+            req.begin_stream()
+            req.end_stream()
+
+        self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        router = self.start_counting_node()
+        self.call(router, "POST", "/stream/x", headers=PROMPT, body=b"{}")
+        self.assertEqual({}, self.count(router))
+
+    # It is a new request that began to run at its endpoint.
+    def test_stream_that_its_caller_takes_up_counts_again(self):
+        def handler(req):
+            req.begin_stream()
+            req.send_event(2)
+            req.end_stream()
+
+        self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        router = self.start_counting_node()
+        resumed = {**PROMPT, "Resumes": "id-0", "Last-Event-Id": "1"}
+        self.call(router, "POST", "/resume/x", headers=PROMPT, body=b"{}")
+        response = self.call(
+            router, "POST", "/resume/x", headers=resumed, body=b"{}"
+        )
+        self.assertEqual(200, response.status)
+        self.assertEqual({"account-1": 2}, self.count(router))
+
+
+class NoDutyTest(nodes.NodeTestCase):
+    def test_node_without_the_duty_has_no_part_of_it(self):
+        router = self.start_ready_node()
+        self.assertEqual([], router._duties.exchanges + router._duties.actors)
