Tell collectors of finalized reports

A store that returns from an older copy loses records; a successor without them would finalize windows again with other counts than those already accepted.

--- a/hornbeampier/duties/usage_reporter.py
+++ b/hornbeampier/duties/usage_reporter.py
@@ -47,6 +47,10 @@
         """Asks some VMs for what they hold of a window."""
         ...
 
+    def announce(self, report: usage_records.UsageReport) -> None:
+        """Tells the collectors of a finalized report."""
+        ...
+
 
 class UsageReporter(application.TaskComponent):
     """Reports usage while this VM holds the lease, and nothing otherwise."""
@@ -158,7 +162,8 @@
     def _read_records(self) -> None:
         """Adds the reports that the store holds and drops old ones."""
         kept = self._windows.open_windows(self._time.now())
-        self._reports.update(usage_records.decode_all(self._lease.records()))
+        records = usage_records.decode_all(self._lease.records())
+        self._reports = {**self._windows.reports, **self._reports, **records}
         # A VM whose clock is wrong may have finalized windows of the future.
         self._reports = {w: r for w, r in self._reports.items() if w in kept}
         self._accepted = {w for w in self._accepted if w in kept}
@@ -220,6 +225,7 @@
             if not self._append(report):
                 break
             self._reports[due.window] = report
+            self._collector.announce(report)
             self._record_finalized(due)
         self._record_skipped(skipped)
 
--- a/hornbeampier/duties/usage_windows.py
+++ b/hornbeampier/duties/usage_windows.py
@@ -7,6 +7,7 @@
 import math
 
 from hornbeampier.duties import usage_counts
+from hornbeampier.duties import usage_records
 
 # When a window is finalized after its end: with the counts of all live VMs, or
 # without some of them.
@@ -80,7 +81,11 @@
 
 
 class UsageWindows:
-    """The counts of all VMs in recent windows."""
+    """The counts of all VMs in recent windows.
+
+    Attributes:
+        reports: The finalized reports of which holders have told, by window.
+    """
 
     def __init__(self, window_ms: float, retention_ms: float):
         """Creates an empty store.
@@ -93,6 +98,7 @@
         self._retention_ms = retention_ms
         self._rows: dict[int, dict[Source, Row]] = {}
         self._replies: dict[int, set[str]] = {}
+        self.reports: dict[int, usage_records.UsageReport] = {}
 
     def end_ms(self, window: int) -> float:
         """Returns when a window ends, in true time."""
@@ -127,6 +133,13 @@
         if window in self._rows or len(self._replies) < MAX_ROWS:
             self._replies.setdefault(window, set()).add(host)
 
+    def record_report(
+        self, report: usage_records.UsageReport, now_ms: float
+    ) -> None:
+        """Records a report of which the holder of the duty tells."""
+        if report.window in self.open_windows(now_ms):
+            self.reports.setdefault(report.window, report)
+
     def forget_replies(self) -> None:
         """Forgets which collectors have replied, as the duty is taken over."""
         self._replies.clear()
@@ -149,7 +162,7 @@
     def expire(self, now_ms: float) -> None:
         """Drops windows that are too old."""
         oldest = self.open_windows(now_ms).start
-        for held in (self._rows, self._replies):
+        for held in (self._rows, self._replies, self.reports):
             for window in [w for w in held if w < oldest]:
                 del held[window]
 
--- a/hornbeampier/peers/usage_exchange.py
+++ b/hornbeampier/peers/usage_exchange.py
@@ -16,6 +16,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier.duties import usage_clock
 from hornbeampier.duties import usage_counts
+from hornbeampier.duties import usage_records
 from hornbeampier.duties import usage_windows
 from hornbeampier.peers import udp_transport
 from hornbeampier.peers import usage_messages
@@ -126,6 +127,16 @@
         for host in hosts:
             self._transport.send(host, data)
 
+    def announce(self, report: usage_records.UsageReport) -> None:
+        """Tells the collectors of a finalized report."""
+        message = usage_messages.Finalized(
+            report.window, report.counts, report.accepted_through
+        )
+        data = usage_messages.encode(message)
+        for host in self.collectors():
+            if host != self._own.host:
+                self._transport.send(host, data)
+
     def send_changes(self) -> bool:
         """Sends counts that have changed or are not acknowledged.
 
@@ -161,6 +172,11 @@
                 self._reply(host, message)
             case usage_messages.QueryReply():
                 self._record_reply(host, message)
+            case usage_messages.Finalized():
+                report = usage_records.UsageReport(
+                    message.window, message.counts, message.accepted_through
+                )
+                self._windows.record_report(report, self._time.now())
 
     def _pull(self) -> None:
         """Gets what the other collectors hold after this VM has become one."""
--- a/hornbeampier/peers/usage_messages.py
+++ b/hornbeampier/peers/usage_messages.py
@@ -96,7 +96,19 @@
     rows: tuple[HeldRow, ...]
 
 
-Message = Counts | Ack | Subscription | Query | QueryReply
+class Finalized(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """A finalized report, for VMs that may take the duty over.
+
+    Attributes:
+        accepted_through: See `usage_records.UsageReport`.
+    """
+
+    window: int
+    counts: dict[str, int]
+    accepted_through: int
+
+
+Message = Counts | Ack | Subscription | Query | QueryReply | Finalized
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -178,6 +178,19 @@
         network.run(1_000)
         self.assertEqual(held, network.platform.records)
 
+    # The counts that the successor holds by then differ from those reported.
+    def test_successor_restores_what_an_older_copy_of_the_store_lacks(self):
+        network = usage_network.UsageNetwork(9)
+        first = network.window()
+        network.run(8_000)
+        network.kill(network.platform.holder)
+        network.platform.records.clear()
+        vm = network.vms[network.candidate()]
+        vm.counts.record("late", vm.clock.now() - 7_000)
+        network.platform.give(vm.host)
+        network.run(8_000)
+        self.assertIn(first, network.reports())
+
     def test_reports_are_given_up_after_a_minute(self):
         network = usage_network.UsageNetwork(1)
         first = network.window()
