Ask more VMs for their time while a VM starts

In a random history two collectors could not correct a VM in time, as datagrams of one of them were lost.

--- a/hornbeampier/peers/usage_exchange.py
+++ b/hornbeampier/peers/usage_exchange.py
@@ -25,6 +25,8 @@
 from hornbeampier.routing import rendezvous
 
 COLLECTOR_COUNT = 3
+# Number of VMs that a starting VM asks for their time.
+TIME_SOURCE_COUNT = 6
 SEND_INTERVAL_MS = 500.0
 # A subscriber that does not repeat its subscription gets no more counts.
 SUBSCRIPTION_MS = 24_000.0
@@ -196,7 +198,11 @@
             self.query(window, others)
 
     def _choose_hosts(self) -> list[str]:
-        hosts = {*self.collectors(), *self._subscribers} - {self._own.host}
+        count = (
+            COLLECTOR_COUNT if self._time.is_settled() else TIME_SOURCE_COUNT
+        )
+        ranked = rendezvous.rank(names.USAGE_DUTY, self.hosts(), count)
+        hosts = {*ranked, *self._subscribers} - {self._own.host}
         self._receivers = {
             host: self._receivers.get(host) or usage_receiver.Receiver()
             for host in hosts
