--- a/tests/test_usage_counting.py
+++ b/tests/test_usage_counting.py
@@ -3,6 +3,7 @@
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from tests import nodes
+from tests import store_standin
 
 PROMPT = {
     "X-Hornbeampier-Model": "m",
@@ -131,6 +132,46 @@
         self.assertEqual({"account-1": 2}, self.count(router))
 
 
+class ExchangeTest(nodes.NodeTestCase):
+    def start_two(self):
+        control, peer_port, origin_port, duty_port = (
+            nodes.free_port() for _ in range(4)
+        )
+        hosts = ("127.0.0.1", "127.0.0.2")
+        return [
+            self.start_ready_node(
+                host=host,
+                control=settings.Address(host, control),
+                seeds=tuple(settings.Address(h, control) for h in hosts),
+                peer_port=peer_port,
+                origin_port=origin_port,
+                duties=duty_settings(),
+                duty_port=duty_port,
+            )
+            for host in hosts
+        ]
+
+    # Before it stops, a VM must hand over what it has counted.
+    def test_drained_node_has_told_its_counts(self):
+        self.start_endpoint(nodes.PLAIN_SERVICE, lambda req: req.respond())
+        router, other = self.start_two()
+        store_standin.wait_until(router._live_peers)
+        self.call(router)
+        router._duties.exchanges[1].drain()
+        windows = other._duties.exchanges[1]._windows
+        now_ms = other._duties.usage.current_window() * WINDOW_MS
+
+        def held():
+            return [
+                row.counts
+                for window in windows.open_windows(now_ms)
+                for row in windows.held(window, ()).values()
+                if row.is_final
+            ]
+
+        store_standin.wait_until(lambda: {"account-1": 1} in held())
+
+
 class NoDutyTest(nodes.NodeTestCase):
     def test_node_without_the_duty_has_no_part_of_it(self):
         router = self.start_ready_node()
