--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -34,6 +34,10 @@
             "hornbeampier_resumptions_total",
             "Streams that callers took up, by how their origin was found.",
         )
+        self._usage_windows = self._counter(
+            "hornbeampier_usage_windows_total",
+            "Windows of usage that this VM finalized or skipped, by result.",
+        )
         self._first_event = aioprometheus.Histogram(
             "hornbeampier_first_event_seconds",
             "Time from a request to the first event of its response stream.",
@@ -93,6 +97,10 @@
         """
         self._resumptions.inc({"source": source})
 
+    def record_usage_window(self, result: str) -> None:
+        """Counts a window of usage that is finalized or skipped."""
+        self._usage_windows.inc({"result": result})
+
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Records the time to the first event of a streamed response."""
         self._first_event.observe(
--- a/tests/test_lease_histories.py
+++ b/tests/test_lease_histories.py
@@ -26,7 +26,7 @@
         lease_world.Fault,
         at_ms=strategies.floats(4_000.0, FAULTY_MS),
         kind=strategies.sampled_from(
-            "kill drain pause cut slow store_down restore".split()
+            ["kill", "drain", "pause", "cut", "slow", "store_down", "restore"]
         ),
         vm=strategies.integers(0, 4),
         duration_ms=strategies.floats(10.0, MAX_FAULT_MS),
