--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -57,6 +57,7 @@
             "Version of the configuration in force.",
             registry=self._registry,
         )
+        self._scaling: _ScalingMetrics | None = None
 
     def record_response(self, route: str, status: int, code: str = "") -> None:
         """Counts a response; `code` is the cause if it is a refusal."""
@@ -100,6 +101,26 @@
             {"service": service}, tokens_per_ms * clocks.MS_PER_SECOND
         )
 
+    def record_endpoints(
+        self, service: str, zone: str, kind: str, wanted: int, present: int
+    ) -> None:
+        """Records the numbers of endpoints of a service, zone and kind."""
+        labels = {"service": service, "zone": zone, "kind": kind}
+        self._scaling_metrics().wanted.set(labels, wanted)
+        self._scaling_metrics().present.set(labels, present)
+
+    def record_order(self, service: str, outcome: str) -> None:
+        """Counts an order of endpoints."""
+        self._scaling_metrics().orders.inc(
+            {"service": service, "outcome": outcome}
+        )
+
+    def _scaling_metrics(self) -> "_ScalingMetrics":
+        """Returns the metrics of orders, which VMs without them lack."""
+        if self._scaling is None:
+            self._scaling = _ScalingMetrics(self._registry)
+        return self._scaling
+
     def render(self, version: int) -> bytes:
         """Returns the metrics in Prometheus' text exposition format."""
         self._version.set({}, version)
@@ -107,3 +128,24 @@
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self._registry)
+
+
+class _ScalingMetrics:
+    """Metrics of orders of endpoints."""
+
+    def __init__(self, registry: aioprometheus.Registry):
+        self.wanted = aioprometheus.Gauge(
+            "hornbeampier_endpoints_wanted",
+            "Ordered endpoints by service, zone and kind.",
+            registry=registry,
+        )
+        self.present = aioprometheus.Gauge(
+            "hornbeampier_endpoints_present",
+            "Endpoints that are not leaving by service, zone and kind.",
+            registry=registry,
+        )
+        self.orders = aioprometheus.Counter(
+            "hornbeampier_endpoint_orders_total",
+            "Orders of endpoints by service and outcome.",
+            registry=registry,
+        )
--- /dev/null
+++ b/hornbeampier/routing/group_orders.py
@@ -0,0 +1,205 @@
+"""What was ordered of each group of a service's endpoints, and what came."""
+
+import dataclasses
+import math
+
+from hornbeampier.duties import terms
+from hornbeampier.routing import allocation
+from hornbeampier.routing import demand
+
+# Interval at which an order is repeated, and while a call without a response
+# may still be executed.
+REPEAT_MS = 10_000.0
+UNCERTAIN_REPEAT_MS = 2_000.0
+UNCERTAIN_MS = 10_000.0
+# How long a group is left out after a refused order; it doubles with each
+# further refusal.
+REFUSED_MS = 5_000.0
+MAX_REFUSED_MS = 40_000.0
+# Time from the boot time until a new endpoint counts as failed: its entry
+# takes a while to come through the store and the peers.
+BOOT_MARGIN_MS = 6_000.0
+# How long no more endpoints are ordered of a group whose endpoints did not come
+# up or were reclaimed; it doubles with each further time.
+FAILED_MS = 30_000.0
+MAX_FAILED_MS = 240_000.0
+MAX_BACKOFF_STEPS = 8
+# A group whose last failure is this old counts as one that never failed.
+FAILURE_RESET_MS = 600_000.0
+
+Counts = dict[allocation.Group, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _GroupState:
+    """The orders of one group.
+
+    Attributes:
+        present: Number of endpoints that are not leaving.
+        ordered: Last number that was ordered, or None.
+        accepted: Last number whose order was accepted, or None.
+        progressed_ms: When the last order was given or endpoint came, or the
+            ordered number was last present.
+        cap: Number of endpoints that the group has at most until `capped_ms`.
+        reclaimed: Whether endpoints are being reclaimed.
+    """
+
+    present: int = 0
+    ordered: int | None = None
+    accepted: int | None = None
+    sent_ms: float = -math.inf
+    progressed_ms: float = -math.inf
+    uncertain_until_ms: float = -math.inf
+    refusals: int = 0
+    refused_until_ms: float = -math.inf
+    cap: int = 0
+    capped_until_ms: float = -math.inf
+    failures: int = 0
+    failed_ms: float = -math.inf
+    reclaimed: bool = False
+
+    @property
+    def baseline(self) -> int:
+        return self.present if self.ordered is None else self.ordered
+
+    def observe(
+        self, present: int, reclaimed: bool, boot_ms: float, now_ms: float
+    ) -> None:
+        """Updates what came of the orders."""
+        if present > self.present or present >= self.baseline:
+            self.progressed_ms = now_ms
+        self.present = present
+        # Endpoints that leave because fewer were ordered are not reclaimed.
+        if reclaimed and (self.ordered is None or self.ordered > present):
+            if not self.reclaimed:
+                self._record_failure(now_ms)
+            self.cap = present
+        elif self._is_overdue(boot_ms, now_ms):
+            self._record_failure(now_ms)
+            self.cap = present
+        self.reclaimed = reclaimed
+
+    def _is_overdue(self, boot_ms: float, now_ms: float) -> bool:
+        waited_ms = now_ms - self.progressed_ms
+        return (
+            self.baseline > self.present
+            and now_ms >= self.capped_until_ms
+            and waited_ms > boot_ms + BOOT_MARGIN_MS
+        )
+
+    def _record_failure(self, now_ms: float) -> None:
+        """Leaves the group out with exponential backoff."""
+        if now_ms - self.failed_ms > FAILURE_RESET_MS:
+            self.failures = 0
+        self.failures += 1
+        self.failed_ms = now_ms
+        cap_ms = FAILED_MS * 2 ** min(self.failures - 1, MAX_BACKOFF_STEPS)
+        self.capped_until_ms = now_ms + min(cap_ms, MAX_FAILED_MS)
+
+    def record(
+        self, desired: int, outcome: terms.Outcome, now_ms: float
+    ) -> None:
+        """Records the outcome of an order."""
+        if outcome is terms.Outcome.BUSY:
+            return
+        if outcome is terms.Outcome.REFUSED:
+            self.ordered = self.accepted
+            wait_ms = REFUSED_MS * 2**self.refusals
+            self.refused_until_ms = now_ms + min(wait_ms, MAX_REFUSED_MS)
+            self.refusals = min(self.refusals + 1, MAX_BACKOFF_STEPS)
+            return
+        if desired != self.ordered:
+            self.progressed_ms = now_ms
+        self.ordered = desired
+        self.sent_ms = now_ms
+        if outcome is terms.Outcome.ACCEPTED:
+            self.accepted = desired
+            self.refusals = 0
+        else:
+            self.uncertain_until_ms = now_ms + UNCERTAIN_MS
+
+
+class GroupOrders:
+    """The orders of all groups of a service."""
+
+    def __init__(self):
+        self._states: dict[allocation.Group, _GroupState] = {}
+
+    def observe(self, view: demand.ServiceDemand, now_ms: float) -> None:
+        """Updates which endpoints came and which are reclaimed."""
+        present = view.present()
+        reclaimed = {e.group for e in view.endpoints if e.reclaimed}
+        for group in self.groups(view):
+            state = self._states.setdefault(group, _GroupState())
+            state.observe(
+                present.get(group, 0),
+                group in reclaimed,
+                view.autoscale.boot_ms,
+                now_ms,
+            )
+
+    def groups(self, view: demand.ServiceDemand) -> list[allocation.Group]:
+        """Returns the groups that have endpoints or may have some."""
+        groups = {*self._states, *(e.group for e in view.endpoints)}
+        zones = {g.availability_zone for g in groups}
+        zones.update(view.autoscale.zone_prices)
+        groups.update(allocation.Group(zone, False) for zone in zones)
+        if view.autoscale.spot_price is not None:
+            groups.update(allocation.Group(zone, True) for zone in zones)
+        return sorted(groups)
+
+    def caps(self, now_ms: float) -> Counts:
+        """Returns the most endpoints of each group that is left out."""
+        caps = {}
+        for group, state in self._states.items():
+            if now_ms < state.capped_until_ms:
+                caps[group] = state.cap
+            elif now_ms < state.refused_until_ms:
+                caps[group] = state.baseline
+        return caps
+
+    def current(self, caps: Counts) -> Counts:
+        """Returns the ordered number by group, or else the present one."""
+        return {
+            group: min(state.baseline, caps.get(group, state.baseline))
+            for group, state in self._states.items()
+        }
+
+    def baseline(self, group: allocation.Group) -> int:
+        """Returns the number that was ordered, or else the present one."""
+        return self._states[group].baseline
+
+    def is_present(self, caps: Counts) -> bool:
+        """Whether all endpoints that can still come are present."""
+        return all(
+            self._states[group].present >= count
+            for group, count in self.current(caps).items()
+        )
+
+    def exceeds_order(self) -> bool:
+        """Whether a group has more endpoints than were ordered."""
+        return any(s.present > s.baseline for s in self._states.values())
+
+    def may_order(self, group: allocation.Group, now_ms: float) -> bool:
+        """Whether the group was not refused lately."""
+        return now_ms >= self._states[group].refused_until_ms
+
+    def is_repeat_due(self, group: allocation.Group, now_ms: float) -> bool:
+        """Whether an unchanged order is to be sent again."""
+        state = self._states[group]
+        interval_ms = REPEAT_MS
+        if now_ms < state.uncertain_until_ms:
+            interval_ms = UNCERTAIN_REPEAT_MS
+        return (
+            state.ordered is not None and now_ms - state.sent_ms >= interval_ms
+        )
+
+    def record(
+        self,
+        group: allocation.Group,
+        desired: int,
+        outcome: terms.Outcome,
+        now_ms: float,
+    ) -> None:
+        """Records the outcome of an order."""
+        self._states[group].record(desired, outcome, now_ms)
