--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -52,6 +52,20 @@
             "Learned prefill rate of an engine by service.",
             registry=self._registry,
         )
+        self._duty_calls = self._counter(
+            "hornbeampier_duty_calls_total",
+            "Calls to the platform's API by duty and outcome.",
+        )
+        self._lease_held = aioprometheus.Gauge(
+            "hornbeampier_lease_held",
+            "Whether this VM may act on a duty.",
+            registry=self._registry,
+        )
+        self._lease_token = aioprometheus.Gauge(
+            "hornbeampier_lease_token",
+            "Fencing token of the lease that this VM holds; 0 if none.",
+            registry=self._registry,
+        )
         self._version = aioprometheus.Gauge(
             "hornbeampier_configuration_version",
             "Version of the configuration in force.",
@@ -109,18 +123,21 @@
         self._scaling_metrics().wanted.set(labels, wanted)
         self._scaling_metrics().present.set(labels, present)
 
-    def record_order(self, service: str, outcome: str) -> None:
-        """Counts an order of endpoints."""
-        self._scaling_metrics().orders.inc(
-            {"service": service, "outcome": outcome}
-        )
-
     def _scaling_metrics(self) -> "_ScalingMetrics":
         """Returns the metrics of orders, which VMs without them lack."""
         if self._scaling is None:
             self._scaling = _ScalingMetrics(self._registry)
         return self._scaling
 
+    def record_duty_call(self, duty: str, outcome: str) -> None:
+        """Counts a call to the platform's API."""
+        self._duty_calls.inc({"duty": duty, "outcome": outcome})
+
+    def record_lease(self, duty: str, is_held: bool, token: int | None) -> None:
+        """Shows whether this VM may act on a duty, and its token."""
+        self._lease_held.set({"duty": duty}, float(is_held))
+        self._lease_token.set({"duty": duty}, float(token or 0))
+
     def render(self, version: int) -> bytes:
         """Returns the metrics in Prometheus' text exposition format."""
         self._version.set({}, version)
@@ -144,8 +161,3 @@
             "Endpoints that are not leaving by service, zone and kind.",
             registry=registry,
         )
-        self.orders = aioprometheus.Counter(
-            "hornbeampier_endpoint_orders_total",
-            "Orders of endpoints by service and outcome.",
-            registry=registry,
-        )
