Wire the orders of endpoints into the node

Cause: nothing decided orders yet.

Change: duties/scaling_wiring.py builds keeper, API client and sender if the settings name the duty. The API client paces calls, so the sender takes its share of the calls; it stops after a call that was not accepted.

--- a/hornbeampier/application.py
+++ b/hornbeampier/application.py
@@ -90,9 +90,9 @@
         self._started: list[Component] = []
         self._stop_requested = gevent.event.Event()
 
-    def add(self, component: Component) -> None:
-        """Adds a component; it starts after those added before it."""
-        self._components.append(component)
+    def add(self, *components: Component) -> None:
+        """Adds components; each starts after those added before it."""
+        self._components.extend(components)
 
     def start(self) -> None:
         """Starts all components in order; stops them again if one fails."""
--- a/hornbeampier/duties/order_sender.py
+++ b/hornbeampier/duties/order_sender.py
@@ -24,8 +24,6 @@
 # No decrease follows for this time after a peer was lost, unless it is back:
 # its requests may still run.
 PEER_LOSS_MS = 30_000.0
-# Fraction of the calls that the API accepts, which other duties use as well.
-CALL_FRACTION = 0.5
 # The lease may lapse for this fraction of its time between two renewals without
 # another holder in between.
 LAPSE_FRACTION = 1.5
@@ -77,6 +75,19 @@
         metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
     ):
+        """Creates the component.
+
+        Args:
+            lease: The lease of the duty.
+            api: The platform's calls.
+            source: Measures the work of services.
+            live_peers: Returns the hosts of the other live VMs.
+            follows_endpoints: Whether this VM hears of new endpoints.
+            lease_ms: Time within which holders must not alternate.
+            calls_per_s: Calls that the API accepts for this duty.
+            metrics: Where the numbers of endpoints are shown.
+            clock: The clock.
+        """
         super().__init__()
         self._lease = lease
         self._api = api
@@ -84,7 +95,7 @@
         self._live_peers = live_peers
         self._follows_endpoints = follows_endpoints
         self._max_lapse_ms = LAPSE_FRACTION * lease_ms
-        self._max_calls = max_calls(calls_per_s)
+        self._max_calls = max(1, int(calls_per_s))
         self._metrics = metrics
         self._clock = clock
         self._started_ms = clock.now()
@@ -193,7 +204,6 @@
         outcome = self._api.order_endpoints(term, planned.order)
         scaler = self._scalers[view.service]
         scaler.record(planned, outcome)
-        self._metrics.record_order(view.service, outcome.value)
         self._log.info(
             "endpoints_ordered",
             service=view.service,
@@ -215,12 +225,7 @@
             # The refusal may mean that a higher token was seen.
             self._lease.record_refused(term.token)
             return False
-        return outcome is not terms.Outcome.BUSY
-
-
-def max_calls(calls_per_s: float) -> int:
-    """Returns the number of calls in a second that leaves others room."""
-    return max(1, int(calls_per_s * CALL_FRACTION))
+        return outcome is terms.Outcome.ACCEPTED
 
 
 def _kind(group: allocation.Group) -> str:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -5,6 +5,7 @@
 from hornbeampier import application
 from hornbeampier import environment
 from hornbeampier import node_metrics
+from hornbeampier.duties import scaling_wiring
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import context
@@ -107,6 +108,16 @@
         self._build_peers()
         self._build_forwarder()
         self._build_listeners()
+        self.app.add(
+            *scaling_wiring.build_scaling(
+                cfg,
+                self._context,
+                self._fleet,
+                self._prefill_meter,
+                self._live_peers,
+                self._is_in_touch,
+            )
+        )
 
     def _build_replication(self) -> None:
         configuration_applier = appliers.ConfigurationApplier(
@@ -134,8 +145,7 @@
             )
             for topic_replica in self._replicas.values()
         ]
-        for topic_follower in self._followers:
-            self.app.add(topic_follower)
+        self.app.add(*self._followers)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
@@ -173,16 +183,17 @@
         identity = components.Identity(
             cfg.vm, cfg.host, cfg.availability_zone, cfg.peer_port
         )
-        for component in components.build_gossip(
-            identity,
-            shared,
-            self._membership,
-            self._reads_store,
-            self._clock,
-            self._env.rng,
-        ):
-            self.app.add(component)
-        self.app.add(self._catch_up)
+        self.app.add(
+            *components.build_gossip(
+                identity,
+                shared,
+                self._membership,
+                self._reads_store,
+                self._clock,
+                self._env.rng,
+            ),
+            self._catch_up,
+        )
         self._build_origin_exchange()
 
     def _build_origin_exchange(self) -> None:
@@ -195,15 +206,14 @@
             self._clock,
             self._env.rng,
         )
-        self.app.add(transport)
-        self.app.add(self._directory)
+        self.app.add(transport, self._directory)
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
         self._connection_pool = connection_pool.ConnectionPool(
             self._fleet, self._clock
         )
-        shared = context.Context(
+        self._context = context.Context(
             catalog=self.catalog,
             peer_loads=self._peer_loads,
             connection_pool=self._connection_pool,
@@ -230,21 +240,20 @@
             clock=self._clock,
             rng=self._env.rng,
         )
-        self._forwarder = forwarder.Forwarder(shared)
+        self._forwarder = forwarder.Forwarder(self._context)
         if cfg.control is not None and not cfg.bootstrap:
-            self.app.add(self._make_cache_survey())
-
-    def _make_cache_survey(self) -> cache_survey.CacheSurvey:
-        return cache_survey.CacheSurvey(
-            self._cfg.host,
-            self._membership.live,
-            self._fleet,
-            self.catalog,
-            self._connection_pool,
-            self._placements,
-            self._announcements,
-            self._clock,
-        )
+            self.app.add(
+                cache_survey.CacheSurvey(
+                    cfg.host,
+                    self._membership.live,
+                    self._fleet,
+                    self.catalog,
+                    self._connection_pool,
+                    self._placements,
+                    self._announcements,
+                    self._clock,
+                )
+            )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
         load_shedder = load_shedding.LoadShedder(
@@ -295,26 +304,20 @@
                 readiness.ReadinessHandler(self.is_ready),
                 self._clock,
                 MAX_CONTROL_CONNECTIONS,
-            )
-        )
-        self.app.add(
+            ),
             listener.Listener(
                 self._metrics_address,
                 control.MetricsHandler(self._render_metrics),
                 self._clock,
                 MAX_CONTROL_CONNECTIONS,
-            )
-        )
-        self.app.add(caller_listener)
-        self.app.add(
+            ),
+            caller_listener,
             shutdown.GracefulShutdown(
                 self._handler, caller_listener, self._clock, cfg.grace_ms
-            )
-        )
-        self.app.add(
+            ),
             application.PeriodicTask(
                 MAINTENANCE_INTERVAL_MS, self._maintain, self._clock
-            )
+            ),
         )
 
     def start(self) -> None:
