Tell reclaims from drains by the orders, not by an optional field

Cause: a change of only leaves_ms does not change the catalog, and drained spot endpoints might report it, too.

Change: spot endpoints of a group that leave although none was ordered away are reclaimed; an endpoint with a time to leave counts as leaving.

--- a/hornbeampier/routing/demand.py
+++ b/hornbeampier/routing/demand.py
@@ -23,8 +23,7 @@
     """The load of one endpoint over all VMs.
 
     Attributes:
-        leaving: Whether it takes no new requests.
-        reclaimed: Whether the platform takes it back.
+        leaving: Whether it takes no new requests, or is reclaimed soon.
         queued_tokens: Prompt tokens that wait for prefill.
         prefill_share: Fraction of time that it needs for prefill; more than 1
             if prompts arrive faster than it can read them.
@@ -32,7 +31,6 @@
 
     group: allocation.Group
     leaving: bool
-    reclaimed: bool
     slots: int
     in_flight: int
     queued_tokens: float = 0.0
@@ -52,6 +50,10 @@
     work: float
     endpoints: tuple[EndpointLoad, ...]
 
+    def leaving_groups(self) -> set[allocation.Group]:
+        """Returns the groups with endpoints that are leaving."""
+        return {e.group for e in self.endpoints if e.leaving}
+
     def present(self) -> dict[allocation.Group, int]:
         """Returns the number of endpoints that are not leaving by group."""
         counts: dict[allocation.Group, int] = {}
@@ -145,8 +147,7 @@
         peer_load = self._peers.total(state.id)
         return EndpointLoad(
             group=allocation.Group(endpoint.availability_zone, endpoint.spot),
-            leaving=leaving,
-            reclaimed=endpoint.spot and endpoint.leaves_in_ms is not None,
+            leaving=leaving or endpoint.leaves_in_ms is not None,
             slots=endpoint.slots,
             in_flight=state.in_flight + peer_load.in_flight,
             queued_tokens=state.prefill_tokens + peer_load.prefill_tokens,
--- a/hornbeampier/routing/group_orders.py
+++ b/hornbeampier/routing/group_orders.py
@@ -24,6 +24,9 @@
 FAILED_MS = 30_000.0
 MAX_FAILED_MS = 240_000.0
 MAX_BACKOFF_STEPS = 8
+# For this time after an order of fewer endpoints, some that leave do so because
+# of it.
+DRAIN_MS = 60_000.0
 # A group whose last failure is this old counts as one that never failed.
 FAILURE_RESET_MS = 600_000.0
 
@@ -41,6 +44,7 @@
         progressed_ms: When the last order was given or endpoint came, or the
             ordered number was last present.
         cap: Number of endpoints that the group has at most until `capped_ms`.
+        decreased_ms: When fewer endpoints were ordered than present.
         reclaimed: Whether endpoints are being reclaimed.
     """
 
@@ -56,6 +60,7 @@
     capped_until_ms: float = -math.inf
     failures: int = 0
     failed_ms: float = -math.inf
+    decreased_ms: float = -math.inf
     reclaimed: bool = False
 
     @property
@@ -63,14 +68,21 @@
         return self.present if self.ordered is None else self.ordered
 
     def observe(
-        self, present: int, reclaimed: bool, boot_ms: float, now_ms: float
+        self, present: int, reclaimable: bool, boot_ms: float, now_ms: float
     ) -> None:
-        """Updates what came of the orders."""
+        """Updates what came of the orders.
+
+        Args:
+            present: Number of endpoints that are not leaving.
+            reclaimable: Whether spot endpoints of the group are leaving.
+            boot_ms: Boot time of an endpoint.
+            now_ms: The time.
+        """
         if present > self.present or present >= self.baseline:
             self.progressed_ms = now_ms
         self.present = present
-        # Endpoints that leave because fewer were ordered are not reclaimed.
-        if reclaimed and (self.ordered is None or self.ordered > present):
+        reclaimed = reclaimable and self._lost_endpoints(now_ms)
+        if reclaimed:
             if not self.reclaimed:
                 self._record_failure(now_ms)
             self.cap = present
@@ -79,6 +91,15 @@
             self.cap = present
         self.reclaimed = reclaimed
 
+    def _lost_endpoints(self, now_ms: float) -> bool:
+        """Whether endpoints leave that no order made leave.
+
+        All spot endpoints of a zone are reclaimed at once.
+        """
+        if self.ordered is not None and self.ordered <= self.present:
+            return False
+        return not self.present or now_ms - self.decreased_ms > DRAIN_MS
+
     def _is_overdue(self, boot_ms: float, now_ms: float) -> bool:
         waited_ms = now_ms - self.progressed_ms
         return (
@@ -108,6 +129,8 @@
             self.refused_until_ms = now_ms + min(wait_ms, MAX_REFUSED_MS)
             self.refusals = min(self.refusals + 1, MAX_BACKOFF_STEPS)
             return
+        if desired < self.present:
+            self.decreased_ms = now_ms
         if desired != self.ordered:
             self.progressed_ms = now_ms
         self.ordered = desired
@@ -128,12 +151,12 @@
     def observe(self, view: demand.ServiceDemand, now_ms: float) -> None:
         """Updates which endpoints came and which are reclaimed."""
         present = view.present()
-        reclaimed = {e.group for e in view.endpoints if e.reclaimed}
+        leaving = view.leaving_groups()
         for group in self.groups(view):
             state = self._states.setdefault(group, _GroupState())
             state.observe(
                 present.get(group, 0),
-                group in reclaimed,
+                group.spot and group in leaving,
                 view.autoscale.boot_ms,
                 now_ms,
             )
--- a/hornbeampier/routing/scaling.py
+++ b/hornbeampier/routing/scaling.py
@@ -206,8 +206,7 @@
         self, view: demand.ServiceDemand, now_ms: float
     ) -> None:
         """Notes whether endpoints drain or have yet to begin to."""
-        leaving = any(e.leaving and not e.reclaimed for e in view.endpoints)
-        if not leaving and not self._orders.exceeds_order():
+        if not view.leaving_groups() and not self._orders.exceeds_order():
             self._drain_began_ms = None
             return
         if self._drain_began_ms is None:
--- a/tests/test_scaling_patterns.py
+++ b/tests/test_scaling_patterns.py
@@ -130,6 +130,17 @@
         changes = fleet.changes()[seen:]
         self.assertTrue(any(n > 0 for _, g, n in changes if g != SPOT_1))
 
+    def test_own_drain_of_spot_endpoints_is_no_reclaim(self):
+        """An increase that overlaps it would be cut, and the group left out."""
+        fleet = fakes.Deployment(
+            fakes.autoscale(spot_price=0.2), {SPOT_1: 10, SPOT_2: 10}
+        )
+        fleet.run(19, 4.0)
+        self.assertTrue(fleet.serving() < 20, fleet.changes())
+        fleet.run(12, 11.0)
+        self.assertTrue(fleet.desired[SPOT_1] >= 13, fleet.changes())
+        self.assertTrue(fleet.desired[SPOT_2] >= 13, fleet.changes())
+
     def test_endpoints_that_never_come_up_are_ordered_elsewhere(self):
         fleet = deployment(3)
         fleet.run(30, 4.0)
