--- a/tests/test_scaling_patterns.py
+++ b/tests/test_scaling_patterns.py
@@ -70,6 +70,11 @@
         self.assertTrue(seconds[0] >= START_S + scaling.MIN_HOLD_MS / 1_000)
         for earlier, later in zip(seconds, seconds[1:], strict=False):
             self.assertTrue(later - earlier > fakes.DRAIN_MS / 1_000, seconds)
+        desired = {ZONE_1: 15, ZONE_2: 15}
+        for _, group, number in fleet.changes():
+            quarter = sum(desired.values()) / 4
+            self.assertTrue(desired[group] - number <= quarter, number)
+            desired[group] = number
 
     def test_minimum_and_maximum_per_zone_are_kept(self):
         fleet = deployment(3, min_per_zone=2, max_per_zone=6)
