Let orders decrease on a clock that moves; count load that refusals hide

Cause: the sender compared two readings of the clock for equality, so with the system's clock no decrease was ever ordered. Manual clocks hid it. Fully used endpoints also hid the load that VMs refuse, so that growth took several boot times; and a slow call counted as a lapse of the lease.

Change: a flag tells whether all peers are seen; fully used endpoints count as 1.5 each; the time of a call does not count as a lapse.

--- a/hornbeampier/duties/order_sender.py
+++ b/hornbeampier/duties/order_sender.py
@@ -103,6 +103,7 @@
         self._held_ms = -math.inf
         self._expected_peers = 0
         self._complete_ms = clock.now()
+        self._sees_all_peers = True
         self._scalers: dict[str, scaling.ServiceScaler] = {}
         self._draining = False
         self._log = structlog.get_logger(task="orders")
@@ -167,11 +168,12 @@
         return None
 
     def _count_peers(self) -> None:
-        """Notes when the loads of all expected peers were last known."""
+        """Notes whether all peers are live that were so lately."""
         count = len(self._live_peers())
         now_ms = self._clock.now()
         is_loss_old = now_ms - self._complete_ms >= PEER_LOSS_MS
-        if count >= self._expected_peers or is_loss_old:
+        self._sees_all_peers = count >= self._expected_peers or is_loss_old
+        if self._sees_all_peers:
             self._expected_peers = count
             self._complete_ms = now_ms
 
@@ -180,8 +182,7 @@
         if scaler is None:
             scaler = scaling.ServiceScaler(view.service, self._clock)
             self._scalers[view.service] = scaler
-        is_complete = self._complete_ms >= self._clock.now()
-        planned = scaler.decide(view, may_decrease=is_complete)
+        planned = scaler.decide(view, may_decrease=self._sees_all_peers)
         present = view.present()
         for group, wanted in scaler.wanted().items():
             self._metrics.record_endpoints(
@@ -202,6 +203,9 @@
             return False
         age_ms = self._source.loads_age_ms()
         outcome = self._api.order_endpoints(term, planned.order)
+        # The call may have taken long.
+        if self._lease.term() is not None:
+            self._held_ms = self._clock.now()
         scaler = self._scalers[view.service]
         scaler.record(planned, outcome)
         self._log.info(
--- a/hornbeampier/routing/scaling.py
+++ b/hornbeampier/routing/scaling.py
@@ -27,6 +27,10 @@
 # Utilization of the endpoints that are left after all spot endpoints of a zone
 # are lost, until others replace them.
 LOSS_UTILIZATION = 0.85
+# Endpoints that are used this much may hide a larger load, as VMs then refuse
+# requests. The load then counts as at least this much for each endpoint.
+SATURATION = 0.95
+SATURATED_WORK = 1.5
 # Load that a decrease must leave room for, as a fraction of the peak: with less
 # the next variation of the load would order the endpoints again.
 DECREASE_MARGIN = 0.1
@@ -91,6 +95,14 @@
     )
 
 
+def _estimate_work(view: demand.ServiceDemand) -> float:
+    """Returns the work, with what endpoints in full use may hide of it."""
+    present = sum(view.present().values())
+    if view.work < SATURATION * present:
+        return view.work
+    return max(view.work, SATURATED_WORK * present)
+
+
 class _PeakHold:
     """The peak of the work over a period that reversals lengthen."""
 
@@ -169,7 +181,7 @@
         """
         now_ms = self._clock.now()
         boot_ms = view.autoscale.boot_ms
-        self._peaks.add(now_ms, view.work)
+        self._peaks.add(now_ms, _estimate_work(view))
         self._orders.observe(view, now_ms)
         self._observe_drains(view, now_ms)
         self.peak = self._peaks.peak(now_ms, boot_ms)
--- a/tests/scaling_fakes.py
+++ b/tests/scaling_fakes.py
@@ -15,6 +15,7 @@
 LEASE_MS = 3_000.0
 DRAIN_MS = 5_000.0
 RECLAIM_MS = 3_000.0
+TICK_MS = 0.0001
 NEVER = math.inf
 
 
@@ -40,6 +41,14 @@
     ends_ms: float = NEVER
 
 
+class _Clock(clocks.ManualClock):
+    """Moves a little with each reading, as time does within a decision."""
+
+    def now(self):
+        self.advance(TICK_MS)
+        return super().now()
+
+
 class Lease:
     """A lease whose holder and token the test sets."""
 
@@ -70,7 +79,7 @@
     """
 
     def __init__(self, scale, present, calls_per_s=10.0):
-        self.clock = clocks.ManualClock()
+        self.clock = _Clock()
         self.autoscale = scale
         self.instances = [
             Instance(g, 0.0) for g, n in present.items() for _ in range(n)
--- a/tests/test_scaling_patterns.py
+++ b/tests/test_scaling_patterns.py
@@ -31,6 +31,12 @@
         self.assertEqual(4, fleet.late_s)
         self.assertTrue(fleet.serving() >= 12 / 0.8, fleet.serving())
 
+    def test_load_that_is_hidden_by_refusals_is_met_after_two_boot_times(self):
+        fleet = deployment(3)
+        fleet.run(30, 4.0)
+        fleet.run(10, lambda s: min(20.0, fleet.serving()))
+        self.assertTrue(fleet.serving() >= 20, fleet.changes())
+
     def test_wave_is_followed_without_lateness(self):
         fleet = deployment(6)
         fleet.run(600, lambda s: 6 + 3 * math.sin(2 * math.pi * s / 200))
