Keep orders within the bounds of a zone while a kind is left out

Change: an increase leaves room for what the platform may still provide; a cut keeps the minimum of the zone.

--- a/hornbeampier/routing/group_orders.py
+++ b/hornbeampier/routing/group_orders.py
@@ -67,6 +67,16 @@
     def baseline(self) -> int:
         return self.present if self.ordered is None else self.ordered
 
+    @property
+    def committed(self) -> int:
+        """Most endpoints that the platform may provide with the orders given.
+
+        An order without a response may not have been executed.
+        """
+        if self.accepted is None:
+            return max(self.baseline, self.present)
+        return max(self.baseline, self.accepted)
+
     def observe(
         self, present: int, reclaimable: bool, boot_ms: float, now_ms: float
     ) -> None:
@@ -192,6 +202,10 @@
         """Returns the number that was ordered, or else the present one."""
         return self._states[group].baseline
 
+    def committed(self, group: allocation.Group) -> int:
+        """Returns the most endpoints that the platform may provide."""
+        return self._states[group].committed
+
     def is_present(self, caps: Counts) -> bool:
         """Whether all endpoints that can still come are present."""
         return all(
--- a/hornbeampier/routing/scaling.py
+++ b/hornbeampier/routing/scaling.py
@@ -15,6 +15,7 @@
 from hornbeampier.duties import terms
 from hornbeampier.routing import allocation
 from hornbeampier.routing import demand
+from hornbeampier.routing import domain
 from hornbeampier.routing import group_orders
 
 # Utilization with steady load. A queue with one server then waits two service
@@ -195,6 +196,10 @@
         reason = Reason.INCREASE
         if wanted == current and may_decrease and self._is_settled(view, caps):
             wanted, reason = self._save(allocator, view, current, caps)
+        wanted = {
+            group: self._keep_bounds(group, wanted, view.autoscale)
+            for group in wanted
+        }
         return self._plan(wanted, current, reason, now_ms)
 
     def record(self, planned: PlannedOrder, outcome: terms.Outcome) -> None:
@@ -277,6 +282,32 @@
                     return wanted
         return current
 
+    def _keep_bounds(
+        self,
+        group: allocation.Group,
+        wanted: Counts,
+        autoscale: domain.Autoscale,
+    ) -> int:
+        """Returns the number to order of a group within the zone's bounds.
+
+        What another group of the zone gives up is free once its order is
+        accepted. A group without available endpoints keeps its order where the
+        zone would otherwise be below its minimum.
+        """
+        previous = self._orders.baseline(group)
+        others = [
+            other
+            for other in wanted
+            if other != group
+            and other.availability_zone == group.availability_zone
+        ]
+        if wanted[group] > previous:
+            committed = sum(self._orders.committed(g) for g in others)
+            room = autoscale.max_per_zone - committed
+            return max(previous, min(wanted[group], room))
+        missing = autoscale.min_per_zone - sum(wanted[g] for g in others)
+        return min(previous, max(wanted[group], missing))
+
     def _plan(
         self, wanted: Counts, current: Counts, reason: Reason, now_ms: float
     ) -> list[PlannedOrder]:
--- a/tests/test_scaling_patterns.py
+++ b/tests/test_scaling_patterns.py
@@ -169,6 +169,24 @@
         self.assertTrue(len(refused) <= 2, refused)
         self.assertTrue(fleet.serving(ZONE_2) >= 8, fleet.changes())
 
+    def test_zone_stays_within_its_bounds_while_a_kind_is_left_out(self):
+        """Orders of both kinds together count, also those not cut yet."""
+        for unavailable in ({SPOT_1, ZONE_1}, {SPOT_1}):
+            fleet = deployment(
+                5, spot_price=0.2, min_per_zone=2, max_per_zone=10
+            )
+            fleet.run(100, 5.0)
+            fleet.unavailable = unavailable
+            fleet.reclaim(1)
+            fleet.outcomes = [terms.Outcome.BUSY] * 3
+            fleet.run(60, 8.0)
+            totals = dict.fromkeys((ZONE_1, ZONE_2, SPOT_1, SPOT_2), 0)
+            for _, group, number in fleet.orders:
+                totals[group] = number
+            for lasting, spot in ((ZONE_1, SPOT_1), (ZONE_2, SPOT_2)):
+                total = totals[lasting] + totals[spot]
+                self.assertTrue(2 <= total <= 10, (unavailable, totals))
+
     def test_drain_without_end_of_another_cause_ends_the_wait(self):
         fleet = deployment(8)
         fleet.instances[0].ends_ms = 10_000_000.0
