--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -6,6 +6,7 @@
 from hornbeampier import environment
 from hornbeampier import node_metrics
 from hornbeampier import origin_components
+from hornbeampier.duties import scaling_wiring
 from hornbeampier.duties import wiring
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
@@ -107,6 +108,16 @@
         self._build_forwarder()
         self._build_listeners()
         self.app.add(*self._duties.actors)
+        self.app.add(
+            *scaling_wiring.build_scaling(
+                cfg,
+                self._context,
+                self._fleet,
+                self._prefill_meter,
+                self._live_peers,
+                self._is_in_touch,
+            )
+        )
 
     def _build_replication(self) -> None:
         configuration_applier = appliers.ConfigurationApplier(
@@ -196,7 +207,7 @@
         self._connection_pool = connection_pool.ConnectionPool(
             self._fleet, self._clock
         )
-        shared = context.Context(
+        self._context = context.Context(
             catalog=self.catalog,
             peer_loads=self._peer_loads,
             connection_pool=self._connection_pool,
@@ -219,21 +230,20 @@
             rng=self._env.rng,
             usage=self._duties.usage,
         )
-        self._forwarder = forwarder.Forwarder(shared)
+        self._forwarder = forwarder.Forwarder(self._context)
         if cfg.control is not None and not cfg.bootstrap:
-            self.app.add(self._make_cache_survey())
-
-    def _make_cache_survey(self) -> cache_survey.CacheSurvey:
-        return cache_survey.CacheSurvey(
-            self._cfg.host,
-            self._membership.live,
-            self._fleet,
-            self.catalog,
-            self._connection_pool,
-            self._placements,
-            self._announcements,
-            self._clock,
-        )
+            self.app.add(
+                cache_survey.CacheSurvey(
+                    cfg.host,
+                    self._membership.live,
+                    self._fleet,
+                    self.catalog,
+                    self._connection_pool,
+                    self._placements,
+                    self._announcements,
+                    self._clock,
+                )
+            )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
         load_shedder = load_shedding.LoadShedder(
