Weigh endpoints by their speed

Engines of one service differ by more than a factor of two, and other work slows them down for some hundred ms, but all were taken for equal.

Each VM measures the event delays of its streams against the service's typical one. The sums travel in the latency sums of the gossip, which were empty for engines, so that no message changes. An engine's wait, its slot wait and its prefill time scale with its factor relative to the median engine. The load header's fourth figure scales the wait for a moment, also of plain endpoints. Engines within 15% of the typical one count as equal: choices stay the same.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -112,6 +112,8 @@
                 req.id,
                 sent_ms,
             )
+            if self.fields.load is not None:
+                self._state.speed.record_report(self.fields.load)
 
     def blocks(self, watch: stalls.StallWatch | None = None) -> Iterator[bytes]:
         """Yields the blocks of the body as they arrive.
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -137,6 +137,7 @@
             urgency=self._req.urgency,
             attempt=self._attempts + 1,
             wait_ms=round(choice.wait_ms),
+            speed_factor=round(choice.speed_factor, 2),
             prefill_tokens=round(choice.prefill_tokens),
             fetch_from=choice.fetch_from and choice.fetch_from.id,
             prompt_tokens=prompt.input_tokens if prompt else None,
@@ -253,7 +254,9 @@
             )
         if not is_resumed:
             observer.on_end(
-                self._relay.shortest_delay_ms, self._relay.longest_delay_ms
+                self._relay.shortest_delay_ms,
+                self._relay.longest_delay_ms,
+                self._relay.event_delay_ms,
             )
 
     def _may_resume(self, choice: endpoint_choice.EndpointChoice) -> bool:
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -15,6 +15,11 @@
 
 # Events that follow each other faster were delayed together on their way.
 MIN_EVENT_DELAY_MS = 1.0
+# Number of inter-event delays from which a quantile is taken, and the minimum
+# for one. A fixed number makes long and short streams comparable.
+DELAY_SAMPLE_COUNT = 32
+MIN_DELAY_SAMPLE_COUNT = 4
+EVENT_DELAY_QUANTILE = 0.25
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -57,6 +62,7 @@
         self.first_event_ms: float | None = None
         self.longest_delay_ms = 0.0
         self.shortest_delay_ms = math.inf
+        self._delays_ms: list[float] = []
         self._last_event_ms = 0.0
         self.started = False
         self.last_event_id: str | None = None
@@ -102,6 +108,14 @@
             self._write(attempt, b"")
         self._caller.end_response()
 
+    @property
+    def event_delay_ms(self) -> float | None:
+        """A low quantile of the first inter-event delays; None if too few."""
+        ordered = sorted(self._delays_ms)
+        if len(ordered) < MIN_DELAY_SAMPLE_COUNT:
+            return None
+        return ordered[int(EVENT_DELAY_QUANTILE * len(ordered))]
+
     def _accept(self, event: sse.Event) -> bytes:
         """Returns the bytes of an event, or none for a duplicate.
 
@@ -124,6 +138,8 @@
             self.longest_delay_ms = max(self.longest_delay_ms, delay_ms)
             if delay_ms >= MIN_EVENT_DELAY_MS:
                 self.shortest_delay_ms = min(self.shortest_delay_ms, delay_ms)
+                if len(self._delays_ms) < DELAY_SAMPLE_COUNT:
+                    self._delays_ms.append(delay_ms)
         self._last_event_ms = now_ms
 
     def _is_duplicate(self, event_id: str) -> bool:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -45,6 +45,7 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import rendezvous
+from hornbeampier.routing import service_speeds
 from hornbeampier.routing import stream_origins
 
 MAINTENANCE_INTERVAL_MS = 250.0
@@ -82,6 +83,12 @@
             self.catalog, self._announcements, self._clock
         )
         self._peer_loads = peer_loads.PeerLoads(self._clock)
+        self._speeds = service_speeds.ServiceSpeeds(
+            self._fleet,
+            self._peer_loads,
+            self._clock,
+            self._metrics.record_speed_factors,
+        )
         self._endpoint_applier = appliers.EndpointApplier(
             self.catalog, self._cfg.heartbeat_ms, self._clock
         )
@@ -262,6 +269,7 @@
             load_shedder,
             self._engine_models,
             self.catalog.engine_traits,
+            self._speeds,
             self._env.rng,
         )
         return dispatch.Dispatcher(
@@ -394,3 +402,4 @@
         self._directory.expire()
         self._connection_pool.expire()
         self._prefill_meter.expire()
+        self._speeds.expire()
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -52,6 +52,12 @@
             "Learned prefill rate of an engine by service.",
             registry=self._registry,
         )
+        self._speed_factors = aioprometheus.Gauge(
+            "hornbeampier_engine_speed_factor",
+            "How many times longer than at the typical engine of a service "
+            "work takes at its fastest and at its slowest.",
+            registry=self._registry,
+        )
         self._version = aioprometheus.Gauge(
             "hornbeampier_configuration_version",
             "Version of the configuration in force.",
@@ -100,6 +106,17 @@
             {"service": service}, tokens_per_ms * clocks.MS_PER_SECOND
         )
 
+    def record_speed_factors(
+        self, service: str, fastest: float, slowest: float
+    ) -> None:
+        """Records the factors of the fastest and of the slowest engine."""
+        self._speed_factors.set(
+            {"service": service, "engine": "fastest"}, fastest
+        )
+        self._speed_factors.set(
+            {"service": service, "engine": "slowest"}, slowest
+        )
+
     def render(self, version: int) -> bytes:
         """Returns the metrics in Prometheus' text exposition format."""
         self._version.set({}, version)
--- a/hornbeampier/peers/load_messages.py
+++ b/hornbeampier/peers/load_messages.py
@@ -14,7 +14,7 @@
 def to_load(state: fleet.EndpointState) -> peer_loads.Load:
     """Returns this VM's load on an endpoint."""
     return peer_loads.Load(
-        state.in_flight, state.prefill_tokens, state.latency.sums()
+        state.in_flight, state.prefill_tokens, state.latency_sums()
     )
 
 
--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -6,9 +6,11 @@
 from hornbeampier import clock as clocks
 from hornbeampier.http1 import messages
 from hornbeampier.platform import announcements
+from hornbeampier.platform import load_reports
 from hornbeampier.platform import names
 from hornbeampier.routing import announcements as routing_announcements
 from hornbeampier.routing import domain
+from hornbeampier.routing import endpoint_speed
 from hornbeampier.routing import requests
 
 # Larger counts of tokens are taken for malformed.
@@ -71,6 +73,7 @@
         will_close: Whether the endpoint closes the connection afterwards.
         announcement: What the endpoint announces about itself; None if the
             response is another endpoint's.
+        load: The load that the endpoint reports, or None.
     """
 
     status: int
@@ -80,6 +83,7 @@
     keep_alive_ms: float | None
     will_close: bool
     announcement: routing_announcements.Announcement | None
+    load: endpoint_speed.LoadReport | None = None
 
 
 def decode_request(head: messages.RequestHead) -> RequestFields:
@@ -161,6 +165,7 @@
         keep_alive_ms=_decode_keep_alive(head.get(b"keep-alive")),
         will_close=b"close" in connection,
         announcement=announcements.decode(head),
+        load=load_reports.decode(head.get(names.LOAD)),
     )
 
 
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -19,6 +19,7 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import requests
+from hornbeampier.routing import service_speeds
 
 # Expected response time of all plain services, which declare none. Only the
 # differences between endpoints matter.
@@ -109,6 +110,7 @@
         slowdown = latency.slowdown(
             state.latency.sums(), peer_load.latency_sums
         )
+        slowdown *= state.speed.current_slowdown()
         return slowdown * total / max(1, state.endpoint.slots)
 
 
@@ -125,6 +127,7 @@
         load_shedder: load_shedding.LoadShedder,
         models: engine_model.EngineModels,
         engine_traits: Callable[[str], domain.EngineTraits | None],
+        speeds: service_speeds.ServiceSpeeds,
         rng: random.Random,
     ):
         self._fleet = fleet
@@ -135,6 +138,7 @@
         self._load_shedder = load_shedder
         self._models = models
         self._engine_traits = engine_traits
+        self._speeds = speeds
         self._rng = rng
 
     def choose(
@@ -226,6 +230,7 @@
         prefill_ms = self._models.of(req.service).prefill_ms(
             spillover.queued_tokens + spillover.prefill_tokens
         )
+        prefill_ms *= spillover.speed_factor
         slots = spillover.state.endpoint.slots
         return (
             prefill_ms <= self._pools.max_spill_prefill_ms(req.service)
@@ -262,7 +267,7 @@
                 choice.wait_ms + RECOMPUTE_WEIGHT * choice.uncached_prefill_ms
             )
             cost += PREFILL_UTILIZATION_COST_MS * choice.prefill_utilization
-            cost += request_cost_ms * choice.in_flight
+            cost += request_cost_ms * choice.speed_factor * choice.in_flight
             if state.id == preferred[0]:
                 cost -= bonus
             # An engine with a cached prefix is no use if it would refuse.
@@ -311,4 +316,5 @@
             traits,
             self._classifier.mean_prompt_tokens(req),
             holder,
+            self._speeds.long_term_factors(req.service),
         )
--- a/hornbeampier/routing/endpoint_choice.py
+++ b/hornbeampier/routing/endpoint_choice.py
@@ -23,6 +23,8 @@
         slot_wait_ms: Part of the wait until one of the endpoint's slots is
             free.
         in_flight: Requests of all VMs in flight there.
+        speed_factor: How many times longer than at the service's typical engine
+            work takes there now; it is part of `wait_ms`.
         fetch_from: Engine from which it can fetch cached segments, or None.
     """
 
@@ -35,4 +37,5 @@
     prefill_utilization: float = 0.0
     slot_wait_ms: float = 0.0
     in_flight: int = 0
+    speed_factor: float = 1.0
     fetch_from: domain.Endpoint | None = None
--- a/hornbeampier/routing/engine_model.py
+++ b/hornbeampier/routing/engine_model.py
@@ -47,8 +47,12 @@
 # A stream shares its engine with prefill if the engine spends at least this
 # fraction of its time on it.
 SHARED_UTILIZATION = 0.2
+# Additional time of a decode step for each running request, as a fraction of
+# the step's time. A step generates one token for each running request.
+STEP_FRACTION_PER_REQUEST = 1 / 128
 PAUSE_QUANTILE = 0.9
 STEP_QUANTILE = 0.25
+EVENT_QUANTILE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +63,8 @@
         shortest_delay_ms: The shortest inter-event delay; infinite if there
             was none.
         longest_delay_ms: The longest inter-event delay.
+        event_delay_ms: A low quantile of the first inter-event delays, or None
+            if there were too few.
         prefill_utilization: Fraction of time that the engine spent on prefill
             when the request was sent.
     """
@@ -66,6 +72,7 @@
     shortest_delay_ms: float
     longest_delay_ms: float
     prefill_utilization: float
+    event_delay_ms: float | None = None
 
 
 class EngineModel:
@@ -85,6 +92,7 @@
         )
         self._pauses = _Quantile(PAUSE_QUANTILE)
         self._steps = _Quantile(STEP_QUANTILE)
+        self._event_delays = _Quantile(EVENT_QUANTILE)
         self.hold_ms = PRIOR_HOLD_MS
         self.queue_factor = 1.0
 
@@ -104,6 +112,11 @@
         """Inter-event delay on an engine that prefills, or None if unknown."""
         return self._pauses.value
 
+    @property
+    def event_delay_ms(self) -> float | None:
+        """Typical `Stream.event_delay_ms`, or None if unknown."""
+        return self._event_delays.value
+
     def step_ms(self, tokens_per_event: float) -> float:
         """Returns the time of a decode step, of one token for each request."""
         event_ms = self._steps.value
@@ -164,6 +177,8 @@
 
     def record_stream(self, stream: Stream) -> None:
         """Records a complete stream."""
+        if stream.event_delay_ms is not None:
+            self._event_delays.add(stream.event_delay_ms)
         if math.isinf(stream.shortest_delay_ms):
             return
         self._steps.add(stream.shortest_delay_ms)
@@ -222,26 +237,46 @@
         tokens = self._choice.prefill_tokens
         queued_tokens = self._choice.queued_tokens
         took_ms = self._first_event_ms - self._sent_ms
+        factor = self._choice.speed_factor
         if self._choice.slot_wait_ms > 0.0:
             self._model.record_slot_wait(
                 self._choice.slot_wait_ms,
-                took_ms - self._model.wait_ms(tokens, queued_tokens),
+                took_ms - factor * self._model.wait_ms(tokens, queued_tokens),
             )
         else:
-            self._model.record_first_event(tokens, queued_tokens, took_ms)
+            # The model describes the typical engine.
+            self._model.record_first_event(
+                tokens, queued_tokens, took_ms / factor
+            )
 
-    def on_end(self, shortest_delay_ms: float, longest_delay_ms: float) -> None:
+    def on_end(
+        self,
+        shortest_delay_ms: float,
+        longest_delay_ms: float,
+        event_delay_ms: float | None = None,
+    ) -> None:
         """Records that the whole stream came from this engine."""
         if self._first_event_ms is None:
             return
+        self._record_speed(event_delay_ms)
         self._model.record_stream(
             Stream(
                 shortest_delay_ms=shortest_delay_ms,
                 longest_delay_ms=longest_delay_ms,
                 prefill_utilization=self._choice.prefill_utilization,
+                event_delay_ms=event_delay_ms,
             )
         )
 
+    def _record_speed(self, event_delay_ms: float | None) -> None:
+        expected_ms = self._model.event_delay_ms
+        if event_delay_ms is None or expected_ms is None:
+            return
+        batch = 1.0 + self._choice.in_flight * STEP_FRACTION_PER_REQUEST
+        self._choice.state.speed.record_stream(
+            event_delay_ms / (expected_ms * batch)
+        )
+
 
 class _LineFit:
     """Least-squares fit of a line, in which older points fade."""
--- a/hornbeampier/routing/estimates.py
+++ b/hornbeampier/routing/estimates.py
@@ -1,5 +1,6 @@
 """Estimates the time to first event of a prompt on each engine."""
 
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -9,6 +10,7 @@
 from hornbeampier.routing import fleet
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import prefill
+from hornbeampier.routing import service_speeds
 
 # Minimum number of cached tokens that are worth a transfer between engines.
 MIN_TRANSFER_TOKENS = 1_000
@@ -37,6 +39,10 @@
 
     The `holder` is the engine with the longest cached prefix of the prompt; the
     others may fetch it from there. None if it is not worth a transfer.
+
+    `long_term_factors` holds the engines that are slower or faster than the
+    typical one. A short slowdown affects the wait, but not which fraction of
+    its time an engine spends on prefill.
     """
 
     def __init__(
@@ -48,6 +54,7 @@
         traits: domain.EngineTraits | None,
         mean_prompt_tokens: float,
         holder: fleet.EndpointState | None,
+        long_term_factors: Mapping[str, float],
     ):
         self._prompt = prompt
         self._peers = peers
@@ -55,6 +62,7 @@
         self._model = model
         self._traits = traits
         self._holder = holder
+        self._long_term_factors = long_term_factors
         self._kv_slots = math.inf
         if traits is not None:
             tokens = traits.kv_tokens * RUNNING_KV_FRACTION
@@ -71,10 +79,14 @@
         prefill_tokens = max(0, uncached_tokens - transfer.tokens)
         queued_tokens = state.prefill_tokens + peer_load.prefill_tokens
         in_flight = state.in_flight + peer_load.in_flight
-        slot_wait_ms = self._slot_wait_ms(state, in_flight)
+        long_term_factor = self._long_term_factors.get(state.id, 1.0)
+        factor = service_speeds.bounded(
+            long_term_factor * state.speed.current_slowdown()
+        )
+        slot_wait_ms = factor * self._slot_wait_ms(state, in_flight)
         wait_ms = (
             transfer.duration_ms
-            + self._model.wait_ms(prefill_tokens, queued_tokens)
+            + factor * self._model.wait_ms(prefill_tokens, queued_tokens)
             + slot_wait_ms
         )
         return endpoint_choice.EndpointChoice(
@@ -84,10 +96,11 @@
             queued_tokens=queued_tokens,
             uncached_prefill_ms=self._model.prefill_ms(uncached_tokens),
             prefill_utilization=self._prefill_meter.utilization(
-                state.id, self._model.tokens_per_ms
+                state.id, self._model.tokens_per_ms / long_term_factor
             ),
             slot_wait_ms=slot_wait_ms,
             in_flight=in_flight,
+            speed_factor=factor,
             fetch_from=transfer.source,
         )
 
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -9,6 +9,7 @@
 from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
 from hornbeampier.routing import domain
+from hornbeampier.routing import endpoint_speed
 from hornbeampier.routing import latency
 from hornbeampier.routing import prefix_cache
 from hornbeampier.routing import route_table
@@ -33,6 +34,8 @@
     Attributes:
         prefix_cache: Estimated contents of the engine's prefix cache.
         latency: Measured against expected response times of this VM's requests.
+        speed: Event delays of this VM's streams, and what the endpoint says
+            about its current speed.
         pool_rank: Position in [0, 1) among the service's engines, which decides
             to which pool an engine belongs.
         on_load_change: Called with the endpoint's id when this VM's load on it
@@ -49,6 +52,7 @@
     endpoint: domain.Endpoint
     prefix_cache: prefix_cache.PrefixCacheIndex
     latency: latency.LatencyMeter
+    speed: endpoint_speed.SpeedMeter
     pool_rank: float = 0.0
     on_load_change: Callable[[str], None] = _ignore
     in_flight: int = 0
@@ -67,6 +71,18 @@
         """Whether it may get requests: neither leaving nor ejected."""
         return not self.endpoint.leaving and now_ms >= self.ejected_until_ms
 
+    def latency_sums(self) -> latency.LatencySums:
+        """Returns the sums over this VM's responses.
+
+        Plain requests are measured by `latency`, and streams by `speed`.
+        """
+        plain = self.latency.sums()
+        streams = self.speed.sums()
+        return latency.LatencySums(
+            plain.measured_ms + streams.measured_ms,
+            plain.expected_ms + streams.expected_ms,
+        )
+
     def record_success(self, now_ms: float) -> None:
         """Records a complete response, which ends an ejection."""
         if now_ms - self.failed_ms >= FAILURE_RESET_MS:
@@ -179,6 +195,7 @@
             endpoint,
             prefix_cache.PrefixCacheIndex(self._clock),
             latency.LatencyMeter(self._clock),
+            endpoint_speed.SpeedMeter(self._clock),
             route_table.uniform_hash(f"pool/{endpoint.id}"),
             self._changed_loads.add,
         )
--- a/hornbeampier/routing/latency.py
+++ b/hornbeampier/routing/latency.py
@@ -27,6 +27,9 @@
     expected_ms: float = 0.0
 
 
+NO_SUMS = LatencySums()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pending:
     started_ms: float
--- a/hornbeampier/routing/workload.py
+++ b/hornbeampier/routing/workload.py
@@ -7,9 +7,6 @@
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import prompt_kinds
 
-# Additional time of a decode step for each running request, as a fraction of
-# the step's time. A step generates one token for each running request.
-STEP_FRACTION_PER_REQUEST = 1 / 128
 # Decay time constant of the sums.
 DECAY_TIME_MS = 5_000.0
 
@@ -79,7 +76,9 @@
         tokens_per_event: Number of tokens in one event of a stream.
     """
     step_ms = model.step_ms(tokens_per_event)
-    token_ms = step_ms * (1 / max(1, slots) + STEP_FRACTION_PER_REQUEST)
+    token_ms = step_ms * (
+        1 / max(1, slots) + engine_model.STEP_FRACTION_PER_REQUEST
+    )
     output_ms = token_ms * _expected_output_tokens(prompt)
     return prefill_tokens + output_ms * model.tokens_per_ms
 
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -17,6 +17,7 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import requests
+from hornbeampier.routing import service_speeds
 
 SERVICE = "models"
 _ids = itertools.count()
@@ -130,5 +131,8 @@
             self.load_shedder,
             self.models,
             traits,
+            service_speeds.ServiceSpeeds(
+                fixture.fleet, fixture.peers, fixture.clock
+            ),
             random.Random(seed),
         )
