Let slow engines serve batch prompts

Cause: pools take engines by hash, so a share of the engines of short and of interactive prompts is as slow as half of the typical speed. Change: engines at which work takes 1.5 times longer go to the batch pool; the sizes of the pools stay.

--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 import structlog
@@ -35,6 +36,19 @@
     prompt_kinds.PromptKind.INTERACTIVE: 0.75,
     prompt_kinds.PromptKind.BATCH: 0.75,
 }
+# An engine at which work takes this many times longer than at the typical one
+# serves batch prompts: short and interactive ones would miss their targets.
+SLOW_FACTOR = 1.5
+
+# Returns how many times longer work takes at the engines of a service, by
+# endpoint id; engines left out have 1.
+SpeedFactors = Callable[[str], Mapping[str, float]]
+
+
+def _equal_speeds(service: str) -> Mapping[str, float]:
+    """Default `speed_factors`: all engines are equally fast."""
+    del service
+    return {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,8 +82,10 @@
         models: engine_model.EngineModels,
         engine_traits: Callable[[str], domain.EngineTraits | None],
         clock: clocks.Clock,
+        speed_factors: SpeedFactors = _equal_speeds,
     ):
         self._clock = clock
+        self._speed_factors = speed_factors
         self._classifier = classifier
         self._models = models
         self._engine_traits = engine_traits
@@ -187,7 +203,7 @@
         prompts only once it is known how prefill delays streams.
         """
         sizes = self._update_sizes(req.service, len(states))
-        ranked = sorted(states, key=lambda state: state.pool_rank)
+        ranked = self._rank(req.service, states, sizes.short)
         end = len(ranked) - sizes.interactive
         short = ranked[: sizes.short]
         batch = ranked[sizes.short : end]
@@ -207,6 +223,23 @@
                     split = PoolSplit(batch, interactive + short)
         return split if split.pool else PoolSplit(states, [])
 
+    def _rank(
+        self, service: str, states: list[fleet.EndpointState], short_count: int
+    ) -> list[fleet.EndpointState]:
+        """Returns the engines in the order in which the pools take them.
+
+        The pools of short and of interactive prompts take them from both ends.
+        Slow engines come between, after those of the short prompts.
+        """
+        ranked = sorted(states, key=lambda state: state.pool_rank)
+        factors = self._speed_factors(service)
+        slow = [s for s in ranked if factors.get(s.id, 1.0) >= SLOW_FACTOR]
+        if not slow:
+            return ranked
+        slow_ids = {state.id for state in slow}
+        fast = [state for state in ranked if state.id not in slow_ids]
+        return fast[:short_count] + slow + fast[short_count:]
+
     def _pool_kind(self, req: requests.Request) -> prompt_kinds.PromptKind:
         """Returns the kind whose pool a request uses.
 
--- a/tests/test_routing_pools.py
+++ b/tests/test_routing_pools.py
@@ -15,7 +15,7 @@
 SLOTS = 64
 
 
-class PoolsTest(testtools.TestCase):
+class PoolsFixture(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.fixture = fakes.RoutingFixture(9)
@@ -64,6 +64,8 @@
     def batch_engines(self):
         return self.engines(BATCH, 17_000)
 
+
+class PoolsTest(PoolsFixture):
     def test_pools_are_disjoint_and_cover_all_engines(self):
         self.simulate(10, 10, 8, interactive_per_s=4)
         engines = [
@@ -189,3 +191,34 @@
         req = fakes.request(fakes.prompt(1_400), SHORT)
         split = self.pools.split(req, self.fixture.states[:1])
         self.assertEqual(1, len(split.pool))
+
+
+class SlowEnginesTest(PoolsFixture):
+    """Guards against short prompts on engines too slow for their targets."""
+
+    def setUp(self):
+        super().setUp()
+        self.slow_ids = set()
+        self.pools = pools.EnginePools(
+            self.classifier,
+            self.models,
+            lambda service: None,
+            self.fixture.clock,
+            lambda service: dict.fromkeys(self.slow_ids, 2.2),
+        )
+
+    def test_slow_engines_serve_batch_prompts(self):
+        self.simulate(10, 10, 8, interactive_per_s=4)
+        self.slow_ids = {
+            self.short_engines()[0],
+            self.interactive_engines()[0],
+        }
+        self.assertLessEqual(self.slow_ids, set(self.batch_engines()))
+
+    def test_pools_keep_their_sizes_if_most_engines_are_slow(self):
+        self.simulate(10, 10, 8, interactive_per_s=4)
+        sizes = len(self.short_engines()), len(self.interactive_engines())
+        self.slow_ids = {state.id for state in self.fixture.states[:8]}
+        self.assertEqual(
+            sizes, (len(self.short_engines()), len(self.interactive_engines()))
+        )
