Keep plain requests in the VM's availability zone while it has room

Requests were sent to the least loaded endpoint of all zones, so half of them left a zone that had room; with loads half a second old, 84 VMs also herded.

routing/zone_spill.py lets a share of the requests leave that follows the difference in utilization, within the others' spare slots, smallest requests first. A request that would wait goes to the least loaded endpoint as before. Engines in another zone cost 2 ms more.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -19,6 +19,7 @@
 from hornbeampier.peers import components
 from hornbeampier.peers import membership
 from hornbeampier.peers import state_exchange
+from hornbeampier.peers import topology
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -31,13 +32,12 @@
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
 from hornbeampier.routing import catalog
-from hornbeampier.routing import choosers
+from hornbeampier.routing import components as routing_components
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
 from hornbeampier.routing import limit_shares
-from hornbeampier.routing import load_shedding
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
@@ -45,7 +45,6 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import rendezvous
-from hornbeampier.routing import service_speeds
 from hornbeampier.routing import stream_origins
 
 MAINTENANCE_INTERVAL_MS = 250.0
@@ -83,12 +82,6 @@
             self.catalog, self._announcements, self._clock
         )
         self._peer_loads = peer_loads.PeerLoads(self._clock)
-        self._speeds = service_speeds.ServiceSpeeds(
-            self._fleet,
-            self._peer_loads,
-            self._clock,
-            self._metrics.record_speed_factors,
-        )
         self._endpoint_applier = appliers.EndpointApplier(
             self.catalog, self._cfg.heartbeat_ms, self._clock
         )
@@ -254,33 +247,24 @@
         )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
-        load_shedder = load_shedding.LoadShedder(
-            self._classifier, self._clock, self._env.rng
-        )
-        plain_chooser = choosers.LeastLoadedChooser(
-            self._fleet, self._peer_loads, self._env.rng
+        shared = routing_components.SharedComponents(
+            catalog=self.catalog,
+            fleet=self._fleet,
+            peer_loads=self._peer_loads,
+            pools=self._pools,
+            placements=self._placements,
+            classifier=self._classifier,
+            prefill_meter=self._prefill_meter,
+            engine_models=self._engine_models,
+            metrics=self._metrics,
         )
-        engine_chooser = choosers.EngineChooser(
-            self._fleet,
-            self._peer_loads,
-            self._pools,
-            self._classifier,
-            self._prefill_meter,
-            load_shedder,
-            self._engine_models,
-            self.catalog.engine_traits,
-            self._speeds,
+        return routing_components.build_dispatcher(
+            shared,
+            self._cfg.availability_zone,
+            self._count_zone_vms,
+            self._clock,
             self._env.rng,
         )
-        return dispatch.Dispatcher(
-            self._fleet,
-            plain_chooser,
-            engine_chooser,
-            self._pools,
-            self._placements,
-            self._prefill_meter,
-            load_shedder,
-        )
 
     def _build_listeners(self) -> None:
         cfg = self._cfg
@@ -384,6 +368,11 @@
     def _live_peers(self) -> list[str]:
         return self._membership.live() if self._membership else []
 
+    def _count_zone_vms(self) -> int:
+        members = self._membership.members() if self._membership else []
+        code = topology.zone_code(self._cfg.availability_zone)
+        return 1 + sum(member.zone == code for member in members)
+
     def _count_vms(self) -> int:
         """Returns the number of VMs that share the retry budget.
 
@@ -402,4 +391,3 @@
         self._directory.expire()
         self._connection_pool.expire()
         self._prefill_meter.expire()
-        self._speeds.expire()
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -34,6 +34,10 @@
             "hornbeampier_resumptions_total",
             "Streams that callers took up, by how their origin was found.",
         )
+        self._zone_choices = self._counter(
+            "hornbeampier_zone_choices_total",
+            "Plain requests by service and by the zone that they were sent to.",
+        )
         self._first_event = aioprometheus.Histogram(
             "hornbeampier_first_event_seconds",
             "Time from a request to the first event of its response stream.",
@@ -85,6 +89,11 @@
         """
         self._resumptions.inc({"source": source})
 
+    def record_zone_choice(self, service: str, leaves: bool) -> None:
+        """Counts a plain request that was kept in the zone or left it."""
+        zone = "other" if leaves else "own"
+        self._zone_choices.inc({"service": service, "zone": zone})
+
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Records the time to the first event of a streamed response."""
         self._first_event.observe(
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -20,6 +20,7 @@
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import requests
 from hornbeampier.routing import service_speeds
+from hornbeampier.routing import zone_spill
 
 # Expected response time of all plain services, which declare none. Only the
 # differences between endpoints matter.
@@ -42,6 +43,8 @@
 # Cost, in decode steps, of each request in flight: a larger batch slows down
 # all of its requests.
 REQUEST_COST_STEPS = 0.8
+# Cost of an engine in another availability zone than this VM.
+OTHER_ZONE_COST_MS = 2.0
 # A request may spill over to another pool if its wait exceeds this fraction of
 # its latency target.
 SPILL_WAIT_FRACTION = 0.4
@@ -78,10 +81,12 @@
         fleet: fleet.Fleet,
         peers: peer_loads.PeerLoads,
         rng: random.Random,
+        zones: zone_spill.ZoneSpill | None = None,
     ):
         self._fleet = fleet
         self._peers = peers
         self._rng = rng
+        self._zones = zones
 
     def choose(
         self,
@@ -91,15 +96,22 @@
     ) -> endpoint_choice.EndpointChoice | None:
         """Returns the endpoint with the fewest requests per slot.
 
-        The load is weighted by how slowly the endpoint responds.
+        The load is weighted by how slowly the endpoint responds. An endpoint of
+        the own availability zone is preferred while the zone has room.
         """
         candidates = self._fleet.candidates(req.service, tried, version)
         if not candidates:
             return None
-        state = min(
-            candidates,
-            key=lambda s: (self._load_per_slot(s), self._rng.random()),
-        )
+        state = None
+        if self._zones is not None:
+            state = self._zones.choose(req, candidates, self._load_per_slot)
+        if state is None:
+            state = min(
+                candidates,
+                key=lambda s: (self._load_per_slot(s), self._rng.random()),
+            )
+        if self._zones is not None:
+            self._zones.record(req.service, state)
         return endpoint_choice.EndpointChoice(
             state, expected_response_ms=PLAIN_RESPONSE_MS
         )
@@ -129,6 +141,7 @@
         engine_traits: Callable[[str], domain.EngineTraits | None],
         speeds: service_speeds.ServiceSpeeds,
         rng: random.Random,
+        zone: str = "",
     ):
         self._fleet = fleet
         self._peers = peers
@@ -140,6 +153,7 @@
         self._engine_traits = engine_traits
         self._speeds = speeds
         self._rng = rng
+        self._zone = zone
 
     def choose(
         self,
@@ -270,6 +284,8 @@
             cost += request_cost_ms * choice.speed_factor * choice.in_flight
             if state.id == preferred[0]:
                 cost -= bonus
+            if self._zone and state.endpoint.availability_zone != self._zone:
+                cost += OTHER_ZONE_COST_MS
             # An engine with a cached prefix is no use if it would refuse.
             ranked_cost = (not self._load_shedder.accepts(req, choice), cost)
             if ranked_cost < lowest_cost:
--- a/hornbeampier/routing/service_speeds.py
+++ b/hornbeampier/routing/service_speeds.py
@@ -116,6 +116,7 @@
         now_ms = self._clock.now()
         if change < LOGGED_CHANGE or now_ms - logged_ms < LOG_INTERVAL_MS:
             return
+        self._expire()
         self._logged[endpoint_id] = (factor, now_ms)
         loads_age_ms = self._peers.age_ms()
         self._log.info(
@@ -128,7 +129,7 @@
             loads_age_ms=None if loads_age_ms is None else round(loads_age_ms),
         )
 
-    def expire(self) -> None:
+    def _expire(self) -> None:
         """Forgets what was logged of endpoints that are gone."""
         self._logged = {
             endpoint_id: logged
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -112,7 +112,7 @@
 class ChooserFixture:
     """An engine chooser with the components that tests access."""
 
-    def __init__(self, fixture, traits=lambda service: None, seed=1):
+    def __init__(self, fixture, traits=lambda service: None, seed=1, zone=""):
         self.classifier = prompt_kinds.PromptClassifier()
         self.models = engine_model.EngineModels()
         self.pools = pools.EnginePools(
@@ -135,4 +135,5 @@
                 fixture.fleet, fixture.peers, fixture.clock
             ),
             random.Random(seed),
+            zone,
         )
