Keep streams off engines beside whose prefill they would pause too long

Cause: a short prompt spilled over to a batch engine when its own wait passed two fifths of its target; its stream then paused beside the prefill there. Change: a route whose streams do not tolerate prefill spills over only to engines with little of it, or when it is late anyway.

--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -51,6 +51,9 @@
 # How many times shorter the wait in the other pool must be for a short or an
 # interactive prompt.
 SPILL_WAIT_RATIO = 2.0
+# A stream that does not tolerate prefill beside it spills over only to engines
+# that spend less than this fraction of their time on it.
+MAX_STREAM_SPILL_UTILIZATION = 0.2
 # Limits for a batch prompt that spills over: the fraction of time that the
 # engine already spends on prefill, and the fraction of its slots in use.
 MAX_BATCH_SPILL_UTILIZATION = 0.5
@@ -237,10 +240,18 @@
     ) -> bool:
         """Whether a prompt may spill over to an engine of another pool.
 
-        A batch prompt may do so only where it barely delays other requests.
+        A batch prompt may do so only where it barely delays other requests. Of
+        the others, those whose streams would pause too long beside prefill do
+        so only where there is little, or if they are late anyway.
         """
         if self._classifier.classify(req) is not prompt_kinds.PromptKind.BATCH:
-            return spillover.wait_ms < best.wait_ms / SPILL_WAIT_RATIO
+            if spillover.wait_ms >= best.wait_ms / SPILL_WAIT_RATIO:
+                return False
+            return (
+                spillover.prefill_utilization < MAX_STREAM_SPILL_UTILIZATION
+                or best.wait_ms > req.route.latency_target_ms
+                or self._pools.tolerates_prefill(req)
+            )
         prefill_ms = self._models.of(req.service).prefill_ms(
             spillover.queued_tokens + spillover.prefill_tokens
         )
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -253,6 +253,10 @@
             return prompt_kinds.PromptKind.BATCH
         return kind
 
+    def tolerates_prefill(self, req: requests.Request) -> bool:
+        """Whether the request's stream is on time beside long prompts."""
+        return self._tolerance(req.service).tolerates_pauses(req.route)
+
     def _tolerance(self, service: str) -> prefill_tolerance.PrefillTolerance:
         if service not in self._tolerances:
             self._tolerances[service] = prefill_tolerance.PrefillTolerance(
--- a/hornbeampier/routing/prefill_tolerance.py
+++ b/hornbeampier/routing/prefill_tolerance.py
@@ -92,6 +92,17 @@
             MAX_DELAY_FRACTION * route.latency_target_ms,
         )
 
+    def tolerates_pauses(self, route: domain.Route) -> bool:
+        """Whether the inter-event delay beside prefill is within its target.
+
+        It is taken to be while no such delay has been seen.
+        """
+        pause_ms = self._model.prefill_pause_ms
+        return (
+            pause_ms is None
+            or pause_ms <= PAUSE_FRACTION * route.inter_event_target_ms
+        )
+
     def tolerates(self, route: domain.Route) -> bool:
         """Whether a route tolerates prefill, with hysteresis."""
         pause_ms = self._model.prefill_pause_ms
--- a/tests/test_routing_spillover.py
+++ b/tests/test_routing_spillover.py
@@ -11,12 +11,8 @@
 TOKENS_PER_EVENT = 4.0
 
 
-class SpilloverTest(testtools.TestCase):
-    """A burst of batch prompts while the engines of short ones are half idle.
-
-    Short prompts have streams with a target of 200 ms; a stream beside prefill
-    has delays of 190 ms.
-    """
+class SpilloverFixture(testtools.TestCase):
+    """Nine engines; streams of short prompts have a target of 200 ms."""
 
     def setUp(self):
         super().setUp()
@@ -60,6 +56,13 @@
         self.send(self.short, 1_400)
         return {self.send(self.batch, 9_000, shared).id for _ in range(count)}
 
+
+class SpilloverTest(SpilloverFixture):
+    """A burst of batch prompts while the engines of short ones are half idle.
+
+    A stream beside prefill has delays of 190 ms.
+    """
+
     def test_batch_prompts_use_idle_engines_of_short_ones(self):
         self.learn_pause()
         used = self.burst(2_000)
@@ -89,3 +92,40 @@
     def test_engines_are_apart_until_the_pause_is_known(self):
         used = self.burst(2_000)
         self.assertFalse(used & {s.id for s in self.short_engines()})
+
+
+class StreamSpilloverTest(SpilloverFixture):
+    """A burst of short prompts while batch prompts keep all others busy.
+
+    Guards against streams that begin on time and then pause beside prefill.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.short = fakes.route("short", latency_target_ms=300.0)
+        self.send(self.short, 1_400)
+        short_ids = {state.id for state in self.short_engines()}
+        for state in self.fixture.states:
+            if state.id not in short_ids:
+                self.chooser.prefill_meter.record(state.id, 40_000)
+        for state in self.short_engines():
+            # The wait exceeds the fraction of the target for a spillover.
+            state.prefill_tokens += 5_000
+
+    def short_prompt_spills_over(self):
+        short_ids = {state.id for state in self.short_engines()}
+        return self.send(self.short, 1_400).id not in short_ids
+
+    def test_stream_that_would_pause_too_long_stays(self):
+        self.learn_pause(pause_ms=190.0)
+        self.assertFalse(self.short_prompt_spills_over())
+
+    def test_stream_that_tolerates_prefill_spills_over(self):
+        self.learn_pause(pause_ms=100.0)
+        self.assertTrue(self.short_prompt_spills_over())
+
+    def test_prompt_that_would_be_late_anyway_spills_over(self):
+        self.learn_pause(pause_ms=190.0)
+        for state in self.short_engines():
+            state.prefill_tokens += 20_000
+        self.assertTrue(self.short_prompt_spills_over())
