Measure event delays in groups, as TCP may send events in pairs

Small events that wait for an acknowledgement arrive in lumps: with an endpoint stand-in that leaves Nagle's algorithm on, streams of ten events showed one or two delays, and no speed was learned. Delays now count as means of four.

--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -15,10 +15,11 @@
 
 # Events that follow each other faster were delayed together on their way.
 MIN_EVENT_DELAY_MS = 1.0
-# Number of inter-event delays from which a quantile is taken, and the minimum
-# for one. A fixed number makes long and short streams comparable.
+# Number of inter-event delays from which a quantile is taken. A fixed number
+# makes long and short streams comparable.
 DELAY_SAMPLE_COUNT = 32
-MIN_DELAY_SAMPLE_COUNT = 4
+# The quantile is over means of so many delays: TCP may send events in pairs.
+DELAY_GROUP_SIZE = 4
 EVENT_DELAY_QUANTILE = 0.25
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
@@ -111,8 +112,14 @@
     @property
     def event_delay_ms(self) -> float | None:
         """A low quantile of the first inter-event delays; None if too few."""
-        ordered = sorted(self._delays_ms)
-        if len(ordered) < MIN_DELAY_SAMPLE_COUNT:
+        size = DELAY_GROUP_SIZE
+        groups = [
+            self._delays_ms[start : start + size]
+            for start in range(0, len(self._delays_ms) - size + 1, size)
+        ]
+        means_ms = [sum(group) / size for group in groups]
+        ordered = sorted(ms for ms in means_ms if ms >= MIN_EVENT_DELAY_MS)
+        if not ordered:
             return None
         return ordered[int(EVENT_DELAY_QUANTILE * len(ordered))]
 
@@ -138,8 +145,8 @@
             self.longest_delay_ms = max(self.longest_delay_ms, delay_ms)
             if delay_ms >= MIN_EVENT_DELAY_MS:
                 self.shortest_delay_ms = min(self.shortest_delay_ms, delay_ms)
-                if len(self._delays_ms) < DELAY_SAMPLE_COUNT:
-                    self._delays_ms.append(delay_ms)
+            if len(self._delays_ms) < DELAY_SAMPLE_COUNT:
+                self._delays_ms.append(delay_ms)
         self._last_event_ms = now_ms
 
     def _is_duplicate(self, event_id: str) -> bool:
--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -36,12 +36,14 @@
         lines += [f"X-Hornbeampier-Attempt-Id: {self.id}", *headers]
         self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
-    def begin_stream(self):
+    def begin_stream(self, headers=()):
         """Sends the head of a streamed response with chunked encoding."""
         self.send(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"Transfer-Encoding: chunked\r\n{SEAL}\r\n"
-            f"X-Hornbeampier-Attempt-Id: {self.id}\r\n\r\n"
+            f"X-Hornbeampier-Attempt-Id: {self.id}\r\n"
+            + "".join(f"{header}\r\n" for header in headers)
+            + "\r\n"
         )
 
     def send_event(self, number):
--- a/tests/test_endpoint_speed.py
+++ b/tests/test_endpoint_speed.py
@@ -2,6 +2,7 @@
 
 import random
 
+import gevent
 import testtools
 
 from hornbeampier.http1 import messages
@@ -10,10 +11,12 @@
 from hornbeampier.platform import names
 from hornbeampier.routing import choosers
 from hornbeampier.routing import endpoint_speed
+from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
 from hornbeampier.routing import latency
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import service_speeds
+from tests import nodes
 from tests import routing_fakes as fakes
 
 ENGINE_COUNT = 8
@@ -174,3 +177,30 @@
         }
         self.assertEqual(ENGINE_COUNT - 1, len(chosen))
         self.assertNotIn(slow.id, chosen)
+
+
+class NodeTest(nodes.NodeTestCase):
+    def test_streams_and_load_headers_are_measured(self):
+        """The estimate stays at 1 for all if nobody feeds it."""
+
+        def handler(req):
+            load = f"{names.LOAD.decode()}: 1,0,8,250"
+            req.begin_stream((load, "Connection: close"))
+            for number in range(6):
+                req.send_event(number + 1)
+                gevent.sleep(0.003)
+            req.end_stream()
+
+        self.start_endpoint(nodes.ENGINE_SERVICE, handler, endpoint_id="e0")
+        router = self.start_ready_node()
+        prompt = {
+            "X-Hornbeampier-Model": "m",
+            "X-Hornbeampier-Token-Usage": "1000,50",
+        }
+        for _ in range(engine_model.MIN_SAMPLE_COUNT + 2):
+            caller = self.connect(router)
+            caller.send("POST", "/stream/x", prompt, body=b"{}")
+            self.assertTrue(caller.read().complete)
+        meter = router._fleet.get("e0").speed
+        self.assertEqual(endpoint_speed.LoadReport(1, 0, 8, 2.5), meter.report)
+        self.assertTrue(150.0 < meter.sums().expected_ms <= 200.0)
