Count engines within 20% of the typical one as equal

In a trial with equal engines whose steps slow down more with the batch than assumed, one engine had the factor 1.15 for a while.

--- a/hornbeampier/routing/service_speeds.py
+++ b/hornbeampier/routing/service_speeds.py
@@ -26,7 +26,7 @@
 MIN_EVIDENCE_MS = 3 * endpoint_speed.STREAM_WEIGHT_MS
 # Engines within this factor of the typical one count as equal. Differences of
 # twice this, as logarithms, count in full, and smaller ones in part.
-EQUAL_FACTOR = 1.15
+EQUAL_FACTOR = 1.2
 REFRESH_MS = 500.0
 # A factor is logged when it has changed by this factor, at this interval at
 # most for each engine.
