Give the pools the speeds of engines where the choosers are built

Cause: the speeds moved to routing/components.py; a node did not start. Change: the pools' speed factors are set there. Result: tests of pools, spillover and a node's requests.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -92,7 +92,6 @@
             self._engine_models,
             self.catalog.engine_traits,
             self._clock,
-            self._speeds.long_term_factors,
         )
         self._crashes = crashes.CrashHistory(self._clock, self._owns_trial)
         self._prefill_meter = prefill.PrefillMeter(self._clock)
--- a/hornbeampier/routing/components.py
+++ b/hornbeampier/routing/components.py
@@ -70,6 +70,7 @@
         clock,
         shared.metrics.record_speed_factors,
     )
+    shared.pools.speed_factors = speeds.long_term_factors
     plain_chooser = choosers.LeastLoadedChooser(
         shared.fleet, shared.peer_loads, rng, zones
     )
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -46,7 +46,7 @@
 
 
 def _equal_speeds(service: str) -> Mapping[str, float]:
-    """Default `speed_factors`: all engines are equally fast."""
+    """Initial `speed_factors`: all engines are equally fast."""
     del service
     return {}
 
@@ -74,7 +74,11 @@
 
 
 class EnginePools:
-    """Splits the engines of each service by the kind of prompt."""
+    """Splits the engines of each service by the kind of prompt.
+
+    Attributes:
+        speed_factors: Tells which engines are slow.
+    """
 
     def __init__(
         self,
@@ -82,10 +86,9 @@
         models: engine_model.EngineModels,
         engine_traits: Callable[[str], domain.EngineTraits | None],
         clock: clocks.Clock,
-        speed_factors: SpeedFactors = _equal_speeds,
     ):
+        self.speed_factors: SpeedFactors = _equal_speeds
         self._clock = clock
-        self._speed_factors = speed_factors
         self._classifier = classifier
         self._models = models
         self._engine_traits = engine_traits
@@ -232,7 +235,7 @@
         Slow engines come between, after those of the short prompts.
         """
         ranked = sorted(states, key=lambda state: state.pool_rank)
-        factors = self._speed_factors(service)
+        factors = self.speed_factors(service)
         slow = [s for s in ranked if factors.get(s.id, 1.0) >= SLOW_FACTOR]
         if not slow:
             return ranked
--- a/tests/test_routing_pools.py
+++ b/tests/test_routing_pools.py
@@ -199,12 +199,8 @@
     def setUp(self):
         super().setUp()
         self.slow_ids = set()
-        self.pools = pools.EnginePools(
-            self.classifier,
-            self.models,
-            lambda service: None,
-            self.fixture.clock,
-            lambda service: dict.fromkeys(self.slow_ids, 2.2),
+        self.pools.speed_factors = lambda service: dict.fromkeys(
+            self.slow_ids, 2.2
         )
 
     def test_slow_engines_serve_batch_prompts(self):
