--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -21,6 +21,7 @@
 from hornbeampier.peers import components
 from hornbeampier.peers import membership
 from hornbeampier.peers import state_exchange
+from hornbeampier.peers import topology
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -33,13 +34,12 @@
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
 from hornbeampier.routing import catalog
-from hornbeampier.routing import choosers
+from hornbeampier.routing import components as routing_components
 from hornbeampier.routing import crashes
 from hornbeampier.routing import dispatch
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
 from hornbeampier.routing import limit_shares
-from hornbeampier.routing import load_shedding
 from hornbeampier.routing import peer_loads
 from hornbeampier.routing import placements
 from hornbeampier.routing import pools
@@ -246,32 +246,24 @@
             )
 
     def _make_dispatcher(self) -> dispatch.Dispatcher:
-        load_shedder = load_shedding.LoadShedder(
-            self._classifier, self._clock, self._env.rng
-        )
-        plain_chooser = choosers.LeastLoadedChooser(
-            self._fleet, self._peer_loads, self._env.rng
+        shared = routing_components.SharedComponents(
+            catalog=self.catalog,
+            fleet=self._fleet,
+            peer_loads=self._peer_loads,
+            pools=self._pools,
+            placements=self._placements,
+            classifier=self._classifier,
+            prefill_meter=self._prefill_meter,
+            engine_models=self._engine_models,
+            metrics=self._metrics,
         )
-        engine_chooser = choosers.EngineChooser(
-            self._fleet,
-            self._peer_loads,
-            self._pools,
-            self._classifier,
-            self._prefill_meter,
-            load_shedder,
-            self._engine_models,
-            self.catalog.engine_traits,
+        return routing_components.build_dispatcher(
+            shared,
+            self._cfg.availability_zone,
+            self._count_zone_vms,
+            self._clock,
             self._env.rng,
         )
-        return dispatch.Dispatcher(
-            self._fleet,
-            plain_chooser,
-            engine_chooser,
-            self._pools,
-            self._placements,
-            self._prefill_meter,
-            load_shedder,
-        )
 
     def _build_listeners(self) -> None:
         cfg = self._cfg
@@ -369,6 +361,11 @@
     def _live_peers(self) -> list[str]:
         return self._membership.live() if self._membership else []
 
+    def _count_zone_vms(self) -> int:
+        members = self._membership.members() if self._membership else []
+        code = topology.zone_code(self._cfg.availability_zone)
+        return 1 + sum(member.zone == code for member in members)
+
     def _count_vms(self) -> int:
         """Returns the number of VMs that share the retry budget.
 
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -38,6 +38,10 @@
             "hornbeampier_usage_windows_total",
             "Windows of usage that this VM finalized or skipped, by result.",
         )
+        self._zone_choices = self._counter(
+            "hornbeampier_zone_choices_total",
+            "Plain requests by service and by the zone that they were sent to.",
+        )
         self._first_event = aioprometheus.Histogram(
             "hornbeampier_first_event_seconds",
             "Time from a request to the first event of its response stream.",
@@ -70,6 +74,12 @@
             "Fencing token of the lease that this VM holds; 0 if none.",
             registry=self._registry,
         )
+        self._speed_factors = aioprometheus.Gauge(
+            "hornbeampier_engine_speed_factor",
+            "How many times longer than at the typical engine of a service "
+            "work takes at its fastest and at its slowest.",
+            registry=self._registry,
+        )
         self._version = aioprometheus.Gauge(
             "hornbeampier_configuration_version",
             "Version of the configuration in force.",
@@ -102,6 +112,11 @@
         """Counts a window of usage that is finalized or skipped."""
         self._usage_windows.inc({"result": result})
 
+    def record_zone_choice(self, service: str, leaves: bool) -> None:
+        """Counts a plain request that was kept in the zone or left it."""
+        zone = "other" if leaves else "own"
+        self._zone_choices.inc({"service": service, "zone": zone})
+
     def record_first_event(self, route: str, took_ms: float) -> None:
         """Records the time to the first event of a streamed response."""
         self._first_event.observe(
@@ -146,6 +161,17 @@
         self._lease_held.set({"duty": duty}, float(is_held))
         self._lease_token.set({"duty": duty}, float(token or 0))
 
+    def record_speed_factors(
+        self, service: str, fastest: float, slowest: float
+    ) -> None:
+        """Records the factors of the fastest and of the slowest engine."""
+        self._speed_factors.set(
+            {"service": service, "engine": "fastest"}, fastest
+        )
+        self._speed_factors.set(
+            {"service": service, "engine": "slowest"}, slowest
+        )
+
     def render(self, version: int) -> bytes:
         """Returns the metrics in Prometheus' text exposition format."""
         self._version.set({}, version)
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -19,6 +19,8 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import requests
+from hornbeampier.routing import service_speeds
+from hornbeampier.routing import zone_spill
 
 # Expected response time of all plain services, which declare none. Only the
 # differences between endpoints matter.
@@ -41,12 +43,17 @@
 # Cost, in decode steps, of each request in flight: a larger batch slows down
 # all of its requests.
 REQUEST_COST_STEPS = 0.8
+# Cost of an engine in another availability zone than this VM.
+OTHER_ZONE_COST_MS = 2.0
 # A request may spill over to another pool if its wait exceeds this fraction of
 # its latency target.
 SPILL_WAIT_FRACTION = 0.4
 # How many times shorter the wait in the other pool must be for a short or an
 # interactive prompt.
 SPILL_WAIT_RATIO = 2.0
+# A stream that does not tolerate prefill beside it spills over only to engines
+# that spend less than this fraction of their time on it.
+MAX_STREAM_SPILL_UTILIZATION = 0.2
 # Limits for a batch prompt that spills over: the fraction of time that the
 # engine already spends on prefill, and the fraction of its slots in use.
 MAX_BATCH_SPILL_UTILIZATION = 0.5
@@ -77,10 +84,12 @@
         fleet: fleet.Fleet,
         peers: peer_loads.PeerLoads,
         rng: random.Random,
+        zones: zone_spill.ZoneSpill | None = None,
     ):
         self._fleet = fleet
         self._peers = peers
         self._rng = rng
+        self._zones = zones
 
     def choose(
         self,
@@ -90,15 +99,22 @@
     ) -> endpoint_choice.EndpointChoice | None:
         """Returns the endpoint with the fewest requests per slot.
 
-        The load is weighted by how slowly the endpoint responds.
+        The load is weighted by how slowly the endpoint responds. An endpoint of
+        the own availability zone is preferred while the zone has room.
         """
         candidates = self._fleet.candidates(req.service, tried, version)
         if not candidates:
             return None
-        state = min(
-            candidates,
-            key=lambda s: (self._load_per_slot(s), self._rng.random()),
-        )
+        state = None
+        if self._zones is not None:
+            state = self._zones.choose(req, candidates, self._load_per_slot)
+        if state is None:
+            state = min(
+                candidates,
+                key=lambda s: (self._load_per_slot(s), self._rng.random()),
+            )
+        if self._zones is not None:
+            self._zones.record(req.service, state)
         return endpoint_choice.EndpointChoice(
             state, expected_response_ms=PLAIN_RESPONSE_MS
         )
@@ -109,6 +125,7 @@
         slowdown = latency.slowdown(
             state.latency.sums(), peer_load.latency_sums
         )
+        slowdown *= state.speed.current_slowdown()
         return slowdown * total / max(1, state.endpoint.slots)
 
 
@@ -125,7 +142,9 @@
         load_shedder: load_shedding.LoadShedder,
         models: engine_model.EngineModels,
         engine_traits: Callable[[str], domain.EngineTraits | None],
+        speeds: service_speeds.ServiceSpeeds,
         rng: random.Random,
+        zone: str = "",
     ):
         self._fleet = fleet
         self._peers = peers
@@ -135,7 +154,9 @@
         self._load_shedder = load_shedder
         self._models = models
         self._engine_traits = engine_traits
+        self._speeds = speeds
         self._rng = rng
+        self._zone = zone
 
     def choose(
         self,
@@ -219,13 +240,22 @@
     ) -> bool:
         """Whether a prompt may spill over to an engine of another pool.
 
-        A batch prompt may do so only where it barely delays other requests.
+        A batch prompt may do so only where it barely delays other requests. Of
+        the others, those whose streams would pause too long beside prefill do
+        so only where there is little, or if they are late anyway.
         """
         if self._classifier.classify(req) is not prompt_kinds.PromptKind.BATCH:
-            return spillover.wait_ms < best.wait_ms / SPILL_WAIT_RATIO
+            if spillover.wait_ms >= best.wait_ms / SPILL_WAIT_RATIO:
+                return False
+            return (
+                spillover.prefill_utilization < MAX_STREAM_SPILL_UTILIZATION
+                or best.wait_ms > req.route.latency_target_ms
+                or self._pools.tolerates_prefill(req)
+            )
         prefill_ms = self._models.of(req.service).prefill_ms(
             spillover.queued_tokens + spillover.prefill_tokens
         )
+        prefill_ms *= spillover.speed_factor
         slots = spillover.state.endpoint.slots
         return (
             prefill_ms <= self._pools.max_spill_prefill_ms(req.service)
@@ -262,9 +292,11 @@
                 choice.wait_ms + RECOMPUTE_WEIGHT * choice.uncached_prefill_ms
             )
             cost += PREFILL_UTILIZATION_COST_MS * choice.prefill_utilization
-            cost += request_cost_ms * choice.in_flight
+            cost += request_cost_ms * choice.speed_factor * choice.in_flight
             if state.id == preferred[0]:
                 cost -= bonus
+            if self._zone and state.endpoint.availability_zone != self._zone:
+                cost += OTHER_ZONE_COST_MS
             # An engine with a cached prefix is no use if it would refuse.
             ranked_cost = (not self._load_shedder.accepts(req, choice), cost)
             if ranked_cost < lowest_cost:
@@ -311,4 +343,5 @@
             traits,
             self._classifier.mean_prompt_tokens(req),
             holder,
+            self._speeds.long_term_factors(req.service),
         )
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -17,6 +17,7 @@
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import requests
+from hornbeampier.routing import service_speeds
 
 SERVICE = "models"
 _ids = itertools.count()
@@ -111,7 +112,7 @@
 class ChooserFixture:
     """An engine chooser with the components that tests access."""
 
-    def __init__(self, fixture, traits=lambda service: None, seed=1):
+    def __init__(self, fixture, traits=lambda service: None, seed=1, zone=""):
         self.classifier = prompt_kinds.PromptClassifier()
         self.models = engine_model.EngineModels()
         self.pools = pools.EnginePools(
@@ -130,5 +131,9 @@
             self.load_shedder,
             self.models,
             traits,
+            service_speeds.ServiceSpeeds(
+                fixture.fleet, fixture.peers, fixture.clock
+            ),
             random.Random(seed),
+            zone,
         )
