Count only confirmed orders for the minimum of a zone

Cause: after a call without a response, a cut of one kind could leave a zone below its minimum. The test of the maximum did not fail without the check.

Change: a cut counts what the platform was surely told of the other kind. A test of an unconfirmed decrease guards the maximum.

--- a/hornbeampier/routing/group_orders.py
+++ b/hornbeampier/routing/group_orders.py
@@ -77,6 +77,13 @@
             return max(self.baseline, self.present)
         return max(self.baseline, self.accepted)
 
+    @property
+    def confirmed(self) -> int:
+        """Fewest endpoints that the platform was told to provide."""
+        if self.accepted is None:
+            return min(self.baseline, self.present)
+        return min(self.baseline, self.accepted)
+
     def observe(
         self, present: int, reclaimable: bool, boot_ms: float, now_ms: float
     ) -> None:
@@ -206,6 +213,10 @@
         """Returns the most endpoints that the platform may provide."""
         return self._states[group].committed
 
+    def confirmed(self, group: allocation.Group) -> int:
+        """Returns the fewest endpoints that the platform was told."""
+        return self._states[group].confirmed
+
     def is_present(self, caps: Counts) -> bool:
         """Whether all endpoints that can still come are present."""
         return all(
--- a/hornbeampier/routing/scaling.py
+++ b/hornbeampier/routing/scaling.py
@@ -305,7 +305,8 @@
             committed = sum(self._orders.committed(g) for g in others)
             room = autoscale.max_per_zone - committed
             return max(previous, min(wanted[group], room))
-        missing = autoscale.min_per_zone - sum(wanted[g] for g in others)
+        kept = sum(min(wanted[g], self._orders.confirmed(g)) for g in others)
+        missing = autoscale.min_per_zone - kept
         return min(previous, max(wanted[group], missing))
 
     def _plan(
--- a/tests/test_scaling_patterns.py
+++ b/tests/test_scaling_patterns.py
@@ -6,6 +6,7 @@
 import testtools
 
 from hornbeampier.duties import terms
+from hornbeampier.routing import allocation
 from hornbeampier.routing import scaling
 from tests import scaling_fakes as fakes
 
@@ -187,6 +188,20 @@
                 total = totals[lasting] + totals[spot]
                 self.assertTrue(2 <= total <= 10, (unavailable, totals))
 
+    def test_unconfirmed_decrease_leaves_no_room_in_its_zone(self):
+        """The platform would be told more than the maximum of the zone."""
+        fleet = deployment(10, spot_price=0.2, max_per_zone=10)
+        fleet.run(17, 5.0)
+        fleet.outcomes = [terms.Outcome.UNKNOWN] * 8
+        fleet.run(5, 5.0)
+        fleet.run(5, 11.5)
+        (decrease, *_) = fleet.changes()
+        self.assertTrue(fleet.outcomes and decrease[2] < 10)
+        zone = decrease[1].availability_zone
+        self.assertNotIn(
+            allocation.Group(zone, True), [g for _, g, _ in fleet.orders]
+        )
+
     def test_drain_without_end_of_another_cause_ends_the_wait(self):
         fleet = deployment(8)
         fleet.instances[0].ends_ms = 10_000_000.0
