--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -80,6 +80,17 @@
         self.clock.advance(store_readers.SETTLE_MS)
         self.assertTrue(readers.should_read())
 
+    # Guards against all VMs fetching the log of registrations at once.
+    def test_few_vms_read_the_log_before_they_have_settled(self):
+        hosts = [f"10.0.0.{number}" for number in range(84)]
+        early = [
+            host
+            for host in hosts
+            if store_readers.reads_at_start(host, hosts[:9])
+        ]
+        self.assertEqual(store_readers.READER_COUNT, len(early))
+        self.assertLessEqual(set(early), set(hosts[:9]))
+
     def test_members_that_never_read_are_not_waited_for(self):
         readers = self.store_readers[max(self.hosts, key=_rank)]
         readers.record_members(self.hosts)
