--- a/hornbeampier/duties/components.py
+++ b/hornbeampier/duties/components.py
@@ -19,7 +19,7 @@
 CANDIDATE_COUNT = 3
 # Timeout of a call to the store: a renewal without a response leaves time for
 # a read and another renewal within the term.
-STORE_TIMEOUT_LEASES = 1 / 4
+STORE_TIMEOUT_LEASES = 1 / 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
