--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -65,6 +65,16 @@
         end = len(self._rows)
         return lease_records.Appended(end - 1, end, self.era)
 
+    def return_to_release(self):
+        """Returns to a copy that ends with the last release, if any."""
+        released = [
+            at_ms
+            for at_ms, holder, _ in self._rows
+            if holder and holder.released
+        ]
+        if released:
+            self.return_to(released[-1])
+
     def return_to(self, at_ms):
         self.era += 1
         self._rows = [row for row in self._rows if row[0] <= at_ms]
@@ -204,7 +214,9 @@
         self.api_number = number = next(world.numbers)
         timeout_ms = min(term.expires_ms - world.clock.now(), API_TIMEOUT_MS)
         self.later(timeout_ms, self.finish_api, number, term.token, None)
-        delay_ms, is_lost = world.draw_transfer(self, MAX_LATE_MS)
+        delay_ms, is_lost = world.draw_transfer(self)
+        if world.clock.now() < world.late_until_ms:
+            delay_ms = world.rng.uniform(0.0, MAX_LATE_MS)
         if not is_lost:
             world.schedule(delay_ms, self.execute_api, number, term.token)
 
@@ -237,6 +249,7 @@
         self.store = FakeStore(self.clock)
         self.store_down_until_ms = 0.0
         self.slow_until_ms = 0.0
+        self.late_until_ms = 0.0
         self.begun = []
         self.executed = []
         self.faulty_until_ms = 0.0
@@ -275,6 +288,10 @@
                 self.slow_until_ms = end_ms
             case "store_down":
                 self.store_down_until_ms = end_ms
+            case "late_calls":
+                self.late_until_ms = end_ms
+            case "restore" if self.rng.random() < 0.5:
+                self.store.return_to_release()
             case "restore":
                 self.store.return_to(self.clock.now() - fault.duration_ms)
 
@@ -283,11 +300,11 @@
             return self.vms[self.begun[-1].vm]
         return self.vms[(fault.vm or 0) % len(self.vms)]
 
-    def draw_transfer(self, vm, max_late_ms=6_000.0):
+    def draw_transfer(self, vm):
         """Returns the delay of a message, and whether it is lost."""
         now_ms = self.clock.now()
         if now_ms < self.slow_until_ms and self.rng.random() < 0.5:
-            return self.rng.uniform(0.0, max_late_ms), self.rng.random() < 0.3
+            return self.rng.uniform(0.0, MAX_LATE_MS), self.rng.random() < 0.3
         return self.rng.uniform(1.0, 20.0), now_ms < vm.cut_until_ms
 
     def is_candidate(self, vm):
--- a/tests/test_lease_histories.py
+++ b/tests/test_lease_histories.py
@@ -22,7 +22,16 @@
 # After the last fault: a cooldown or the longest backoff, the time until others
 # count as dead, and a takeover.
 RECOVERY_MS = 20_000.0
-KINDS = ("kill", "drain", "pause", "cut", "slow", "store_down", "restore")
+KINDS = (
+    "kill",
+    "drain",
+    "pause",
+    "cut",
+    "slow",
+    "store_down",
+    "restore",
+    "late_calls",
+)
 
 
 @strategies.composite
