--- a/hornbeampier/duties/lease.py
+++ b/hornbeampier/duties/lease.py
@@ -19,6 +19,7 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier.duties import lease_records
+from hornbeampier.duties import lease_steps
 from hornbeampier.duties import terms
 
 # Fractions and multiples of the lease time.
@@ -32,31 +33,6 @@
 COOLDOWN_LEASES = 2.0
 # Range of the jitter of delays.
 MIN_JITTER = 0.8
-# The store's first era: it has never returned from an older copy.
-FIRST_ERA = 1
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Read:
-    """The next step is to read the partition."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Append:
-    """The next step is to append records.
-
-    Attributes:
-        at: The contents on whose end the append is conditional.
-        began_ms: When the step began.
-    """
-
-    at: lease_records.Contents
-    holder: lease_records.HolderRecord | None
-    records: Mapping[str, bytes]
-    began_ms: float
-
-
-Step = Read | Append
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,7 +133,7 @@
         self._log.warning("lease_refused", token=token)
         self.due_ms = self._clock.now()
 
-    def next_step(self, is_candidate: bool) -> Step | None:
+    def next_step(self, is_candidate: bool) -> lease_steps.Step | None:
         """Returns the step to run now, or None if none is due.
 
         Args:
@@ -173,32 +149,36 @@
             return None
         contents = self._contents
         if contents is None:
-            return Read()
+            return lease_steps.Read()
         if self._hold is not None:
             return self._renew(contents, released=False)
         if now_ms < self._takeover_ms(contents):
-            return Read()
-        return Append(contents, self._own_record(contents), {}, now_ms)
+            return lease_steps.Read()
+        return lease_steps.Append(
+            contents, self._own_record(contents), {}, now_ms
+        )
 
-    def begin_record(self, key: str, value: bytes) -> Append | None:
+    def begin_record(self, key: str, value: bytes) -> lease_steps.Append | None:
         """Returns the step that writes a record, or None without a term."""
         contents, hold = self._contents, self._hold
         if self.term() is None or contents is None:
             return None
         if contents.era != hold.era:
             return None
-        return Append(contents, None, {key: value}, self._clock.now())
+        return lease_steps.Append(
+            contents, None, {key: value}, self._clock.now()
+        )
 
     def drain(self) -> None:
         """Ends the term; the lease can only be released from now on."""
         self._is_draining = True
 
-    def begin_release(self) -> Step | None:
+    def begin_release(self) -> lease_steps.Step | None:
         """Returns the next step of the release, or None if there is none."""
         if self._hold is None:
             return None
         if self._contents is None:
-            return Read()
+            return lease_steps.Read()
         return self._renew(self._contents, released=True)
 
     def on_read(self, contents: lease_records.Contents) -> None:
@@ -221,7 +201,7 @@
         )
 
     def on_appended(
-        self, step: Append, appended: lease_records.Appended
+        self, step: lease_steps.Append, appended: lease_records.Appended
     ) -> bool:
         """Records that an append was acknowledged; returns whether it lasts."""
         if appended.era != step.at.era:
@@ -328,18 +308,10 @@
             self._started_ms + self._lease_ms,
             self._lost_ms + COOLDOWN_LEASES * self._lease_ms,
         )
-        if self._is_free(contents):
+        if contents.is_free_for(self._process):
             return earliest_ms
         return max(earliest_ms, self._observed_ms + self._lease_ms)
 
-    def _is_free(self, contents: lease_records.Contents) -> bool:
-        record = contents.holder
-        if record is None:
-            return contents.era <= FIRST_ERA
-        if record.era != contents.era:
-            return False
-        return record.released or record.process == self._process
-
     def _own_record(
         self, contents: lease_records.Contents, released: bool = False
     ) -> lease_records.HolderRecord:
@@ -349,7 +321,7 @@
 
     def _renew(
         self, contents: lease_records.Contents, released: bool
-    ) -> Append:
+    ) -> lease_steps.Append:
         """Returns the append of a holder record.
 
         If the store has returned from an older copy, it also restores the
@@ -361,11 +333,11 @@
             if contents.records.get(key) != value
         }
         record = self._own_record(contents, released)
-        return Append(contents, record, restored, self._clock.now())
+        return lease_steps.Append(contents, record, restored, self._clock.now())
 
     def _acquire(
         self,
-        step: Append,
+        step: lease_steps.Append,
         appended: lease_records.Appended,
         unchanged_ms: float,
     ) -> None:
@@ -394,7 +366,10 @@
         )
 
     def _extend(
-        self, hold: _Hold, step: Append, appended: lease_records.Appended
+        self,
+        hold: _Hold,
+        step: lease_steps.Append,
+        appended: lease_records.Appended,
     ) -> None:
         if hold.is_suspended or self._has_expired(hold):
             hold.acquired_ms = self._clock.now()
--- a/hornbeampier/duties/lease_keeper.py
+++ b/hornbeampier/duties/lease_keeper.py
@@ -13,6 +13,7 @@
 from hornbeampier import node_metrics
 from hornbeampier.duties import lease
 from hornbeampier.duties import lease_records
+from hornbeampier.duties import lease_steps
 from hornbeampier.duties import terms
 
 # Steps of a release: a lost response makes a read and another append necessary.
@@ -134,11 +135,11 @@
                 self._execute(step)
         self._record_metrics()
 
-    def _execute(self, step: lease.Step) -> bool:
+    def _execute(self, step: lease_steps.Step) -> bool:
         """Calls the store; returns whether it acknowledged an append."""
         appended = False
         try:
-            if isinstance(step, lease.Read):
+            if isinstance(step, lease_steps.Read):
                 self._decision.on_read(self._store.read())
             else:
                 appended = self._append(step)
@@ -152,7 +153,7 @@
         self._has_failed = False
         return appended
 
-    def _append(self, step: lease.Append) -> bool:
+    def _append(self, step: lease_steps.Append) -> bool:
         appended = self._store.append(step.at.end, step.holder, step.records)
         return self._decision.on_appended(step, appended)
 
--- a/hornbeampier/duties/lease_records.py
+++ b/hornbeampier/duties/lease_records.py
@@ -7,6 +7,8 @@
 from hornbeampier import errors
 
 ERA_SHIFT = 32
+# The store's first era: it has never returned from an older copy.
+FIRST_ERA = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,15 @@
     end: int
     era: int
 
+    def is_free_for(self, process: int) -> bool:
+        """Whether a process may acquire the lease without observing it."""
+        record = self.holder
+        if record is None:
+            return self.era <= FIRST_ERA
+        if record.era != self.era:
+            return False
+        return record.released or record.process == process
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Appended:
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -8,6 +8,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier.duties import lease
 from hornbeampier.duties import lease_records
+from hornbeampier.duties import lease_steps
 
 LEASE_MS = 3_000.0
 STORE_TIMEOUT_MS = LEASE_MS / 5
@@ -183,7 +184,7 @@
         if world.clock.now() < world.store_down_until_ms:
             return
         try:
-            if isinstance(step, lease.Read):
+            if isinstance(step, lease_steps.Read):
                 result = world.store.read()
             else:
                 result = world.store.append(step)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,6 +7,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier.duties import lease
 from hornbeampier.duties import lease_records
+from hornbeampier.duties import lease_steps
 
 LEASE_MS = 3_000.0
 
@@ -36,7 +37,7 @@
         while True:
             self.clock.advance(10.0)
             step = decision.next_step(True)
-            if isinstance(step, lease.Append):
+            if isinstance(step, lease_steps.Append):
                 decision.on_appended(
                     step,
                     lease_records.Appended(
@@ -102,3 +103,14 @@
         step = decision.next_step(True)
         decision.on_appended(step, lease_records.Appended(6, 7, 1))
         self.assertGreater(decision.term().token, token)
+
+    # Guards against a token of an append that an older copy has lost.
+    def test_response_of_another_era_gives_no_term(self):
+        decision = self.make()
+        self.clock.advance(2 * LEASE_MS)
+        decision.next_step(True)
+        decision.on_read(self.contents())
+        step = decision.next_step(True)
+        appended = lease_records.Appended(5, 6, 2)
+        self.assertFalse(decision.on_appended(step, appended))
+        self.assertIsNone(decision.term())
