Test over HTTP that a successor reports what the holder has not

Two nodes, the real lease, stand-ins of the store and the API; the holder is stopped without a drain.

--- a/tests/test_usage_counting.py
+++ b/tests/test_usage_counting.py
@@ -1,7 +1,10 @@
 """Which requests through a node count for their client account."""
 
+import gevent
+
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
+from tests import duty_standin
 from tests import nodes
 from tests import store_standin
 
@@ -15,14 +18,14 @@
 WINDOW_MS = 60_000.0
 
 
-def duty_settings():
+def duty_settings(api_port=None, window_ms=WINDOW_MS):
     return settings.DutySettings(
-        api=settings.Address(nodes.HOST, nodes.free_port()),
+        api=settings.Address(nodes.HOST, api_port or nodes.free_port()),
         names=(names.USAGE_DUTY,),
-        calls_per_s=4.0,
+        calls_per_s=20.0,
         requires_fence=True,
-        lease_ms=3_000.0,
-        usage_window_ms=WINDOW_MS,
+        lease_ms=600.0,
+        usage_window_ms=window_ms,
         usage_due_ms=10_000.0,
     )
 
@@ -133,7 +136,7 @@
 
 
 class ExchangeTest(nodes.NodeTestCase):
-    def start_two(self):
+    def start_two(self, **duty_args):
         control, peer_port, origin_port, duty_port = (
             nodes.free_port() for _ in range(4)
         )
@@ -145,7 +148,7 @@
                 seeds=tuple(settings.Address(h, control) for h in hosts),
                 peer_port=peer_port,
                 origin_port=origin_port,
-                duties=duty_settings(),
+                duties=duty_settings(**duty_args),
                 duty_port=duty_port,
             )
             for host in hosts
@@ -171,6 +174,37 @@
 
         store_standin.wait_until(lambda: {"account-1": 1} in held())
 
+    # All requests must be reported although their reporter is stopped at once.
+    def test_successor_reports_what_the_holder_has_not(self):
+        api = duty_standin.DutyStandin()
+        self.addCleanup(api.stop)
+        self.start_endpoint(nodes.PLAIN_SERVICE, lambda req: req.respond())
+        routers = self.start_two(api_port=api.port, window_ms=1_000.0)
+        store_standin.wait_until(lambda: any(map(is_holder, routers)))
+        # Both assign requests to windows by now.
+        store_standin.wait_until(
+            lambda: all(r._duties.usage.windows() for r in routers)
+        )
+        holder, other = sorted(routers, key=is_holder, reverse=True)
+        for router in (other, holder, other):
+            self.call(router)
+        # The holder sends its count to the other one within half a second.
+        gevent.sleep(0.7)
+        holder.stop()
+        store_standin.wait_until(lambda: reported(api) == 3, 10.0)
+
+
+def is_holder(router):
+    return router._duties.actors[0].term() is not None
+
+
+def reported(api):
+    """Returns the reported requests over all windows."""
+    windows = {}
+    for _, _, _, body in api.accepted:
+        windows[body["windowId"]] = sum(body["counts"].values())
+    return sum(windows.values())
+
 
 class NoDutyTest(nodes.NodeTestCase):
     def test_node_without_the_duty_has_no_part_of_it(self):
