--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -54,6 +54,9 @@
 # A stream that does not tolerate prefill beside it spills over only to engines
 # that spend less than this fraction of their time on it.
 MAX_STREAM_SPILL_UTILIZATION = 0.2
+# A prompt whose expected wait exceeds this fraction of its latency target is
+# likely to be late: VMs do not know yet what others have just sent.
+LATE_WAIT_FRACTION = 0.6
 # Limits for a batch prompt that spills over: the fraction of time that the
 # engine already spends on prefill, and the fraction of its slots in use.
 MAX_BATCH_SPILL_UTILIZATION = 0.5
@@ -242,14 +245,15 @@
 
         A batch prompt may do so only where it barely delays other requests. Of
         the others, those whose streams would pause too long beside prefill do
-        so only where there is little, or if they are late anyway.
+        so only where there is little, or if they are likely late anyway.
         """
         if self._classifier.classify(req) is not prompt_kinds.PromptKind.BATCH:
             if spillover.wait_ms >= best.wait_ms / SPILL_WAIT_RATIO:
                 return False
             return (
                 spillover.prefill_utilization < MAX_STREAM_SPILL_UTILIZATION
-                or best.wait_ms > req.route.latency_target_ms
+                or best.wait_ms
+                > LATE_WAIT_FRACTION * req.route.latency_target_ms
                 or self._pools.tolerates_prefill(req)
             )
         prefill_ms = self._models.of(req.service).prefill_ms(
