--- a/hornbeampier/routing/service_speeds.py
+++ b/hornbeampier/routing/service_speeds.py
@@ -20,10 +20,11 @@
 # Bounds of a factor.
 MIN_FACTOR = 0.4
 MAX_FACTOR = 3.0
-# Weight of the assumption that an engine is as fast as the typical one.
-PRIOR_MS = 4 * endpoint_speed.STREAM_WEIGHT_MS
-# Engines with less evidence do not count for the typical engine.
-MIN_EVIDENCE_MS = 3 * endpoint_speed.STREAM_WEIGHT_MS
+# Weight of the assumption that an engine is as fast as the typical one. Single
+# streams say little: many are slow beside the prefill of a long prompt.
+PRIOR_MS = 10 * endpoint_speed.STREAM_WEIGHT_MS
+# Engines with less evidence have factor 1 and do not count for the typical one.
+MIN_EVIDENCE_MS = 8 * endpoint_speed.STREAM_WEIGHT_MS
 # Engines within this factor of the typical one count as equal. Differences of
 # twice this, as logarithms, count in full, and smaller ones in part.
 EQUAL_FACTOR = 1.2
@@ -153,7 +154,7 @@
 
 def _relative_factor(sums: latency.LatencySums, typical: float) -> float:
     """Returns the factor of an engine; exactly 1 if it is about typical."""
-    if sums.expected_ms <= 0.0:
+    if sums.expected_ms < MIN_EVIDENCE_MS:
         return 1.0
     measured_ms = sums.measured_ms / typical + PRIOR_MS
     difference = math.log(measured_ms / (sums.expected_ms + PRIOR_MS))
--- a/tests/test_endpoint_speed.py
+++ b/tests/test_endpoint_speed.py
@@ -75,6 +75,16 @@
         self.record(lambda state: 1.0, noise=0.3)
         self.assertEqual({}, self.factors())
 
+    def test_few_slow_streams_make_no_difference(self):
+        """Streams beside the prefill of a long prompt are slow everywhere."""
+        self.record(lambda state: 1.0, streams=9)
+        slow = self.fixture.states[0].speed
+        slow.record_stream(4.0)
+        self.fixture.catalog.apply_endpoint(fakes.endpoint("new"))
+        for _ in range(2):
+            self.fixture.fleet.get("new").speed.record_stream(4.0)
+        self.assertEqual({}, self.factors())
+
     def test_one_stream_of_an_engine_says_little(self):
         self.record(lambda state: 1.0)
         self.fixture.catalog.apply_endpoint(fakes.endpoint("new"))
