--- a/hornbeampier/duties/lease.py
+++ b/hornbeampier/duties/lease.py
@@ -27,11 +27,11 @@
 RENEWAL_LEASES = 1 / 3
 READ_LEASES = 1 / 2
 MAX_BACKOFF_LEASES = 2.0
-# Delay of a holder's retry per failure; its term does not wait for a backoff.
+# Delay of a holder's retry per failure; short, as the term runs on meanwhile.
 RETRY_LEASES = 1 / 12
 # Time for which a VM that lost the lease leaves it to others.
 COOLDOWN_LEASES = 2.0
-# Range of the jitter of delays.
+# Delays are multiplied by a random factor between this one and 1.
 MIN_JITTER = 0.8
 
 
@@ -40,12 +40,13 @@
     """The lease while this VM holds it.
 
     Attributes:
+        token: The fencing token.
         era: Era of the last acknowledged append.
         records: The duty's records as this VM knows them.
         renewed_ms: When the last acknowledged append began.
-        acquired_ms: Since when this VM may have acted without interruption.
+        acquired_ms: Start of the time in which the term has not lapsed.
         acts_from_ms: When this VM may act for the first time.
-        is_suspended: Whether the end of the term was logged.
+        is_suspended: Whether the term has lapsed and this was logged.
     """
 
     token: int
@@ -73,6 +74,16 @@
         clock: clocks.Clock,
         rng: random.Random,
     ):
+        """Creates a lease that this VM does not hold.
+
+        Args:
+            duty: The name of the duty.
+            vm: The name of this VM.
+            lease_ms: The lease time.
+            requires_fence: Whether the API refuses calls with an older token.
+            clock: The clock, which counts the time of suspensions.
+            rng: Source of the process's number and of jitter.
+        """
         self._vm = vm
         self._process = rng.getrandbits(63)
         self._lease_ms = lease_ms
@@ -125,7 +136,7 @@
         return {} if known is None else dict(known.records)
 
     def record_refused(self, token: int) -> None:
-        """Records that the API has seen a higher token."""
+        """Records that the API refused `token`, having seen a higher one."""
         self._refused_token = max(self._refused_token, token)
         hold = self._hold
         if hold is None or hold.token > token:
@@ -184,7 +195,7 @@
     def on_read(self, contents: lease_records.Contents) -> None:
         """Records the response to a read."""
         if contents.era < self._position[0]:
-            # From a replica of the store that has not heard of its return.
+            # A replica of the store that is still in the earlier era responded.
             self.on_failed()
             return
         self._failures = 0
@@ -203,9 +214,14 @@
     def on_appended(
         self, step: lease_steps.Append, appended: lease_records.Appended
     ) -> bool:
-        """Records that an append was acknowledged; returns whether it lasts."""
+        """Records an acknowledged append.
+
+        Returns:
+            Whether it was executed in the era that it was meant for; otherwise
+            the store may have lost it.
+        """
         if appended.era != step.at.era:
-            # Executed before or after the store returned from a copy.
+            # The store returned from an older copy between the two calls.
             self.on_failed()
             return False
         self._failures = 0
--- a/hornbeampier/duties/lease_keeper.py
+++ b/hornbeampier/duties/lease_keeper.py
@@ -18,9 +18,9 @@
 
 # Steps of a release: a lost response makes a read and another append necessary.
 MAX_RELEASE_STEPS = 5
-# How long a drain waits for the release, which then goes on meanwhile.
+# How long a drain waits for the release, which goes on in the background.
 RELEASE_WAIT_MS = 500.0
-# Interval of steps that are due at once, so that other greenlets run.
+# Shortest wait between two steps, so that other greenlets run.
 MIN_WAIT_MS = 1.0
 
 
@@ -112,7 +112,7 @@
         return appended and self.term() is not None
 
     def record_refused(self, token: int) -> None:
-        """Records that the API has seen a higher token."""
+        """Records that the API refused `token`, having seen a higher one."""
         self._decision.record_refused(token)
         self._is_due.set()
 
--- a/hornbeampier/duties/lease_records.py
+++ b/hornbeampier/duties/lease_records.py
@@ -1,4 +1,4 @@
-"""What the store keeps of a lease, and the calls that read and extend it."""
+"""What the store keeps of a lease, and the calls that read and append it."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -6,6 +6,7 @@
 
 from hornbeampier import errors
 
+# Bits of the offset in a token; those above hold the era.
 ERA_SHIFT = 32
 # The store's first era: it has never returned from an older copy.
 FIRST_ERA = 1
@@ -37,7 +38,7 @@
         holder: The newest holder record, or None.
         records: The newest value of each other key.
         end: The offset of the next record.
-        era: How often the store has returned from an older copy.
+        era: The store's era, which rises when it returns from an older copy.
     """
 
     holder: HolderRecord | None
--- a/hornbeampier/duties/lease_steps.py
+++ b/hornbeampier/duties/lease_steps.py
@@ -17,7 +17,9 @@
 
     Attributes:
         at: The contents on whose end the append is conditional.
-        began_ms: When the step began.
+        holder: The new holder record, or None to leave it as it is.
+        records: The new values of other keys.
+        began_ms: When the step began, on the monotonic clock.
     """
 
     at: lease_records.Contents
--- a/hornbeampier/duties/order_sender.py
+++ b/hornbeampier/duties/order_sender.py
@@ -15,19 +15,19 @@
 from hornbeampier.routing import scaling
 
 INTERVAL_MS = 1_000.0
-# Loads that are older do not count.
+# No orders are given if the load of a live peer is older.
 MAX_LOAD_AGE_MS = 2_000.0
 # A VM that has just started does not know all loads.
 START_MS = 10_000.0
-# A new holder waits for calls and drains of the one before.
+# A new holder waits for calls and drains of the previous one.
 TAKEOVER_MS = 6_000.0
-# No decrease follows for this time after a peer was lost, unless it is back:
-# its requests may still run.
+# After a peer was lost, endpoints are not decreased for this time unless it is
+# back: its requests may still run.
 PEER_LOSS_MS = 30_000.0
-# The lease may lapse for this fraction of its time between two renewals without
-# another holder in between.
-LAPSE_FRACTION = 1.5
-# Unsent orders are logged at most once in this time for the same reason.
+# If this VM may act again within this time, no other VM held the lease in
+# between: a VM that lost it leaves it to others for longer.
+MAX_LAPSE_LEASES = 1.5
+# An unchanged reason to give no orders is logged again after this time.
 WITHHELD_LOG_MS = 30_000.0
 
 
@@ -43,8 +43,8 @@
         ...
 
 
-class _Withheld:
-    """Logs why no orders are given, once for each change of the reason."""
+class _WithheldLog:
+    """Logs why no orders are given: on each change, and from time to time."""
 
     def __init__(self, log: structlog.stdlib.BoundLogger):
         self._log = log
@@ -83,8 +83,8 @@
             source: Measures the work of services.
             live_peers: Returns the hosts of the other live VMs.
             follows_endpoints: Whether this VM hears of new endpoints.
-            lease_ms: Time within which holders must not alternate.
-            calls_per_s: Calls that the API accepts for this duty.
+            lease_ms: The lease time.
+            calls_per_s: Calls per second that the API accepts for this duty.
             metrics: Where the numbers of endpoints are shown.
             clock: The clock.
         """
@@ -94,7 +94,7 @@
         self._source = source
         self._live_peers = live_peers
         self._follows_endpoints = follows_endpoints
-        self._max_lapse_ms = LAPSE_FRACTION * lease_ms
+        self._max_lapse_ms = MAX_LAPSE_LEASES * lease_ms
         self._max_calls = max(1, int(calls_per_s))
         self._metrics = metrics
         self._clock = clock
@@ -102,12 +102,12 @@
         self._held_since_ms: float | None = None
         self._held_ms = -math.inf
         self._expected_peers = 0
-        self._complete_ms = clock.now()
+        self._saw_all_peers_ms = clock.now()
         self._sees_all_peers = True
         self._scalers: dict[str, scaling.ServiceScaler] = {}
-        self._draining = False
+        self._is_draining = False
         self._log = structlog.get_logger(task="orders")
-        self._withheld = _Withheld(self._log)
+        self._withheld_log = _WithheldLog(self._log)
 
     def run(self) -> None:
         """Decides and sends until killed."""
@@ -117,7 +117,7 @@
 
     def drain(self) -> None:
         """Sends no more orders, so that the lease can be released."""
-        self._draining = True
+        self._is_draining = True
 
     def step(self) -> None:
         """Decides and sends the orders that are due."""
@@ -126,7 +126,7 @@
             return
         now_ms = self._clock.now()
         reason = self._reason_to_wait(now_ms)
-        self._withheld.update(
+        self._withheld_log.update(
             reason, now_ms, loads_age_ms=_rounded(self._source.loads_age_ms())
         )
         if reason is not None:
@@ -136,6 +136,7 @@
             for view in self._source.measure()
             for planned in self._decide(view)
         ]
+        # The largest increases go first, as few calls are accepted per second.
         orders.sort(key=lambda o: o[1].order.desired - o[1].previous)
         for view, planned in orders[::-1][: self._max_calls]:
             if not self._send(view, planned):
@@ -144,7 +145,7 @@
     def _holds_duty(self) -> bool:
         """Whether this VM may act; forgets its orders after a lost duty."""
         now_ms = self._clock.now()
-        if self._draining or self._lease.term() is None:
+        if self._is_draining or self._lease.term() is None:
             return False
         if now_ms - self._held_ms > self._max_lapse_ms:
             self._held_since_ms = now_ms
@@ -168,14 +169,14 @@
         return None
 
     def _count_peers(self) -> None:
-        """Notes whether all peers are live that were so lately."""
+        """Updates whether all peers that were live recently still are."""
         count = len(self._live_peers())
         now_ms = self._clock.now()
-        is_loss_old = now_ms - self._complete_ms >= PEER_LOSS_MS
+        is_loss_old = now_ms - self._saw_all_peers_ms >= PEER_LOSS_MS
         self._sees_all_peers = count >= self._expected_peers or is_loss_old
         if self._sees_all_peers:
             self._expected_peers = count
-            self._complete_ms = now_ms
+            self._saw_all_peers_ms = now_ms
 
     def _decide(self, view: demand.ServiceDemand) -> list[scaling.PlannedOrder]:
         scaler = self._scalers.get(view.service)
@@ -199,7 +200,7 @@
     ) -> bool:
         """Sends an order; returns whether more may follow under this term."""
         term = self._lease.term()
-        if term is None or self._draining:
+        if term is None or self._is_draining:
             return False
         age_ms = self._source.loads_age_ms()
         outcome = self._api.order_endpoints(term, planned.order)
--- a/hornbeampier/duties/terms.py
+++ b/hornbeampier/duties/terms.py
@@ -25,7 +25,8 @@
     """The number of endpoints that a service is to have in a zone.
 
     Attributes:
-        spot: Whether spot endpoints are ordered; the kinds count separately.
+        desired: The number that is to be present, of this kind only.
+        spot: Whether spot endpoints are ordered.
     """
 
     service: str
@@ -66,7 +67,7 @@
         ...
 
     def record_refused(self, token: int) -> None:
-        """Records that the API has seen a higher token."""
+        """Records that the API refused `token`, having seen a higher one."""
         ...
 
 
--- a/hornbeampier/duties/usage_clock.py
+++ b/hornbeampier/duties/usage_clock.py
@@ -1,4 +1,7 @@
-"""The time by which requests are assigned to windows, alike on all VMs."""
+"""The time by which requests are assigned to windows, the same on all VMs.
+
+Other modules call it true time.
+"""
 
 import dataclasses
 import math
@@ -16,8 +19,8 @@
 # within a short exchange: the process may have been paused meanwhile.
 SAMPLE_RETENTION_MS = 20_000.0
 MAX_ROUND_TRIP_MS = 500.0
-# At the start of a process its time is not relied on before this number of
-# peers has shown theirs, or this time has passed.
+# A process relies on its time once it knows that of this number of peers, or
+# after this time.
 SETTLING_SAMPLES = 2
 SETTLING_MS = 2_500.0
 
@@ -50,7 +53,7 @@
         return monotonic_ms + self._offset_ms
 
     def is_settled(self) -> bool:
-        """Whether peers have shown their time, or had the time to do so."""
+        """Whether enough peers have told their time, or could have done so."""
         uptime_ms = self._clock.now() - self._started_ms
         return (
             len(self._samples) >= SETTLING_SAMPLES or uptime_ms >= SETTLING_MS
@@ -59,7 +62,7 @@
     def record_peer(
         self, host: str, peer_ms: float, round_trip_ms: float
     ) -> None:
-        """Records a peer's time, as its reply showed it."""
+        """Records the time in a peer's reply, in ms since the Unix epoch."""
         if not 0.0 <= round_trip_ms <= MAX_ROUND_TRIP_MS:
             return
         now_ms = self._clock.now()
--- a/hornbeampier/duties/usage_counts.py
+++ b/hornbeampier/duties/usage_counts.py
@@ -11,9 +11,9 @@
 # A plain request that is unanswered for this long after the end of its window
 # counts: endpoints decline requests sooner.
 DECISION_MS = 1_500.0
-# Counts of new accounts beyond this number in a window are not kept.
+# Requests of further accounts in a window are not counted.
 MAX_ACCOUNTS = 2_000
-# Requests that are kept until the time is settled.
+# Bound on the requests that are kept until the time is settled.
 MAX_UNSETTLED = 100_000
 
 
@@ -60,7 +60,7 @@
     Until the time is settled, requests are kept and belong to no window.
 
     Attributes:
-        first_whole_window: The first window for all of which this VM was up.
+        first_whole_window: The first window throughout which this VM was up.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
             self._touch(row)
 
     def settle(self) -> None:
-        """Assigns the requests so far to windows; the time is right now."""
+        """Assigns the kept requests to windows, as the time is settled."""
         if self._unsettled is None:
             return
         unsettled, self._unsettled = self._unsettled, None
--- a/hornbeampier/duties/usage_records.py
+++ b/hornbeampier/duties/usage_records.py
@@ -4,7 +4,7 @@
 
 from hornbeampier import errors
 
-# Number of keys; a key is reused after this number of windows.
+# A key is reused after this number of windows.
 SLOT_COUNT = 32
 KEY_PREFIX = "usage/"
 
@@ -13,8 +13,8 @@
     """The counts of a window, which never change any more.
 
     Attributes:
-        accepted_through: No earlier window up to this one needs to be sent
-            again.
+        accepted_through: The last window such that neither it nor an earlier
+            one is to be sent again.
     """
 
     window: int
--- a/hornbeampier/duties/usage_reporter.py
+++ b/hornbeampier/duties/usage_reporter.py
@@ -21,14 +21,14 @@
 FIRST_SUBSCRIPTIONS = 3
 SUBSCRIPTION_INTERVAL_MS = 8_000.0
 SUBSCRIPTION_BITS = 32
-# Wait after a call without success; calls as such are spaced by the API.
+# Wait after a call without success, beside the API client's own spacing.
 FIRST_BACKOFF_MS = 250.0
 MAX_BACKOFF_MS = 2_000.0
 # Number of VMs without counts that are named in a log line.
 LOGGED_VMS = 5
 
 
-class Collector(Protocol):
+class CountExchange(Protocol):
     """Gets the counts of other VMs; see `peers.usage_exchange`."""
 
     def hosts(self) -> Collection[str]:
@@ -61,7 +61,7 @@
         due_ms: float,
         lease: terms.DutyLease,
         api: terms.DutyApi,
-        collector: Collector,
+        exchange: CountExchange,
         counts: usage_counts.UsageCounts,
         windows: usage_windows.UsageWindows,
         true_time: usage_clock.UsageClock,
@@ -73,10 +73,10 @@
 
         Args:
             host: The host of this VM.
-            due_ms: When a report is due after the end of its window.
+            due_ms: Time after the end of a window when its report is due.
             lease: The lease of the duty.
             api: The platform's calls.
-            collector: Gets the counts of other VMs.
+            exchange: Gets the counts of other VMs.
             counts: The counts of this VM.
             windows: The counts of all VMs.
             true_time: The time that windows refer to.
@@ -89,7 +89,7 @@
         self._due_ms = due_ms
         self._lease = lease
         self._api = api
-        self._collector = collector
+        self._exchange = exchange
         self._counts = counts
         self._windows = windows
         self._time = true_time
@@ -103,7 +103,7 @@
         self._next_query_ms = 0.0
         self._next_call_ms = 0.0
         self._backoff_ms = FIRST_BACKOFF_MS
-        # All finalized reports seen, also such as the store has lost since.
+        # All finalized reports seen, including those that the store has lost.
         self._reports: dict[int, usage_records.UsageReport] = {}
         self._accepted: set[int] = set()
         self._skipped: set[int] = set()
@@ -151,10 +151,10 @@
         return usage_windows.Holding(
             since_ms=self._holding_since_ms,
             first_whole_window=self._counts.first_whole_window,
-            hosts=self._collector.hosts(),
+            hosts=self._exchange.hosts(),
             collectors=[
                 host
-                for host in self._collector.collectors()
+                for host in self._exchange.collectors()
                 if host != self._host
             ],
         )
@@ -172,7 +172,7 @@
     def _gather(self, now_ms: float, holding: usage_windows.Holding) -> None:
         """Asks other VMs for their counts."""
         if self._clock.now() >= self._next_subscription_ms:
-            self._collector.subscribe(self._subscription)
+            self._exchange.subscribe(self._subscription)
             self._subscriptions_sent += 1
             is_new = self._subscriptions_sent < FIRST_SUBSCRIPTIONS
             self._next_subscription_ms = self._clock.now() + (
@@ -183,7 +183,7 @@
         self._next_query_ms = self._clock.now() + QUERY_INTERVAL_MS
         unanswered = self._windows.unanswered(now_ms, holding, self._done())
         for window, hosts in unanswered.items():
-            self._collector.query(window, hosts)
+            self._exchange.query(window, hosts)
 
     def _done(self) -> set[int]:
         """Returns the windows that need not be finalized any more."""
@@ -203,9 +203,12 @@
         )
 
     def _restore_records(self) -> bool:
-        """Appends the reports that the store has lost; whether none is left.
+        """Appends the reports that the store has lost.
 
-        Otherwise a successor would finalize their windows again.
+        Without them a successor would finalize their windows again.
+
+        Returns:
+            Whether the store has all of them now.
         """
         held = usage_records.decode_all(self._lease.records())
         for window in sorted(self._reports.keys() - held.keys()):
@@ -225,7 +228,7 @@
             if not self._append(report):
                 break
             self._reports[due.window] = report
-            self._collector.announce(report)
+            self._exchange.announce(report)
             self._record_finalized(due)
         self._record_skipped(skipped)
 
@@ -235,7 +238,7 @@
         )
 
     def _finished_before(self, window: int) -> int:
-        """Returns through which window nothing is to be sent any more."""
+        """Returns the last window before `window` and all pending ones."""
         return min([window, *self._pending()]) - 1
 
     def _record_finalized(self, due: usage_windows.DueWindow) -> None:
@@ -299,7 +302,7 @@
         self._record_outcome(term, window, outcome)
 
     def _is_recorded(self, window: int) -> bool:
-        """Whether a successor would find this very report."""
+        """Whether the store has a record with exactly these counts."""
         held = usage_records.decode_all(self._lease.records())
         report = held.get(window)
         return (
--- a/hornbeampier/duties/usage_windows.py
+++ b/hornbeampier/duties/usage_windows.py
@@ -33,14 +33,14 @@
     """The counts of one process in one window.
 
     Attributes:
-        is_final: Whether the process has confirmed them.
+        is_final: Whether the process has confirmed that they will not change.
     """
 
     is_final: bool = False
     counts: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def merge(self, counts: Mapping[str, int], is_final: bool) -> None:
-        """Takes the maximum: counts grow, and datagrams change their order."""
+        """Takes the maximum: counts only grow, and datagrams are reordered."""
         self.is_final = self.is_final or is_final
         for account, count in counts.items():
             if count > self.counts.get(account, 0):
@@ -52,8 +52,9 @@
     """What this VM knows of its holding of the duty.
 
     Attributes:
-        since_ms: Since when it holds the duty, in true time.
-        first_whole_window: The first window for all of which it was up.
+        since_ms: Since when it holds the duty, in true time (ms since the Unix
+            epoch; see `usage_clock`).
+        first_whole_window: The first window throughout which it was up.
         hosts: The live VMs, this one included.
         collectors: The VMs that hold counts of VMs that have gone.
     """
@@ -84,7 +85,7 @@
     """The counts of all VMs in recent windows.
 
     Attributes:
-        reports: The finalized reports of which holders have told, by window.
+        reports: The finalized reports that holders have sent, by window.
     """
 
     def __init__(self, window_ms: float, retention_ms: float):
@@ -129,14 +130,14 @@
         rows[source].merge(counts, is_final)
 
     def record_reply(self, window: int, host: str) -> None:
-        """Records that a collector has told all it holds of a window."""
+        """Records that a collector has sent all it holds of a window."""
         if window in self._rows or len(self._replies) < MAX_ROWS:
             self._replies.setdefault(window, set()).add(host)
 
     def record_report(
         self, report: usage_records.UsageReport, now_ms: float
     ) -> None:
-        """Records a report of which the holder of the duty tells."""
+        """Records a finalized report that the holder of the duty has sent."""
         if report.window in self.open_windows(now_ms):
             self.reports.setdefault(report.window, report)
 
@@ -230,7 +231,7 @@
         return max(end_ms + LATEST_MS, holding.since_ms + TAKEOVER_MS)
 
     def _sum(self, window: int, holding: Holding) -> dict[str, int] | None:
-        """Returns the counts, or None if nobody knows whether there are any."""
+        """Returns the counts, or None if no VM knows whether there were any."""
         totals: dict[str, int] = {}
         for row in self._rows.get(window, {}).values():
             for account, count in row.counts.items():
--- a/hornbeampier/duties/wiring.py
+++ b/hornbeampier/duties/wiring.py
@@ -1,4 +1,4 @@
-"""The components of all duties that a VM's settings name."""
+"""Builds the components that count and report usage."""
 
 from collections.abc import Callable
 import random
@@ -23,7 +23,7 @@
 
 
 class Duties:
-    """This VM's part in the duties; empty if the settings name none.
+    """This VM's part in usage reports; empty unless the settings name the duty.
 
     Attributes:
         usage: Counts the requests of callers.
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -87,7 +87,7 @@
     def build_resumption(
         self, in_touch: Callable[[], bool], metrics: node_metrics.NodeMetrics
     ) -> resumption.Resumption:
-        """Returns what finds and records the origins of streams."""
+        """Returns the object that finds and records the origins of streams."""
         return resumption.Resumption(
             self._streams,
             self._history,
@@ -125,6 +125,6 @@
         try:
             endpoint = records.decode_endpoint(record.key, record.value)
         except errors.PlatformError:
-            # It was not in use, as it cannot be applied either.
+            # An entry that cannot be decoded is not applied either.
             return
         self._history.record_version(endpoint)
--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -72,8 +72,8 @@
     Attributes:
         origin: Where the stream began; None if the VM does not know.
         ages: All versions at which streams may have begun, as the VM knows.
-        covered_ms: Time up to now in which no other version served. VMs of
-            earlier versions do not say.
+        covered_ms: Time up to now in which no other version served; 0 from VMs
+            whose release lacks the field.
     """
 
     number: int
--- a/hornbeampier/peers/usage_exchange.py
+++ b/hornbeampier/peers/usage_exchange.py
@@ -1,7 +1,7 @@
 """Sends this VM's counts of requests to other VMs and keeps theirs.
 
 Three VMs, the collectors, get the counts of all VMs, so that those of a VM
-that goes are not lost. The VM that reports usage is mostly one of them; it
+that goes are not lost. The VM that reports usage is usually one of them; it
 subscribes at all VMs and asks the collectors for the counts of VMs that have
 gone.
 """
@@ -76,6 +76,17 @@
         true_time: usage_clock.UsageClock,
         clock: clocks.Clock,
     ):
+        """Creates the component.
+
+        Args:
+            own: The host and the process of this VM.
+            peers: Returns the hosts of the other live VMs.
+            transport: Sends datagrams to other VMs.
+            counts: The counts of this VM.
+            windows: The counts of all VMs.
+            true_time: The time that windows refer to.
+            clock: The clock.
+        """
         super().__init__()
         self._own = own
         self._peers = peers
--- a/hornbeampier/peers/usage_messages.py
+++ b/hornbeampier/peers/usage_messages.py
@@ -9,8 +9,8 @@
     """Cumulative counts of one process in a window.
 
     Attributes:
-        pairs: Number of an account and its count, in turns. The number is the
-            position of its name among all names the process has sent.
+        pairs: Number of an account and its count, alternating. The number is
+            the position of its name among all names the process has sent.
     """
 
     window: int
@@ -42,8 +42,10 @@
     """Acknowledges `Counts`.
 
     Attributes:
+        process: The process that sent the counts.
+        sequence: That of the counts.
         known_names: Number of names of the process that the sender knows.
-        is_complete: Whether it knew the names of all counts.
+        is_complete: Whether the sender knew the names of all counts.
         time_ms: The sender's time, in ms since the Unix epoch.
     """
 
--- a/hornbeampier/peers/usage_receiver.py
+++ b/hornbeampier/peers/usage_receiver.py
@@ -42,7 +42,7 @@
     def select(
         self, rows: Iterable[usage_counts.WindowCounts]
     ) -> list[usage_counts.WindowCounts]:
-        """Returns the windows to send: changed, or final and not confirmed."""
+        """Returns the windows to send: changed, or final and unacknowledged."""
         return [
             row
             for row in rows
--- a/hornbeampier/platform/duty_api.py
+++ b/hornbeampier/platform/duty_api.py
@@ -19,9 +19,10 @@
 CALL_TIMEOUT_MS = 1_000.0
 # A call is not begun if less than this is left of the term.
 MIN_CALL_MS = 100.0
-# Margin of the interval between calls, for their jitter on the way.
+# Factor on the interval between calls, so that network jitter does not make
+# them arrive too fast.
 SPACING_MARGIN = 1.1
-# Intervals between calls that are left out after the API was busy.
+# Further intervals to wait after the API was busy.
 BUSY_INTERVALS = 2
 # How long a drain waits for the response to a call.
 DRAIN_WAIT_MS = 300.0
--- a/hornbeampier/platform/duty_store.py
+++ b/hornbeampier/platform/duty_store.py
@@ -1,4 +1,4 @@
-"""The store's partition of a duty: its records and the calls."""
+"""Reads and appends to the store's partition of a duty."""
 
 from collections.abc import Mapping
 
@@ -13,7 +13,7 @@
 from hornbeampier.replication import messages
 
 HOLDER_KEY = "holder"
-# Reads that follow each other because the previous one had records.
+# Successive reads that may return records before the partition is read anew.
 MAX_FOLLOWING_READS = 8
 
 
@@ -25,7 +25,7 @@
 
 
 _holder_decoder = msgspec.json.Decoder(_Holder)
-# Stands for a record that cannot be decoded: one of an unknown VM.
+# Stands for a record that cannot be decoded, as if another VM held the lease.
 _UNKNOWN_HOLDER = lease_records.HolderRecord(vm="", process=-1, era=-1)
 
 
--- a/hornbeampier/platform/load_reports.py
+++ b/hornbeampier/platform/load_reports.py
@@ -8,7 +8,7 @@
 MAX_COUNT_DIGITS = len(str(MAX_COUNT))
 # The fourth figure of an endpoint that works at its normal speed.
 NORMAL_SLOWDOWN = 100.0
-# Other values of the fourth figure, as factors, are taken for malformed.
+# Bounds of the fourth figure as a factor; other values are malformed.
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 100.0
 
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -6,7 +6,7 @@
 CONFIGURATION_KEY = "config"
 ENDPOINT_TOPIC = "keyed.servers"
 
-# Topic in which VMs keep leases and what their holders have fixed.
+# Topic with the leases of duties and the records of their holders.
 DUTY_TOPIC = "keyed.duties"
 USAGE_DUTY = "metering"
 SCALING_DUTY = "autoscaling"
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -227,16 +227,16 @@
 
 
 def _to_autoscale(record: _Autoscale | None) -> domain.Autoscale | None:
-    """Returns the bounds of orders, or None if they contradict each other.
+    """Returns the bounds of orders, or None if they are invalid.
 
     Such bounds are not followed, but do not make the configuration invalid.
     """
     if record is None or not 0 <= record.min <= record.max:
         return None
-    prices = [record.boot_time_s, *record.zone_prices.values()]
+    amounts = [record.boot_time_s, *record.zone_prices.values()]
     if record.spot_price is not None:
-        prices.append(record.spot_price)
-    if any(number < 0 for number in prices):
+        amounts.append(record.spot_price)
+    if any(amount < 0 for amount in amounts):
         return None
     return domain.Autoscale(
         min_per_zone=record.min,
--- a/hornbeampier/platform/settings.py
+++ b/hornbeampier/platform/settings.py
@@ -31,9 +31,9 @@
         names: The duties, from the platform's list; unknown ones are left out.
         calls_per_s: Calls that the API accepts from all VMs together.
         requires_fence: Whether the API refuses calls with an older token.
-        lease_ms: Time within which holders must not alternate.
+        lease_ms: The lease time, within which holders must not alternate.
         usage_window_ms: Length of the windows of usage reports.
-        usage_due_ms: When the report of a window is due after its end.
+        usage_due_ms: Time after the end of a window when its report is due.
     """
 
     api: Address
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -51,7 +51,7 @@
             replica: What the records are applied to.
             source: The store.
             clock: The clock.
-            rng: Spreads the calls.
+            rng: Source of jitter.
             count_readers: Returns the number of VMs that read the store.
             should_read: Whether this VM has to read the store.
             before_first: Called with the first snapshot, before it is applied.
--- a/hornbeampier/replication/registration_reader.py
+++ b/hornbeampier/replication/registration_reader.py
@@ -20,7 +20,7 @@
 from hornbeampier.routing import registration_log
 from hornbeampier.routing import stream_origins
 
-# Bounds of what is read: the newest records, and their size.
+# Bounds of what is read: the number of newest records, and their size.
 MAX_RECORDS = 16_000
 MAX_BYTES = 4 * 1024 * 1024
 # Number of entries that are decoded at once.
@@ -72,7 +72,8 @@
             source: The store, on a connection of its own.
             history: What the log is added to.
             heartbeat_ms: Interval at which endpoints write their entries.
-            reads_early: Whether this VM reads the log before it has settled.
+            reads_early: Whether this VM reads the log before it applies its
+                first snapshot.
             should_read: Whether this VM is one of the store readers.
             offset: Returns the offset that this VM's replica has reached.
             clock: The clock.
@@ -94,7 +95,7 @@
 
     @property
     def is_pending(self) -> bool:
-        """Whether the log may be read yet."""
+        """Whether this VM may still read the log."""
         return self._reads_left > 0
 
     def read_before(self, snapshot: messages.Snapshot) -> None:
@@ -167,7 +168,12 @@
         return decoded
 
     def _fetch(self, end: int) -> _Log:
-        """Returns the newest records, at least up to an offset."""
+        """Returns the newest records, at least up to an offset.
+
+        Raises:
+            errors.PlatformError: The store sent no valid response, or the log
+                is too large or changed its era meanwhile.
+        """
         start = max(0, end - MAX_RECORDS)
         try:
             batch = self._source.read(self._topic, start, 0.0)
--- a/hornbeampier/replication/store_readers.py
+++ b/hornbeampier/replication/store_readers.py
@@ -90,7 +90,7 @@
 def reads_at_start(host: str, seeds: Collection[str]) -> bool:
     """Whether a VM is sure to be one of the few first among the seeds.
 
-    It may read more than a snapshot before it has settled.
+    Such a VM may read the store's log before it knows which VMs are live.
     """
     if not seeds:
         return True
