--- a/hornbeampier/duties/order_sender.py
+++ b/hornbeampier/duties/order_sender.py
@@ -100,7 +100,7 @@
         self._clock = clock
         self._started_ms = clock.now()
         self._held_since_ms: float | None = None
-        self._held_ms = -math.inf
+        self._last_held_ms = -math.inf
         self._expected_peers = 0
         self._saw_all_peers_ms = clock.now()
         self._sees_all_peers = True
@@ -147,10 +147,10 @@
         now_ms = self._clock.now()
         if self._is_draining or self._lease.term() is None:
             return False
-        if now_ms - self._held_ms > self._max_lapse_ms:
+        if now_ms - self._last_held_ms > self._max_lapse_ms:
             self._held_since_ms = now_ms
             self._scalers.clear()
-        self._held_ms = now_ms
+        self._last_held_ms = now_ms
         return True
 
     def _reason_to_wait(self, now_ms: float) -> str | None:
@@ -206,7 +206,7 @@
         outcome = self._api.order_endpoints(term, planned.order)
         # The call may have taken long.
         if self._lease.term() is not None:
-            self._held_ms = self._clock.now()
+            self._last_held_ms = self._clock.now()
         scaler = self._scalers[view.service]
         scaler.record(planned, outcome)
         self._log.info(
