Reword docstrings and private names of routing for newcomers

Some docstrings of the new modules in routing and forwarding had to be read twice, and some were wrong: the cap of a group named an attribute that does not exist, and the one of slow links said the opposite of the check. The private names "reach", "spread" and "bounded" of the registration log did not say that they are lower bounds on ages.

State what each function returns, its units and when the result is None; name the quantities of the registration log, and rename _save of the scaler and _forget of the origin history after what they do.

No behaviour changes: apart from docstrings the syntax trees differ only in these private and local names.

--- a/hornbeampier/forwarding/request_usage.py
+++ b/hornbeampier/forwarding/request_usage.py
@@ -12,11 +12,11 @@
     """Counts requests that endpoints began to run."""
 
     def record(self, account: str, at_ms: float) -> None:
-        """Counts a request of an account at a monotonic time."""
+        """Counts a request of an account at a time on the monotonic clock."""
         ...
 
     def add_undecided(self, req: "RequestUsage") -> None:
-        """Adds a request that is about to be sent to an endpoint."""
+        """Adds a request of which it is not known yet whether it was run."""
         ...
 
     def remove_undecided(self, req: "RequestUsage") -> None:
@@ -38,7 +38,7 @@
 
 
 class RequestUsage:
-    """One request over all its attempts.
+    """Counts one request at most once over all its attempts.
 
     A stream counts at its first event. A plain request counts at the time it
     was sent to the first endpoint that ran it, or may have run it.
--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -142,7 +142,10 @@
     def _unproved(
         self, req: requests.Request, reason: str
     ) -> errors.RefusalError:
-        """Returns the refusal of a stream that began at an unknown time."""
+        """Returns the refusal of a stream that may be of an unknown version.
+
+        It states when to retry, unless a retry cannot help.
+        """
         missing_ms = self._history.missing_ms()
         # A VM that was suspended can learn from its peers in a moment.
         is_learning = self._is_learning() or not (
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -18,7 +18,8 @@
 # Number of inter-event delays from which a quantile is taken. A fixed number
 # makes long and short streams comparable.
 DELAY_SAMPLE_COUNT = 32
-# The quantile is over means of so many delays: TCP may send events in pairs.
+# Number of successive delays whose mean is taken before the quantile: TCP may
+# send events in pairs.
 DELAY_GROUP_SIZE = 4
 EVENT_DELAY_QUANTILE = 0.25
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
--- a/hornbeampier/routing/allocation.py
+++ b/hornbeampier/routing/allocation.py
@@ -1,4 +1,8 @@
-"""Spreads a number of endpoints over availability zones and kinds by price."""
+"""Spreads a number of endpoints over availability zones and kinds by price.
+
+There are two kinds: spot endpoints, which the platform may reclaim at short
+notice, and lasting ones.
+"""
 
 from collections.abc import Mapping
 import dataclasses
@@ -90,9 +94,9 @@
     def add_within_zones(
         self, current: Counts, target: Counts
     ) -> dict[Group, int]:
-        """Returns the numbers with what a target has more, where zones allow.
+        """Returns the numbers raised to those of a target.
 
-        Nothing is taken away.
+        The maximum of each zone bounds the increase; no number falls.
         """
         counts = dict(current)
         for group in self._groups:
@@ -109,10 +113,12 @@
 
         Args:
             need: The need.
-            floors: Minimum by group; the maximum of a zone does not cut it.
+            floors: Minimum by group, which holds even above the maximum of its
+                zone.
             caps: Maximum by group; a group without one has no maximum.
         """
-        # More spot endpoints in a zone need as many elsewhere. So bounds on
+        # Each spot endpoint of the zone with the most of them needs another
+        # endpoint elsewhere, in case that zone loses them all. So bounds on
         # spot endpoints per zone are tried: some, then all near the best.
         first = largest_spot_count(floors)
         last = max(first, min(self._max_spots(), need.total + need.surviving))
@@ -150,9 +156,9 @@
         missing = max(need.total, need.surviving + spot_bound) - sum(
             counts.values()
         )
-        for _, equals in itertools.groupby(self._groups, self.price):
+        for _, same_price in itertools.groupby(self._groups, self.price):
             missing -= self._fill_evenly(
-                missing, list(equals), counts, caps, spot_bound
+                missing, list(same_price), counts, caps, spot_bound
             )
         return counts
 
@@ -166,8 +172,8 @@
     ) -> int:
         """Adds to groups of equal price; returns how many were added.
 
-        The smallest group gets some at a time, and fewer towards the end, so
-        that the numbers become even.
+        The smallest group gets a share of what is left, again and again. The
+        shares shrink to 1, so that the numbers become even.
         """
         left = missing
         while left > 0:
--- a/hornbeampier/routing/catalog.py
+++ b/hornbeampier/routing/catalog.py
@@ -37,7 +37,7 @@
         self._subscribers.append(subscriber)
 
     def watch(self, watcher: EndpointWatcher) -> None:
-        """Registers what is told which endpoint changes, and how."""
+        """Registers a watcher that is told of each endpoint change."""
         self._watchers.append(watcher)
 
     @property
--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -51,8 +51,8 @@
 # How many times shorter the wait in the other pool must be for a short or an
 # interactive prompt.
 SPILL_WAIT_RATIO = 2.0
-# A stream that does not tolerate prefill beside it spills over only to engines
-# that spend less than this fraction of their time on it.
+# A prompt whose stream does not tolerate prefill beside it spills over only to
+# engines that spend less than this fraction of their time on prefill.
 MAX_STREAM_SPILL_UTILIZATION = 0.2
 # A prompt whose expected wait exceeds this fraction of its latency target is
 # likely to be late: VMs do not know yet what others have just sent.
@@ -243,9 +243,10 @@
     ) -> bool:
         """Whether a prompt may spill over to an engine of another pool.
 
-        A batch prompt may do so only where it barely delays other requests. Of
-        the others, those whose streams would pause too long beside prefill do
-        so only where there is little, or if they are likely late anyway.
+        A batch prompt may do so only where it barely delays other requests. A
+        short or interactive prompt whose stream would pause too long beside
+        prefill may do so only where there is little prefill, or if the prompt
+        is likely to be late anyway.
         """
         if self._classifier.classify(req) is not prompt_kinds.PromptKind.BATCH:
             if spillover.wait_ms >= best.wait_ms / SPILL_WAIT_RATIO:
--- a/hornbeampier/routing/coverage.py
+++ b/hornbeampier/routing/coverage.py
@@ -4,9 +4,9 @@
 
 from hornbeampier import clock as clocks
 
-# A VM that did not follow the registrations for longer, or was suspended, may
-# have missed versions that came and went. VMs that start among others read the
-# store again after 1.5 s.
+# A VM that did not follow the registrations for longer, for example while it
+# was suspended, may have missed versions that came and went. VMs that start
+# among others read the store again only after 1.5 s, which must not count.
 MAX_GAP_MS = 3_000.0
 
 
@@ -32,7 +32,8 @@
     def begin(self, covered_ms: float) -> None:
         """Records that this VM has read all registrations of a time up to now.
 
-        It follows the registrations from now on.
+        It follows the registrations from now on. `covered_ms` is infinite if it
+        has read all that there ever were.
         """
         self.observe()
         self.extend(covered_ms)
@@ -47,11 +48,14 @@
             self._since_ms = min(self._since_ms, since_ms)
 
     def limit(self, oldest_ms: float) -> None:
-        """Records that versions which ended up to a time are forgotten."""
+        """Records that versions that ended by a time are forgotten.
+
+        The time is on the monotonic clock.
+        """
         self._since_ms = max(self._since_ms, oldest_ms)
 
     def length_ms(self) -> float:
-        """Returns the covered time up to now; infinite if it is all."""
+        """Returns the covered time up to now; infinite if it covers all."""
         if self._is_interrupted():
             return 0.0
         return self._clock.now() - self._since_ms
--- a/hornbeampier/routing/demand.py
+++ b/hornbeampier/routing/demand.py
@@ -26,7 +26,7 @@
         leaving: Whether it takes no new requests, or is reclaimed soon.
         queued_tokens: Prompt tokens that wait for prefill.
         prefill_share: Fraction of time that it needs for prefill; more than 1
-            if prompts arrive faster than it can read them.
+            if prompts arrive faster than it can process them.
     """
 
     group: allocation.Group
@@ -73,9 +73,9 @@
     tokens_per_ms: float,
     latency_target_ms: float,
 ) -> float:
-    """Returns the endpoints that prefill of the prompts takes.
+    """Returns how many endpoints the prefill of the prompts takes.
 
-    A backlog counts with what it takes to read it within the latency target.
+    A backlog counts with what it takes to process it within the latency target.
     """
     share = sum(e.prefill_share for e in endpoints)
     queued_ms = sum(e.queued_tokens for e in endpoints) / tokens_per_ms
@@ -101,7 +101,7 @@
         self._models = models
 
     def loads_age_ms(self) -> float | None:
-        """Returns the age of the oldest load of a live peer, or None."""
+        """Returns the age of the oldest load; None without live peers."""
         return self._peers.age_ms()
 
     def measure(self) -> list[ServiceDemand]:
--- a/hornbeampier/routing/domain.py
+++ b/hornbeampier/routing/domain.py
@@ -197,8 +197,8 @@
         sequence: Number of the entry among those that the process wrote;
             entries that differ only in it are equal.
         spot: Whether the platform may reclaim the endpoint at short notice.
-        leaves_in_ms: Time from the entry until the endpoint is reclaimed, or
-            None.
+        leaves_in_ms: Time from the entry until the endpoint is reclaimed; None
+            if no reclaim was announced.
     """
 
     id: str
--- a/hornbeampier/routing/endpoint_choice.py
+++ b/hornbeampier/routing/endpoint_choice.py
@@ -23,8 +23,8 @@
         slot_wait_ms: Part of the wait until one of the endpoint's slots is
             free.
         in_flight: Requests of all VMs in flight there.
-        speed_factor: How many times longer than at the service's typical engine
-            work takes there now; it is part of `wait_ms`.
+        speed_factor: How many times longer work takes there now than at the
+            service's typical engine; `wait_ms` includes it.
         fetch_from: Engine from which it can fetch cached segments, or None.
     """
 
--- a/hornbeampier/routing/endpoint_speed.py
+++ b/hornbeampier/routing/endpoint_speed.py
@@ -11,15 +11,15 @@
 # Each stream counts in the sums as if its event delay was expected to be this.
 # The sums of all VMs then weigh streams equally, and fit in whole milliseconds.
 STREAM_WEIGHT_MS = 100.0
-# Sums below this hold less than a fraction of a stream; they count as none, so
-# that gossip leaves out idle engines.
+# Sums that have decayed below this count as none, so that gossip leaves out
+# idle engines.
 MIN_EXPECTED_MS = 20.0
 # A stream counts as at most this many times as slow, or as fast, as expected.
 MAX_RATIO = 4.0
-# Half-life of what an endpoint said about its current speed. Other work slows
-# down an endpoint for some hundred ms.
+# Half-life of the weight of a reported slowdown. Other work slows down an
+# endpoint for some hundred ms.
 SLOWDOWN_HALF_LIFE_MS = 300.0
-# After this age it has no weight.
+# A reported slowdown of this age has no weight.
 MAX_SLOWDOWN_AGE_MS = 10 * SLOWDOWN_HALF_LIFE_MS
 
 
@@ -81,7 +81,7 @@
         return latency.LatencySums(self._measured_ms, self._expected_ms)
 
     def current_slowdown(self) -> float:
-        """Returns how many times longer than usual work takes there now.
+        """Returns how many times longer than normal work takes there now.
 
         Without a recent report it is 1.
         """
--- a/hornbeampier/routing/estimates.py
+++ b/hornbeampier/routing/estimates.py
@@ -40,9 +40,10 @@
     The `holder` is the engine with the longest cached prefix of the prompt; the
     others may fetch it from there. None if it is not worth a transfer.
 
-    `long_term_factors` holds the engines that are slower or faster than the
-    typical one. A short slowdown affects the wait, but not which fraction of
-    its time an engine spends on prefill.
+    `long_term_factors` gives, by endpoint id, how many times longer work takes
+    at engines that are slower or faster than the typical one. A short slowdown
+    affects the wait, but not which fraction of its time an engine spends on
+    prefill.
     """
 
     def __init__(
--- a/hornbeampier/routing/group_orders.py
+++ b/hornbeampier/routing/group_orders.py
@@ -7,9 +7,10 @@
 from hornbeampier.routing import allocation
 from hornbeampier.routing import demand
 
-# Interval at which an order is repeated, and while a call without a response
-# may still be executed.
+# Interval at which an unchanged order is repeated.
 REPEAT_MS = 10_000.0
+# Interval at which it is repeated instead for UNCERTAIN_MS after a call without
+# a response, which may not have been executed, or be executed late.
 UNCERTAIN_REPEAT_MS = 2_000.0
 UNCERTAIN_MS = 10_000.0
 # How long a group is left out after a refused order; it doubles with each
@@ -24,8 +25,8 @@
 FAILED_MS = 30_000.0
 MAX_FAILED_MS = 240_000.0
 MAX_BACKOFF_STEPS = 8
-# For this time after an order of fewer endpoints, some that leave do so because
-# of it.
+# For this time after an order of fewer endpoints, leaving endpoints are taken
+# to drain because of the order, not to be reclaimed.
 DRAIN_MS = 60_000.0
 # A group whose last failure is this old counts as one that never failed.
 FAILURE_RESET_MS = 600_000.0
@@ -41,9 +42,10 @@
         present: Number of endpoints that are not leaving.
         ordered: Last number that was ordered, or None.
         accepted: Last number whose order was accepted, or None.
-        progressed_ms: When the last order was given or endpoint came, or the
-            ordered number was last present.
-        cap: Number of endpoints that the group has at most until `capped_ms`.
+        progressed_ms: When the last new order was given, an endpoint last came
+            or the ordered number was last present, whichever is latest.
+        cap: Number of endpoints that the group has at most until
+            `capped_until_ms`.
         decreased_ms: When fewer endpoints were ordered than present.
         reclaimed: Whether endpoints are being reclaimed.
     """
@@ -65,6 +67,7 @@
 
     @property
     def baseline(self) -> int:
+        """Number that was ordered, or else the present one."""
         return self.present if self.ordered is None else self.ordered
 
     @property
@@ -87,13 +90,13 @@
     def observe(
         self, present: int, reclaimable: bool, boot_ms: float, now_ms: float
     ) -> None:
-        """Updates what came of the orders.
+        """Updates which ordered endpoints came, are overdue or reclaimed.
 
         Args:
             present: Number of endpoints that are not leaving.
             reclaimable: Whether spot endpoints of the group are leaving.
             boot_ms: Boot time of an endpoint.
-            now_ms: The time.
+            now_ms: The current time on the monotonic clock.
         """
         if present > self.present or present >= self.baseline:
             self.progressed_ms = now_ms
@@ -109,7 +112,7 @@
         self.reclaimed = reclaimed
 
     def _lost_endpoints(self, now_ms: float) -> bool:
-        """Whether endpoints leave that no order made leave.
+        """Whether endpoints leave without an order to reduce their number.
 
         All spot endpoints of a zone are reclaimed at once.
         """
@@ -189,7 +192,7 @@
         return sorted(groups)
 
     def caps(self, now_ms: float) -> Counts:
-        """Returns the most endpoints of each group that is left out."""
+        """Returns the maximum of each group that gets no more endpoints now."""
         caps = {}
         for group, state in self._states.items():
             if now_ms < state.capped_until_ms:
--- a/hornbeampier/routing/origin_history.py
+++ b/hornbeampier/routing/origin_history.py
@@ -70,14 +70,15 @@
         }
 
     def is_proved(self) -> bool:
-        """Whether no version is unknown at which a stream that lasts began."""
+        """Whether all versions that may have begun a live stream are known."""
         return self.missing_ms() <= 0.0
 
     def missing_ms(self) -> float:
         """Returns how long this VM has to observe until it knows all versions.
 
-        Callers that wait for longer than any route and any caller seen so far
-        are unknown, so the time that a caller has left does not shorten it.
+        It is infinite while it is not known how long streams last. The time
+        that a caller has left does not shorten it, as it does not tell for how
+        long the caller has waited already.
         """
         self._take_over_configuration()
         if self._cfg is None and self._longest_stream_ms == 0.0:
@@ -85,7 +86,7 @@
         return self._longest_stream_ms - self.coverage.length_ms()
 
     def record_version(self, endpoint: domain.Endpoint) -> None:
-        """Records the version of an endpoint that registered before."""
+        """Records that the version of an earlier entry has served."""
         origin = stream_origins.of_endpoint(endpoint)
         if origin not in self._serving:
             self.merge({origin: 0.0})
@@ -128,7 +129,7 @@
         kept_ms = _newer(self._ended_ms, oldest_ms)
         while len(kept_ms) > MAX_ENDED:
             del kept_ms[min(kept_ms, key=kept_ms.get)]
-        self._forget(kept_ms)
+        self._keep_ended(kept_ms)
         self._left_ms = {
             route: newer
             for route, left_ms in self._left_ms.items()
@@ -163,8 +164,8 @@
             del self._serving[origin]
             self._ended_ms[origin] = self._clock.now()
 
-    def _forget(self, kept_ms: dict[stream_origins.Origin, float]) -> None:
-        """Forgets all ended versions but some."""
+    def _keep_ended(self, kept_ms: dict[stream_origins.Origin, float]) -> None:
+        """Forgets the other ended versions, which limits the coverage."""
         forgotten = self._ended_ms.keys() - kept_ms.keys()
         if forgotten:
             self.coverage.limit(max(self._ended_ms[o] for o in forgotten))
--- a/hornbeampier/routing/pools.py
+++ b/hornbeampier/routing/pools.py
@@ -77,7 +77,7 @@
     """Splits the engines of each service by the kind of prompt.
 
     Attributes:
-        speed_factors: Tells which engines are slow.
+        speed_factors: Returns how slow the engines of a service are.
     """
 
     def __init__(
@@ -257,7 +257,7 @@
         return kind
 
     def tolerates_prefill(self, req: requests.Request) -> bool:
-        """Whether the request's stream is on time beside long prompts."""
+        """Whether the request's stream is on time beside prefill."""
         return self._tolerance(req.service).tolerates_pauses(req.route)
 
     def _tolerance(self, service: str) -> prefill_tolerance.PrefillTolerance:
--- a/hornbeampier/routing/prefill_tolerance.py
+++ b/hornbeampier/routing/prefill_tolerance.py
@@ -95,7 +95,7 @@
     def tolerates_pauses(self, route: domain.Route) -> bool:
         """Whether the inter-event delay beside prefill is within its target.
 
-        It is taken to be while no such delay has been seen.
+        True until such a delay has been measured.
         """
         pause_ms = self._model.prefill_pause_ms
         return (
--- a/hornbeampier/routing/registration_log.py
+++ b/hornbeampier/routing/registration_log.py
@@ -60,34 +60,37 @@
         has_losses: Whether the store may have lost records in between.
     """
     rows = list(registrations)
-    reaches_ms = _reaches(rows, heartbeat_ms)
-    ages_ms = _version_ages(rows, reaches_ms)
+    min_ages_ms = _min_ages(rows, heartbeat_ms)
+    ages_ms = _version_ages(rows, min_ages_ms)
     if is_complete and not has_losses:
         return LogSummary(ages_ms, math.inf)
     first = _first_after_loss(rows) if has_losses else 0
-    return LogSummary(ages_ms, _bounded(reaches_ms[first]))
+    return LogSummary(ages_ms, _without_removal_delay(min_ages_ms[first]))
 
 
-def _reaches(rows: list[Registration], heartbeat_ms: float) -> list[float]:
+def _min_ages(rows: list[Registration], heartbeat_ms: float) -> list[float]:
     """Returns a lower bound on the age of each record, and 0 for the end.
 
-    It is the time that one process needed to write its later entries.
+    It is the longest time that a process needed to write its entries from this
+    record on.
     """
     last: dict[_Process, int] = {}
-    reaches_ms = [0.0] * (len(rows) + 1)
+    min_ages_ms = [0.0] * (len(rows) + 1)
     for index in range(len(rows) - 1, -1, -1):
-        reaches_ms[index] = reaches_ms[index + 1]
+        min_ages_ms[index] = min_ages_ms[index + 1]
         endpoint = rows[index].endpoint
         if endpoint is None:
             continue
-        spread = last.setdefault(_process(endpoint), endpoint.sequence)
-        spread -= endpoint.sequence + EXTRA_ENTRIES
-        reaches_ms[index] = max(reaches_ms[index], spread * heartbeat_ms)
-    return reaches_ms
+        interval_count = last.setdefault(_process(endpoint), endpoint.sequence)
+        interval_count -= endpoint.sequence + EXTRA_ENTRIES
+        min_ages_ms[index] = max(
+            min_ages_ms[index], interval_count * heartbeat_ms
+        )
+    return min_ages_ms
 
 
 def _version_ages(
-    rows: list[Registration], reaches_ms: list[float]
+    rows: list[Registration], min_ages_ms: list[float]
 ) -> dict[stream_origins.Origin, float]:
     """Returns the age of each version, by when it was registered last."""
     current: dict[str, stream_origins.Origin] = {}
@@ -97,7 +100,7 @@
         previous = current.pop(row.endpoint_id, None)
         if previous is not None:
             counts[previous] -= 1
-            ages_ms[previous] = _bounded(reaches_ms[index])
+            ages_ms[previous] = _without_removal_delay(min_ages_ms[index])
         if row.endpoint is not None:
             origin = stream_origins.of_endpoint(row.endpoint)
             current[row.endpoint_id] = origin
@@ -123,8 +126,9 @@
     return first
 
 
-def _bounded(reach_ms: float) -> float:
-    return max(0.0, reach_ms - REMOVAL_DELAY_MS)
+def _without_removal_delay(age_ms: float) -> float:
+    """Returns an age less the time for which VMs may use a removed entry."""
+    return max(0.0, age_ms - REMOVAL_DELAY_MS)
 
 
 def _process(endpoint: domain.Endpoint) -> _Process:
--- a/hornbeampier/routing/scaling.py
+++ b/hornbeampier/routing/scaling.py
@@ -18,8 +18,9 @@
 from hornbeampier.routing import domain
 from hornbeampier.routing import group_orders
 
-# Utilization with steady load. A queue with one server then waits two service
-# times on average, which leaves most requests within their latency targets.
+# Utilization with steady load. With one server and constant service times,
+# requests then wait two service times on average, which leaves most of them
+# within their latency targets.
 STEADY_UTILIZATION = 0.8
 # Growth of the load for which there is room until ordered endpoints serve, as
 # fractions of the load.
@@ -48,7 +49,7 @@
 SETTLE_MS = 4_000.0
 # A drain that takes longer no longer delays decreases.
 MAX_DRAIN_MS = 120_000.0
-# Decisions further apart have missed peaks of the load.
+# Between decisions further apart, peaks of the load may go unseen.
 MAX_GAP_MS = 5_000.0
 
 Counts = dict[allocation.Group, int]
@@ -89,7 +90,7 @@
 
 
 def need_of(work: float, boot_ms: float) -> allocation.Need:
-    """Returns how many endpoints a work needs."""
+    """Returns the need for an amount of work, given in endpoints."""
     return allocation.Need(
         total=math.ceil(work / target_utilization(boot_ms)),
         surviving=math.ceil(work / LOSS_UTILIZATION),
@@ -97,7 +98,7 @@
 
 
 def _estimate_work(view: demand.ServiceDemand) -> float:
-    """Returns the work, with what endpoints in full use may hide of it."""
+    """Returns the work, raised if saturated endpoints may hide part of it."""
     present = sum(view.present().values())
     if view.work < SATURATION * present:
         return view.work
@@ -195,7 +196,7 @@
         wanted = allocator.cheapest(self.need, current, caps)
         reason = Reason.INCREASE
         if wanted == current and may_decrease and self._is_settled(view, caps):
-            wanted, reason = self._save(allocator, view, current, caps)
+            wanted, reason = self._reduce_cost(allocator, view, current, caps)
         wanted = {
             group: self._keep_bounds(group, wanted, view.autoscale)
             for group in wanted
@@ -240,14 +241,18 @@
             and self._orders.is_present(caps)
         )
 
-    def _save(
+    def _reduce_cost(
         self,
         allocator: allocation.Allocator,
         view: demand.ServiceDemand,
         current: Counts,
         caps: Counts,
     ) -> tuple[Counts, Reason]:
-        """Returns cheaper numbers that meet the need, one step away."""
+        """Returns the next step towards the cheapest numbers for the need.
+
+        That is either to add cheaper endpoints, which replace others later, or
+        to remove some.
+        """
         need = need_of(
             self.peak * (1.0 + DECREASE_MARGIN), view.autoscale.boot_ms
         )
@@ -290,7 +295,7 @@
     ) -> int:
         """Returns the number to order of a group within the zone's bounds.
 
-        What another group of the zone gives up is free once its order is
+        What the zone's other group gives up may be ordered once its decrease is
         accepted. A group without available endpoints keeps its order where the
         zone would otherwise be below its minimum.
         """
--- a/hornbeampier/routing/service_speeds.py
+++ b/hornbeampier/routing/service_speeds.py
@@ -24,8 +24,8 @@
 PRIOR_MS = 4 * endpoint_speed.STREAM_WEIGHT_MS
 # Engines with less evidence do not count for the typical engine.
 MIN_EVIDENCE_MS = 3 * endpoint_speed.STREAM_WEIGHT_MS
-# Engines within this factor of the typical one count as equal. Differences of
-# twice this, as logarithms, count in full, and smaller ones in part.
+# Engines within this factor of the typical one count as equal. Beyond it, the
+# difference counts in part, and from the square of this factor on in full.
 EQUAL_FACTOR = 1.2
 REFRESH_MS = 500.0
 # A factor is logged when it has changed by this factor, at this interval at
@@ -51,7 +51,7 @@
 
 
 class ServiceSpeeds:
-    """How many times longer than at the typical engine work takes at each."""
+    """How many times longer work takes at an engine than at the typical one."""
 
     def __init__(
         self,
--- a/hornbeampier/routing/zone_spill.py
+++ b/hornbeampier/routing/zone_spill.py
@@ -2,8 +2,8 @@
 
 A request stays in the zone while an endpoint there has room. Beyond that, the
 share of requests that leave rises with the difference in utilization between
-the own and the other zones. A request that would wait in the own zone never
-waits for the sake of the zone.
+the own and the other zones. A request that would wait in the own zone may leave
+at once, unless the link to the other zones is slow.
 """
 
 import collections
@@ -25,8 +25,8 @@
 ROOM_UTILIZATION = 0.7
 # Requests of other zones fill endpoints up to this utilization.
 SPARE_UTILIZATION = 0.8
-# Requests begin to leave at this difference in utilization, stop below the
-# other one, and all may leave at the largest.
+# Differences in utilization from which requests begin to leave, below which
+# they stop, and from which all may leave.
 START_DIFFERENCE = 0.1
 STOP_DIFFERENCE = 0.02
 FULL_DIFFERENCE = 0.6
@@ -39,7 +39,7 @@
 # Requests do not leave while those of this VM that left took this many times as
 # long as those that stayed, for example because of a slow link.
 SLOW_LINK_RATIO = 1.25
-# Number of requests with which the size of one is compared.
+# Number of recent requests with whose sizes that of a new one is compared.
 SIZE_SAMPLE_COUNT = 64
 
 LoadFunction = Callable[[fleet.EndpointState], float]
@@ -71,9 +71,13 @@
 
 @dataclasses.dataclass(slots=True)
 class _Service:
-    """What is known of a service.
+    """The zones' loads of a service, and which of its requests leave.
 
     Attributes:
+        own: Load of the own zone.
+        others: Load of the other zones together.
+        refreshed_ms: When the loads were summed up.
+        is_spilling: Whether the difference in utilization makes requests leave.
         share: Share of the requests that leave the zone unless it has room.
         quota: Requests that may still leave before the next refresh.
         sizes: Sizes of recent requests.
@@ -96,7 +100,7 @@
 
     @property
     def is_link_slow(self) -> bool:
-        """Whether the link makes up for the wait in the own zone."""
+        """Whether this VM's requests that left took longer than the others."""
         return self.others.vm_slowdown > SLOW_LINK_RATIO * self.own.vm_slowdown
 
 
@@ -113,7 +117,7 @@
         rng: random.Random,
         count: CountFunction = lambda service, leaves: None,
     ):
-        """Creates the decision.
+        """Creates the chooser between zones.
 
         Args:
             zone: This VM's availability zone; empty if unknown.
@@ -142,9 +146,10 @@
     ) -> fleet.EndpointState | None:
         """Returns the endpoint of a plain request.
 
-        None if zones do not matter: the zone is unknown, has no candidates or
-        all of them, no peer is heard, responses take longer in the zone, or the
-        request would wait there and the others have nothing to spare.
+        None if zones do not matter: the own zone is unknown, or has no or all
+        candidates; no loads of peers are known; responses take longer in the
+        own zone; or the request would wait there and the others have no spare
+        slots.
 
         Args:
             req: The request.
