State which failure each new test guards against

The test of the covered time of a log is renamed, as "reach" is no term of the code any more. Checks and bounds are as before.

Apart from comments and docstrings the syntax trees of the tests differ only in that name.

--- a/tests/duty_standin.py
+++ b/tests/duty_standin.py
@@ -12,9 +12,12 @@
     """Accepts reports and orders.
 
     Attributes:
+        requires_fence: Whether calls with a lower token than before get a 409
+            response.
         status: Status of every response, if not None; nothing is executed.
         late_s: Seconds after which calls are executed, without a response.
         accepted: (path, holder, token, body) of each executed call, in order.
+        refused: The same of each call that the fence refused.
     """
 
     def __init__(self, requires_fence=True):
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -24,7 +24,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-    """A fault of a VM; a `vm` of None is the one that acts at the time."""
+    """A fault of a VM, the network, the store or the API.
+
+    Attributes:
+        kind: What happens; see `World.inject`.
+        vm: Number of the VM; None is the one that called the API last.
+    """
 
     at_ms: float
     kind: str
@@ -43,7 +48,7 @@
 
 
 class FakeStore:
-    """One partition, with the times of its records for older copies."""
+    """One partition, which can return to how it was at an earlier time."""
 
     def __init__(self, clock):
         self._clock = clock
@@ -82,6 +87,13 @@
 
 
 class Vm:
+    """One VM with its lease; it calls the API while its term allows.
+
+    Attributes:
+        process: Number of its current process, which a restart raises.
+        refused: Pairs of process and token that the API refused.
+    """
+
     def __init__(self, world, number):
         self.world = world
         self.number = number
@@ -239,7 +251,13 @@
 
 
 class World:
-    """Some VMs, the store and the API."""
+    """Some VMs, the store and the API.
+
+    Attributes:
+        begun: The calls to the API, in the order in which they began.
+        executed: The tokens of executed calls, in their order.
+        faulty_until_ms: When the last fault ends.
+    """
 
     def __init__(self, seed, faults, vm_count, requires_fence):
         self.rng = random.Random(seed)
--- a/tests/scaling_fakes.py
+++ b/tests/scaling_fakes.py
@@ -36,6 +36,8 @@
 
 @dataclasses.dataclass
 class Instance:
+    """An endpoint; it drains or is reclaimed if `ends_ms` is set."""
+
     group: allocation.Group
     ready_ms: float
     ends_ms: float = NEVER
@@ -74,6 +76,10 @@
         unavailable: Groups whose orders for more are refused.
         failing: Groups whose new endpoints never come up.
         outcomes: Outcomes of the next calls, which are not executed.
+        orders: (ms, group, desired) of each call.
+        work: Work of the service, in endpoints at full use.
+        age_ms: Age of the oldest load of a peer, or None.
+        follows: Whether the VM hears of new endpoints.
         cost: Price of all endpoints in each second so far.
         late_s: Seconds in which the work exceeded the serving endpoints.
     """
@@ -131,7 +137,7 @@
         )
 
     def changes(self):
-        """Returns (second, group, number) of all orders but repeats."""
+        """Returns (second, group, desired) of all orders but repeats."""
         seen, changes = {}, []
         for ms, order_group, desired in self.orders:
             if seen.get(order_group) != desired:
@@ -140,7 +146,7 @@
         return changes
 
     def reclaim(self, zone):
-        """Takes back all spot endpoints of a zone, which has none then."""
+        """Reclaims all spot endpoints of a zone, which offers no more."""
         spot = group(zone, spot=True)
         self.unavailable.add(spot)
         self.desired[spot] = 0
@@ -192,6 +198,7 @@
                 self.instances.append(Instance(ordered, ready_ms))
 
     def _on(self, instance):
+        """Whether an endpoint is paid for; one that never comes up is not."""
         return instance.ready_ms != NEVER
 
     def _price(self, of):
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -54,11 +54,13 @@
             "vm-2", {id_: peer_loads.Load(*load) for id_, load in loads.items()}
         )
 
+    # Guards against a demand that leaves out the work of some VMs.
     def test_slots_in_use_on_all_vms_count(self):
         self.load(e0=(8,), e1=(2,))
         self.fixture.states[1].in_flight = 2
         self.assertEqual(1.5, self.measure().work)
 
+    # Guards against orders because load moved to another zone.
     def test_shift_between_zones_leaves_the_work_as_it_is(self):
         self.load(e0=(8,), e1=(2,))
         before = self.measure().work
@@ -73,11 +75,14 @@
         self.assertAlmostEqual(1.5, self.measure().work, delta=0.01)
         self.assertEqual(0.125, self.measure(traits=None).work)
 
+    # Guards against queued prompts that miss their targets as no endpoint is
+    # ordered for them.
     def test_backlog_counts_with_what_it_takes_to_be_on_time(self):
         rate = self.models.of(routing_fakes.SERVICE).tokens_per_ms
         self.load(e0=(1, 1_000.0 * rate))
         self.assertAlmostEqual(2.0, self.measure().work, delta=0.01)
 
+    # Guards against endpoints that count as capacity until they are gone.
     def test_endpoints_that_leave_or_are_reclaimed_are_not_present(self):
         self.move_to_zone("e0", "zone-1", leaving=True)
         self.move_to_zone("e1", "zone-2", spot=True, leaves_in_ms=3_000.0)
--- a/tests/test_endpoint_speed.py
+++ b/tests/test_endpoint_speed.py
@@ -29,6 +29,7 @@
 
 
 class LoadReportTest(testtools.TestCase):
+    # Guards against load headers of earlier endpoints that are rejected.
     def test_fourth_figure_is_optional(self):
         self.assertEqual(endpoint_speed.LoadReport(3, 0, 64), decode(b"3,0,64"))
         self.assertEqual(2.5, decode(b"3, 0, 64, 250").slowdown)
@@ -62,6 +63,7 @@
 
 
 class ServiceSpeedsTest(SpeedCase):
+    # Guards against a lasting difference in speed that goes unnoticed in noise.
     def test_slow_and_fast_engines_are_found(self):
         ratios = {"e0": 2.0, "e1": 0.6}
         self.record(lambda state: 1.4 * ratios.get(state.id, 1.0), noise=0.3)
@@ -75,6 +77,7 @@
         self.record(lambda state: 1.0, noise=0.3)
         self.assertEqual({}, self.factors())
 
+    # Guards against new engines that are avoided because of one slow stream.
     def test_one_stream_of_an_engine_says_little(self):
         self.record(lambda state: 1.0)
         self.fixture.catalog.apply_endpoint(fakes.endpoint("new"))
@@ -95,11 +98,14 @@
         self.fixture.peers.record("vm-2", loads)
         self.assertEqual({"e0"}, self.factors().keys())
 
+    # Guards against measurements of streams that gossip leaves out.
     def test_measurements_reach_peers(self):
         self.record(lambda state: 2.0, streams=3)
         sums = load_messages.to_load(self.fixture.states[0]).latency_sums
         self.assertEqual(latency.LatencySums(600.0, 300.0), sums)
 
+    # Guards against an engine that gets no prompts, and is not measured, ever
+    # again.
     def test_factor_is_bounded_and_forgotten(self):
         self.record(lambda state: 4.0 if state.id == "e0" else 0.5)
         self.assertEqual({"e0": service_speeds.MAX_FACTOR}, self.factors())
@@ -121,6 +127,8 @@
         ids = [choice.state.id for choice in self.choose_many(tokens, count)]
         return [ids.count(state.id) for state in self.fixture.states]
 
+    # Guards against choices that change in deployments whose engines are
+    # equally fast.
     def test_equal_engines_are_chosen_as_without_signal(self):
         def choices():
             self.fixture = fakes.RoutingFixture(ENGINE_COUNT)
@@ -149,6 +157,8 @@
             least = min(count for count in others if count)
             self.assertTrue(0 < slow < 0.75 * least, (tokens, slow, others))
 
+    # Guards against a reported slowdown that is ignored, or used long after it
+    # has ended.
     def test_wait_follows_the_current_speed_for_a_moment(self):
         state = self.fixture.states[0]
         usual_ms = self.wait_ms(state)
@@ -166,6 +176,7 @@
 
 
 class PlainChoiceTest(SpeedCase):
+    # Guards against plain requests to an endpoint that reports a slowdown.
     def test_endpoint_that_is_slow_now_gets_no_request(self):
         chooser = choosers.LeastLoadedChooser(
             self.fixture.fleet, self.fixture.peers, random.Random(1)
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -79,12 +79,16 @@
         self.kill_all(vms)
         self.assert_none_joined(self.restart_all(vms))
 
+    # Guards against streams of v1 that go on at v2, as v1 is no longer
+    # registered when the VMs start.
     def test_no_stream_is_joined_if_engines_are_replaced_just_after(self):
         vms = self.begin_streams()
         self.kill_all(vms)
         self.replace_engines()
         self.assert_none_joined(self.restart_all(vms))
 
+    # Guards against a store without old records being taken for proof that none
+    # existed.
     def test_no_stream_is_joined_if_history_is_deleted_as_well(self):
         vms = self.begin_streams()
         self.kill_all(vms)
@@ -92,6 +96,8 @@
         self.store.compact(names.ENDPOINT_TOPIC)
         self.assert_none_joined(self.restart_all(vms))
 
+    # Guards against streams that are refused although the log proves where they
+    # began.
     def test_streams_go_on_if_history_shows_that_one_version_served(self):
         vms = self.begin_streams()
         self.kill_all(vms)
@@ -115,6 +121,8 @@
         response, _ = self.take_up_with_retries(vms, 0)
         self.assertEqual(200, response.status, response.body)
 
+    # Guards against a restarted VM that refuses streams that its peers would
+    # resume.
     def test_vm_that_joins_learns_from_its_peers_that_one_version_served(self):
         vms = self.begin_streams()
         self.store.compact(names.ENDPOINT_TOPIC)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -56,6 +56,8 @@
         waited_ms = self.acquire_ms(self.make(), self.contents())
         self.assertGreaterEqual(waited_ms, LEASE_MS)
 
+    # Guards against a VM that takes the lease back at once and acts again
+    # within the lease time of another holder.
     def test_vm_that_lost_the_lease_leaves_it_to_others(self):
         decision = self.make()
         self.acquire_ms(decision, self.contents())
@@ -95,6 +97,8 @@
             self.clock.advance(100.0)
         self.assertEqual(token, decision.term().token)
 
+    # Guards against late calls of the holder that are executed after its newer
+    # ones.
     def test_with_fence_each_renewal_raises_the_token(self):
         decision = self.make()
         self.acquire_ms(decision, self.contents())
--- a/tests/test_lease_histories.py
+++ b/tests/test_lease_histories.py
@@ -19,8 +19,8 @@
 )
 FAULTY_MS = 16_000.0
 MAX_FAULT_MS = 5_000.0
-# After the last fault: a cooldown or the longest backoff, the time until others
-# count as dead, and a takeover.
+# From the last fault until a VM holds the lease: a cooldown or the longest
+# backoff, the time until others count as dead, and a takeover.
 RECOVERY_MS = 20_000.0
 KINDS = (
     "kill",
@@ -63,6 +63,7 @@
             newest = call
 
     def check_turns(self, world):
+        """A VM acts again after another one only after the lease time."""
         turns = [
             list(calls)
             for _, calls in itertools.groupby(world.begun, lambda c: c.vm)
@@ -81,6 +82,7 @@
         self.assertEqual(sorted(world.executed), world.executed)
 
     def check_recovery(self, world):
+        """After the last fault, one VM holds the lease again."""
         end_ms = world.faulty_until_ms + RECOVERY_MS
         world.run_until(end_ms)
         holders = [v for v in world.vms if v.is_up and v.lease.term()]
--- a/tests/test_lease_keeper.py
+++ b/tests/test_lease_keeper.py
@@ -152,6 +152,8 @@
         self.assertLess(self.clock.now() - term.expires_ms, 50.0)
         self.wait_for_term(holder)
 
+    # Guards against an order that is taken for executed, or for refused, while
+    # the API is only busy.
     def test_statuses_are_told_apart(self):
         holder, _ = self.start_two()
         order = terms.EndpointOrder("chat", "zone-1", 3, spot=True)
--- a/tests/test_node_scaling.py
+++ b/tests/test_node_scaling.py
@@ -86,6 +86,8 @@
         self.start_endpoint(nodes.PLAIN_SERVICE, lambda request: None)
         return self.start_ready_node(cfg, duties=duties)
 
+    # Guards against a node that holds the duty but whose orders do not reach
+    # the API.
     def test_minimum_is_ordered_with_the_token_of_the_lease(self):
         self.start(
             settings.DutySettings(
@@ -107,6 +109,8 @@
             body,
         )
 
+    # Guards against deployments without duties that are served differently from
+    # before.
     def test_node_without_duties_asks_neither_store_nor_api(self):
         self.start(None)
         gevent.sleep(1.5)
--- a/tests/test_platform_autoscale.py
+++ b/tests/test_platform_autoscale.py
@@ -24,6 +24,8 @@
 
 
 class AutoscaleTest(testtools.TestCase):
+    # Guards against bounds or prices that are read from the wrong field or in
+    # the wrong unit.
     def test_bounds_and_prices_are_decoded(self):
         autoscale = decode_autoscale(AUTOSCALE)
         self.assertEqual(4_000.0, autoscale.boot_ms)
@@ -32,12 +34,15 @@
             (1, 30), (autoscale.min_per_zone, autoscale.max_per_zone)
         )
 
+    # Guards against a faulty entry that makes VMs reject the whole
+    # configuration.
     def test_contradictory_bounds_order_nothing_and_keep_the_configuration(
         self,
     ):
         for change in ({"min": 31}, {"min": -1}, {"spotPrice": -0.1}):
             self.assertIsNone(decode_autoscale({**AUTOSCALE, **change}))
 
+    # Guards against a reclaim notice that is ignored.
     def test_reclaimed_spot_endpoint_tells_when_it_leaves(self):
         entry = nodes.endpoint_record(
             nodes.ENGINE_SERVICE, "10.0.0.1:80", spot=True, leaves_ms=2_500
--- a/tests/test_scaling_patterns.py
+++ b/tests/test_scaling_patterns.py
@@ -25,6 +25,8 @@
 
 
 class LoadPatternTest(testtools.TestCase):
+    # Guards against an increase that waits, or that has to be followed by
+    # another one.
     def test_step_is_ordered_at_once_and_serves_after_the_boot_time(self):
         fleet = deployment(3)
         fleet.run(30, 4.0)
@@ -32,12 +34,15 @@
         self.assertEqual(4, fleet.late_s)
         self.assertTrue(fleet.serving() >= 12 / 0.8, fleet.serving())
 
+    # Guards against slow growth while VMs refuse what exceeds the endpoints.
     def test_load_that_is_hidden_by_refusals_is_met_after_two_boot_times(self):
         fleet = deployment(3)
         fleet.run(30, 4.0)
         fleet.run(10, lambda s: min(20.0, fleet.serving()))
         self.assertTrue(fleet.serving() >= 20, fleet.changes())
 
+    # Guards against decreases that are too early or too rare for slow changes
+    # of the load.
     def test_wave_is_followed_without_lateness(self):
         fleet = deployment(6)
         fleet.run(600, lambda s: 6 + 3 * math.sin(2 * math.pi * s / 200))
@@ -53,12 +58,15 @@
         self.assertTrue(len(fleet.changes()) - before <= 2, fleet.changes())
         self.assertEqual(0, fleet.late_s)
 
+    # Guards against endpoints that are drained and booted again as the load
+    # varies at random.
     def test_noise_changes_few_orders(self):
         rng = random.Random(1)
         fleet = deployment(6)
         fleet.run(300, lambda s: max(0.0, rng.gauss(6.0, 0.6)))
         self.assertTrue(len(fleet.changes()) <= 6, fleet.changes())
 
+    # Guards against decreases that leave no room for short bursts.
     def test_burst_shorter_than_the_boot_time_meets_spare_endpoints(self):
         fleet = deployment(5)
         fleet.run(60, 5.0)
@@ -83,6 +91,7 @@
             self.assertTrue(desired[group] - number <= quarter, number)
             desired[group] = number
 
+    # Guards against orders outside the configured bounds.
     def test_minimum_and_maximum_per_zone_are_kept(self):
         fleet = deployment(3, min_per_zone=2, max_per_zone=6)
         fleet.run(100, 0.0)
@@ -92,6 +101,7 @@
 
 
 class PriceTest(testtools.TestCase):
+    # Guards against a service that the loss of its cheapest zone would stop.
     def test_cheaper_zone_gets_the_endpoints_and_the_other_keeps_some(self):
         fleet = deployment(6, zone_prices={"zone-1": 1.0, "zone-2": 0.5})
         fleet.run(150, 6.0)
@@ -104,6 +114,7 @@
         fleet.run(150, 5.0)
         self.assertEqual([], fleet.changes())
 
+    # Guards against a loss of capacity while cheaper endpoints boot.
     def test_spot_endpoints_replace_others_only_once_they_serve(self):
         fleet = deployment(5, spot_price=0.2)
         fleet.run(150, 5.0)
@@ -115,6 +126,8 @@
         ordered = max(s for s, g, _ in fleet.changes() if g.spot)
         self.assertTrue(first_decrease >= ordered + 4, fleet.changes())
 
+    # Guards against spot endpoints that cost more, with those that cover their
+    # loss.
     def test_spot_endpoints_that_are_hardly_cheaper_are_not_ordered(self):
         fleet = deployment(4, spot_price=0.95)
         fleet.run(150, 5.0)
@@ -122,6 +135,8 @@
 
 
 class FailureTest(testtools.TestCase):
+    # Guards against more spot endpoints in a zone than the service can lose at
+    # once.
     def test_reclaim_of_a_zone_at_the_peak_leaves_enough(self):
         fleet = deployment(5, spot_price=0.2)
         fleet.run(100, 5.0)
@@ -133,6 +148,8 @@
         need = scaling.need_of(9.0, 4_000.0)
         self.assertTrue(fleet.serving() >= need.total, fleet.desired)
 
+    # Guards against replacements that are ordered only once the endpoints are
+    # gone.
     def test_replacements_are_ordered_with_the_reclaim_notice(self):
         fleet = deployment(5, spot_price=0.2)
         fleet.run(100, 5.0)
@@ -153,6 +170,8 @@
         self.assertTrue(fleet.desired[SPOT_1] >= 13, fleet.changes())
         self.assertTrue(fleet.desired[SPOT_2] >= 13, fleet.changes())
 
+    # Guards against a need that stays unmet as a zone accepts orders without
+    # effect.
     def test_endpoints_that_never_come_up_are_ordered_elsewhere(self):
         fleet = deployment(3)
         fleet.run(30, 4.0)
@@ -161,6 +180,7 @@
         self.assertTrue(fleet.serving(ZONE_2) >= 8, fleet.changes())
         self.assertTrue(fleet.desired[ZONE_1] <= 3, fleet.changes())
 
+    # Guards against calls that are spent on orders that a zone refuses anyway.
     def test_zone_without_capacity_is_left_out(self):
         fleet = deployment(3)
         fleet.run(30, 4.0)
@@ -202,6 +222,8 @@
             allocation.Group(zone, True), [g for _, g, _ in fleet.orders]
         )
 
+    # Guards against an endpoint that never finishes its drain and blocks all
+    # decreases.
     def test_drain_without_end_of_another_cause_ends_the_wait(self):
         fleet = deployment(8)
         fleet.instances[0].ends_ms = 10_000_000.0
--- a/tests/test_usage_counting.py
+++ b/tests/test_usage_counting.py
@@ -45,6 +45,7 @@
                 totals[account] = totals.get(account, 0) + count
         return totals
 
+    # Guards against accounts that are charged for retries.
     def test_plain_request_counts_once_over_its_attempts(self):
         def handler(req):
             if len(endpoint.received) + len(other.received) == 1:
@@ -59,6 +60,7 @@
         self.assertEqual(2, len(endpoint.received) + len(other.received))
         self.assertEqual({"account-1": 1}, self.count(router))
 
+    # Guards against requests that were run and not counted.
     def test_error_of_an_endpoint_counts(self):
         self.start_endpoint(
             nodes.PLAIN_SERVICE,
@@ -68,6 +70,8 @@
         self.call(router, "POST", "/unsafe/x", body=b"{}")
         self.assertEqual({"account-1": 1}, self.count(router))
 
+    # Guards against accounts that are charged for requests that no endpoint
+    # ran.
     def test_declined_request_does_not_count(self):
         self.start_endpoint(
             nodes.PLAIN_SERVICE,
@@ -79,6 +83,7 @@
         self.assertEqual(503, self.call(router).status)
         self.assertEqual({}, self.count(router))
 
+    # Guards against requests that may have been run and are not counted.
     def test_request_without_any_response_counts(self):
         self.start_endpoint(
             nodes.PLAIN_SERVICE, lambda req: req.close_connection()
@@ -107,6 +112,7 @@
         self.assertIn(b"piece-2", response.body)
         self.assertEqual({"account-1": 1}, self.count(router))
 
+    # Guards against accounts that are charged for streams that never began.
     def test_stream_without_an_event_does_not_count(self):
         def handler(req):
             req.begin_stream()
@@ -207,6 +213,8 @@
 
 
 class NoDutyTest(nodes.NodeTestCase):
+    # Guards against deployments without the duty that are served differently
+    # from before.
     def test_node_without_the_duty_has_no_part_of_it(self):
         router = self.start_ready_node()
         self.assertEqual([], router._duties.exchanges + router._duties.actors)
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -32,6 +32,7 @@
 
 
 class NetworkTest(UsageTestCase):
+    # Guards against counts that are lost with a datagram or counted twice.
     def test_reports_are_exact_and_in_time_despite_losses(self):
         for size, loss in ((1, 0.0), (3, 0.1), (9, 0.1)):
             network = usage_network.UsageNetwork(size, loss)
@@ -39,18 +40,21 @@
             network.run(30_000 + usage_windows.LATEST_MS + 1_000)
             self.assert_reported(network, first, first + 5, deviation=0.0)
 
+    # Guards against windows without requests that are not reported at all.
     def test_quiet_windows_are_reported_as_empty(self):
         network = usage_network.UsageNetwork(3, rate=0.0)
         first = network.window()
         network.run(20_000)
         self.assertEqual({}, network.reports()[first + 2])
 
+    # Guards against reports that always wait for the latest time.
     def test_windows_are_finalized_early_when_all_vms_have_confirmed(self):
         network = usage_network.UsageNetwork(9)
         first = network.window()
         network.run(5_000 + 2_000)
         self.assert_reported(network, first, first, deviation=0.0)
 
+    # Guards against traffic that grows with the number of VMs.
     def test_traffic_is_bounded(self):
         for size in (9, 84):
             network = usage_network.UsageNetwork(size)
@@ -62,6 +66,8 @@
 
 
 class KillTest(UsageTestCase):
+    # Guards against counts of a new process that replace those of the former
+    # one.
     def test_restarted_vm_adds_to_the_counts_of_its_former_process(self):
         network = usage_network.UsageNetwork(9)
         first = network.window()
@@ -73,6 +79,7 @@
         network.run(15_000)
         self.assert_reported(network, first, first + 2)
 
+    # Guards against windows that are lost with the VMs that hold their counts.
     def test_killed_collectors_and_holder_cost_no_window(self):
         network = usage_network.UsageNetwork(9, loss=0.05)
         first = network.window()
@@ -83,7 +90,8 @@
         network.run(3_000)
         network.platform.give(network.candidate())
         network.run(20_000)
-        # The two killed VMs were two of nine; they lose half a second at most.
+        # Each of the two killed VMs, of nine, may lose its counts of half a
+        # second.
         self.assert_reported(network, first, first + 5)
 
     # Nobody but the collectors holds the counts of a VM that was killed.
@@ -119,6 +127,7 @@
         network.run(8_000)
         self.assertEqual(held[first].counts, network.reports()[first])
 
+    # Guards against counts that only reach collectors.
     def test_holder_that_is_no_collector_gets_all_counts(self):
         network = usage_network.UsageNetwork(9)
         collectors = network.vms["10.0.0.0"].exchange.collectors()
@@ -130,6 +139,7 @@
         network.run(10_000)
         self.assert_reported(network, first, first + 2)
 
+    # Guards against a drain that ends before the last counts were handed over.
     def test_drained_vm_loses_nothing(self):
         network = usage_network.UsageNetwork(5)
         first = network.window()
@@ -142,6 +152,7 @@
 
 
 class OutageTest(UsageTestCase):
+    # Guards against windows that are lost while the API is down.
     def test_backlog_of_the_api_is_reported_once_it_is_back(self):
         network = usage_network.UsageNetwork(3)
         first = network.window()
@@ -151,6 +162,7 @@
         network.run(8_000)
         self.assert_reported(network, first, first + 8, deviation=0.0)
 
+    # Guards against windows that are lost while the store is down.
     def test_windows_of_a_store_outage_are_finalized_afterwards(self):
         network = usage_network.UsageNetwork(3)
         first = network.window()
@@ -173,6 +185,7 @@
         network.run(SETTLE_MS)
         self.assert_reported(network, first, first + 2, deviation=0.0)
 
+    # Guards against a successor that reports a window again with other counts.
     def test_records_that_the_store_lost_are_restored(self):
         network = usage_network.UsageNetwork(3)
         network.run(12_000)
@@ -194,6 +207,7 @@
         network.run(8_000)
         self.assertIn(first, network.reports())
 
+    # Guards against a backlog that grows without limit while the API is down.
     def test_reports_are_given_up_after_a_minute(self):
         network = usage_network.UsageNetwork(1)
         first = network.window()
@@ -248,7 +262,8 @@
         network.run(15_000)
         return network
 
-    # A sixth of half a second may be lost with each of up to three VMs.
+    # Each of up to three killed VMs, of six, may lose its counts of half a
+    # second.
     def test_no_window_is_lost_or_reported_twice_differently(self):
         for seed in range(HISTORIES):
             network = self.play(seed)
@@ -257,6 +272,7 @@
 
 
 class ClockStepTest(UsageTestCase):
+    # Guards against counts that a wall clock's step assigns to other windows.
     def test_step_that_is_undone_moves_no_counts(self):
         network = usage_network.UsageNetwork(3)
         first = network.window()
@@ -269,6 +285,8 @@
         network.run(SETTLE_MS)
         self.assert_reported(network, first, first + 5)
 
+    # Guards against a VM with a wrong wall clock that counts in other windows
+    # than its peers.
     def test_vm_started_during_a_step_takes_its_peers_time(self):
         network = usage_network.UsageNetwork(5)
         network.run(5_000)
@@ -306,6 +324,7 @@
 
 
 class MessagesTest(testtools.TestCase):
+    # Guards against a malformed datagram that ends the receiver.
     def test_unreadable_datagrams_are_reported_as_such(self):
         odd = usage_messages.Counts(
             1, 1, 0, (), (usage_messages.WindowEntry(1, True, (1,)),), True
@@ -315,6 +334,7 @@
 
 
 class RefusalTest(testtools.TestCase):
+    # Guards against a lease that goes on with a token that the API refused.
     def test_refused_token_is_handed_to_the_lease(self):
         network = usage_network.UsageNetwork(1)
         refused = []
--- a/tests/test_version_coverage.py
+++ b/tests/test_version_coverage.py
@@ -51,12 +51,16 @@
 
 
 class RegistrationLogTest(testtools.TestCase):
+    # Guards against a complete log that proves nothing, or one with losses that
+    # does.
     def test_complete_log_covers_all_time_unless_records_were_lost(self):
         rows = entries("e1", "v1", 1, 3)
         self.assertEqual(math.inf, summarize(rows, True).covered_ms)
         self.assertLess(summarize(rows, True, True).covered_ms, math.inf)
 
-    def test_reach_is_what_one_process_needed_for_its_entries(self):
+    # Guards against a log that is taken to begin earlier than its heartbeats
+    # show.
+    def test_log_covers_what_one_process_needed_for_its_entries(self):
         covered_ms = summarize(entries("e1", "v1", 50, 70)).covered_ms
         self.assertEqual(20_000.0 - 4_000.0, covered_ms)
         self.assertEqual(0.0, summarize([]).covered_ms)
@@ -66,12 +70,15 @@
         rows = [entry("e1", "v1", 5), entry("e1", "v1", 90, born=2)]
         self.assertEqual(0.0, summarize(rows).covered_ms)
 
+    # Guards against versions that only the middle of the log shows.
     def test_version_that_registers_and_leaves_within_the_log_is_seen(self):
         rows = [*entries("e1", "v2", 50, 60), entry("e2", "v1", 1)]
         rows += [removal("e2"), *entries("e1", "v2", 61, 70)]
         ages_ms = summarize(rows).ages_ms
         self.assertEqual({V1: 9_000.0 - 4_000.0, V2: 0.0}, ages_ms)
 
+    # Guards against a version that is missed as its endpoint registered a newer
+    # one since.
     def test_version_of_an_endpoint_with_a_new_version_has_ended(self):
         rows = [entry("e1", "v1", 1), entry("e1", "v2", 1, born=2)]
         self.assertEqual({V1: 0.0, V2: 0.0}, summarize(rows).ages_ms)
@@ -99,6 +106,7 @@
         self.pass_time(5_000.0)
         self.assertEqual(5_000.0, self.coverage.length_ms())
 
+    # Guards against versions that came and went while the VM was suspended.
     def test_suspended_vm_begins_anew(self):
         self.coverage.begin(math.inf)
         self.clock.advance(coverage.MAX_GAP_MS + 1.0)
@@ -130,6 +138,8 @@
             vm.history.coverage.begin(LONGEST_MS)
         return network
 
+    # Guards against a new VM that refuses streams for as long as the longest
+    # one lasts.
     def test_joining_vm_reaches_the_proof_from_its_peers(self):
         network = self.start_vms()
         vm = network.start(network.hosts[0], ["v2"])
@@ -157,6 +167,8 @@
         vm.history.record_stream(2 * LONGEST_MS)
         self.assertFalse(vm.history.is_proved())
 
+    # Guards against replies without a covered time being taken for proof during
+    # a rollout.
     def test_replies_of_earlier_versions_prove_nothing(self):
         old = msgspec.msgpack.encode([3, 7, None, []])
         self.assertEqual(0, origin_messages.decode(old).covered_ms)
@@ -164,6 +176,8 @@
         fields = msgspec.msgpack.decode(origin_messages.encode(new))
         self.assertEqual([3, 7, None, [], 5_000], fields)
 
+    # Guards against versions that are missed as their entries arrive out of
+    # order.
     def test_entry_read_after_a_newer_one_is_reported(self):
         seen = []
         topic = era_fakes.Vm(clocks.ManualClock()).replicas["keyed.servers"]
@@ -207,12 +221,15 @@
         self.assertEqual(errors.RefusalCode.STREAM_ORIGIN_UNKNOWN, exc.code)
         return exc.retry_after_ms
 
+    # Guards against a stream that is resumed while another version may have
+    # begun it.
     def test_stream_is_resumed_once_the_longest_stream_is_covered(self):
         self.vm.history.coverage.begin(LONGEST_MS - 1.0)
         self.refuse(1_000.0)
         self.network.clock.advance(1.0)
         self.assertEqual(V2, self.find(1_000.0))
 
+    # Guards against callers that retry in vain, or that give up too early.
     def test_retry_after_is_named_only_if_a_retry_can_help(self):
         self.vm.history.coverage.begin(LONGEST_MS - 2_000.0)
         self.assertIsNone(self.refuse(1_900.0))
@@ -268,13 +285,17 @@
     def test_complete_log_is_a_proof(self):
         self.assertTrue(self.read(FakeLog(25)).is_proved())
 
+    # Guards against a truncated log being taken for complete.
     def test_log_whose_beginning_is_gone_is_none(self):
         self.assertFalse(self.read(FakeLog(25, first=10)).is_proved())
         self.assertFalse(self.read(FakeLog(25, first=25)).is_proved())
 
+    # Guards against a log that lost records being taken for complete.
     def test_log_after_a_loss_of_records_is_none(self):
         self.assertFalse(self.read(FakeLog(25, era=2)).is_proved())
 
+    # Guards against a log that was not read to its end being taken for
+    # complete.
     def test_log_that_is_too_large_is_none(self):
         self.patch(registration_reader, "MAX_BYTES", 1_000)
         self.assertFalse(self.read(FakeLog(25)).is_proved())
--- a/tests/test_zone_spill.py
+++ b/tests/test_zone_spill.py
@@ -32,17 +32,20 @@
                 sums_ms[-1] += sim.mean_wait_ms
         return sums_ms
 
+    # Guards against traffic between zones without need.
     def test_requests_stay_in_a_zone_with_room(self):
         sim = simulate()
         sim.run(PERIOD_MS, a=2.0, b=1.0)
         self.assertLess(max(map(sim.left_fraction, "ab")), 0.03)
 
+    # Guards against requests that wait in a full zone beside an idle one.
     def test_requests_leave_a_zone_that_is_short(self):
         sim = simulate()
         sim.run(PERIOD_MS, a=5.0, b=2.0)
         self.assertTrue(0.2 < sim.left_fraction("a") < 0.65)
         self.assertLess(sim.left_fraction("b"), 0.3)
 
+    # Guards against longer waits than if zones were ignored.
     def test_callers_do_not_wait_longer_for_the_sake_of_the_zone(self):
         for periods in (
             [{"a": 5.0, "b": 2.0}] * 2,
@@ -52,16 +55,19 @@
             with_zones_ms, without_ms = self.waits_ms(periods)
             self.assertLessEqual(with_zones_ms, without_ms, periods)
 
+    # Guards against requests that take longer on the link than they would wait.
     def test_slow_link_is_used_less(self):
         needs = {"a": 4.5, "b": 1.0}
         with_zones_ms, without_ms = self.waits_ms([needs] * 2, link_ms=100.0)
         self.assertLess(with_zones_ms, without_ms)
 
+    # Guards against large bodies on the link while small ones stay.
     def test_small_requests_leave_first(self):
         sim = simulate(sizes=(100, 10_000))
         sim.run(2 * PERIOD_MS, a=3.4, b=1.0)
         self.assertGreater(sim.sizes.count(100), 2 * sim.sizes.count(10_000))
 
+    # Guards against refusals in a zone that has no endpoints left.
     def test_lost_zone_is_replaced_by_the_others(self):
         sim = simulate()
         for vm in sim.vms:
@@ -70,6 +76,8 @@
         sim.run(PERIOD_MS, a=1.0, b=1.0)
         self.assertEqual(1.0, sim.left_fraction("a"))
 
+    # Guards against all VMs filling the same spare slots between two gossip
+    # rounds.
     def test_many_vms_that_see_one_gap_do_not_herd(self):
         most = []
         for with_zones in (True, False):
@@ -106,11 +114,14 @@
         )
         return {chooser.choose(fakes.request(), ()).state.id for _ in range(30)}
 
+    # Guards against deployments without zones, or VMs without peers, that
+    # choose differently from before.
     def test_unknown_zone_and_silent_peers_change_nothing(self):
         self.assertEqual({"e1"}, self.choose_plain("a"))
         self.assertEqual({"e0", "e1", "e2"}, self.choose_plain(""))
         self.assertEqual({"e0", "e1", "e2"}, self.choose_plain("a", zone_vms=2))
 
+    # Guards against a preference for the own zone that outweighs load.
     def test_own_zone_decides_only_between_engines_of_equal_cost(self):
         for number in range(3, 20):
             self.fixture.catalog.apply_endpoint(fakes.endpoint(f"e{number}"))
--- a/tests/usage_network.py
+++ b/tests/usage_network.py
@@ -46,6 +46,7 @@
     """The duty's partition and the API.
 
     Attributes:
+        records: The partition's records by key.
         holder: Host of the VM that holds the lease, or None.
         accepted: All accepted reports, as pairs of window and counts.
         loses_appends: Appends are executed without an acknowledgment.
@@ -157,6 +158,7 @@
     Attributes:
         truth: Requests by window and account.
         rate: Mean requests of each account at each VM in a step.
+        loss: Fraction of the datagrams that are lost.
         bytes_sent: Sent bytes by host.
     """
 
--- a/tests/zone_simulation.py
+++ b/tests/zone_simulation.py
@@ -15,7 +15,8 @@
 from tests import routing_fakes as fakes
 
 STEP_MS = 10.0
-# Interval and age of gossip in steps: all VMs tell each other, or hubs do.
+# Gossip intervals in steps, with up to MESH_LIMIT VMs, which all tell each
+# other, and with more, which hubs tell.
 MESH_STEPS = 3
 HUB_STEPS = 25
 MESH_LIMIT = 24
@@ -53,6 +54,7 @@
         waits_ms: Waits for a slot of an endpoint, with the time on the link.
         left: Requests that left their zone, by zone of the VM.
         sizes: Sizes of all requests that left.
+        sent: Requests by zone of the VM.
         max_left_per_round: Most requests that left between two gossip rounds.
     """
 
