Say why the longest gap of the coverage exceeds 1.5 s

The comment gave the interval at which starting VMs read the store again, but not what it has to do with the constant. State that the gap has to exceed it. Comment only; nothing was run but the formatter and the linter.

--- a/hornbeampier/routing/coverage.py
+++ b/hornbeampier/routing/coverage.py
@@ -5,8 +5,8 @@
 from hornbeampier import clock as clocks
 
 # A VM that did not follow the registrations for longer, for example while it
-# was suspended, may have missed versions that came and went. VMs that start
-# among others read the store again only after 1.5 s, which must not count.
+# was suspended, may have missed versions that came and went. It has to
+# exceed the 1.5 s after which VMs that start among others read the store again.
 MAX_GAP_MS = 3_000.0
 
 
