--- a/hornbeampier/duties/components.py
+++ b/hornbeampier/duties/components.py
@@ -11,6 +11,7 @@
 from hornbeampier.duties import terms
 from hornbeampier.platform import duty_api
 from hornbeampier.platform import duty_store
+from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.routing import rendezvous
 
@@ -57,7 +58,7 @@
     duties = cfg.duties
     store = duty_store.DutyStore(
         cfg.store,
-        duties.names.index(duty),
+        names.DUTIES.index(duty),
         duties.lease_ms * STORE_TIMEOUT_LEASES,
         clock,
     )
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -10,6 +10,7 @@
 DUTY_TOPIC = "keyed.duties"
 USAGE_DUTY = "metering"
 SCALING_DUTY = "autoscaling"
+# The position of a duty is its partition in the topic, on VMs of all versions.
 DUTIES = (USAGE_DUTY, SCALING_DUTY)
 DUTY_HOLDER = b"x-hornbeampier-duty-holder"
 FENCING_TOKEN = b"x-hornbeampier-fencing-token"
