--- a/hornbeampier/duties/lease.py
+++ b/hornbeampier/duties/lease.py
@@ -10,8 +10,6 @@
 as released or absent only if it was written in that era.
 """
 
-from collections.abc import Mapping
-import dataclasses
 import math
 import random
 
@@ -35,29 +33,6 @@
 MIN_JITTER = 0.8
 
 
-@dataclasses.dataclass(slots=True)
-class _Hold:
-    """The lease while this VM holds it.
-
-    Attributes:
-        token: The fencing token.
-        era: Era of the last acknowledged append.
-        records: The duty's records as this VM knows them.
-        renewed_ms: When the last acknowledged append began.
-        acquired_ms: Start of the time in which the term has not lapsed.
-        acts_from_ms: When this VM may act for the first time.
-        is_suspended: Whether the term has lapsed and this was logged.
-    """
-
-    token: int
-    era: int
-    records: Mapping[str, bytes]
-    renewed_ms: float
-    acquired_ms: float
-    acts_from_ms: float
-    is_suspended: bool = False
-
-
 class Lease:
     """One VM's part in the lease of one duty; one step runs at a time.
 
@@ -93,7 +68,7 @@
         self._log = structlog.get_logger(task="lease", duty=duty)
         self._started_ms = clock.now()
         self._lost_ms = -math.inf
-        self._hold: _Hold | None = None
+        self._hold: lease_steps.Hold | None = None
         # Contents as of the last call; None if a read is needed.
         self._contents: lease_records.Contents | None = None
         # Era and end of the partition, and when they were first observed.
@@ -255,10 +230,10 @@
         self._failures += 1
         self.due_ms = self._clock.now() + self._backoff_ms()
 
-    def _expires_ms(self, hold: _Hold) -> float:
+    def _expires_ms(self, hold: lease_steps.Hold) -> float:
         return hold.renewed_ms + TERM_LEASES * self._lease_ms
 
-    def _has_expired(self, hold: _Hold) -> bool:
+    def _has_expired(self, hold: lease_steps.Hold) -> bool:
         return self._clock.now() >= self._expires_ms(hold)
 
     def _check_term(self, is_candidate: bool) -> None:
@@ -364,7 +339,7 @@
             # Without a fence, late calls of the previous holder are executed:
             # they get this time before the first call with a higher token.
             wait_ms = self._lease_ms
-        self._hold = _Hold(
+        self._hold = lease_steps.Hold(
             token=appended.token,
             era=appended.era,
             records=self._contents.records,
@@ -383,7 +358,7 @@
 
     def _extend(
         self,
-        hold: _Hold,
+        hold: lease_steps.Hold,
         step: lease_steps.Append,
         appended: lease_records.Appended,
     ) -> None:
--- a/hornbeampier/duties/lease_steps.py
+++ b/hornbeampier/duties/lease_steps.py
@@ -1,4 +1,4 @@
-"""The next step of a VM that takes part in a lease."""
+"""The state of a lease that a VM holds, and the next step of a VM."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -29,3 +29,26 @@
 
 
 Step = Read | Append
+
+
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """The lease while this VM holds it.
+
+    Attributes:
+        token: The fencing token.
+        era: Era of the last acknowledged append.
+        records: The duty's records as this VM knows them.
+        renewed_ms: When the last acknowledged append began.
+        acquired_ms: Start of the time in which the term has not lapsed.
+        acts_from_ms: When this VM may act for the first time.
+        is_suspended: Whether the term has lapsed and this was logged.
+    """
+
+    token: int
+    era: int
+    records: Mapping[str, bytes]
+    renewed_ms: float
+    acquired_ms: float
+    acts_from_ms: float
+    is_suspended: bool = False
--- a/hornbeampier/peers/usage_exchange.py
+++ b/hornbeampier/peers/usage_exchange.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
 import structlog
 
@@ -47,22 +46,6 @@
 NAMES_RETENTION_MS = 120_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class _KnownNames:
-    """The names of accounts that a process has sent so far."""
-
-    names: list[str]
-    heard_ms: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Subscriber:
-    """A VM that holds the duty, or did so recently."""
-
-    number: int
-    heard_ms: float
-
-
 class UsageExchange(application.TaskComponent):
     """This VM's part in collecting the counts of all VMs."""
 
@@ -98,8 +81,8 @@
         self._names: dict[str, int] = {}
         self._sequence = 0
         self._receivers: dict[str, usage_receiver.Receiver] = {}
-        self._subscribers: dict[str, _Subscriber] = {}
-        self._known: dict[usage_windows.Source, _KnownNames] = {}
+        self._subscribers: dict[str, usage_receiver.Subscriber] = {}
+        self._known: dict[usage_windows.Source, usage_receiver.KnownNames] = {}
         self._is_collector = False
         self._pulls_left = 0
         self._next_pull_ms = 0.0
@@ -307,7 +290,9 @@
         self, source: usage_windows.Source, message: usage_messages.Counts
     ) -> list[str]:
         now_ms = self._clock.now()
-        known = self._known.setdefault(source, _KnownNames([], now_ms))
+        known = self._known.setdefault(
+            source, usage_receiver.KnownNames([], now_ms)
+        )
         known.heard_ms = now_ms
         if message.first_name <= len(known.names) < MAX_KNOWN_NAMES:
             skipped = len(known.names) - message.first_name
@@ -346,7 +331,9 @@
         if known is None or known.number != message.number:
             self._log.info("usage_subscribed", peer=host)
             self._receivers[host] = usage_receiver.Receiver()
-        self._subscribers[host] = _Subscriber(message.number, self._clock.now())
+        self._subscribers[host] = usage_receiver.Subscriber(
+            message.number, self._clock.now()
+        )
 
     def _reply(self, host: str, message: usage_messages.Query) -> None:
         held = self._windows.held(message.window, frozenset(message.known))
--- a/hornbeampier/peers/usage_receiver.py
+++ b/hornbeampier/peers/usage_receiver.py
@@ -1,4 +1,4 @@
-"""What another VM has acknowledged of this VM's counts of requests."""
+"""What this VM knows of other VMs with which it exchanges counts."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -85,3 +85,19 @@
         for revisions in (self.sent, self.acknowledged):
             for window in [w for w in revisions if w < oldest]:
                 del revisions[window]
+
+
+@dataclasses.dataclass(slots=True)
+class KnownNames:
+    """The names of accounts that a process has sent so far."""
+
+    names: list[str]
+    heard_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Subscriber:
+    """A VM that holds the duty, or did so recently."""
+
+    number: int
+    heard_ms: float
