Prove an endpoint's process before a stream goes on there

Cause: the version was taken from the entry that was read last. The id in a request is the same after a restart, so it does not show the process.

Before a stream goes on, within a response or taken up, the VM asks for the endpoint's report on the connection that then carries the request and compares `born` with the entry's. A connection leads to one process, so there is no gap between the question and the request. Where the process is another one or does not tell, the next endpoint of the version is tried; then the stream is broken off, or refused as not run.

The stand-in of an endpoint in tests answers the report as the protocol has it, with the `born` of its entry.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -101,6 +101,8 @@
         unsent: Whether no byte of the request was sent to the endpoint.
         withheld: Whether it was not sent, though the endpoint could be reached:
             the endpoint wants fewer requests, or the deadline has passed.
+        unproved: Whether it was not sent, though the endpoint could be reached:
+            nothing proves that its process is the expected one.
     """
 
     def __init__(
@@ -114,11 +116,13 @@
         silent: bool = False,
         unsent: bool = False,
         withheld: bool = False,
+        unproved: bool = False,
     ):
         super().__init__(message)
         self.verdict = verdict
         self.unsent = unsent
         self.withheld = withheld
+        self.unproved = unproved
         self.connection_lost = connection_lost
         self.declined = declined
         self.declines_all = declines_all
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -7,6 +7,7 @@
 from hornbeampier import errors
 from hornbeampier import verdict
 from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import process_check
 from hornbeampier.forwarding import stalls
 from hornbeampier.http1 import client
 from hornbeampier.http1 import messages
@@ -67,6 +68,7 @@
         req: requests.Request,
         last_event_id: str | None = None,
         fetch_from: domain.Endpoint | None = None,
+        needs_version: bool = False,
     ) -> None:
         """Sends the request and reads the head of the response.
 
@@ -74,13 +76,19 @@
             req: The request.
             last_event_id: Id of the last event passed on, to resume a stream.
             fetch_from: Engine from which cached segments can be fetched.
+            needs_version: Whether the endpoint has to run the software version
+                that its entry names.
 
         Raises:
+            process_check.UnprovedProcessError: Nothing proves the version.
             errors.AttemptError: The endpoint is unreachable or wants fewer
                 requests, or no valid head of a response arrived in time.
         """
         self._deadline_ms = req.deadline_ms
-        self._connect(req.id)
+        if needs_version:
+            self._connect_to_process(req.id)
+        else:
+            self._connect(req.id)
         self._check_announcements()
         sent_ms = self._clock.now()
         remaining_ms = req.deadline_ms - sent_ms
@@ -190,6 +198,23 @@
                 unsent=True,
             ) from exc
 
+    def _connect_to_process(self, request_id: str) -> None:
+        """Connects to the process of the entry."""
+        try:
+            self._connect(request_id)
+            self._check_process()
+        except process_check.UnprovedProcessError:
+            # An idle connection may have ended, or hold an earlier response.
+            self.close()
+            self._connect("")
+            self._conn.request_id = request_id
+            self._check_process()
+
+    def _check_process(self) -> None:
+        process_check.check(
+            self._conn, self._state.endpoint, self._deadline_ms, self._clock
+        )
+
     def _check_announcements(self) -> None:
         """Asks for permission last, as connecting may have taken a while."""
         if not self._announcements.take(self._state.endpoint):
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -173,7 +173,10 @@
         self._usage.begin(attempt)
         try:
             attempt.open(
-                self._req, self._relay.last_event_id, choice.fetch_from
+                self._req,
+                self._relay.last_event_id,
+                choice.fetch_from,
+                needs_version=self._version_guard.version is not None,
             )
             self._attempts += 1
             self._check_response(attempt)
@@ -322,7 +325,7 @@
         self._tried.add(choice.state.id)
         if exc.unsent:
             self._unreachable_count += 1
-        is_down = exc.unsent or (
+        is_down = (exc.unsent and not exc.unproved) or (
             exc.connection_lost and self._detect_crash(choice, exc.silent)
         )
         if is_down:
--- /dev/null
+++ b/hornbeampier/forwarding/process_check.py
@@ -0,0 +1,75 @@
+"""Proves that a connection leads to the process that an entry describes.
+
+An endpoint may start again under its id and address with other software. The
+entry that was read last, and the id that a request names, do not show it.
+"""
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier import verdict
+from hornbeampier.http1 import client
+from hornbeampier.platform import reports
+from hornbeampier.routing import domain
+
+# Several endpoints may be asked before the caller gives a stalled stream up.
+CHECK_TIMEOUT_MS = 400.0
+
+
+class UnprovedProcessError(errors.AttemptError):
+    """Nothing proves that the endpoint's process is that of its entry.
+
+    The request has not been sent.
+    """
+
+    def __init__(self, message: str):
+        super().__init__(
+            message, verdict.Verdict.NOT_RUN, unsent=True, unproved=True
+        )
+
+
+def check(
+    conn: client.ClientConnection,
+    endpoint: domain.Endpoint,
+    deadline_ms: float,
+    clock: clocks.Clock,
+) -> None:
+    """Asks the process on a connection when it started.
+
+    A connection leads to one process for as long as it is open, so what is sent
+    on `conn` afterwards reaches the process of the entry, or none. On platforms
+    whose entries have no start time, no endpoint starts again under its id.
+
+    Raises:
+        UnprovedProcessError: The process is another one, it did not reply, or
+            the connection cannot carry a request afterwards.
+    """
+    if not endpoint.started_ms:
+        return
+    deadline_ms = min(deadline_ms, clock.now() + CHECK_TIMEOUT_MS)
+    try:
+        response = conn.call(reports.encode_request(endpoint), deadline_ms)
+    except client.TRANSPORT_ERRORS as exc:
+        raise UnprovedProcessError(
+            f"the endpoint did not send a report: {exc or type(exc).__name__}"
+        ) from exc
+    _check_started(response, endpoint)
+    if not conn.is_reusable():
+        raise UnprovedProcessError("the endpoint closes the connection")
+
+
+def _check_started(
+    response: client.CompleteResponse, endpoint: domain.Endpoint
+) -> None:
+    if response.status != 200:
+        raise UnprovedProcessError(
+            f"the endpoint sent status {response.status} instead of a report"
+        )
+    try:
+        started_ms = reports.decode_started_ms(response.body)
+    except errors.PlatformError as exc:
+        raise UnprovedProcessError(str(exc)) from exc
+    if started_ms != endpoint.started_ms:
+        raise UnprovedProcessError(
+            f"the endpoint's process started at {started_ms}, and that of its "
+            f"entry at {endpoint.started_ms}"
+        )
--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -1,6 +1,7 @@
 """A stand-in for an endpoint; its responses are sent by the test's handler."""
 
 import contextlib
+import json
 
 import gevent
 from gevent import server
@@ -69,10 +70,18 @@
 
 
 class EndpointStandin:
-    """Accepts connections and passes each request to a handler."""
+    """Accepts connections and passes each request to a handler.
 
-    def __init__(self, handler=ReceivedRequest.respond):
+    Attributes:
+        born: When its process started, as it reports; None if it has no
+            report, and passes requests for it to the handler.
+        reports: Number of reports that it sent.
+    """
+
+    def __init__(self, handler=ReceivedRequest.respond, born=1):
         self.handler = handler
+        self.born = born
+        self.reports = 0
         self.received = []
         self._server = server.StreamServer((HOST, 0), self._serve)
         self._server.start()
@@ -99,5 +108,18 @@
                 while len(buffer) < length:
                     buffer += sock.recv(65536)
                 req.body, buffer = buffer[:length], buffer[length:]
+                if self._is_report(req):
+                    self._send_report(req)
+                    continue
                 self.received.append(req)
                 self.handler(req)
+
+    def _is_report(self, req):
+        is_report = req.request_line.startswith("GET /report ")
+        return is_report and self.born is not None
+
+    def _send_report(self, req):
+        self.reports += 1
+        body = json.dumps({"stage": "both", "born": self.born}).encode()
+        lines = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        req.send(lines.encode() + body)
--- /dev/null
+++ b/tests/test_restarted_endpoints.py
@@ -0,0 +1,154 @@
+"""Streams and endpoints that start again with other software."""
+
+import json
+
+from tests import endpoint_standin
+from tests import nodes
+from tests import store_standin
+from tests import test_stream_versions as stream_versions
+
+BORN_AGAIN = 2
+EVENTS_BEFORE = stream_versions.EVENTS_BEFORE
+
+
+class RestartedEndpointTestCase(stream_versions.CallerTestCase):
+    """Two engines of v1; one starts again with v2 while the store is down."""
+
+    def setUp(self):
+        super().setUp()
+        self.engines.start("v1", count=2)
+
+    def engine(self, position):
+        engine_id = list(self.engines.ids())[position]
+        return self.engines._engines[engine_id]
+
+    def restart_unseen(self, position):
+        """An engine starts again with v2, of which no VM reads."""
+        self.store.down = True
+        engine = self.engine(position)
+        engine.born = BORN_AGAIN
+        self.engines._versions[engine.id] = "v2"
+        return engine
+
+    def kill(self, engine_id):
+        """An engine ends; idle connections to it are closed when used."""
+        engine = self.engines._engines[engine_id]
+        engine.stop()
+        engine.born = None
+        engine.handler = endpoint_standin.ReceivedRequest.close_connection
+
+    def other_than(self, engine_id):
+        return next(
+            position
+            for position, id_ in enumerate(self.engines.ids())
+            if id_ != engine_id
+        )
+
+    def begin_and_restart_other(self, router):
+        """Begins a stream; the engine that did not run it is of v2 then."""
+        self.begin(router, "a0")
+        first_id = self.engines.runs["a0"][0]
+        self.restart_unseen(self.other_than(first_id))
+        self.kill(first_id)
+
+
+class ResumedByRouterTest(RestartedEndpointTestCase):
+    def configuration(self, version=1, **fields):
+        return super().configuration(version, maxAttempts=2, **fields)
+
+    # Guards against an answer that holds events of two versions: the engine at
+    # which it went on had started again, and its new entry had not been read.
+    def test_stream_is_cut_off_rather_than_resumed_at_another_process(self):
+        router = self.start_ready_node(self.configuration())
+        restarted = []
+
+        def run(req):
+            if not restarted:
+                first_id = req.headers["x-hornbeampier-expect-instance"]
+                restarted.append(self.restart_unseen(self.other_than(first_id)))
+            self.engines._run(req)
+
+        for position in range(2):
+            self.engine(position).handler = run
+        response = self.stream(router, "a0")
+        self.assertFalse(response.complete)
+        self.assertEqual(["v1"], self.engines.versions("a0"))
+        self.assertGreater(restarted[0].reports, 0)
+
+    # Guards against a probe of every request: only a stream that goes on needs
+    # the proof.
+    def test_engine_is_asked_only_where_a_stream_goes_on(self):
+        router = self.start_ready_node(self.configuration())
+        response = self.stream(router, "a0")
+        self.assertEqual(stream_versions.ALL_EVENTS, response.body)
+        first, second = self.engines.runs["a0"]
+        self.assertEqual(0, self.engines._engines[first].reports)
+        self.assertEqual(1, self.engines._engines[second].reports)
+
+    # Guards against a version that nothing proves: the engine does not answer
+    # the question as the protocol has it.
+    def test_stream_is_cut_off_if_the_engine_does_not_name_its_process(self):
+        router = self.start_ready_node(self.configuration())
+        bodies = (b"{}", b'{"born": "1"}', b'{"held": {"born": 1}}', b"[", b"")
+
+        def run(req):
+            if "GET /report " in f"{req.request_line}":
+                lines = (
+                    "HTTP/1.1 200 OK\r\n"
+                    f"Content-Length: {len(self.body)}\r\n\r\n"
+                )
+                req.send(lines.encode() + self.body)
+                return
+            self.engines._run(req)
+
+        for position in range(2):
+            self.engine(position).born = None
+            self.engine(position).handler = run
+        for number, self.body in enumerate(bodies):
+            response = self.stream(router, f"a{number}")
+            self.assertFalse(response.complete, self.body)
+            self.assertEqual(1, len(self.engines.runs[f"a{number}"]))
+
+
+class ResumedByCallerTest(RestartedEndpointTestCase):
+    # Guards against a stream that goes on at another version: the engine at
+    # which it was taken up had started again, and its entry had not been read.
+    def test_stream_is_refused_rather_than_taken_up_at_another_process(self):
+        router = self.start_ready_node(self.configuration())
+        self.begin_and_restart_other(router)
+        response = self.take_up(router, "b0", "a0")
+        self.assertEqual(503, response.status)
+        self.assertEqual(
+            "stream_origin_gone", json.loads(response.body)["error"]
+        )
+        self.assertIn("retry-after", response.headers)
+        self.assertEqual([], self.engines.runs["b0"])
+
+    # Guards against streams that are refused although an engine of their
+    # version is left beside the one that started again.
+    def test_stream_goes_on_at_an_engine_whose_process_is_proved(self):
+        self.engines.start("v1", count=1)
+        router = self.start_ready_node(self.configuration())
+        store_standin.wait_until(lambda: len(router.catalog.endpoints) == 3)
+        self.begin_and_restart_other(router)
+        for number in range(stream_versions.STREAMS):
+            response = self.take_up(router, f"b{number}", "a0")
+            self.assertEqual(200, response.status, response.body)
+            self.assertEqual(["v1"], self.engines.versions(f"b{number}"))
+
+    # An entry without a start time is one of a platform whose endpoints never
+    # start again under their ids.
+    def test_stream_goes_on_where_entries_do_not_name_processes(self):
+        for engine_id in self.engines.ids():
+            engine = self.engines._engines[engine_id]
+            record = nodes.endpoint_record(
+                nodes.ENGINE_SERVICE, engine.address, sequence=2
+            )
+            del record["born"]
+            self.store.put_endpoint(engine_id, record)
+            engine.born = None
+        router = self.start_ready_node(self.configuration())
+        self.begin(router, "a0")
+        self.engines._engines[self.engines.runs["a0"][0]].stop()
+        response = self.take_up(router, "b0", "a0")
+        self.assertEqual(200, response.status, response.body)
