Soak: endpoints that leave by their entry alone, or start again

Callers of the users' runs had a request sent to an endpoint that leaves (DRAIN). The soak could not have shown it: its endpoints announce in each response that they leave, before their entry says so, and end half a second after VMs are bound. A request that reaches one later than 2 s after the store accepted it, with VMs, links and store undisturbed for 3 s before both moments, is reported.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -37,9 +37,13 @@
         proxy: What VMs connect to.
         was_cut: Whether VMs may have missed what it announced.
         version: Version of its software.
+        departure: The check of what reaches it after its entry has gone.
+        is_departing: Whether it is about to end for good.
     """
 
-    def __init__(self, service, ledger, clock, rng, on_poison, version):
+    def __init__(
+        self, service, ledger, clock, rng, on_poison, version, departure
+    ):
         self.service = service
         self.version = version
         self._on_poison = on_poison
@@ -48,7 +52,10 @@
         self.announcing = announcing_endpoint.AnnouncingEndpoint(clock)
         self.faults = set()
         self.sequence = 0
+        self.born = 1
         self.state = "ready"
+        self.departure = departure
+        self.is_departing = False
         self._ledger = ledger
         self._rng = random.Random(rng.random())
         self._open = set()
@@ -67,13 +74,27 @@
             sequence=self.sequence,
             state=self.state,
             version=self.version,
+            born=self.born,
         )
 
     def stop(self):
-        """Ends the process; its connections are reset."""
-        self.spoil_open_requests()
+        """Ends the process for good."""
         self.proxy.stop()
         self._standin.stop()
+        self.end_process()
+
+    def start_again(self):
+        """Starts another process under the same id."""
+        self.sequence = 0
+        self.born += 1
+        self._standin.born = self.born
+        self.proxy.refuses = False
+
+    def end_process(self):
+        """Ends the process; its connections are reset."""
+        self.spoil_open_requests()
+        self.proxy.refuses = True
+        self.proxy.reset()
         for req in self._standin.received:
             with contextlib.suppress(OSError):
                 req.close_connection()
@@ -106,6 +127,7 @@
             self._on_poison(self, prefix.partition(":")[0], vm)
             return
         self.announcing.arrive(vm)
+        self.departure.arrive(vm, self.proxy.delay_s * 1_000.0)
         headers = [f"{k}: {v}" for k, v in self.announcing.announce(req.id)]
         if self.announcing.wait_s is not None:
             headers.append("X-Hornbeampier-Not-Executed: 1")
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -34,6 +34,9 @@
     STORE_RESET = "store_reset"
     STORE_CUT = "store_cut"
     RELEASE = "release"
+    DRAIN = "drain"
+    VANISH = "vanish"
+    REBIRTH = "rebirth"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -70,6 +73,9 @@
 }
 # New software versions of the engines; drawn only if asked for.
 VERSION_WEIGHTS = {Kind.RELEASE: 8}
+# Endpoints that leave by their entry alone, or start again; drawn only if asked
+# for.
+DEPARTURE_WEIGHTS = {Kind.DRAIN: 5, Kind.VANISH: 5, Kind.REBIRTH: 8}
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 # A series repeats one fault on the same thing.
@@ -93,7 +99,7 @@
     duration_s: float
 
 
-def draw(seed, count, length_s, network=True, versions=False):
+def draw(seed, count, length_s, network=True, versions=False, departures=False):
     """Returns the events of a soak, in order of time.
 
     Args:
@@ -102,10 +108,12 @@
         length_s: Time in which they begin.
         network: Whether the faults of `NETWORK_WEIGHTS` are among them.
         versions: Whether those of `VERSION_WEIGHTS` are among them.
+        departures: Whether those of `DEPARTURE_WEIGHTS` are among them.
     """
     rng = random.Random(seed)
     weights = {**WEIGHTS, **(NETWORK_WEIGHTS if network else {})}
     weights.update(VERSION_WEIGHTS if versions else {})
+    weights.update(DEPARTURE_WEIGHTS if departures else {})
     kinds = rng.choices(list(weights), list(weights.values()), k=count)
     events = []
     for kind in kinds:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 from tests import nodes
 from tests import store_standin
 from tests.soak import callers
+from tests.soak import departures
 from tests.soak import endpoints
 from tests.soak import network_faults
 from tests.soak import poison
@@ -49,6 +50,7 @@
     network_faults.NetworkFaults,
     network_faults.ResponseFaults,
     releases.Releases,
+    departures.Departures,
 ):
     """One soak.
 
@@ -72,6 +74,7 @@
         self._revoked_count = 0
         self._revoked_ms = None
         self._disturbed_ms = self.clock.now()
+        self._calm = departures.Calm(self.clock)
         self._endpoints = []
         self._left = []
         hosts = [f"{host_prefix}.{number + 1}" for number in range(vms)]
@@ -121,7 +124,7 @@
         for event in events:
             wait_ms = start_ms + event.at_s * 1_000.0 - self.clock.now()
             gevent.sleep(max(0.0, wait_ms / 1_000.0))
-            faults.append(gevent.spawn(self._apply, event))
+            faults.append(gevent.spawn(self._calm.run, event, self._apply))
         gevent.joinall(faults, raise_error=True)
         self.is_over = True
         gevent.joinall(calls, raise_error=True)
@@ -140,6 +143,7 @@
         """Returns a line for each broken promise."""
         lines = self.ledger.problems()
         lines += self._poison.problems(self.ledger.disturbed)
+        lines += self._late_requests()
         reaction_ms = announcing_endpoint.REACTION_MS + self.lag_ms
         reaction_ms += network_faults.MAX_DELAY_S * clocks.MS_PER_SECOND
         for endpoint in self._endpoints + self._left:
@@ -213,6 +217,7 @@
             self._rng,
             self._crash_by_poison,
             version,
+            departures.Departure(self._calm, self.clock),
         )
         self._endpoints.append(endpoint)
         self.store.put_endpoint(endpoint.id, endpoint.entry())
