Soak: mark responses that were still in the proxy when it reset

Cause: an endpoint whose connections are reset marks the requests that are still running, but one that has just ended was marked only while the proxy delays bytes. Its last bytes may be in the proxy without a delay, too, or after a delay has been switched off.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import enum
+import math
 import struct
 
 import gevent
 from gevent import server
 from gevent import socket
 
+from hornbeampier import clock as clocks
 from tests import nodes
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -26,15 +28,18 @@
 
     Attributes:
         delay_s: Time by which each block of bytes is held up.
+        delayed_ms: When a block was last held up, on the monotonic clock.
         cut: Directions in which all bytes are lost.
         refuses: Whether new connections are reset.
     """
 
     def __init__(self, target):
         self.delay_s = 0.0
+        self.delayed_ms = -math.inf
         self.cut = set()
         self.refuses = False
         self._target = target
+        self._clock = clocks.SystemClock()
         self._socks = set()
         self._server = server.StreamServer((nodes.HOST, 0), self._serve)
         self._server.start()
@@ -82,6 +87,7 @@
             while data := source.recv(BLOCK_BYTES):
                 if self.delay_s:
                     gevent.sleep(self.delay_s)
+                    self.delayed_ms = self._clock.now()
                 if direction not in self.cut:
                     sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
