Soak: an endpoint that started again writes its entry late

A restarted endpoint's new entry came with the heartbeat of the soak, within a second, so a VM that took the new entry for the end of an announcement could not send a request more than 2 s after it.

--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -105,24 +105,26 @@
             self._end_departure(endpoint)
 
     def _rebirth(self, event):
-        """An endpoint starts again under its id, and then leaves at once.
+        """An endpoint starts again under its id, and may then leave at once.
 
         Until its new entry is written, its responses alone say that it leaves.
         """
         endpoint = self._endpoint(event)
         if endpoint.is_departing or endpoint.announcing.leaving:
             return
+        endpoint.writes_entries = False
         endpoint.end_process()
         gevent.sleep(RESTART_S)
         endpoint.start_again()
         if event.target % 2:
-            self.store.put_endpoint(endpoint.id, endpoint.entry())
-            return
-        self._add_endpoint(endpoint.service, endpoint.version)
-        endpoint.is_departing = endpoint.announcing.leaving = True
-        gevent.sleep(event.duration_s / 4.0)
+            self._add_endpoint(endpoint.service, endpoint.version)
+            endpoint.is_departing = endpoint.announcing.leaving = True
+        gevent.sleep(event.duration_s)
         self.store.put_endpoint(endpoint.id, endpoint.entry())
-        gevent.sleep(DRAIN_MS / 1_000.0 + event.duration_s)
+        endpoint.writes_entries = True
+        if not endpoint.is_departing:
+            return
+        gevent.sleep(DRAIN_MS / 1_000.0)
         endpoint.state = "draining"
         self.store.put_endpoint(endpoint.id, endpoint.entry())
         self._end_departure(endpoint)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -41,6 +41,7 @@
         version: Version of its software.
         departure: The check of what reaches it after its entry has gone.
         is_departing: Whether it is about to end for good.
+        writes_entries: Whether it writes its entry at each heartbeat.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.state = "ready"
         self.departure = departure
         self.is_departing = False
+        self.writes_entries = True
         self._ledger = ledger
         self._rng = random.Random(rng.random())
         self._open = set()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -228,7 +228,8 @@
             gevent.sleep(HEARTBEAT_S)
             if not self.store.down:
                 for endpoint in self._endpoints:
-                    self.store.put_endpoint(endpoint.id, endpoint.entry())
+                    if endpoint.writes_entries:
+                        self.store.put_endpoint(endpoint.id, endpoint.entry())
 
     def _probe_vms(self):
         while True:
