Endpoint entries are bounded where they are decoded

What callers saw: one odd entry of another writer among those of a service ended their connections without a response. Two faults had not been seen before: - A sequence of 400 digits under the id of a sound endpoint ended the task that follows the list of endpoints (OverflowError while the log of registrations was summed up): a VM that started never became ready. - A start time of 400 digits does not fit a datagram. Once the endpoint had announced anything, the gossip task ended and the VM was cut off from its peers for good.

Cause: entries became typed values without bounds, and each user of a value had to cope with what the writer had put there.

Change: platform/fields.py has the types and bounds of such fields, and the decoder applies them: an IP literal and a port from 1 to 65,535, counts that fit 64 bits, 1 to 1,000,000 slots, times up to 1e12 ms, texts that have an encoding, ids that can be sent as a header. Anything else is an unreadable entry. A warm-up below 0 counts as 0.

--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -6,7 +6,7 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
-from hornbeampier.platform import settings
+from hornbeampier.platform import fields
 from hornbeampier.routing import domain
 
 _SEMANTICS_BY_KIND = {
@@ -107,13 +107,13 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: fields.Slots
     state: Literal["ready", "draining"]
-    cold_left_ms: float
-    sequence: int
-    born: int = 0
+    cold_left_ms: fields.Ms
+    sequence: fields.Count
+    born: fields.Count = 0
     spot: bool = False
-    leaves: float | None = msgspec.field(default=None, name="leaves_ms")
+    leaves: fields.Ms | None = msgspec.field(default=None, name="leaves_ms")
 
 
 _version_decoder = msgspec.json.Decoder(_Version)
@@ -159,8 +159,10 @@
         errors.PlatformError: The record is malformed.
     """
     try:
+        fields.check_id(endpoint_id)
         record = _endpoint_decoder.decode(value)
-        address = settings.parse_address(record.address)
+        fields.check_text(record, value)
+        address = fields.decode_address(record.address)
     except _DECODE_ERRORS as exc:
         raise errors.PlatformError(f"malformed endpoint record: {exc}") from exc
     return domain.Endpoint(
@@ -171,7 +173,7 @@
         availability_zone=record.zone,
         slots=record.slots,
         leaving=record.state == "draining",
-        warmup_ms=record.cold_left_ms,
+        warmup_ms=max(0.0, record.cold_left_ms),
         started_ms=record.born,
         software_version=record.version,
         sequence=record.sequence,
