Keep that an endpoint leaves until a health check says otherwise

Callers' requests reached an endpoint that had said that it was leaving (DRAIN). Whether this is what the users saw is not known: no logs. Cause: a response does not name the process that sent it. An announcement was kept under the process that the entry named, here and at peers. An endpoint that had started again under its id, and announced that it leaves before its new entry was read, was noted under the process before; the new entry then made it eligible again. Change: leaving is kept by id. A new process of the id gets requests only after a health check, sent later than the announcement, got 200 with its id and without Server-Leaving. VMs take turns and gossip the result; notices carry their ages, so a late one does not bring a void announcement back. Datagrams of earlier versions stay readable both ways. Tests: test_restarted_endpoint_serves_again claimed that a new entry alone makes the endpoint eligible, which is the fault. In its place, one test shows that it does not, and one that a health check does. The bound on kept processes is checked for both stores.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -11,6 +11,7 @@
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import context
+from hornbeampier.forwarding import departure_checks
 from hornbeampier.forwarding import forwarder
 from hornbeampier.ingress import admission
 from hornbeampier.ingress import caller_handler
@@ -231,6 +232,11 @@
             usage=self._duties.usage,
         )
         self._forwarder = forwarder.Forwarder(self._context)
+        self.app.add(
+            departure_checks.DepartureChecks(
+                self._context, self._fleet, cfg.host, self._peer_hosts
+            )
+        )
         if cfg.control is not None and not cfg.bootstrap:
             self.app.add(
                 cache_survey.CacheSurvey(
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -71,6 +71,10 @@
         limit_per_s: Requests per second from all VMs together, or None if it
             names no limit any more.
         limit_age_ms: Age of what is known of the limit; None if nothing is.
+        leaving_age_ms: Time since it announced that it leaves; None if it did
+            not, and from VMs of earlier versions.
+        serving_age_ms: Time since a health check was sent that showed that it
+            does not leave; None if none did.
     """
 
     endpoint: str
@@ -78,6 +82,8 @@
     leaving: bool
     limit_per_s: float | None
     limit_age_ms: int | None
+    leaving_age_ms: int | None = None
+    serving_age_ms: int | None = None
 
 
 class Scope(enum.IntEnum):
@@ -216,14 +222,19 @@
 
 def _check_notices(notices: tuple[EndpointNotice, ...]) -> None:
     for notice in notices:
-        limit_per_s, age_ms = notice.limit_per_s, notice.limit_age_ms
+        limit_per_s = notice.limit_per_s
+        ages_ms = (
+            notice.limit_age_ms,
+            notice.leaving_age_ms,
+            notice.serving_age_ms,
+        )
         if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
             raise errors.PeerError(
                 f"invalid gossip datagram: limit {limit_per_s} is out of range"
             )
-        if age_ms is not None and age_ms < 0:
+        if any(age_ms is not None and age_ms < 0 for age_ms in ages_ms):
             raise errors.PeerError(
-                f"invalid gossip datagram: age {age_ms} is negative"
+                "invalid gossip datagram: the age of a notice is negative"
             )
 
 
--- a/hornbeampier/routing/announcements.py
+++ b/hornbeampier/routing/announcements.py
@@ -1,7 +1,8 @@
 """What endpoints announce about themselves in their responses.
 
-Announcements are kept for each process of an endpoint: a restart voids them,
-and a new entry in the store does not.
+Limits and waits are kept for each process of an endpoint: a restart voids them,
+and a new entry in the store does not. That an endpoint leaves is kept by its
+id, see `departures`.
 """
 
 from collections.abc import Callable
@@ -13,13 +14,14 @@
 import structlog
 
 from hornbeampier import clock as clocks
+from hornbeampier.routing import departures
 from hornbeampier.routing import domain
 from hornbeampier.routing import endpoint_limit
 from hornbeampier.routing import endpoint_wait
 
 # How long announcements are kept after the process was last known.
 RETENTION_MS = 120_000.0
-# Maximum number of processes whose announcements are kept.
+# Maximum number of processes, and of ids, whose announcements are kept.
 MAX_PROCESSES = 5_000
 # News are gossiped for this time.
 GOSSIP_MS = 5_000.0
@@ -69,12 +71,12 @@
 
     Attributes:
         limit: The newest observation of its limit, or None if there is none.
-        leaving: Whether it announced that it leaves.
+        departure: Whether it leaves, or None if there is no news of this.
     """
 
     process_id: domain.ProcessId
-    limit: endpoint_limit.LimitObservation | None
-    leaving: bool
+    limit: endpoint_limit.LimitObservation | None = None
+    departure: departures.DepartureNotice | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,13 +85,11 @@
 
     Attributes:
         known_ms: When it was last in the catalog or first heard of.
-        leaving_ms: When this VM learned that it leaves, or None.
     """
 
     known_ms: float
     limit: endpoint_limit.EndpointLimit | None = None
     wait: endpoint_wait.EndpointWait | None = None
-    leaving_ms: float | None = None
 
     @property
     def is_limited(self) -> bool:
@@ -116,6 +116,7 @@
         self._clock = clock
         self._rng = rng
         self._processes: dict[domain.ProcessId, _Process] = {}
+        self._departures = departures.Departures(clock)
         self.endpoint_ids: set[str] = set()
         self._log = structlog.get_logger(task="announcements")
 
@@ -152,7 +153,9 @@
                 if is_limited
                 else AnnouncementKind.LIMIT_END
             )
-        if announcement.leaving and self._record_leaving(process_id):
+        if announcement.leaving and self._record_leaving(
+            process_id, self._clock.now()
+        ):
             kinds.append(AnnouncementKind.LEAVING)
         if self._record_wait(process_id, announcement.wait_ms, sent_ms):
             kinds.append(AnnouncementKind.WAIT)
@@ -177,8 +180,9 @@
         changed = False
         if notice.limit is not None:
             changed = self._observe_limit(notice.process_id, notice.limit)
-        if notice.leaving:
-            changed |= self._record_leaving(notice.process_id)
+        departure = notice.departure
+        if departure is not None:
+            changed |= self._record_departure(departure)
         if changed:
             limit = notice.limit
             self._log.info(
@@ -186,13 +190,28 @@
                 endpoint=notice.process_id[0],
                 limit_per_s=limit and limit.limit_per_s,
                 age_ms=limit and round(self._clock.now() - limit.known_ms),
-                leaving=notice.leaving,
+                leaving=departure and departure.is_leaving,
             )
 
+    def record_serving(
+        self, endpoint: domain.Endpoint, asked_ms: float
+    ) -> None:
+        """Records that a health check showed that an endpoint does not leave.
+
+        Args:
+            endpoint: The endpoint.
+            asked_ms: When the health check was sent.
+        """
+        if self._departures.record_serving(endpoint.process_id, asked_ms):
+            self._log.info("endpoint_returned", endpoint=endpoint.id)
+
     def is_leaving(self, endpoint: domain.Endpoint) -> bool:
         """Whether the endpoint announced that it leaves."""
-        process = self._processes.get(endpoint.process_id)
-        return process is not None and process.leaving_ms is not None
+        return self._departures.is_leaving(endpoint.id)
+
+    def is_in_doubt(self, endpoint: domain.Endpoint) -> bool:
+        """Whether only a health check tells whether the endpoint leaves."""
+        return self._departures.is_in_doubt(endpoint)
 
     def is_limited(self, endpoint: domain.Endpoint) -> bool:
         """Whether the endpoint names a limit."""
@@ -201,11 +220,11 @@
 
     def describe(self, endpoint: domain.Endpoint) -> str | None:
         """Returns why the endpoint may not get a request now, or None."""
+        if self.is_leaving(endpoint):
+            return "leaving"
         process = self._processes.get(endpoint.process_id)
         if process is None:
             return None
-        if process.leaving_ms is not None:
-            return "leaving"
         if process.wait is not None and process.wait.opens_in_ms():
             return "wait"
         if process.limit is not None and process.limit.opens_in_ms():
@@ -224,10 +243,12 @@
 
     def take(self, endpoint: domain.Endpoint) -> bool:
         """Accounts for a request; returns False if it may not be sent."""
+        if self.is_leaving(endpoint):
+            return False
         process = self._processes.get(endpoint.process_id)
         if process is None:
             return True
-        if process.leaving_ms is not None or self.opens_in_ms(endpoint) > 0.0:
+        if self.opens_in_ms(endpoint) > 0.0:
             return False
         if process.limit is not None:
             process.limit.take()
@@ -241,12 +262,10 @@
         notices = []
         for process_id, process in self._processes.items():
             limit = process.limit.observation if process.limit else None
-            if limit is not None and limit.known_ms < oldest_ms:
-                limit = None
-            leaving_ms = process.leaving_ms
-            leaving = leaving_ms is not None and leaving_ms >= oldest_ms
-            if limit is not None or leaving:
-                notices.append(Notice(process_id, limit, leaving))
+            if limit is not None and limit.known_ms >= oldest_ms:
+                notices.append(Notice(process_id, limit=limit))
+        for departure in self._departures.news(oldest_ms):
+            notices.append(Notice(departure.process_id, departure=departure))
         return notices[-MAX_GOSSIPED:]
 
     def expire(self, known: Collection[domain.ProcessId]) -> None:
@@ -262,8 +281,12 @@
         ]
         for process_id in expired:
             del self._processes[process_id]
-        if expired:
+        has_changed = self._departures.expire(
+            {id_ for id_, _ in known}, now_ms - RETENTION_MS
+        )
+        if expired or has_changed:
             self.endpoint_ids = {id_ for id_, _ in self._processes}
+            self.endpoint_ids.update(self._departures.ids())
 
     def _observe_limit(
         self,
@@ -285,13 +308,21 @@
         )
         return True
 
-    def _record_leaving(self, process_id: domain.ProcessId) -> bool:
+    def _record_leaving(
+        self, process_id: domain.ProcessId, announced_ms: float
+    ) -> bool:
         """Returns whether it was not known that the process leaves."""
-        process = self._processes.get(process_id) or self._add(process_id)
-        if process.leaving_ms is not None:
-            return False
-        process.leaving_ms = self._clock.now()
-        return True
+        endpoint_id, _ = process_id
+        if len(self._departures) >= MAX_PROCESSES:
+            self._departures.make_room(endpoint_id)
+        self.endpoint_ids.add(endpoint_id)
+        return self._departures.record_leaving(process_id, announced_ms)
+
+    def _record_departure(self, notice: departures.DepartureNotice) -> bool:
+        """Returns whether a peer's notice was news."""
+        if notice.is_leaving:
+            return self._record_leaving(notice.process_id, notice.known_ms)
+        return self._departures.record_peer_check(notice)
 
     def _record_wait(
         self,
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -268,6 +268,18 @@
             and self._announcements.is_limited(state.endpoint)
         ]
 
+    def in_doubt(self) -> list[domain.Endpoint]:
+        """Returns endpoints of which a health check tells whether they leave.
+
+        Until then they get no requests.
+        """
+        return [
+            state.endpoint
+            for id_ in self._announcements.endpoint_ids
+            if (state := self._states.get(id_))
+            and self._announcements.is_in_doubt(state.endpoint)
+        ]
+
     def withheld(self, service: str) -> dict[str, str]:
         """Returns why endpoints get no requests because of announcements.
 
