Close an endpoint's idle connections in the tests of its restart

An idle connection to the engine that had ended stayed open, so that on the code before a stream that was taken up could fail there (502) instead of going on at the restarted engine. The test compares the same status and runs as before.

--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -5,6 +5,7 @@
 
 import gevent
 from gevent import server
+from gevent import socket
 
 HOST = "127.0.0.1"
 SEAL = "X-Hornbeampier-Server-Seal: seal"
@@ -83,6 +84,7 @@
         self.born = born
         self.reports = 0
         self.received = []
+        self._socks = set()
         self._server = server.StreamServer((HOST, 0), self._serve)
         self._server.start()
 
@@ -93,7 +95,21 @@
     def stop(self):
         self._server.stop(timeout=0)
 
+    def kill(self):
+        """Ends the process: its connections close, idle ones too."""
+        self.stop()
+        for sock in list(self._socks):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def _serve(self, sock, _):
+        self._socks.add(sock)
+        try:
+            self._serve_requests(sock)
+        finally:
+            self._socks.discard(sock)
+
+    def _serve_requests(self, sock):
         buffer = b""
         with contextlib.suppress(OSError):
             while True:
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -2,7 +2,6 @@
 
 import json
 
-from tests import endpoint_standin
 from tests import nodes
 from tests import store_standin
 from tests import test_stream_versions as stream_versions
@@ -30,13 +29,6 @@
         self.engines._versions[engine.id] = "v2"
         return engine
 
-    def kill(self, engine_id):
-        """An engine ends; idle connections to it are closed when used."""
-        engine = self.engines._engines[engine_id]
-        engine.stop()
-        engine.born = None
-        engine.handler = endpoint_standin.ReceivedRequest.close_connection
-
     def other_than(self, engine_id):
         return next(
             position
@@ -49,7 +41,7 @@
         self.begin(router, "a0")
         first_id = self.engines.runs["a0"][0]
         self.restart_unseen(self.other_than(first_id))
-        self.kill(first_id)
+        self.engines._engines[first_id].kill()
 
 
 class ResumedByRouterTest(RestartedEndpointTestCase):
@@ -149,6 +141,6 @@
             engine.born = None
         router = self.start_ready_node(self.configuration())
         self.begin(router, "a0")
-        self.engines._engines[self.engines.runs["a0"][0]].stop()
+        self.engines._engines[self.engines.runs["a0"][0]].kill()
         response = self.take_up(router, "b0", "a0")
         self.assertEqual(200, response.status, response.body)
