Ask before sending whether the entry still allows a request

Callers' requests reached endpoints whose entries said by then that they leave, or were removed (DRAIN), or belong to another service (ROUTE). Cause: a request may wait up to 400 ms for its connection, and the process may be paused meanwhile. EndpointAttempt asked again only for announcements. Change: the state of an endpoint tells whether the catalog still has it, and an attempt asks it last, as it asks for announcements. The request then goes to another endpoint; nothing was sent, so it does not count as an attempt.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -100,7 +100,7 @@
             longer answered, and not because it closed the connection.
         unsent: Whether no byte of the request was sent to the endpoint.
         withheld: Whether it was not sent, though the endpoint could be reached:
-            the endpoint wants fewer requests, or the deadline has passed.
+            it has left or wants fewer requests, or the deadline has passed.
     """
 
     def __init__(
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -81,7 +81,7 @@
         """
         self._deadline_ms = req.deadline_ms
         self._connect(req.id)
-        self._check_announcements()
+        self._check_permission(req)
         sent_ms = self._clock.now()
         remaining_ms = req.deadline_ms - sent_ms
         if remaining_ms <= 0.0:
@@ -186,14 +186,12 @@
                 unsent=True,
             ) from exc
 
-    def _check_announcements(self) -> None:
+    def _check_permission(self, req: requests.Request) -> None:
         """Asks for permission last, as connecting may have taken a while."""
+        if not self._state.serves(req.service):
+            raise _withheld("the endpoint has left or is leaving")
         if not self._announcements.take(self._state.endpoint):
-            raise errors.AttemptError(
-                "the endpoint wants fewer requests",
-                verdict.Verdict.NOT_RUN,
-                withheld=True,
-            )
+            raise _withheld("the endpoint wants fewer requests")
 
     def _lost_response(self, exc: Exception) -> errors.AttemptError:
         # A TimeoutError with an errno comes from TCP keep-alive: the endpoint
@@ -209,3 +207,7 @@
             timed_out=timed_out,
             silent=silent,
         )
+
+
+def _withheld(reason: str) -> errors.AttemptError:
+    return errors.AttemptError(reason, verdict.Verdict.NOT_RUN, withheld=True)
--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -47,6 +47,7 @@
         failed_ms: When the last failure was seen.
         ejected_until_ms: Until when the endpoint gets no requests.
         event_ms: When it last completed an event of a stream of this VM.
+        is_known: Whether the catalog has this incarnation.
     """
 
     endpoint: domain.Endpoint
@@ -61,12 +62,22 @@
     failed_ms: float = -math.inf
     ejected_until_ms: float = 0.0
     event_ms: float = 0.0
+    is_known: bool = True
 
     @property
     def id(self) -> str:
         """The endpoint's id."""
         return self.endpoint.id
 
+    def serves(self, service: str) -> bool:
+        """Whether its entry allows it to get requests for a service now."""
+        endpoint = self.endpoint
+        return (
+            self.is_known
+            and not endpoint.leaving
+            and endpoint.service == service
+        )
+
     def is_eligible(self, now_ms: float) -> bool:
         """Whether it may get requests: neither leaving nor ejected."""
         return not self.endpoint.leaving and now_ms >= self.ejected_until_ms
@@ -174,6 +185,8 @@
             else:
                 state = self._new_state(endpoint, state)
             states[endpoint.id] = state
+        for state in self._states.values():
+            state.is_known = states.get(state.id) is state
         self._states = states
         self._by_service = {}
         for state in states.values():
--- a/tests/test_endpoint_leaving.py
+++ b/tests/test_endpoint_leaving.py
@@ -1,8 +1,9 @@
-"""Endpoints that announce in their responses that they leave."""
+"""Endpoints that leave, by a response or by their entries."""
 
 import gevent
 
 from tests import announcing_endpoint
+from tests import endpoint_standin
 from tests import nodes
 from tests import store_standin
 
@@ -86,3 +87,80 @@
         response = self.call(router, "POST", "/stream/x", body=b"x")
         self.assertTrue(response.complete)
         self.assertEqual(5, response.body.count(b"data:"))
+
+
+class ChangedEntryTest(nodes.NodeTestCase):
+    """Entries that change while a request connects to the endpoint."""
+
+    def call_while_entry_changes(self, change):
+        """Changes the entry of the first endpoint that a call connects to.
+
+        Args:
+            change: Called with the endpoint; returns its new entry.
+
+        Returns:
+            The endpoint and the response.
+        """
+        endpoints = {}
+        for _ in range(2):
+            endpoint = self.start_endpoint(
+                nodes.PLAIN_SERVICE, endpoint_standin.ReceivedRequest.respond
+            )
+            endpoints[endpoint.id] = endpoint
+        router = self.start_ready_node()
+        store_standin.wait_until(lambda: len(router.catalog.endpoints) == 2)
+        pool = router._connection_pool
+        acquire = pool.acquire
+        changed = []
+
+        def slow_acquire(endpoint, request_id):
+            if not changed:
+                changed.append(endpoints[endpoint.id])
+                self.store.put_endpoint(endpoint.id, change(endpoint))
+                known = router.catalog.endpoints
+                store_standin.wait_until(
+                    lambda: known.get(endpoint.id) != endpoint
+                )
+            return acquire(endpoint, request_id)
+
+        self.patch(pool, "acquire", slow_acquire)
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        return changed[0], response
+
+    def check_sent_elsewhere(self, change):
+        endpoint, response = self.call_while_entry_changes(change)
+        self.assertEqual([], endpoint.received)
+        self.assertEqual(200, response.status)
+
+    def entry(self, endpoint, **fields):
+        return nodes.endpoint_record(
+            nodes.PLAIN_SERVICE, f"{endpoint.host}:{endpoint.port}", **fields
+        )
+
+    # Guards against DRAIN: a request being sent to an endpoint whose entry
+    # said by then that it leaves, as only announcements were asked again.
+    def test_endpoint_that_leaves_meanwhile_gets_nothing(self):
+        self.check_sent_elsewhere(
+            lambda endpoint: self.entry(endpoint, state="draining")
+        )
+
+    # Guards against DRAIN: the same if its entry was removed.
+    def test_endpoint_that_is_removed_meanwhile_gets_nothing(self):
+        self.check_sent_elsewhere(lambda endpoint: None)
+
+    # Guards against ROUTE: the same if another service has the id now.
+    def test_endpoint_that_moved_meanwhile_gets_nothing(self):
+        self.check_sent_elsewhere(
+            lambda endpoint: nodes.endpoint_record(
+                nodes.ENGINE_SERVICE,
+                f"{endpoint.host}:{endpoint.port}",
+                sequence=2,
+            )
+        )
+
+    def test_heartbeat_changes_nothing(self):
+        endpoint, response = self.call_while_entry_changes(
+            lambda endpoint: self.entry(endpoint, slots=9, sequence=2)
+        )
+        self.assertEqual(1, len(endpoint.received))
+        self.assertEqual(200, response.status)
