Leave engines out of the cache survey that were removed meanwhile

A VM that restarts queries engines one after another, which may take a second each. Cause: it went on with the endpoints that it knew at its start; an engine whose entry was removed since was still queried, at an address that another endpoint may have. Such queries are no requests of callers. Change: the survey asks whether the entry still stands, before each query and once more after it has connected.

--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -67,8 +67,9 @@
                 self._query(state)
 
     def _is_serving_engine(self, state: fleet.EndpointState) -> bool:
-        traits = self._catalog.engine_traits(state.endpoint.service)
-        return traits is not None and not state.endpoint.leaving
+        service = state.endpoint.service
+        traits = self._catalog.engine_traits(service)
+        return traits is not None and state.serves(service)
 
     def _is_in_shard(
         self, state: fleet.EndpointState, hosts: list[str]
@@ -94,6 +95,9 @@
         deadline_ms = self._clock.now() + CALL_TIMEOUT_MS
         conn = self._connection_pool.acquire(state.endpoint, request_id="")
         try:
+            # Connecting may have taken a while.
+            if not self._is_serving_engine(state):
+                raise errors.PlatformError("the engine has left or is leaving")
             if not self._announcements.take(state.endpoint):
                 raise errors.PlatformError("the engine wants fewer requests")
             sent_ms = self._clock.now()
--- a/tests/test_cache_survey.py
+++ b/tests/test_cache_survey.py
@@ -2,6 +2,7 @@
 
 import json
 
+import gevent
 import testtools
 
 from hornbeampier import clock as clocks
@@ -76,6 +77,46 @@
             lambda: router._announcements.is_leaving(endpoint)
         )
 
+    def check_second_engine_gets_nothing(self, make_entry):
+        """Changes the second engine's entry while the first one is queried."""
+        engines = []
+
+        def handler(req):
+            req.headers["x-hornbeampier-attempt-id"] = ""
+            others = [e for e in engines if req not in e.received]
+            if not any(e.received for e in others):
+                self.change_entry(others[0], make_entry(others[0]))
+            req.respond(json.dumps(CACHE_LIST).encode())
+
+        for _ in range(2):
+            engines.append(self.start_endpoint(nodes.ENGINE_SERVICE, handler))
+        control = nodes.free_port()
+        self.router = self.start_ready_node(
+            control=nodes.settings.Address(nodes.HOST, control),
+            bootstrap=False,
+        )
+        store_standin.wait_until(lambda: any(e.received for e in engines))
+        gevent.sleep(0.5)
+        self.assertEqual([0, 1], sorted(len(e.received) for e in engines))
+
+    def change_entry(self, engine, record):
+        known = self.router.catalog.endpoints
+        previous = known[engine.id]
+        self.store.put_endpoint(engine.id, record)
+        store_standin.wait_until(lambda: known.get(engine.id) != previous)
+
+    def test_engine_that_leaves_meanwhile_is_not_queried(self):
+        self.check_second_engine_gets_nothing(
+            lambda engine: nodes.endpoint_record(
+                nodes.ENGINE_SERVICE, engine.address, state="draining"
+            )
+        )
+
+    # Guards against queries to an engine whose entry was removed during the
+    # survey: another endpoint may have its address.
+    def test_engine_that_is_removed_meanwhile_is_not_queried(self):
+        self.check_second_engine_gets_nothing(lambda engine: None)
+
     def test_unreadable_list_is_ignored(self):
         def handler(req):
             req.headers["x-hornbeampier-attempt-id"] = ""
