An unexpected error ends a request with an honest response

What callers saw: whatever raised an error that nobody expected, such as an odd entry, reset their connection. That promises nothing, so not even a request that had not been sent could be sent again.

Change: the forwarder ends such a request by what is known of it: 503 `internal` with Retry-After if no attempt was sent, 502 if one was, or an earlier one may have run. A response that has begun is cut off as before, and never looks complete; one that was complete stands, and its connection goes on. The handler does the same for errors outside the forwarder; a refusal that cannot be logged keeps its status. The log line `internal_error` has the request's id, the verdict and the exception. If a response cannot be composed, another state machine writes the refusal, as h11 refuses to go on. A request that was sent counts as run for usage.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 
 from hornbeampier import errors
 from hornbeampier import verdict
+from hornbeampier.forwarding import choice_log
 from hornbeampier.forwarding import context as contexts
 from hornbeampier.forwarding import crash_guard
 from hornbeampier.forwarding import endpoint_attempt
@@ -14,6 +15,7 @@
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import streams
+from hornbeampier.forwarding import unexpected_errors
 from hornbeampier.forwarding import version_guard
 from hornbeampier.http1 import server
 from hornbeampier.routing import domain
@@ -42,7 +44,8 @@
         """Forwards a request and sends the response to the caller.
 
         Raises:
-            errors.RefusalError: No endpoint gave a response to pass on.
+            errors.RefusalError: No endpoint gave a response to pass on, or
+                there was an unexpected error.
             streams.InterruptedStreamError: The response was interrupted after
                 the caller had received part of it.
         """
@@ -50,9 +53,14 @@
         if origin is not None:
             req = dataclasses.replace(req, service=origin.service)
         forwarding = _Forwarding(self._context, req, caller, origin)
-        forwarding.check_blocked()
-        self._context.budget.record_request(req.service)
-        forwarding.run()
+        try:
+            forwarding.check_blocked()
+            self._context.budget.record_request(req.service)
+            forwarding.run()
+        except (errors.RefusalError, streams.InterruptedStreamError):
+            raise
+        except Exception as exc:
+            forwarding.end_unexpected(exc)
 
 
 class _Forwarding:
@@ -102,6 +110,12 @@
                 self._record_failure(choice, exc)
                 self._check_retry(exc)
 
+    def end_unexpected(self, exc: Exception) -> None:
+        """Ends the request after an error that nobody expected."""
+        unexpected_errors.end(
+            exc, self._caller, self._verdict, self._relay.events, self._log
+        )
+
     def check_blocked(self) -> None:
         """Raises the refusal of a request that crashes endpoints."""
         if self._relay.events:
@@ -126,33 +140,16 @@
             raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
         # The request may have waited for its turn meanwhile.
         self.check_blocked()
-        self._log_choice(choice)
-        return choice
-
-    def _log_choice(self, choice: endpoint_choice.EndpointChoice) -> None:
-        prompt = self._req.prompt
-        resumed = self._req.resumed
-        loads_age_ms = self._context.peer_loads.age_ms()
-        self._log.info(
-            "routed",
-            endpoint=choice.state.id,
-            software=choice.state.endpoint.software_version,
-            route=self._req.route.name,
-            urgency=self._req.urgency,
+        choice_log.log_choice(
+            self._log,
+            self._context,
+            self._req,
+            choice,
             attempt=self._attempts + 1,
-            wait_ms=round(choice.wait_ms),
-            speed_factor=round(choice.speed_factor, 2),
-            prefill_tokens=round(choice.prefill_tokens),
-            fetch_from=choice.fetch_from and choice.fetch_from.id,
-            prompt_tokens=prompt.input_tokens if prompt else None,
-            in_flight=choice.state.in_flight,
-            withheld=self._selector.withheld() or None,
-            resumes=resumed and resumed.request_id,
-            after_event=self._relay.last_event_id
-            or (resumed and resumed.last_event_id),
-            version=self._context.catalog.version,
-            loads_age_ms=None if loads_age_ms is None else round(loads_age_ms),
+            withheld=self._selector.withheld(),
+            after_event=self._relay.last_event_id,
         )
+        return choice
 
     def _run_attempt(self, choice: endpoint_choice.EndpointChoice) -> None:
         in_flight_attempt = fleet.InFlightAttempt(
@@ -189,6 +186,15 @@
                 self._usage.record_run()
             in_flight_attempt.record_failure()
             raise
+        except Exception:
+            # Not expected: it is only known whether the request was sent.
+            if attempt.sent_ms is not None:
+                self._verdict = self._verdict.combine(
+                    verdict.Verdict.MAY_HAVE_RUN
+                )
+                self._usage.record_run()
+            in_flight_attempt.record_failure()
+            raise
         finally:
             self._usage.end()
             in_flight_attempt.end()
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -44,6 +44,8 @@
     Attributes:
         busy: Whether a request is in progress.
         close_after_response: Whether responses carry `Connection: close`.
+        response_begun: Whether any of the response has been written.
+        must_linger: Whether input may be unread when the connection is closed.
     """
 
     def __init__(
@@ -56,6 +58,8 @@
         )
         self.busy = False
         self.close_after_response = False
+        self.response_begun = False
+        self.must_linger = False
         self._shut_down = False
 
     def read_head(
@@ -74,6 +78,7 @@
             # A request that arrives after `close_idle` is not run.
             return None
         self.busy = True
+        self.response_begun = False
         event = self._next_event(self._clock.now() + header_timeout_ms)
         if not isinstance(event, h11.Request):
             return None
@@ -127,6 +132,7 @@
         data = self._send_head(status, headers)
         if body:
             data += self._http.send(h11.Data(data=body))
+        self.response_begun = True
         self._write(data)
 
     def write_body(self, data: bytes) -> None:
@@ -145,8 +151,28 @@
         if body:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
+        self.response_begun = True
         self._write(data)
 
+    def respond_after_error(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Writes a complete response after another could not be composed.
+
+        No request may follow on the connection. Nothing of another response
+        may have been written.
+        """
+        self._http = h11.Connection(h11.SERVER)
+        self.must_linger = True
+        self.close_after_response = True
+        self.respond(status, headers, body)
+
+    @property
+    def response_complete(self) -> bool:
+        """Whether all of the response has been written."""
+        state = self._http.our_state
+        return self.response_begun and state in (h11.DONE, h11.MUST_CLOSE)
+
     def prepare_next_request(self) -> bool:
         """Resets for the next request; returns False if none may follow."""
         if self._http.our_state is not h11.DONE:
--- a/hornbeampier/ingress/caller_handler.py
+++ b/hornbeampier/ingress/caller_handler.py
@@ -8,7 +8,9 @@
 from hornbeampier import errors
 from hornbeampier import node_metrics
 from hornbeampier.forwarding import forwarder
+from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import streams
+from hornbeampier.forwarding import unexpected_errors
 from hornbeampier.http1 import messages
 from hornbeampier.http1 import server
 from hornbeampier.ingress import admission
@@ -68,9 +70,7 @@
         self.open_requests += 1
         conn.close_after_response = self.draining
         try:
-            self._serve(conn, head, arrived_ms)
-        except errors.RefusalError as exc:
-            self._refuse(conn, head, exc)
+            self._respond(conn, head, arrived_ms)
         except streams.InterruptedStreamError as exc:
             self._log.warning(
                 "stream_broken", request_id=_request_id(head), error=str(exc)
@@ -84,10 +84,63 @@
                 after_ms=round(self._clock.now() - arrived_ms),
             )
             raise
+        except server.BadRequestError:
+            raise
+        except Exception as exc:
+            return self._end_unexpected(conn, head, exc)
         finally:
             self.open_requests -= 1
         return not self.draining
 
+    def _respond(
+        self,
+        conn: server.ServerConnection,
+        head: messages.RequestHead,
+        arrived_ms: float,
+    ) -> None:
+        try:
+            self._serve(conn, head, arrived_ms)
+        except errors.RefusalError as exc:
+            self._refuse(conn, head, exc)
+
+    def _end_unexpected(
+        self,
+        conn: server.ServerConnection,
+        head: messages.RequestHead,
+        exc: Exception,
+    ) -> bool:
+        """Tells the caller what is known of its request.
+
+        The forwarder ends its own unexpected errors, so a request that was not
+        refused with another verdict has not been sent.
+
+        Returns:
+            Whether another request may follow on `conn`.
+        """
+        refusal = exc.__context__
+        if not isinstance(refusal, errors.RefusalError):
+            refusal = errors.RefusalError(
+                503,
+                errors.RefusalCode.INTERNAL,
+                unexpected_errors.MESSAGE,
+                retry_after_ms=selection.RETRY_AFTER_MS,
+            )
+        self._log.error(
+            "internal_error",
+            request_id=_request_id(head),
+            status=refusal.status,
+            verdict=refusal.verdict.value,
+            complete=conn.response_complete,
+            exc_info=exc,
+        )
+        if conn.response_complete:
+            return not self.draining
+        if conn.response_begun:
+            conn.abort()
+            return False
+        conn.respond_after_error(*_refusal_response(refusal))
+        return False
+
     def _serve(
         self,
         conn: server.ServerConnection,
@@ -150,15 +203,22 @@
             path=head.path,
             version=self._catalog.version,
         )
-        body = json.dumps({"error": exc.code.value, "message": exc.message})
-        response_headers = [
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", b"%d" % len(body)),
-        ]
-        if exc.retry_after_ms is not None:
-            seconds = exc.retry_after_ms / clocks.MS_PER_SECOND
-            response_headers.append((b"Retry-After", b"%.3f" % seconds))
-        conn.respond(exc.status, response_headers, body.encode())
+        conn.respond(*_refusal_response(exc))
+
+
+def _refusal_response(
+    exc: errors.RefusalError,
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Returns status, headers and body of the response to a refused request."""
+    body = json.dumps({"error": exc.code.value, "message": exc.message})
+    response_headers = [
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", b"%d" % len(body)),
+    ]
+    if exc.retry_after_ms is not None:
+        seconds = exc.retry_after_ms / clocks.MS_PER_SECOND
+        response_headers.append((b"Retry-After", b"%.3f" % seconds))
+    return exc.status, response_headers, body.encode()
 
 
 def _request_id(head: messages.RequestHead) -> str:
--- a/hornbeampier/ingress/listener.py
+++ b/hornbeampier/ingress/listener.py
@@ -19,7 +19,7 @@
 
 BACKLOG = 1_024
 # How long input is still read and discarded after a request was refused as
-# malformed, too large or too slow.
+# malformed, too large or too slow, or after an unexpected error.
 LINGER_MS = 500.0
 # How long `stop` waits for the killed connection greenlets.
 STOP_TIMEOUT_MS = 200.0
@@ -114,6 +114,8 @@
         try:
             while self._serve_request(conn):
                 pass
+            if conn.must_linger:
+                self._linger(conn)
         except server.CallerGoneError:
             self._log.debug("connection_lost", peer=address[0])
         except Exception:
@@ -151,5 +153,8 @@
             [(b"Content-Length", b"0"), (b"Connection", b"close")],
             b"",
         )
+        self._linger(conn)
+
+    def _linger(self, conn: server.ServerConnection) -> None:
         with gevent.Timeout(LINGER_MS / clocks.MS_PER_SECOND, False):
             conn.linger()
