Read the store anew before one known version decides

Callers saw streams that had begun at a new software version go on at the one before (ORDER): during a release one VM was out of step for a few seconds, and streams that had begun through other VMs were taken up there.

Cause: a VM that had no record of a stream took its only known version for the origin as long as its last call to the store had not failed, or any peer replied. A call may hang for its whole wait, and a peer may be as far behind. That is knowledge from before the stream began, used as if it were of now. A moved route that has not been heard of has the same effect.

A VM now reads both topics from its own offsets to their ends, in calls that begin after the request has arrived, and applies what it finds; the VM that began the stream had read its endpoint's entry before, so it is there. Requests that wait share the next round. Without an answer of the store, in a later era or if the route has changed meanwhile, the stream is refused as not run, with Retry-After.

The tests of decisions without a network pass SingleVm where they passed a function that returned True: the VM there is alone, and it confirms at once.

--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -11,6 +11,7 @@
 from hornbeampier import errors
 from hornbeampier import node_metrics
 from hornbeampier.routing import domain
+from hornbeampier.routing import freshness as freshnesses
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import requests
 from hornbeampier.routing import stream_origins
@@ -27,7 +28,7 @@
         origins: stream_origins.StreamOrigins,
         history: origin_history.OriginHistory,
         directory: stream_origins.Directory,
-        in_touch: Callable[[], bool],
+        freshness: freshnesses.Freshness,
         is_learning: Callable[[], bool],
         metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
@@ -38,7 +39,8 @@
             origins: The streams that are recorded on this VM.
             history: Where streams may have begun.
             directory: The streams that are recorded on other VMs.
-            in_touch: Whether this VM hears of new endpoints at the moment.
+            freshness: Confirms that this VM knows all versions and routes that
+                any VM knew when a request arrived.
             is_learning: Whether this VM may soon learn which versions served
                 before it started.
             metrics: Counts the streams that are taken up.
@@ -47,7 +49,7 @@
         self._origins = origins
         self._history = history
         self._directory = directory
-        self._in_touch = in_touch
+        self._freshness = freshness
         self._is_learning = is_learning
         self._metrics = metrics
         self._clock = clock
@@ -118,19 +120,35 @@
             raise self._unknown("its caller does not name it", None)
         remaining_ms = req.caller_deadline_ms - self._clock.now()
         self._history.record_stream(remaining_ms)
-        result = self._directory.lookup(key, lambda: self._is_unambiguous(req))
+        confirmation = self._request_confirmation(req)
+        result = self._directory.lookup(
+            key,
+            lambda: confirmation.is_confirmed and self._is_unambiguous(req),
+        )
         if result.origin is not None:
             return result.origin, "peer"
-        is_in_touch = result.replies > 0 or self._in_touch()
-        if is_in_touch and self._is_unambiguous(req):
-            return next(iter(self._history.possible(req.route))), "one_version"
         reason = f"none of {result.replies} VMs that replied knows it"
-        if not (is_in_touch and result.is_complete):
+        if self._has_one_origin(req) and not (
+            confirmation.wait() and self._freshness.is_current(req.route)
+        ):
+            self._log.warning("origin_unconfirmed", request_id=req.id)
+            raise self._unknown(reason, RETRY_AFTER_MS, "unconfirmed")
+        if self._is_unambiguous(req):
+            return next(iter(self._history.possible(req.route))), "one_version"
+        if not result.is_complete:
             raise self._unknown(reason, RETRY_AFTER_MS)
         if not self._has_one_origin(req):
             raise self._unknown(reason, None)
         raise self._unproved(req, reason)
 
+    def _request_confirmation(
+        self, req: requests.Request
+    ) -> freshnesses.Confirmation:
+        """Asks the store only where its answer may decide."""
+        if self._has_one_origin(req):
+            return self._freshness.request()
+        return freshnesses.Confirmation(0.0)
+
     def _has_one_origin(self, req: requests.Request) -> bool:
         """Whether this VM knows only one origin of streams of the route."""
         return len(self._history.possible(req.route)) == 1
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -151,7 +151,10 @@
             )
             for topic, topic_replica in self._replicas.items()
         ]
-        self.app.add(*self._followers, registrations)
+        reads = self._origins.build_fresh_reads(
+            self._replicas[names.OPERATOR_TOPIC], self._count_vms
+        )
+        self.app.add(*self._followers, registrations, *reads)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
@@ -222,9 +225,7 @@
             ),
             engine_models=self._engine_models,
             announcements=self._announcements,
-            resumption=self._origins.build_resumption(
-                self._is_in_touch, self._metrics
-            ),
+            resumption=self._origins.build_resumption(self._metrics),
             metrics=self._metrics,
             clock=self._clock,
             rng=self._env.rng,
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -16,11 +16,14 @@
 from hornbeampier.platform import records
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
+from hornbeampier.replication import fresh_reads
 from hornbeampier.replication import messages
 from hornbeampier.replication import registration_reader
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import catalog as catalogs
+from hornbeampier.routing import domain
+from hornbeampier.routing import freshness as freshnesses
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
 
@@ -35,6 +38,7 @@
         clock: clocks.Clock,
     ):
         self._cfg = cfg
+        self._catalog = catalog
         self._clock = clock
         self._streams = stream_origins.StreamOrigins(clock)
         self._history = origin_history.OriginHistory(catalog, clock)
@@ -43,6 +47,7 @@
         )
         self._reader: registration_reader.RegistrationReader | None = None
         self._replica: replica.TopicReplica | None = None
+        self._freshness: freshnesses.Freshness = freshnesses.SingleVm()
         self._was_proved = False
         self._log = structlog.get_logger(task="origins")
 
@@ -68,6 +73,24 @@
         )
         return self._reader
 
+    def build_fresh_reads(
+        self,
+        configuration_replica: replica.TopicReplica,
+        count_vms: Callable[[], int],
+    ) -> list[application.Component]:
+        """Returns the component that reads the store for streams taken up."""
+        if not self._cfg.seeds:
+            return []
+        reads = fresh_reads.FreshReads(
+            [self._replica, configuration_replica],
+            store.StoreClient(self._cfg.store, self._clock),
+            count_vms,
+            self._has_route,
+            self._clock,
+        )
+        self._freshness = reads
+        return [reads]
+
     def build_exchange(
         self, peer_hosts: Callable[[], Collection[str]], rng: random.Random
     ) -> list[application.Component]:
@@ -85,14 +108,14 @@
         return [transport, exchange]
 
     def build_resumption(
-        self, in_touch: Callable[[], bool], metrics: node_metrics.NodeMetrics
+        self, metrics: node_metrics.NodeMetrics
     ) -> resumption.Resumption:
         """Returns the object that finds and records the origins of streams."""
         return resumption.Resumption(
             self._streams,
             self._history,
             self._directory,
-            in_touch,
+            self._freshness,
             lambda: self._reader.is_pending,
             metrics,
             self._clock,
@@ -118,6 +141,10 @@
             in_touch=is_in_touch,
         )
 
+    def _has_route(self, route: domain.Route) -> bool:
+        cfg = self._catalog.cfg
+        return cfg is not None and route in cfg.routes
+
     def _record_superseded(self, record: messages.Record) -> None:
         """Records the version in an entry that came after a newer one."""
         if record.value is None:
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -110,20 +110,27 @@
             messages.RecordsCompactedError: The store no longer has `offset`.
             errors.PlatformError: The store sent no valid response.
         """
-        query = {
-            "topic": topic,
-            "part": self._partition,
-            "from": offset,
-            "waitMs": round(wait_ms),
-        }
-        response = self._call("/log-read", query, wait_ms)
-        if response.status == 410:
-            raise messages.RecordsCompactedError(
-                "the store no longer has the requested records",
-                _decode_first(response.body),
-            )
-        _check_status("log-read", response)
-        return _decode_batch(response.body, offset, _decode_era(response))
+        return self._read(topic, offset, wait_ms)[0]
+
+    def read_to_end(self, topic: str, offset: int) -> messages.Batch:
+        """Returns all records from `offset` on, without waiting for more.
+
+        They reach to where the log ended when the call was made.
+
+        Raises:
+            messages.RecordsCompactedError: The store no longer has `offset`.
+            errors.PlatformError: The store sent no valid response, or its era
+                changed between two of them.
+        """
+        batch, log_end = self._read(topic, offset, 0.0)
+        records = batch.records
+        while batch.end < log_end:
+            next_batch, _ = self._read(topic, batch.end, 0.0)
+            if next_batch.era != batch.era or not next_batch.records:
+                raise errors.PlatformError("the log changed while it was read")
+            batch = next_batch
+            records += batch.records
+        return messages.Batch(records, batch.end, batch.era)
 
     def append(
         self, topic: str, at: int, records: Iterable[tuple[str, bytes]]
@@ -157,6 +164,25 @@
         """Closes the connection."""
         self._conn.close()
 
+    def _read(
+        self, topic: str, offset: int, wait_ms: float
+    ) -> tuple[messages.Batch, int]:
+        """Returns records from `offset` on, and the offset of the log's end."""
+        query = {
+            "topic": topic,
+            "part": self._partition,
+            "from": offset,
+            "waitMs": round(wait_ms),
+        }
+        response = self._call("/log-read", query, wait_ms)
+        if response.status == 410:
+            raise messages.RecordsCompactedError(
+                "the store no longer has the requested records",
+                _decode_first(response.body),
+            )
+        _check_status("log-read", response)
+        return _decode_batch(response.body, offset, _decode_era(response))
+
     def _newest_page(self, query: dict) -> tuple[_Page, int]:
         """Returns a page and the era of the store."""
         response = self._call("/log-newest", query)
@@ -218,12 +244,15 @@
     return messages.Record(item.key, value, item.offset, era)
 
 
-def _decode_batch(body: bytes, offset: int, era: int) -> messages.Batch:
-    """Decodes two offsets and the length-prefixed records after them."""
+def _decode_batch(
+    body: bytes, offset: int, era: int
+) -> tuple[messages.Batch, int]:
+    """Decodes two offsets and the length-prefixed records after them.
+
+    The first of the offsets is the log's end, which may lie beyond the records.
+    """
     try:
-        # Only checks the length: the end offset is not needed, because it may
-        # lie beyond the records of this response.
-        _OFFSETS.unpack_from(body)
+        log_end, _ = _OFFSETS.unpack_from(body)
         records = []
         position = _OFFSETS.size
         while position < len(body):
@@ -236,7 +265,8 @@
         raise errors.PlatformError(
             f"malformed log-read response: {exc}"
         ) from exc
-    return messages.Batch(tuple(records), offset + len(records), era)
+    batch = messages.Batch(tuple(records), offset + len(records), era)
+    return batch, log_end
 
 
 def _decode_record(record: bytes, offset: int, era: int) -> messages.Record:
--- /dev/null
+++ b/tests/test_fresh_reads.py
@@ -0,0 +1,115 @@
+"""Reads of the store for streams that are taken up, without a network."""
+
+import gevent
+from gevent import event
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier.replication import fresh_reads
+from hornbeampier.replication import messages
+from hornbeampier.replication import replica
+from tests import era_fakes
+
+TOPIC = "keyed.servers"
+
+
+class HeldSource:
+    """A store whose calls are answered when the test says so.
+
+    Attributes:
+        calls: The offsets from which records were read.
+        outcomes: What the next calls return or raise; a batch without records
+            if it is empty.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.outcomes = []
+        self.may_answer = event.Event()
+        self.may_answer.set()
+
+    def read_to_end(self, topic, offset):
+        del topic
+        self.calls.append(offset)
+        self.may_answer.wait()
+        outcome = messages.Batch((), offset, 1)
+        if self.outcomes:
+            outcome = self.outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    def close(self):
+        pass
+
+
+class FreshReadsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.source = HeldSource()
+        vm = era_fakes.Vm(clocks.ManualClock())
+        self.catalog = vm.catalog
+        self.replica = vm.replicas[TOPIC]
+        self.replica.apply_snapshot(messages.Snapshot((), 7, 1))
+        self.reads = fresh_reads.FreshReads(
+            [self.replica],
+            self.source,
+            lambda: 3,
+            lambda route: True,
+            clocks.SystemClock(),
+        )
+        self.reads.start()
+        self.addCleanup(self.reads.stop)
+
+    def test_read_that_begins_later_confirms(self):
+        self.assertTrue(self.reads.request().wait())
+        self.assertEqual([7], self.source.calls)
+
+    # Guards against the answer to a call that began before the request arrived:
+    # an entry may have been written in between.
+    def test_request_within_a_read_waits_for_the_next_one(self):
+        self.source.may_answer.clear()
+        first = self.reads.request()
+        while not self.source.calls:
+            gevent.sleep(0)
+        second = self.reads.request()
+        third = self.reads.request()
+        self.assertIsNot(first, second)
+        self.assertIs(second, third)
+        self.source.may_answer.set()
+        self.assertTrue(second.wait())
+        self.assertEqual([7, 7], self.source.calls)
+
+    # Guards against a VM that is confirmed without what it has read.
+    def test_records_are_applied_before_it_is_confirmed(self):
+        record = messages.Record("e1", era_fakes.entry(version="v9"), 7, 1)
+        self.source.outcomes = [messages.Batch((record,), 8, 1)]
+        self.assertTrue(self.reads.request().wait())
+        self.assertEqual("v9", self.catalog.endpoints["e1"].software_version)
+        self.assertTrue(self.reads.request().wait())
+        self.assertEqual([7, 8], self.source.calls)
+
+    # Guards against a read that failed being taken for one without records, and
+    # against the end of all reads after one.
+    def test_failed_read_confirms_nothing(self):
+        self.source.outcomes = [
+            errors.PlatformError("down"),
+            messages.RecordsCompactedError("gone", 9),
+            messages.Batch((), 3, 2),
+        ]
+        for _ in range(3):
+            self.assertFalse(self.reads.request().wait())
+        self.assertTrue(self.reads.request().wait())
+
+    # Guards against callers that wait for a store that does not answer.
+    def test_store_that_hangs_confirms_nothing(self):
+        self.source.may_answer.clear()
+        self.assertFalse(self.reads.request().wait())
+        self.source.may_answer.set()
+        self.assertTrue(self.reads.request().wait())
+
+    def test_replica_without_a_snapshot_confirms_nothing(self):
+        self.replica = replica.TopicReplica(TOPIC, None)
+        self.reads._replicas = [self.replica]
+        self.assertFalse(self.reads.request().wait())
--- a/tests/test_version_coverage.py
+++ b/tests/test_version_coverage.py
@@ -13,6 +13,7 @@
 from hornbeampier.replication import messages
 from hornbeampier.replication import registration_reader
 from hornbeampier.routing import coverage
+from hornbeampier.routing import freshness
 from hornbeampier.routing import registration_log
 from hornbeampier.routing import requests
 from hornbeampier.routing import stream_origins
@@ -202,7 +203,7 @@
             self.vm.origins,
             self.vm.history,
             stream_origins.LocalDirectory(self.vm.origins),
-            lambda: True,
+            freshness.SingleVm(),
             lambda: self.is_learning,
             node_metrics.NodeMetrics(),
             self.network.clock,
