Derive where a stream began from all routes of its path while streams last

Callers saw streams that were answered 200 and joined from two services and software versions: events 1 to 6 of v1, the rest of v2.

Cause: the services that a stream may have come from were those of its route of now, and those that a route of the same host and prefix had left while this process looked, four times a second. A path that changes its route, a route that is removed and comes back, a configuration between two looks, and all that happened before a process started were unknown, and one known version counted as proof.

Change: a request is matched in each configuration that was in force while streams last, plus 10 s. A VM keeps the rows in which earlier configurations differ from that in force, and since when it has missed none: by its own observation (offsets show skipped records), by a peer's reply (one field, appended) or by the store's log of configurations, which the VMs that read the log of registrations now read as well, with the same reader. Without that proof a stream without a record is refused as not run. VMs send their records to others when a configuration moves a path of streams.

The tests of registrations use the shared reader. Fixtures without a network have a configuration now, as the routes in force come from it, and know all routes; expected results are as before, but for the field that is appended to the reply.

--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -58,14 +58,14 @@
     ) -> stream_origins.Origin | None:
         """Returns where the stream began that a request takes up.
 
-        The result is None if the request begins a stream, or if the route has
-        no endpoint at all.
+        The result is None if the request begins a stream, or if its location
+        has no endpoint at all.
 
         Raises:
             errors.RefusalError: Nobody knows, or the route does not go there
                 any more. The request has not been sent anywhere.
         """
-        if req.resumed is None or not self._history.possible(req.route):
+        if req.resumed is None or not self._history.possible(req.location):
             return None
         origin, source = self._find(req, req.resumed.request_id)
         self._metrics.record_resumption(source)
@@ -123,7 +123,8 @@
             return result.origin, "peer"
         is_in_touch = result.replies > 0 or self._in_touch()
         if is_in_touch and self._is_unambiguous(req):
-            return next(iter(self._history.possible(req.route))), "one_version"
+            (origin,) = self._history.possible(req.location)
+            return origin, "one_version"
         reason = f"none of {result.replies} VMs that replied knows it"
         if not (is_in_touch and result.is_complete):
             raise self._unknown(reason, RETRY_AFTER_MS)
@@ -132,11 +133,11 @@
         raise self._unproved(req, reason)
 
     def _has_one_origin(self, req: requests.Request) -> bool:
-        """Whether this VM knows only one origin of streams of the route."""
-        return len(self._history.possible(req.route)) == 1
+        """Whether this VM knows only one origin of the request's stream."""
+        return len(self._history.possible(req.location)) == 1
 
     def _is_unambiguous(self, req: requests.Request) -> bool:
-        """Whether streams of the route cannot have begun at two origins."""
+        """Whether the request's stream cannot have begun at two origins."""
         return self._has_one_origin(req) and self._history.is_proved()
 
     def _unproved(
@@ -148,14 +149,14 @@
         """
         missing_ms = self._history.missing_ms()
         # A VM that was suspended can learn from its peers in a moment.
-        is_learning = self._is_learning() or not (
-            self._history.coverage.is_current
-        )
+        is_learning = self._is_learning() or not self._history.is_current()
         self._log.warning(
             "origin_unproved",
             request_id=req.id,
-            covered_ms=round(self._history.coverage.length_ms()),
-            missing_ms=round(missing_ms),
+            covered_ms=round(
+                stream_origins.bound_retention(self._history.covered_ms())
+            ),
+            missing_ms=round(stream_origins.bound_retention(missing_ms)),
             learning=is_learning,
         )
         remaining_ms = req.caller_deadline_ms - self._clock.now()
--- a/hornbeampier/http1/messages.py
+++ b/hornbeampier/http1/messages.py
@@ -68,14 +68,24 @@
     @property
     def host(self) -> str:
         """The value of the `Host` header without its port."""
-        value = (self.get(b"host") or b"").decode("latin-1")
-        name, separator, port = value.rpartition(":")
-        return name if separator and port.isdigit() else value
+        return host_name(self.get(b"host") or b"")
 
     @property
     def path(self) -> str:
         """The path, without the query."""
-        return self.target.partition(b"?")[0].decode("latin-1")
+        return target_path(self.target)
+
+
+def host_name(value: bytes) -> str:
+    """Returns the value of a `Host` header without its port."""
+    text = value.decode("latin-1")
+    name, separator, port = text.rpartition(":")
+    return name if separator and port.isdigit() else text
+
+
+def target_path(target: bytes) -> str:
+    """Returns the path of a request target, without the query."""
+    return target.partition(b"?")[0].decode("latin-1")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -134,11 +134,9 @@
         self._store_readers = store_readers.StoreReaders(
             self._cfg.host, self._clock, expects_peers=bool(seeds)
         )
-        registrations = self._origins.build_reader(
-            self._replicas[names.ENDPOINT_TOPIC], self._should_read_store
+        readers = self._origins.build_readers(
+            self._replicas, self._should_read_store
         )
-        # The log is read before the first snapshot makes this VM ready.
-        before_first = {names.ENDPOINT_TOPIC: registrations.read_before}
         self._followers = [
             follower.TopicFollower(
                 topic_replica,
@@ -147,11 +145,12 @@
                 self._env.rng,
                 self._count_readers,
                 self._should_read_store,
-                before_first.get(topic, follower.ignore_snapshot),
+                # The log is read before this VM becomes ready.
+                readers[topic].read_before,
             )
             for topic, topic_replica in self._replicas.items()
         ]
-        self.app.add(*self._followers, registrations)
+        self.app.add(*self._followers, *readers.values())
 
     def _build_peers(self) -> None:
         cfg = self._cfg
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -16,8 +16,10 @@
 from hornbeampier.platform import records
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
+from hornbeampier.replication import configuration_log
+from hornbeampier.replication import endpoint_log
+from hornbeampier.replication import log_reader
 from hornbeampier.replication import messages
-from hornbeampier.replication import registration_reader
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import catalog as catalogs
@@ -41,32 +43,43 @@
         self._directory: stream_origins.Directory = (
             stream_origins.LocalDirectory(self._streams)
         )
-        self._reader: registration_reader.RegistrationReader | None = None
-        self._replica: replica.TopicReplica | None = None
+        self._readers: dict[str, log_reader.LogReader] = {}
+        self._replicas: dict[str, replica.TopicReplica] = {}
         self._was_proved = False
         self._log = structlog.get_logger(task="origins")
 
-    def build_reader(
+    def build_readers(
         self,
-        endpoint_replica: replica.TopicReplica,
+        replicas: dict[str, replica.TopicReplica],
         should_read_store: Callable[[], bool],
-    ) -> registration_reader.RegistrationReader:
-        """Returns the reader of the store's log of registrations."""
-        self._replica = endpoint_replica
-        endpoint_replica.on_superseded = self._record_superseded
-        self._reader = registration_reader.RegistrationReader(
-            names.ENDPOINT_TOPIC,
-            store.StoreClient(self._cfg.store, self._clock),
-            self._history,
-            self._cfg.heartbeat_ms,
-            store_readers.reads_at_start(
-                self._cfg.host, {seed.host for seed in self._cfg.seeds}
+    ) -> dict[str, log_reader.LogReader]:
+        """Returns the readers of the store's logs, by topic."""
+        self._replicas = replicas
+        self._watch_replicas()
+        histories = {
+            names.OPERATOR_TOPIC: configuration_log.ConfigurationLog(
+                names.CONFIGURATION_KEY, self._history, self._clock
             ),
-            should_read_store,
-            lambda: endpoint_replica.offset,
-            self._clock,
+            names.ENDPOINT_TOPIC: endpoint_log.RegistrationLog(
+                self._history, self._cfg.heartbeat_ms, self._clock
+            ),
+        }
+        reads_early = store_readers.reads_at_start(
+            self._cfg.host, {seed.host for seed in self._cfg.seeds}
         )
-        return self._reader
+        self._readers = {
+            topic: log_reader.LogReader(
+                topic,
+                store.StoreClient(self._cfg.store, self._clock),
+                history,
+                reads_early,
+                should_read_store,
+                lambda topic=topic: replicas[topic].offset,
+                self._clock,
+            )
+            for topic, history in histories.items()
+        }
+        return self._readers
 
     def build_exchange(
         self, peer_hosts: Callable[[], Collection[str]], rng: random.Random
@@ -93,15 +106,15 @@
             self._history,
             self._directory,
             in_touch,
-            lambda: self._reader.is_pending,
+            lambda: any(r.is_pending for r in self._readers.values()),
             metrics,
             self._clock,
         )
 
     def maintain(self, is_in_touch: bool) -> None:
         """Records that this VM follows registrations; drops what is old."""
-        if is_in_touch and self._replica.offset is not None:
-            self._history.coverage.observe()
+        if is_in_touch:
+            self._observe()
         self._history.expire()
         self._directory.expire()
         self._log_change(is_in_touch)
@@ -111,13 +124,33 @@
         if is_proved == self._was_proved:
             return
         self._was_proved = is_proved
-        covered_ms = self._history.coverage.length_ms()
+        covered_ms = self._history.covered_ms()
         self._log.info(
             "origins_proved" if is_proved else "origins_unproved",
             covered_ms=round(stream_origins.bound_retention(covered_ms)),
             in_touch=is_in_touch,
         )
 
+    def _observe(self) -> None:
+        """Records that this VM follows both topics at the moment."""
+        coverages = {
+            names.OPERATOR_TOPIC: self._history.routes.coverage,
+            names.ENDPOINT_TOPIC: self._history.coverage,
+        }
+        for topic, coverage in coverages.items():
+            if self._replicas[topic].offset is not None:
+                coverage.observe()
+
+    def _watch_replicas(self) -> None:
+        operator_replica = self._replicas[names.OPERATOR_TOPIC]
+        operator_replica.on_superseded = self._record_earlier_configuration
+        self._history.routes.is_contiguous = lambda: (
+            operator_replica.is_contiguous
+        )
+        self._replicas[
+            names.ENDPOINT_TOPIC
+        ].on_superseded = self._record_superseded
+
     def _record_superseded(self, record: messages.Record) -> None:
         """Records the version in an entry that came after a newer one."""
         if record.value is None:
@@ -128,3 +161,9 @@
             # An entry that cannot be decoded is not applied either.
             return
         self._history.record_version(endpoint)
+
+    def _record_earlier_configuration(self, record: messages.Record) -> None:
+        """Records a configuration that came after a newer one."""
+        cfg = configuration_log.decode(record, names.CONFIGURATION_KEY)
+        if cfg is not None:
+            self._history.routes.record_earlier(cfg)
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -199,6 +199,7 @@
             None if origin is None else origin_messages.to_entry(origin),
             origin_messages.to_ages(self._history.ages()),
             origin_messages.to_covered(self._history.coverage.length_ms()),
+            origin_messages.to_routes(self._history.routes.report()),
         )
         self._transport.send(host, origin_messages.encode(reply))
 
@@ -207,6 +208,10 @@
     ) -> None:
         self._history.coverage.extend(message.covered_ms)
         self._history.merge(origin_messages.of_ages(message.ages))
+        if message.routes is not None:
+            self._history.merge_routes(
+                origin_messages.of_routes(message.routes)
+            )
         pending = self._lookups.get(message.number)
         if pending is None:
             return
--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -1,15 +1,20 @@
 """Wire types of the records of streams; fields are encoded by position."""
 
 from collections.abc import Iterable
+import math
 
 import msgspec
 
 from hornbeampier import errors
 from hornbeampier.routing import origin_history
+from hornbeampier.routing import route_history
 from hornbeampier.routing import stream_origins
 
 # Maximum number of streams in one datagram.
 MAX_STREAMS = 20
+# Maximum number of rows of earlier routes in a reply. A VM with more of them
+# proves nothing to others.
+MAX_ROWS = 200
 
 
 class StreamEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -48,6 +53,44 @@
     age_ms: int
 
 
+class RouteRow(msgspec.Struct, array_like=True, frozen=True):
+    """A route of an earlier configuration.
+
+    Attributes:
+        services: Where its streams went; None if there was no such route.
+    """
+
+    host: str
+    path_prefix: str
+    services: tuple[str, ...] | None
+
+
+class EarlierRoutes(msgspec.Struct, array_like=True, frozen=True):
+    """The routes that differed in an earlier configuration.
+
+    Attributes:
+        age_ms: Time since it was in force.
+    """
+
+    rows: tuple[RouteRow, ...]
+    age_ms: int
+
+
+class RouteReport(msgspec.Struct, array_like=True, frozen=True):
+    """What a VM knows of earlier routes.
+
+    Attributes:
+        version: The configuration in force, from which `earlier` differ.
+        covered_ms: Time up to now in which no other configuration was in force.
+        longest_ms: For how long streams last, by the routes that it knows.
+    """
+
+    version: int
+    covered_ms: int
+    longest_ms: int
+    earlier: tuple[EarlierRoutes, ...]
+
+
 class Announcement(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """Records of streams, for a VM that is to hold them."""
 
@@ -74,12 +117,14 @@
         ages: All versions at which streams may have begun, as the VM knows.
         covered_ms: Time up to now in which no other version served; 0 from VMs
             whose release lacks the field.
+        routes: None from VMs whose release lacks the field.
     """
 
     number: int
     origin: OriginEntry | None
     ages: tuple[OriginAge, ...]
     covered_ms: int = 0
+    routes: RouteReport | None = None
 
 
 Message = Announcement | Lookup | LookupReply
@@ -132,6 +177,57 @@
     return int(min(covered_ms, stream_origins.MAX_RETENTION_MS))
 
 
+def to_routes(report: route_history.RouteReport) -> RouteReport:
+    """Returns the wire type of what a VM knows of earlier routes."""
+    retained_ms = (
+        stream_origins.MAX_RETENTION_MS + route_history.CONFIGURATION_LAG_MS
+    )
+    covered_ms = int(min(report.covered_ms, retained_ms))
+    longest_ms = math.ceil(report.longest_ms)
+    if sum(len(e.rows) for e in report.earlier) > MAX_ROWS:
+        return RouteReport(report.version, 0, longest_ms, ())
+    return RouteReport(
+        report.version,
+        covered_ms,
+        longest_ms,
+        tuple(
+            EarlierRoutes(_to_rows(earlier.rows), int(earlier.age_ms))
+            for earlier in report.earlier
+        ),
+    )
+
+
+def of_routes(report: RouteReport) -> route_history.RouteReport:
+    """Returns what a VM knows of earlier routes; times are not negative."""
+    return route_history.RouteReport(
+        report.version,
+        max(0.0, report.covered_ms),
+        max(0.0, report.longest_ms),
+        tuple(
+            route_history.EarlierRoutes(
+                _of_rows(earlier.rows), max(0.0, earlier.age_ms)
+            )
+            for earlier in report.earlier
+        ),
+    )
+
+
+def _to_rows(rows: route_history.Rows) -> tuple[RouteRow, ...]:
+    return tuple(
+        RouteRow(host, prefix, None if services is None else tuple(services))
+        for (host, prefix), services in rows.items()
+    )
+
+
+def _of_rows(rows: tuple[RouteRow, ...]) -> route_history.Rows:
+    return {
+        (row.host, row.path_prefix): (
+            None if row.services is None else frozenset(row.services)
+        )
+        for row in rows
+    }
+
+
 def to_announcements(
     streams: list[stream_origins.RecordedStream], now_ms: float
 ) -> list[Announcement]:
--- a/hornbeampier/replication/registration_reader.py
+++ b/hornbeampier/replication/log_reader.py
@@ -1,12 +1,11 @@
-"""Reads the log of registrations that the store retains, once at start.
+"""Reads the log of a topic that the store retains, once at start.
 
-After all VMs have stopped at once, nothing else shows which software versions
-served before. The log also has versions that registered and left before this VM
-read its first snapshot.
+After all VMs have stopped at once, nothing else shows what was in force before.
 """
 
 from collections.abc import Callable
 import dataclasses
+from typing import Protocol
 
 import gevent
 import structlog
@@ -14,17 +13,11 @@
 from hornbeampier import application
 from hornbeampier import clock as clocks
 from hornbeampier import errors
-from hornbeampier.platform import records
 from hornbeampier.replication import messages
-from hornbeampier.routing import origin_history
-from hornbeampier.routing import registration_log
-from hornbeampier.routing import stream_origins
 
 # Bounds of what is read: the number of newest records, and their size.
 MAX_RECORDS = 16_000
 MAX_BYTES = 4 * 1024 * 1024
-# Number of entries that are decoded at once.
-DECODE_COUNT = 500
 # Bytes that a record takes beside its key and value.
 RECORD_OVERHEAD = 5
 # The first snapshot waits no longer than this for the log.
@@ -32,15 +25,15 @@
 # Interval and number of the reads of a VM that did not read the log at once.
 RETRY_INTERVAL_MS = 200.0
 MAX_READS = 5
-# A VM that has followed the registrations for this time does not read the log.
+# A VM that has followed the topic for this time does not read the log.
 START_PERIOD_MS = 10_000.0
 # Later eras begin when the store has lost records.
 FIRST_ERA = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Log:
-    """The end of the log.
+class Log:
+    """The end of the log of a topic.
 
     Attributes:
         is_complete: Whether no record was left out before its first one.
@@ -50,16 +43,42 @@
     era: int
     is_complete: bool
 
+    @property
+    def has_losses(self) -> bool:
+        """Whether the store may have lost records in between."""
+        return self.era > FIRST_ERA
+
+
+class LogHistory(Protocol):
+    """What a log is added to.
+
+    Attributes:
+        subject: What the log is of, for log lines.
+    """
+
+    subject: str
+
+    def is_proved(self) -> bool:
+        """Whether the log has nothing to add."""
+        ...
 
-class RegistrationReader(application.TaskComponent):
-    """Adds what the store's log shows to the history of this VM."""
+    def prepare(self) -> None:
+        """Called before the log is read."""
+        ...
+
+    def record(self, log: Log) -> dict[str, object]:
+        """Adds a log; returns fields for the log line about it."""
+        ...
+
+
+class LogReader(application.TaskComponent):
+    """Adds what the log of a topic shows to the history of this VM."""
 
     def __init__(
         self,
         topic: str,
         source: messages.RecordSource,
-        history: origin_history.OriginHistory,
-        heartbeat_ms: float,
+        history: LogHistory,
         reads_early: bool,
         should_read: Callable[[], bool],
         offset: Callable[[], int | None],
@@ -68,10 +87,9 @@
         """Creates a reader.
 
         Args:
-            topic: The endpoints' topic.
+            topic: The topic.
             source: The store, on a connection of its own.
             history: What the log is added to.
-            heartbeat_ms: Interval at which endpoints write their entries.
             reads_early: Whether this VM reads the log before it applies its
                 first snapshot.
             should_read: Whether this VM is one of the store readers.
@@ -82,7 +100,6 @@
         self._topic = topic
         self._source = source
         self._history = history
-        self._heartbeat_ms = heartbeat_ms
         self._reads_early = reads_early
         self._should_read = should_read
         self._offset = offset
@@ -91,7 +108,7 @@
         self._due_ms: float | None = None
         # Whether the first snapshot waits for the log.
         self._is_reading = False
-        self._log = structlog.get_logger(task="registrations")
+        self._log = structlog.get_logger(task=history.subject)
 
     @property
     def is_pending(self) -> bool:
@@ -130,44 +147,25 @@
     def _read(self, end: int) -> None:
         self._reads_left -= 1
         began_ms = self._clock.now()
+        self._history.prepare()
         try:
             with gevent.Timeout(READ_TIMEOUT_MS / clocks.MS_PER_SECOND):
                 log = self._fetch(end)
         except (errors.PlatformError, gevent.Timeout) as exc:
-            self._log.warning("registrations_unread", error=str(exc))
+            self._log.warning(f"{self._history.subject}_unread", error=str(exc))
             return
-        summary = registration_log.summarize(
-            self._decode(log.records),
-            self._heartbeat_ms,
-            log.is_complete,
-            has_losses=log.era > FIRST_ERA,
-        )
-        self._history.record_log(summary)
+        fields = self._history.record(log)
         self._reads_left = 0
         self._log.info(
-            "registrations_read",
+            f"{self._history.subject}_read",
             records=len(log.records),
-            versions=len(summary.ages_ms),
             complete=log.is_complete,
             era=log.era,
-            covered_ms=round(
-                min(summary.covered_ms, stream_origins.MAX_RETENTION_MS)
-            ),
             took_ms=round(self._clock.now() - began_ms),
+            **fields,
         )
 
-    def _decode(
-        self, log_records: tuple[messages.Record, ...]
-    ) -> list[registration_log.Registration]:
-        """Decodes entries; other tasks run after each `DECODE_COUNT`."""
-        decoded = []
-        for index, record in enumerate(log_records):
-            if index % DECODE_COUNT == 0:
-                self._clock.sleep(0.0)
-            decoded.append(_to_registration(record))
-        return decoded
-
-    def _fetch(self, end: int) -> _Log:
+    def _fetch(self, end: int) -> Log:
         """Returns the newest records, at least up to an offset.
 
         Raises:
@@ -193,7 +191,7 @@
             if size > MAX_BYTES:
                 raise errors.PlatformError("the log is too large")
             found += batch.records
-        return _Log(tuple(found), era, is_complete=start == 0)
+        return Log(tuple(found), era, is_complete=start == 0)
 
 
 def _size(batch: messages.Batch) -> int:
@@ -201,14 +199,3 @@
         len(record.key) + len(record.value or b"") + RECORD_OVERHEAD
         for record in batch.records
     )
-
-
-def _to_registration(record: messages.Record) -> registration_log.Registration:
-    endpoint = None
-    if record.value is not None:
-        try:
-            endpoint = records.decode_endpoint(record.key, record.value)
-        except errors.PlatformError:
-            # The follower logs the error when it applies the record.
-            endpoint = None
-    return registration_log.Registration(record.key, endpoint)
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -27,6 +27,9 @@
         position: What has been read; None before the first snapshot or batch.
         changed: What had been read when anything last changed that peers are to
             learn of at once.
+        is_contiguous: Whether this VM has seen all records up to the end of the
+            batch or snapshot that was last applied, or that is being applied.
+            The newest record of a key may hide older ones.
         on_superseded: Called with each record that is read after a newer one
             of its key, and so is not applied.
     """
@@ -37,6 +40,7 @@
         self._newest: dict[str, messages.Record] = {}
         self.position: positions.Position | None = None
         self.changed: positions.Position | None = None
+        self.is_contiguous = False
         self.on_superseded: Callable[[messages.Record], None] = _ignore
 
     @property
@@ -63,6 +67,7 @@
             self._apply_complete(batch.records, batch.position)
             return
         has_changed = self.position is None
+        self.is_contiguous = self._continues(batch.records, batch.position)
         for record in batch.records:
             has_changed |= self._apply(record, batch.position)
         self._advance(batch.position)
@@ -97,6 +102,7 @@
             return
         if self.position is not None and position.era > self.era:
             self._applier.on_source_regained()
+        self.is_contiguous = self._continues(records, position)
         for record in records:
             self._apply(record, position)
         keys = {record.key for record in records}
@@ -111,6 +117,18 @@
         self._advance(position)
         self.changed = self.position
 
+    def _continues(
+        self,
+        records: tuple[messages.Record, ...],
+        end: positions.Position,
+    ) -> bool:
+        """Whether records up to `end` follow the position without a gap."""
+        if self.position is None or end.era != self.position.era:
+            return False
+        start = self.position.offset
+        newer = {r.offset for r in records if start <= r.offset < end.offset}
+        return len(newer) >= end.offset - start
+
     def _apply(
         self, record: messages.Record, position: positions.Position
     ) -> bool:
--- a/hornbeampier/routing/catalog.py
+++ b/hornbeampier/routing/catalog.py
@@ -20,6 +20,14 @@
         ...
 
 
+class ConfigurationWatcher(Protocol):
+    """Is told of each configuration, before the next one is applied."""
+
+    def configuration_changed(self, cfg: domain.Configuration) -> None:
+        """Called after a configuration has been applied."""
+        ...
+
+
 class Catalog:
     """Holds the configuration in force and the known endpoints."""
 
@@ -30,6 +38,7 @@
         self.endpoints: dict[str, domain.Endpoint] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._watchers: list[EndpointWatcher] = []
+        self._configuration_watchers: list[ConfigurationWatcher] = []
         self._log = structlog.get_logger(task="catalog")
 
     def subscribe(self, subscriber: Callable[[], None]) -> None:
@@ -40,6 +49,10 @@
         """Registers a watcher that is told of each endpoint change."""
         self._watchers.append(watcher)
 
+    def watch_configurations(self, watcher: ConfigurationWatcher) -> None:
+        """Registers a watcher that is told of each configuration."""
+        self._configuration_watchers.append(watcher)
+
     @property
     def version(self) -> int:
         """Version of the configuration in force, or -1 if there is none."""
@@ -61,6 +74,8 @@
         self._log.info(
             "configuration_applied", version=cfg.version, previous=previous
         )
+        for watcher in self._configuration_watchers:
+            watcher.configuration_changed(cfg)
 
     def apply_endpoint(self, endpoint: domain.Endpoint) -> bool:
         """Adds or updates an endpoint; returns whether anything changed."""
--- a/hornbeampier/routing/origin_history.py
+++ b/hornbeampier/routing/origin_history.py
@@ -1,6 +1,6 @@
 """Where streams may have begun: versions and routes while streams last.
 
-While a route went to one software version of one service for as long as a
+While a location went to one software version of one service for as long as a
 stream may last, every stream began there, and nobody needs a record of it.
 """
 
@@ -13,6 +13,8 @@
 from hornbeampier.routing import coverage
 from hornbeampier.routing import domain
 from hornbeampier.routing import registration_log
+from hornbeampier.routing import route_history
+from hornbeampier.routing import route_table
 from hornbeampier.routing import stream_origins
 
 # Age of each origin in ms: the time since the last endpoint of the version
@@ -20,8 +22,6 @@
 OriginAges = dict[stream_origins.Origin, float]
 # Maximum number of origins that are remembered after they have ended.
 MAX_ENDED = 1_000
-# Host and path prefix, which identify a route over all configurations.
-_RouteKey = tuple[str, str]
 
 
 def _ignore() -> None:
@@ -29,15 +29,15 @@
 
 
 class OriginHistory:
-    """The origins that streams may have, by route.
+    """The origins that streams may have, by host and path.
 
     Attributes:
         on_change: Called when streams may have more origins than before.
         coverage: For how long all versions that served are known.
+        routes: The services to which locations went.
     """
 
     def __init__(self, catalog: catalogs.Catalog, clock: clocks.Clock):
-        self._catalog = catalog
         self._clock = clock
         # Number of registered endpoints by origin.
         self._serving: collections.Counter[stream_origins.Origin] = (
@@ -48,42 +48,62 @@
         )
         self._ended_ms: dict[stream_origins.Origin, float] = {}
         self._by_service: dict[str, list[stream_origins.Origin]] = {}
-        # When routes went to services that they do not go to any more.
-        self._left_ms: dict[_RouteKey, dict[str, float]] = {}
         self._longest_stream_ms = 0.0
-        self._cfg: domain.Configuration | None = None
         self.on_change: Callable[[], None] = _ignore
         self.coverage = coverage.Coverage(clock)
+        self.routes = route_history.RouteHistory(clock)
         self._index()
+        if catalog.cfg is not None:
+            self.configuration_changed(catalog.cfg)
         catalog.watch(self)
+        catalog.watch_configurations(self)
 
-    def possible(self, route: domain.Route) -> set[stream_origins.Origin]:
-        """Returns where streams of a route may have begun.
+    def possible(
+        self, location: route_table.Location
+    ) -> set[stream_origins.Origin]:
+        """Returns where streams of a location may have begun.
 
         There may have been others that this VM does not know; see `is_proved`.
         """
-        services = route.services | set(self._left_ms.get(_key(route), ()))
         return {
             origin
-            for service in services
+            for service in self.routes.services(location)
             for origin in self._by_service.get(service, ())
         }
 
     def is_proved(self) -> bool:
+        """Whether all origins that a live stream may have are known."""
+        return self.knows_versions() and self.knows_routes()
+
+    def knows_versions(self) -> bool:
         """Whether all versions that may have begun a live stream are known."""
-        return self.missing_ms() <= 0.0
+        return self._missing_versions_ms() <= 0.0
+
+    def knows_routes(self) -> bool:
+        """Whether all routes of locations of live streams are known."""
+        return not self.routes.is_behind and self._missing_routes_ms() <= 0.0
+
+    def is_current(self) -> bool:
+        """Whether this VM follows the versions and configurations."""
+        return (
+            self.coverage.is_current
+            and self.routes.coverage.is_current
+            and not self.routes.is_behind
+        )
 
     def missing_ms(self) -> float:
-        """Returns how long this VM has to observe until it knows all versions.
+        """Returns how long this VM has to observe until it knows all origins.
 
         It is infinite while it is not known how long streams last. The time
         that a caller has left does not shorten it, as it does not tell for how
         long the caller has waited already.
         """
-        self._take_over_configuration()
-        if self._cfg is None and self._longest_stream_ms == 0.0:
-            return math.inf
-        return self._longest_stream_ms - self.coverage.length_ms()
+        missing_ms = max(self._missing_versions_ms(), self._missing_routes_ms())
+        return max(0.0, missing_ms)
+
+    def covered_ms(self) -> float:
+        """Returns for how long this VM knows all versions and routes."""
+        return min(self.coverage.length_ms(), self.routes.coverage.length_ms())
 
     def record_version(self, endpoint: domain.Endpoint) -> None:
         """Records that the version of an earlier entry has served."""
@@ -116,6 +136,11 @@
                 self._ended_ms[origin] = max(known_ms, ended_ms)
         self.expire()
 
+    def merge_routes(self, report: route_history.RouteReport) -> None:
+        """Adds the routes that a peer knows."""
+        if self.routes.merge(report):
+            self.on_change()
+
     def record_log(self, summary: registration_log.LogSummary) -> None:
         """Adds what the store's log shows; this VM follows it from its end."""
         self.coverage.begin(summary.covered_ms)
@@ -123,18 +148,13 @@
 
     def expire(self) -> None:
         """Forgets what ended so long ago that no stream of it is left."""
-        self._take_over_configuration()
-        longest_ms = self._longest_stream_ms or stream_origins.MAX_RETENTION_MS
+        longest_ms = self._longest_ms() or stream_origins.MAX_RETENTION_MS
+        self.routes.expire(longest_ms)
         oldest_ms = self._clock.now() - longest_ms
         kept_ms = _newer(self._ended_ms, oldest_ms)
         while len(kept_ms) > MAX_ENDED:
             del kept_ms[min(kept_ms, key=kept_ms.get)]
         self._keep_ended(kept_ms)
-        self._left_ms = {
-            route: newer
-            for route, left_ms in self._left_ms.items()
-            if (newer := _newer(left_ms, oldest_ms))
-        }
         self._index()
 
     def endpoint_changed(
@@ -152,6 +172,11 @@
         if ended is not None:
             self._remove_endpoint(ended)
 
+    def configuration_changed(self, cfg: domain.Configuration) -> None:
+        """Takes over the routes of a configuration."""
+        if self.routes.apply(cfg):
+            self.on_change()
+
     def _add_endpoint(self, origin: stream_origins.Origin) -> None:
         self._serving[origin] += 1
         if self._serving[origin] == 1:
@@ -171,27 +196,18 @@
             self.coverage.limit(max(self._ended_ms[o] for o in forgotten))
         self._ended_ms = kept_ms
 
-    def _take_over_configuration(self) -> None:
-        """Takes over how long streams last, and which services routes left."""
-        cfg, previous = self._catalog.cfg, self._cfg
-        if cfg is None or cfg is previous:
-            return
-        self._cfg = cfg
-        routes = {_key(r): r for r in cfg.routes if r.resumable}
-        for route in routes.values():
-            self.record_stream(route.timeout_ms)
-        for old in previous.routes if previous else ():
-            new = routes.get(_key(old))
-            if old.resumable and new is not None:
-                self._record_left(old, old.services - new.services)
-
-    def _record_left(self, route: domain.Route, services: set[str]) -> None:
-        if not services:
-            return
-        now_ms = self._clock.now()
-        left_ms = self._left_ms.setdefault(_key(route), {})
-        left_ms.update(dict.fromkeys(services, now_ms))
-        self.on_change()
+    def _missing_versions_ms(self) -> float:
+        return (self._longest_ms() or math.inf) - self.coverage.length_ms()
+
+    def _missing_routes_ms(self) -> float:
+        return self.routes.missing_ms(self._longest_ms() or math.inf)
+
+    def _longest_ms(self) -> float:
+        """Returns for how long streams last, as far as this VM knows."""
+        return max(
+            self._longest_stream_ms,
+            stream_origins.bound_retention(self.routes.longest_ms),
+        )
 
     def _index(self) -> None:
         by_service: dict[str, list[stream_origins.Origin]] = {}
@@ -205,9 +221,5 @@
             self.on_change()
 
 
-def _key(route: domain.Route) -> _RouteKey:
-    return route.host, route.path_prefix
-
-
 def _newer(times_ms: dict, oldest_ms: float) -> dict:
     return {key: at_ms for key, at_ms in times_ms.items() if at_ms > oldest_ms}
--- a/hornbeampier/routing/requests.py
+++ b/hornbeampier/routing/requests.py
@@ -4,6 +4,7 @@
 
 from hornbeampier.http1 import messages
 from hornbeampier.routing import domain
+from hornbeampier.routing import route_table
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,3 +57,10 @@
     prompt: domain.Prompt | None
     urgency: int
     resumed: ResumedStream | None = None
+
+    @property
+    def location(self) -> route_table.Location:
+        """What routes are matched with."""
+        return route_table.Location(
+            messages.host_name(self.host), messages.target_path(self.target)
+        )
--- a/hornbeampier/routing/route_table.py
+++ b/hornbeampier/routing/route_table.py
@@ -1,6 +1,8 @@
 """Finds the route and the service of a request."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
 import hashlib
 
 from hornbeampier.routing import domain
@@ -9,6 +11,17 @@
 HASH_RANGE = float(1 << (8 * HASH_BYTES))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Location:
+    """Host and path of a request, which select its route.
+
+    A caller takes a stream up at the location at which it began.
+    """
+
+    host: str
+    path: str
+
+
 class RouteTable:
     """The routes of one configuration, indexed by host and path prefix."""
 
@@ -23,15 +36,21 @@
         prefixes = self._by_host.get(host.lower())
         if prefixes is None:
             return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = prefixes.get(path[: end + 1])
+        for prefix in path_prefixes(path):
+            route = prefixes.get(prefix)
             if route is not None:
                 return route
-            end = path.rfind("/", 0, end)
         return None
 
 
+def path_prefixes(path: str) -> Iterator[str]:
+    """Yields the prefixes that routes of a path may have, longest first."""
+    end = path.rfind("/")
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind("/", 0, end)
+
+
 def choose_service(route: domain.Route, request_id: str) -> str:
     """Picks a service by weight; equal request ids get the same service."""
     if len(route.traffic_split) == 1:
--- a/tests/origin_network.py
+++ b/tests/origin_network.py
@@ -1,16 +1,25 @@
 """VMs that keep the records of streams, without a network, on one clock."""
 
+import math
 import random
 
 from hornbeampier import clock as clocks
 from hornbeampier.peers import origin_exchange
 from hornbeampier.peers import origin_messages
 from hornbeampier.routing import catalog
+from hornbeampier.routing import domain
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
 from tests import routing_fakes as fakes
 
 CALLER_TIMEOUT_MS = 10_000.0
+ROUTE = fakes.route(resumable=True, timeout_ms=CALLER_TIMEOUT_MS)
+LOCATION = fakes.request().location
+
+
+def configuration(*routes, version=1):
+    limits = domain.Limits(4_096, 10_000, 1_000.0, 5_000.0)
+    return domain.Configuration(version, routes, {}, None, limits)
 
 
 class OriginVm:
@@ -33,6 +42,8 @@
         )
         for version in versions:
             self.add_version(version)
+        self.catalog.apply_configuration(configuration(ROUTE))
+        self.history.routes.coverage.begin(math.inf)
         self.history.record_stream(CALLER_TIMEOUT_MS)
         # As the maintenance of a node does, four times a second.
         self.history.expire()
@@ -47,7 +58,7 @@
         self._network.deliver(self.host, host, data)
 
     def is_unambiguous(self):
-        return len(self.history.possible(fakes.route())) == 1
+        return len(self.history.possible(LOCATION)) == 1
 
     def begin(self, request_id, version):
         """Begins a stream; its record is sent as from a serving VM."""
--- a/tests/test_version_coverage.py
+++ b/tests/test_version_coverage.py
@@ -10,11 +10,13 @@
 from hornbeampier import node_metrics
 from hornbeampier.forwarding import resumption
 from hornbeampier.peers import origin_messages
+from hornbeampier.replication import endpoint_log
+from hornbeampier.replication import log_reader
 from hornbeampier.replication import messages
-from hornbeampier.replication import registration_reader
 from hornbeampier.routing import coverage
 from hornbeampier.routing import registration_log
 from hornbeampier.routing import requests
+from hornbeampier.routing import route_history
 from hornbeampier.routing import stream_origins
 from tests import era_fakes
 from tests import origin_network
@@ -153,7 +155,7 @@
         vm = origin_network.OriginNetwork(1, ["v2"]).vms["10.0.0.0"]
         vm.add_version("v1")
         vm.catalog.remove_endpoint("v1-1")
-        self.assertEqual({V1, V2}, vm.history.possible(fakes.route()))
+        self.assertEqual({V1, V2}, vm.history.possible(origin_network.LOCATION))
 
     # A caller that waits for longer than all before asks about a time of which
     # this VM has forgotten the versions.
@@ -162,7 +164,7 @@
         vm = network.vms[network.hosts[0]]
         vm.history.coverage.begin(math.inf)
         vm.history.merge({V1: LONGEST_MS + 1.0})
-        self.assertEqual({V2}, vm.history.possible(fakes.route()))
+        self.assertEqual({V2}, vm.history.possible(origin_network.LOCATION))
         self.assertTrue(vm.history.is_proved())
         vm.history.record_stream(2 * LONGEST_MS)
         self.assertFalse(vm.history.is_proved())
@@ -172,9 +174,10 @@
     def test_replies_of_earlier_versions_prove_nothing(self):
         old = msgspec.msgpack.encode([3, 7, None, []])
         self.assertEqual(0, origin_messages.decode(old).covered_ms)
+        self.assertIsNone(origin_messages.decode(old).routes)
         new = origin_messages.LookupReply(7, None, (), 5_000)
         fields = msgspec.msgpack.decode(origin_messages.encode(new))
-        self.assertEqual([3, 7, None, [], 5_000], fields)
+        self.assertEqual([3, 7, None, [], 5_000, None], fields)
 
     # Guards against versions that are missed as their entries arrive out of
     # order.
@@ -243,6 +246,19 @@
         self.network.clock.advance(60_000.0)
         self.assertEqual(resumption.RETRY_AFTER_MS, self.refuse(1_900.0))
 
+    # Guards against a stream that began by a configuration that this VM has
+    # not read yet.
+    def test_stream_is_refused_while_a_peer_has_a_newer_configuration(self):
+        history = self.vm.history
+        history.coverage.begin(math.inf)
+        self.assertEqual(V2, self.find(1_000.0))
+        history.merge_routes(route_history.RouteReport(2, math.inf, 0.0, ()))
+        self.assertEqual(resumption.RETRY_AFTER_MS, self.refuse(1_000.0))
+        self.vm.catalog.apply_configuration(
+            origin_network.configuration(origin_network.ROUTE, version=2)
+        )
+        self.assertEqual(V2, self.find(1_000.0))
+
 
 class FakeLog:
     """A log that returns a few records at a time."""
@@ -269,15 +285,15 @@
 class RegistrationReaderTest(testtools.TestCase):
     def read(self, log):
         vm = origin_network.OriginNetwork(1, []).vms["10.0.0.0"]
-        reader = registration_reader.RegistrationReader(
+        clock = clocks.ManualClock()
+        reader = log_reader.LogReader(
             "keyed.servers",
             log,
-            vm.history,
-            HEARTBEAT_MS,
+            endpoint_log.RegistrationLog(vm.history, HEARTBEAT_MS, clock),
             True,
             lambda: True,
             lambda: None,
-            clocks.ManualClock(),
+            clock,
         )
         reader.read_before(messages.Snapshot((), len(log.rows), log.era))
         return vm.history
@@ -297,5 +313,5 @@
     # Guards against a log that was not read to its end being taken for
     # complete.
     def test_log_that_is_too_large_is_none(self):
-        self.patch(registration_reader, "MAX_BYTES", 1_000)
+        self.patch(log_reader, "MAX_BYTES", 1_000)
         self.assertFalse(self.read(FakeLog(25)).is_proved())
