--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -11,6 +11,7 @@
 from hornbeampier import errors
 from hornbeampier import node_metrics
 from hornbeampier.routing import domain
+from hornbeampier.routing import freshness as freshnesses
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import requests
 from hornbeampier.routing import stream_origins
@@ -27,7 +28,7 @@
         origins: stream_origins.StreamOrigins,
         history: origin_history.OriginHistory,
         directory: stream_origins.Directory,
-        in_touch: Callable[[], bool],
+        freshness: freshnesses.Freshness,
         is_learning: Callable[[], bool],
         metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
@@ -38,7 +39,8 @@
             origins: The streams that are recorded on this VM.
             history: Where streams may have begun.
             directory: The streams that are recorded on other VMs.
-            in_touch: Whether this VM hears of new endpoints at the moment.
+            freshness: Confirms that this VM knows all versions and routes that
+                any VM knew when a request arrived.
             is_learning: Whether this VM may soon learn which versions served
                 before it started.
             metrics: Counts the streams that are taken up.
@@ -47,7 +49,7 @@
         self._origins = origins
         self._history = history
         self._directory = directory
-        self._in_touch = in_touch
+        self._freshness = freshness
         self._is_learning = is_learning
         self._metrics = metrics
         self._clock = clock
@@ -58,14 +60,14 @@
     ) -> stream_origins.Origin | None:
         """Returns where the stream began that a request takes up.
 
-        The result is None if the request begins a stream, or if the route has
-        no endpoint at all.
+        The result is None if the request begins a stream, or if its location
+        has no endpoint at all.
 
         Raises:
             errors.RefusalError: Nobody knows, or the route does not go there
                 any more. The request has not been sent anywhere.
         """
-        if req.resumed is None or not self._history.possible(req.route):
+        if req.resumed is None or not self._history.possible(req.location):
             return None
         origin, source = self._find(req, req.resumed.request_id)
         self._metrics.record_resumption(source)
@@ -118,25 +120,42 @@
             raise self._unknown("its caller does not name it", None)
         remaining_ms = req.caller_deadline_ms - self._clock.now()
         self._history.record_stream(remaining_ms)
-        result = self._directory.lookup(key, lambda: self._is_unambiguous(req))
+        confirmation = self._request_confirmation(req)
+        result = self._directory.lookup(
+            key,
+            lambda: confirmation.is_confirmed and self._is_unambiguous(req),
+        )
         if result.origin is not None:
             return result.origin, "peer"
-        is_in_touch = result.replies > 0 or self._in_touch()
-        if is_in_touch and self._is_unambiguous(req):
-            return next(iter(self._history.possible(req.route))), "one_version"
         reason = f"none of {result.replies} VMs that replied knows it"
-        if not (is_in_touch and result.is_complete):
+        if self._has_one_origin(req) and not (
+            confirmation.wait() and self._freshness.is_current(req.route)
+        ):
+            self._log.warning("origin_unconfirmed", request_id=req.id)
+            raise self._unknown(reason, RETRY_AFTER_MS, "unconfirmed")
+        if self._is_unambiguous(req):
+            (origin,) = self._history.possible(req.location)
+            return origin, "one_version"
+        if not result.is_complete:
             raise self._unknown(reason, RETRY_AFTER_MS)
         if not self._has_one_origin(req):
             raise self._unknown(reason, None)
         raise self._unproved(req, reason)
 
+    def _request_confirmation(
+        self, req: requests.Request
+    ) -> freshnesses.Confirmation:
+        """Asks the store only where its answer may decide."""
+        if self._has_one_origin(req):
+            return self._freshness.request()
+        return freshnesses.Confirmation(0.0)
+
     def _has_one_origin(self, req: requests.Request) -> bool:
-        """Whether this VM knows only one origin of streams of the route."""
-        return len(self._history.possible(req.route)) == 1
+        """Whether this VM knows only one origin of the request's stream."""
+        return len(self._history.possible(req.location)) == 1
 
     def _is_unambiguous(self, req: requests.Request) -> bool:
-        """Whether streams of the route cannot have begun at two origins."""
+        """Whether the request's stream cannot have begun at two origins."""
         return self._has_one_origin(req) and self._history.is_proved()
 
     def _unproved(
@@ -148,14 +167,14 @@
         """
         missing_ms = self._history.missing_ms()
         # A VM that was suspended can learn from its peers in a moment.
-        is_learning = self._is_learning() or not (
-            self._history.coverage.is_current
-        )
+        is_learning = self._is_learning() or not self._history.is_current()
         self._log.warning(
             "origin_unproved",
             request_id=req.id,
-            covered_ms=round(self._history.coverage.length_ms()),
-            missing_ms=round(missing_ms),
+            covered_ms=round(
+                stream_origins.bound_retention(self._history.covered_ms())
+            ),
+            missing_ms=round(stream_origins.bound_retention(missing_ms)),
             learning=is_learning,
         )
         remaining_ms = req.caller_deadline_ms - self._clock.now()
