--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -75,7 +75,7 @@
 VERSION_WEIGHTS = {Kind.RELEASE: 8}
 # Endpoints that leave by their entry alone, or start again; drawn only if asked
 # for.
-DEPARTURE_WEIGHTS = {Kind.DRAIN: 5, Kind.VANISH: 5, Kind.REBIRTH: 8}
+DEPARTURE_WEIGHTS = {Kind.DRAIN: 12, Kind.VANISH: 12, Kind.REBIRTH: 24}
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 # A series repeats one fault on the same thing.
