End the grace for removed entries 2.5 s after entries came again

Requests could reach an endpoint for up to 2.25 s after this VM read that its entry was removed (DRAIN allows 2 or 3 s in all), well after the store had returned from an outage. Cause: the grace in which endpoints may register again began when this VM regained the store. A call that hangs may show the loss only seconds after the store's return: then removals were put off in a calm time, while peers had passed entries on all along. Only endpoints whose last entry was newer than 2 s after the silence were left out of this. Evidence: three new tests of EndpointApplierTest failed before. A removal 1.3 s after the first entries came regularly was put off by 2 s. Change: entries that come from anywhere show that the store has returned. The grace lasts no longer than until 2.5 s after the first one; while this VM alone has lost the store, a removal counts at once.

--- a/hornbeampier/replication/appliers.py
+++ b/hornbeampier/replication/appliers.py
@@ -15,6 +15,9 @@
 # Time in which an endpoint can register again before it is removed, if its
 # entry expired during or shortly after an outage of the store.
 REREGISTER_MS = 2_000.0
+# Entries may take longer by this to reach a VM than the first one after an
+# outage.
+READ_SLACK_MS = 500.0
 # An entry expires after three heartbeats without a new one. If it is removed
 # within this number of heartbeats, its endpoint has left.
 DEPARTURE_HEARTBEATS = 2.0
@@ -128,12 +131,17 @@
 
     def _record_time(self, endpoint_id: str) -> None:
         now_ms = self._clock.now()
-        if now_ms - self._entry_ms > SILENCE_HEARTBEATS * self._heartbeat_ms:
+        if self._is_silent(now_ms):
             # What comes now may have been written before the silence.
             self._steady_ms = now_ms + REREGISTER_MS
         self._entry_ms = now_ms
         self._entries_ms[endpoint_id] = now_ms
 
+    def _is_silent(self, now_ms: float) -> bool:
+        """Whether no entry of any endpoint came for a while."""
+        silence_ms = SILENCE_HEARTBEATS * self._heartbeat_ms
+        return now_ms - self._entry_ms > silence_ms
+
     def _has_left(self, endpoint_id: str) -> bool:
         """Whether an endpoint whose entry was removed has itself removed it.
 
@@ -158,6 +166,9 @@
         due_ms = self._grace_end_ms
         if self._source_lost:
             due_ms = now_ms + REREGISTER_MS
+        if not self._is_silent(now_ms):
+            # The store has returned by then, whenever this VM noticed its loss.
+            due_ms = min(due_ms, self._steady_ms + READ_SLACK_MS)
         if now_ms < due_ms and not has_left:
             self._removal_due_ms[endpoint_id] = due_ms
         else:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -202,10 +202,10 @@
             self.catalog, nodes.HEARTBEAT_MS, self.clock
         )
 
-    def put(self, value, offset=0):
+    def put(self, value, offset=0, key="i-1"):
         if isinstance(value, dict):
             value = json.dumps(value).encode()
-        self.applier.apply_record(messages.Record("i-1", value, offset))
+        self.applier.apply_record(messages.Record(key, value, offset))
 
     def beat(self, count):
         """The endpoint writes its entry some times."""
@@ -283,6 +283,51 @@
         self.put(None)
         self.assertIn("i-1", self.catalog.endpoints)
 
+    def return_of_the_store(self, times_ms):
+        """Entries reach this VM from peers again after an outage.
+
+        Those of i-1 come last at the first of the times, of i-2 at the others.
+        """
+        self.beat(3)
+        self.clock.advance(4 * nodes.HEARTBEAT_MS)
+        start_ms = self.clock.now()
+        self.put(nodes.endpoint_record("s", "10.0.0.1:80"))
+        for index, at_ms in enumerate(times_ms):
+            self.clock.advance(start_ms + at_ms - self.clock.now())
+            record = nodes.endpoint_record("s", f"10.0.0.{index + 1}:80")
+            self.put(record, key="i-2" if index else "i-1")
+
+    # Guards against DRAIN: a VM whose call to the store hung, and that takes
+    # the store for lost long after its return, putting off a removal by 2 s.
+    def test_late_loss_of_the_source_does_not_put_off_a_removal(self):
+        self.return_of_the_store([1_200.0, 2_400.0, 3_200.0])
+        self.applier.on_source_lost()
+        self.clock.advance(150.0)
+        self.applier.on_source_regained()
+        self.clock.advance(100.0)
+        self.put(None)
+        self.assertNotIn("i-1", self.catalog.endpoints)
+
+    def test_removal_while_only_this_vm_has_lost_the_store_counts_at_once(self):
+        self.return_of_the_store([1_200.0, 2_400.0, 3_200.0])
+        self.applier.on_source_lost()
+        self.clock.advance(100.0)
+        self.put(None)
+        self.assertNotIn("i-1", self.catalog.endpoints)
+
+    # Entries come again, but not yet for long.
+    def test_endpoint_has_time_shortly_after_the_return_of_the_store(self):
+        self.return_of_the_store([600.0, 1_200.0])
+        self.applier.on_source_regained()
+        self.put(None)
+        grace_ms = appliers.REREGISTER_MS + appliers.READ_SLACK_MS
+        self.clock.advance(grace_ms - 1_200.0 - 1.0)
+        self.applier.expire()
+        self.assertIn("i-1", self.catalog.endpoints)
+        self.clock.advance(1.0)
+        self.applier.expire()
+        self.assertNotIn("i-1", self.catalog.endpoints)
+
     def test_endpoint_that_registered_again_stays(self):
         self.put(nodes.endpoint_record("s", "10.0.0.1:80"))
         self.applier.on_source_regained()
