Tasks that follow records outlive any one record

A host that cannot be a host name no longer ends the sender. - A peer whose records cannot be taken is no source any more, and an engine whose list of segments raises an error ends its own query only. - A key that is not Unicode, or a value that is not Base64, costs its own item of a page, not the page (`item_unreadable`); a record without a key no longer makes each read of its offset fail. A last record that is cut is left for the next read instead of being taken for an entry. - Decoding a record raises PlatformError for any error.

--- a/hornbeampier/application.py
+++ b/hornbeampier/application.py
@@ -9,6 +9,9 @@
 
 from hornbeampier import clock as clocks
 
+# Pause of a task after an unexpected error.
+RESTART_DELAY_MS = 1_000.0
+
 
 class Component(Protocol):
     """A component of a process that is started, drained and stopped."""
@@ -40,18 +43,34 @@
 
 
 class TaskComponent(BaseComponent):
-    """A component that owns one greenlet running `run`."""
+    """A component that owns one greenlet running `run`.
+
+    If `run` raises an unexpected error, it is called again after a pause: the
+    state that it works on is in the component.
+    """
 
     def __init__(self):
         self._task: gevent.Greenlet | None = None
 
     def run(self) -> None:
-        """The body of the task; runs until killed."""
+        """The body of the task; runs until killed, or once to its end."""
         raise NotImplementedError
 
     def start(self) -> None:
         """Spawns the task."""
-        self._task = gevent.spawn(self.run)
+        self._task = gevent.spawn(self._run_again)
+
+    def _run_again(self) -> None:
+        """Calls `run` until it ends without an error."""
+        while True:
+            try:
+                self.run()
+                return
+            except Exception:
+                structlog.get_logger().exception(
+                    "task_failed", component=type(self).__name__
+                )
+            gevent.sleep(RESTART_DELAY_MS / clocks.MS_PER_SECOND)
 
     def stop(self) -> None:
         """Kills the task and waits for its end."""
--- a/hornbeampier/duties/lease_keeper.py
+++ b/hornbeampier/duties/lease_keeper.py
@@ -150,6 +150,9 @@
             self._record_failure(exc)
             self._decision.on_failed()
             return False
+        except Exception:
+            self._decision.on_failed()
+            raise
         self._has_failed = False
         return appended
 
--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -87,6 +87,9 @@
                 "cache_list_failed", endpoint=state.id, error=str(exc)
             )
             return
+        except Exception:
+            self._log.exception("cache_list_failed", endpoint=state.id)
+            return
         self._placements.record_cache_list(state, segments)
         self._log.info("cache_listed", endpoint=state.id, parts=len(segments))
 
--- a/hornbeampier/peers/udp_transport.py
+++ b/hornbeampier/peers/udp_transport.py
@@ -55,16 +55,24 @@
         """Sends a datagram, which may be lost."""
         try:
             self._sock.sendto(data, (host, self._port))
-        except OSError as exc:
+        except (OSError, UnicodeError) as exc:
             self._log.debug("datagram_lost", peer=host, error=str(exc))
 
     def _receive(self) -> None:
         while True:
             try:
                 data, (host, _) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                self.receiver(host, data)
-            except errors.PeerError as exc:
-                self._log.warning("datagram_unreadable", error=str(exc))
             except OSError as exc:
                 # The kernel reports a peer's closed port here.
                 self._log.debug("datagram_refused", error=str(exc))
+                continue
+            self._pass_on(host, data)
+
+    def _pass_on(self, host: str, data: bytes) -> None:
+        """Calls the receiver; no datagram ends the task that receives them."""
+        try:
+            self.receiver(host, data)
+        except errors.PeerError as exc:
+            self._log.warning("datagram_unreadable", peer=host, error=str(exc))
+        except Exception:
+            self._log.exception("datagram_skipped", peer=host)
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -15,8 +15,6 @@
     "streaming": domain.RequestSemantics.STREAM,
 }
 DEFAULT_INTER_EVENT_TARGET_MS = 1_000.0
-# Errors of a malformed record.
-_DECODE_ERRORS = (*errors.DECODE_ERRORS, ValueError, KeyError)
 
 
 class _WeightedService(msgspec.Struct):
@@ -136,7 +134,7 @@
             accounts=_to_accounts(record.tenants),
             limits=_to_limits(record.limits),
         )
-    except _DECODE_ERRORS as exc:
+    except Exception as exc:
         raise errors.PlatformError(f"malformed configuration: {exc}") from exc
 
 
@@ -148,7 +146,7 @@
     """
     try:
         return _version_decoder.decode(value).version
-    except _DECODE_ERRORS as exc:
+    except Exception as exc:
         raise errors.PlatformError(f"malformed configuration: {exc}") from exc
 
 
@@ -163,7 +161,7 @@
         record = _endpoint_decoder.decode(value)
         fields.check_text(record, value)
         address = fields.decode_address(record.address)
-    except _DECODE_ERRORS as exc:
+    except Exception as exc:
         raise errors.PlatformError(f"malformed endpoint record: {exc}") from exc
     return domain.Endpoint(
         id=endpoint_id,
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -2,11 +2,13 @@
 
 import base64
 from collections.abc import Iterable
+import json
 import struct
 from typing import Annotated
 from urllib import parse
 
 import msgspec
+import structlog
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
@@ -20,6 +22,8 @@
 CALL_TIMEOUT_MS = 3_000.0
 FIRST_PARTITION = 0
 MAX_ERA_DIGITS = 18
+# How keys are encoded that are not valid Unicode.
+SURROGATES = "surrogatepass"
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -77,6 +81,7 @@
         self._partition = partition
         self._timeout_ms = timeout_ms
         self._conn = connection.ServiceConnection(address, clock)
+        self._log = structlog.get_logger(task="store")
 
     def read_snapshot(self, topic: str) -> messages.Snapshot:
         """Returns the latest record of each key.
@@ -98,7 +103,7 @@
             end, first_era = first
             if era != first_era:
                 raise errors.PlatformError("the era changed between two pages")
-            records += [_to_record(item, era) for item in page.items]
+            records += self._to_records(topic, page.items, era)
             if not page.has_more or not page.items:
                 return messages.Snapshot(tuple(records), end, era)
             query["after"] = page.items[-1].key
@@ -157,13 +162,30 @@
         """Closes the connection."""
         self._conn.close()
 
+    def _to_records(
+        self, topic: str, items: list[_Item], era: int
+    ) -> list[messages.Record]:
+        """Returns the records of a page without those that are unreadable."""
+        records = []
+        for item in items:
+            try:
+                records.append(_to_record(item, era))
+            except ValueError as exc:
+                self._log.warning(
+                    "item_unreadable",
+                    topic=topic,
+                    offset=item.offset,
+                    error=str(exc),
+                )
+        return records
+
     def _newest_page(self, query: dict) -> tuple[_Page, int]:
         """Returns a page and the era of the store."""
         response = self._call("/log-newest", query)
         _check_status("log-newest", response)
         try:
-            page = _page_decoder.decode(response.body)
-        except errors.DECODE_ERRORS as exc:
+            page = _decode_page(response.body)
+        except (*errors.DECODE_ERRORS, ValueError) as exc:
             raise errors.PlatformError(
                 f"malformed log-newest page: {exc}"
             ) from exc
@@ -178,7 +200,7 @@
         body: bytes = b"",
     ) -> client.CompleteResponse:
         deadline_ms = self._clock.now() + wait_ms + self._timeout_ms
-        target = f"{path}?{parse.urlencode(query)}"
+        target = f"{path}?{parse.urlencode(query, errors=SURROGATES)}"
         return self._conn.call(method, target, deadline_ms, body=body)
 
 
@@ -208,18 +230,26 @@
         )
 
 
-def _to_record(item: _Item, era: int) -> messages.Record:
+def _decode_page(body: bytes) -> _Page:
+    """Decodes a page, also one with text that is not valid Unicode."""
     try:
-        value = base64.b64decode(item.value)
-    except ValueError as exc:
-        raise errors.PlatformError(
-            f"record {item.key}: value is not Base64: {exc}"
-        ) from exc
-    return messages.Record(item.key, value, item.offset, era)
+        return _page_decoder.decode(body)
+    except errors.DECODE_ERRORS:
+        return msgspec.convert(json.loads(body.decode(errors="replace")), _Page)
+
+
+def _to_record(item: _Item, era: int) -> messages.Record:
+    """Returns the record of an item; raises ValueError if it has none."""
+    # Peers get the key, so that it has to have an encoding.
+    key = item.key.encode(errors=SURROGATES).decode(errors="replace")
+    return messages.Record(key, base64.b64decode(item.value), item.offset, era)
 
 
 def _decode_batch(body: bytes, offset: int, era: int) -> messages.Batch:
-    """Decodes two offsets and the length-prefixed records after them."""
+    """Decodes two offsets and the length-prefixed records after them.
+
+    A last record that is incomplete is left for the next read.
+    """
     try:
         # Only checks the length: the end offset is not needed, because it may
         # lie beyond the records of this response.
@@ -230,9 +260,13 @@
             (length,) = _LENGTH.unpack_from(body, position)
             position += _LENGTH.size
             record = body[position : position + length]
+            if len(record) < length and records:
+                break
+            if len(record) < length:
+                raise ValueError("the first record is incomplete")
             records.append(_decode_record(record, offset + len(records), era))
             position += length
-    except (struct.error, IndexError) as exc:
+    except (struct.error, ValueError) as exc:
         raise errors.PlatformError(
             f"malformed log-read response: {exc}"
         ) from exc
@@ -240,7 +274,8 @@
 
 
 def _decode_record(record: bytes, offset: int, era: int) -> messages.Record:
-    key_length = record[0]
+    """Decodes a record; one without a key has the key of no endpoint."""
+    key_length = record[0] if record else 0
     key = record[1 : 1 + key_length].decode(errors="replace")
     value = record[1 + key_length :]
     return messages.Record(key, value or None, offset, era)
--- a/hornbeampier/replication/catch_up.py
+++ b/hornbeampier/replication/catch_up.py
@@ -148,6 +148,10 @@
             self._log.info("peer_failed", peer=host, error=str(exc))
             self._peers[topic].remove(host)
             return
+        except Exception:
+            self._log.exception("peer_failed", peer=host)
+            self._peers[topic].remove(host)
+            return
         topic_replica.apply_batch(batch)
         self._log.info(
             "caught_up",
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -87,6 +87,10 @@
             except errors.PlatformError as exc:
                 self._on_source_lost(exc)
                 self._back_off()
+            except Exception as exc:
+                self._log.exception("read_failed", offset=self._offset)
+                self._on_source_lost(exc)
+                self._back_off()
 
     def stop(self) -> None:
         """Stops reading."""
@@ -158,7 +162,7 @@
         wait_ms = POLL_INTERVAL_MS * self._count_readers() * jitter
         return min(MAX_POLL_WAIT_MS, wait_ms)
 
-    def _on_source_lost(self, exc: errors.PlatformError) -> None:
+    def _on_source_lost(self, exc: Exception) -> None:
         if self.source_lost:
             return
         self.source_lost = True
--- a/hornbeampier/replication/registration_reader.py
+++ b/hornbeampier/replication/registration_reader.py
@@ -129,6 +129,13 @@
 
     def _read(self, end: int) -> None:
         self._reads_left -= 1
+        try:
+            self._add_log(end)
+        except Exception:
+            # The first snapshot is applied all the same.
+            self._log.exception("registrations_unread")
+
+    def _add_log(self, end: int) -> None:
         began_ms = self._clock.now()
         try:
             with gevent.Timeout(READ_TIMEOUT_MS / clocks.MS_PER_SECOND):
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import structlog
+
 from hornbeampier.replication import messages
 from hornbeampier.replication import positions
 
@@ -38,6 +40,7 @@
         self.position: positions.Position | None = None
         self.changed: positions.Position | None = None
         self.on_superseded: Callable[[messages.Record], None] = _ignore
+        self._log = structlog.get_logger(task="replica", topic=topic)
 
     @property
     def offset(self) -> int | None:
@@ -129,17 +132,42 @@
                 if current.end > record.end:
                     self.on_superseded(record)
                 return False
-            if record.era > current.era and not self._applier.supersedes(
+            if record.era > current.era and not self._supersedes(
                 record, current
             ):
                 self._carry_over(current, position)
                 return True
         self._newest[record.key] = record
-        has_changed = self._applier.apply_record(record)
+        has_changed = self._apply_to_state(record)
         if record.value is None:
             self._drop_oldest_tombstone()
         return has_changed
 
+    def _apply_to_state(self, record: messages.Record) -> bool:
+        """Applies a record; one that cannot be applied costs no other one."""
+        try:
+            return self._applier.apply_record(record)
+        except Exception:
+            self._log_skipped(record)
+            return True
+
+    def _supersedes(
+        self, record: messages.Record, current: messages.Record
+    ) -> bool:
+        try:
+            return self._applier.supersedes(record, current)
+        except Exception:
+            self._log_skipped(record)
+            return True
+
+    def _log_skipped(self, record: messages.Record) -> None:
+        self._log.exception(
+            "record_skipped",
+            key=record.key,
+            offset=record.offset,
+            era=record.era,
+        )
+
     def _carry_over(
         self, record: messages.Record, position: positions.Position
     ) -> None:
