Unreadable entries: why they remove their endpoint, logged once, counted

An unreadable entry removes the endpoint of its id, also one that is serving. That stays, and the design note says why: the store and peers keep only the newest entry of an id, so a VM that catches up may miss the `draining` before it. Were the last sound entry kept, that VM would go on to send requests (DRAIN); removal costs one endpoint a heartbeat at most. Requests that run there go on.

An entry that its writer repeats was logged each time; it is logged once per reason now, until a readable one or a removal comes. Peers are not told at once of a repeat either. The metric hornbeampier_unreadable_records_total counts all, by kind.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -83,7 +83,10 @@
         )
         self._peer_loads = peer_loads.PeerLoads(self._clock)
         self._endpoint_applier = appliers.EndpointApplier(
-            self.catalog, self._cfg.heartbeat_ms, self._clock
+            self.catalog,
+            self._cfg.heartbeat_ms,
+            self._clock,
+            self._metrics.record_unreadable,
         )
         self._classifier = prompt_kinds.PromptClassifier()
         self._engine_models = engine_model.EngineModels()
@@ -121,7 +124,9 @@
 
     def _build_replication(self) -> None:
         configuration_applier = appliers.ConfigurationApplier(
-            self.catalog, names.CONFIGURATION_KEY
+            self.catalog,
+            names.CONFIGURATION_KEY,
+            self._metrics.record_unreadable,
         )
         self._replicas = {
             topic: replica.TopicReplica(topic, applier)
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -30,6 +30,10 @@
             "hornbeampier_announcements_total",
             "Changes of what endpoints announce, by service and kind.",
         )
+        self._unreadable = self._counter(
+            "hornbeampier_unreadable_records_total",
+            "Records of the store that cannot be read, by kind.",
+        )
         self._resumptions = self._counter(
             "hornbeampier_resumptions_total",
             "Streams that callers took up, by how their origin was found.",
@@ -101,6 +105,10 @@
         """Counts a change of what an endpoint of `service` announces."""
         self._announcements.inc({"service": service, "kind": kind})
 
+    def record_unreadable(self, kind: str) -> None:
+        """Counts a record of the store that cannot be read."""
+        self._unreadable.inc({"kind": kind})
+
     def record_resumption(self, source: str) -> None:
         """Counts a stream that a caller took up.
 
--- a/hornbeampier/replication/appliers.py
+++ b/hornbeampier/replication/appliers.py
@@ -1,5 +1,6 @@
 """Applies endpoint entries and configurations to the catalog."""
 
+from collections.abc import Callable
 import dataclasses
 import math
 
@@ -23,6 +24,14 @@
 SILENCE_HEARTBEATS = 1.5
 # Maximum number of endpoints whose last entry is remembered.
 MAX_REMEMBERED = 20_000
+ENDPOINT = "endpoint"
+CONFIGURATION = "configuration"
+# Counts an unreadable record by its kind.
+CountUnreadable = Callable[[str], None]
+
+
+def count_nothing(kind: str) -> None:
+    """Default `CountUnreadable`: does nothing."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -41,6 +50,7 @@
         catalog: catalog.Catalog,
         heartbeat_ms: float,
         clock: clocks.Clock,
+        count_unreadable: CountUnreadable = count_nothing,
     ):
         """Creates an applier.
 
@@ -48,8 +58,12 @@
             catalog: What the entries are applied to.
             heartbeat_ms: Interval at which endpoints write their entries.
             clock: The clock.
+            count_unreadable: Counts entries that cannot be read.
         """
         self._catalog = catalog
+        self._count_unreadable = count_unreadable
+        # Why the last entry of an id could not be read.
+        self._unreadable: dict[str, str] = {}
         self._heartbeat_ms = heartbeat_ms
         self._clock = clock
         self._source_lost = False
@@ -77,23 +91,20 @@
     def apply_record(self, record: messages.Record) -> bool:
         """Adds, updates or removes an endpoint.
 
-        An unreadable entry removes its endpoint. Returns False for an entry
-        that is like the one before.
+        An unreadable entry removes its endpoint: whoever has only the newest
+        entry cannot tell whether the one before announced that it leaves.
+        Returns False for an entry that is like the one before.
         """
         if record.value is None:
+            self._unreadable.pop(record.key, None)
             self._remove_or_delay(record.key)
             return True
         try:
             endpoint = records.decode_endpoint(record.key, record.value)
         except errors.PlatformError as exc:
-            self._log.warning(
-                "entry_unreadable",
-                endpoint=record.key,
-                offset=record.offset,
-                error=str(exc),
-            )
             self._catalog.remove_endpoint(record.key)
-            return True
+            return self._record_unreadable(record, str(exc))
+        self._unreadable.pop(record.key, None)
         self._removal_due_ms.pop(record.key, None)
         self._record_time(record.key)
         self._remember(endpoint)
@@ -126,6 +137,22 @@
             del self._removal_due_ms[endpoint_id]
             self._catalog.remove_endpoint(endpoint_id)
 
+    def _record_unreadable(self, record: messages.Record, error: str) -> bool:
+        """Counts an entry; logs it and returns True unless it is a repeat."""
+        self._count_unreadable(ENDPOINT)
+        if self._unreadable.get(record.key) == error:
+            return False
+        self._unreadable[record.key] = error
+        if len(self._unreadable) > MAX_REMEMBERED:
+            del self._unreadable[next(iter(self._unreadable))]
+        self._log.warning(
+            "entry_unreadable",
+            endpoint=record.key,
+            offset=record.offset,
+            error=error,
+        )
+        return True
+
     def _record_time(self, endpoint_id: str) -> None:
         now_ms = self._clock.now()
         if now_ms - self._entry_ms > SILENCE_HEARTBEATS * self._heartbeat_ms:
@@ -171,9 +198,15 @@
 class ConfigurationApplier:
     """Applies the configurations that operators publish."""
 
-    def __init__(self, catalog: catalog.Catalog, key: str):
+    def __init__(
+        self,
+        catalog: catalog.Catalog,
+        key: str,
+        count_unreadable: CountUnreadable = count_nothing,
+    ):
         self._catalog = catalog
         self._key = key
+        self._count_unreadable = count_unreadable
         self._log = structlog.get_logger(task="configuration")
 
     def on_source_lost(self) -> None:
@@ -192,6 +225,7 @@
         try:
             cfg = records.decode_configuration(record.value)
         except errors.PlatformError as exc:
+            self._count_unreadable(CONFIGURATION)
             self._log.error(
                 "configuration_unreadable",
                 offset=record.offset,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,10 +6,16 @@
 
 import json
 
+from gevent import event
+from structlog import testing
 import testtools
 
+from hornbeampier import clock as clocks
 from hornbeampier import errors
+from hornbeampier.platform import names
 from hornbeampier.platform import records
+from hornbeampier.replication import messages
+from tests import era_fakes
 from tests import nodes
 from tests import store_standin
 
@@ -183,3 +189,86 @@
         store_standin.wait_until(
             lambda: routers[1]._announcements.is_leaving(endpoint)
         )
+
+
+class RemovalTest(nodes.NodeTestCase):
+    """An unreadable entry under the id of an endpoint that serves."""
+
+    def stream(self, attempt):
+        attempt.begin_stream()
+        attempt.send_event(1)
+        self.is_written.wait(5)
+        attempt.send_event(2)
+        attempt.end_stream()
+
+    def setUp(self):
+        super().setUp()
+        self.is_written = event.Event()
+        self.endpoint = self.start_endpoint(nodes.ENGINE_SERVICE, self.stream)
+        self.router = self.start_ready_node()
+
+    def is_known(self):
+        return self.endpoint.id in self.router.catalog.endpoints
+
+    # Guards against streams that are cut, and an endpoint that stays unused.
+    def test_running_streams_go_on_and_the_next_heartbeat_restores_it(self):
+        store_standin.wait_until(self.is_known)
+        caller = self.connect(self.router)
+        caller.send("POST", "/stream/x")
+        caller.read_until(b"piece-1")
+        self.store.put_endpoint(self.endpoint.id, b"{")
+        store_standin.wait_until(lambda: not self.is_known())
+        self.assertEqual(503, self.call(self.router, path="/stream/x").status)
+        self.is_written.set()
+        response = caller.read()
+        self.assertTrue(response.complete)
+        self.assertIn(b"piece-2", response.body)
+        entry = nodes.endpoint_record(
+            nodes.ENGINE_SERVICE, self.endpoint.address, sequence=2
+        )
+        self.store.put_endpoint(self.endpoint.id, entry)
+        store_standin.wait_until(self.is_known)
+        self.assertEqual(200, self.call(self.router, path="/stream/x").status)
+
+    def test_unreadable_records_are_counted(self):
+        self.store.put_endpoint("i-odd", b"{")
+        self.store.put_configuration(b"{")
+        metric = "hornbeampier_unreadable_records_total"
+        for kind in ("configuration", "endpoint"):
+            line = f'{metric}{{kind="{kind}"}} 1'.encode()
+            store_standin.wait_until(
+                lambda line=line: line in self.router._render_metrics()
+            )
+
+
+class MissedEntryTest(testtools.TestCase):
+    # Guards against DRAIN: a peer has only the newest entry of an id, so a VM
+    # that catches up from it misses that the endpoint has said it leaves.
+    def test_endpoint_is_not_used_if_its_last_sound_entry_was_missed(self):
+        first, second = (era_fakes.Vm(clocks.ManualClock()) for _ in "ab")
+        replicas = [vm.replicas[names.ENDPOINT_TOPIC] for vm in (first, second)]
+        ready = self.batch(0, era_fakes.entry())
+        for replica in replicas:
+            replica.apply_batch(ready)
+        position = replicas[1].position
+        leaving = era_fakes.entry(state="draining")
+        replicas[0].apply_batch(self.batch(1, leaving))
+        replicas[0].apply_batch(self.batch(2, b"{"))
+        replicas[1].apply_batch(replicas[0].records_since(position))
+        for vm in (first, second):
+            self.assertEqual({}, vm.catalog.endpoints)
+
+    def batch(self, offset, value):
+        record = messages.Record("i-1", value, offset)
+        return messages.Batch((record,), offset + 1)
+
+    # Guards against a log that fills up: another writer may repeat its entry.
+    def test_repeated_entry_is_logged_once(self):
+        vm = era_fakes.Vm(clocks.ManualClock())
+        replica = vm.replicas[names.ENDPOINT_TOPIC]
+        values = [b"{", b"{", era_fakes.entry(), b"{", b"{", None, b"["]
+        with testing.capture_logs() as rows:
+            for offset, value in enumerate(values):
+                replica.apply_batch(self.batch(offset, value))
+        logged = [r for r in rows if r["event"] == "entry_unreadable"]
+        self.assertEqual([0, 3, 6], [r["offset"] for r in logged])
