Send the records of all streams while the store is silent

Callers whose VM is killed while the store is away would get 503 until it is back, though one version serves: nobody holds a record of their streams, and the store cannot confirm that the version is the only one.

While no entry of any endpoint has come for one and a half heartbeats, a VM announces its streams to five others, as it does while versions mix, and once those that it has begun before. The silence shows also where a call hangs, and on VMs that do not read the store.

--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -21,6 +21,7 @@
 from hornbeampier.replication import registration_reader
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
+from hornbeampier.replication import store_silence
 from hornbeampier.routing import catalog as catalogs
 from hornbeampier.routing import domain
 from hornbeampier.routing import freshness as freshnesses
@@ -47,6 +48,7 @@
         )
         self._reader: registration_reader.RegistrationReader | None = None
         self._replica: replica.TopicReplica | None = None
+        self._silence: store_silence.StoreSilence | None = None
         self._freshness: freshnesses.Freshness = freshnesses.SingleVm()
         self._was_proved = False
         self._log = structlog.get_logger(task="origins")
@@ -58,6 +60,9 @@
     ) -> registration_reader.RegistrationReader:
         """Returns the reader of the store's log of registrations."""
         self._replica = endpoint_replica
+        self._silence = store_silence.StoreSilence(
+            endpoint_replica, self._cfg.heartbeat_ms, self._clock
+        )
         endpoint_replica.on_superseded = self._record_superseded
         self._reader = registration_reader.RegistrationReader(
             names.ENDPOINT_TOPIC,
@@ -127,6 +132,7 @@
             self._history.coverage.observe()
         self._history.expire()
         self._directory.expire()
+        self._directory.announce_all(self._silence.is_silent())
         self._log_change(is_in_touch)
 
     def _log_change(self, is_in_touch: bool) -> None:
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -103,6 +103,7 @@
         self._ring_ms = -math.inf
         # This VM's streams that no other VM holds a record of.
         self._unannounced: dict[bytes, stream_origins.RecordedStream] = {}
+        self._announces_all = False
         self._lookups: dict[int, _PendingLookup] = {}
         self._lookup_number = 0
         self._tasks: list[gevent.Greenlet] = []
@@ -127,7 +128,7 @@
                 other VMs need the record.
         """
         self._origins.record(stream)
-        if not is_ambiguous:
+        if not (is_ambiguous or self._announces_all):
             self._unannounced[stream.key] = stream
             if len(self._unannounced) > stream_origins.MAX_STREAMS:
                 del self._unannounced[next(iter(self._unannounced))]
@@ -176,6 +177,12 @@
             if stream.expires_ms > now_ms
         }
 
+    def announce_all(self, is_needed: bool) -> None:
+        """Sets whether other VMs need all records; see `Directory`."""
+        if is_needed and not self._announces_all:
+            self._announce_later()
+        self._announces_all = is_needed
+
     def _record_announced(self, message: origin_messages.Announcement) -> None:
         now_ms = self._clock.now()
         for group in message.groups:
--- a/hornbeampier/routing/stream_origins.py
+++ b/hornbeampier/routing/stream_origins.py
@@ -138,6 +138,13 @@
         """Drops the records of streams whose callers have given up."""
         ...
 
+    def announce_all(self, is_needed: bool) -> None:
+        """Sets whether other VMs need the records of all streams.
+
+        They do while the store cannot confirm that one origin is possible.
+        """
+        ...
+
 
 class LocalDirectory:
     """The directory of a VM without peers."""
@@ -160,3 +167,7 @@
     def expire(self) -> None:
         """Drops the records of streams whose callers have given up."""
         self._origins.expire()
+
+    def announce_all(self, is_needed: bool) -> None:
+        """Does nothing, as no other VM needs records."""
+        del is_needed
--- a/tests/test_fresh_reads.py
+++ b/tests/test_fresh_reads.py
@@ -9,6 +9,7 @@
 from hornbeampier.replication import fresh_reads
 from hornbeampier.replication import messages
 from hornbeampier.replication import replica
+from hornbeampier.replication import store_silence
 from tests import era_fakes
 
 TOPIC = "keyed.servers"
@@ -113,3 +114,24 @@
         self.replica = replica.TopicReplica(TOPIC, None)
         self.reads._replicas = [self.replica]
         self.assertFalse(self.reads.request().wait())
+
+
+class StoreSilenceTest(testtools.TestCase):
+    # Guards against the announcement of every stream on a calm day, and against
+    # a store that is away without any VM noticing.
+    def test_store_is_silent_if_no_heartbeat_comes(self):
+        clock = clocks.ManualClock()
+        topic_replica = era_fakes.Vm(clock).replicas[TOPIC]
+        silence = store_silence.StoreSilence(topic_replica, 1_000.0, clock)
+        for offset in range(10):
+            record = messages.Record(
+                "e1", era_fakes.entry(sequence=offset), offset, 1
+            )
+            topic_replica.apply_batch(messages.Batch((record,), offset + 1, 1))
+            self.assertFalse(silence.is_silent())
+            clock.advance(1_400.0)
+            self.assertFalse(silence.is_silent())
+        clock.advance(200.0)
+        self.assertTrue(silence.is_silent())
+        topic_replica.apply_batch(messages.Batch((), 11, 1))
+        self.assertFalse(silence.is_silent())
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -7,6 +7,7 @@
 import gevent
 
 from hornbeampier.platform import settings
+from hornbeampier.routing import stream_origins
 from tests import nodes
 from tests import store_standin
 from tests import test_stream_versions as stream_versions
@@ -151,6 +152,36 @@
         self.assert_refused("stream_origin_unknown", response, "b0")
 
 
+class StoreAwayTest(OutOfStepTestCase):
+    # Guards against streams that are refused as long as the store is away,
+    # although VMs that are left could know where they began.
+    def test_streams_of_a_killed_vm_go_on_while_the_store_is_silent(self):
+        self.engines.start("v1", stream_versions.STREAMS + 1)
+        first, second, third = self.start_group(HOSTS)
+        self.begin(first, "a0")
+        self.cut_off(0, len(HOSTS))
+        store_standin.wait_until(lambda: "a0" in self.recorded(second, ["a0"]))
+        later = [f"a{n}" for n in range(1, stream_versions.STREAMS)]
+        for request_id in later:
+            self.begin(first, request_id)
+        store_standin.wait_until(
+            lambda: len(self.recorded(third, later)) == len(later)
+        )
+        first.stop()
+        for number in range(stream_versions.STREAMS):
+            response = self.take_up(second, f"b{number}", f"a{number}")
+            self.assertEqual(200, response.status, response.body)
+
+    def recorded(self, router, request_ids):
+        """Returns those streams of which a VM has a record."""
+        origins = router._origins._streams
+        return [
+            request_id
+            for request_id in request_ids
+            if origins.find(stream_origins.digest_id(request_id))
+        ]
+
+
 class CalmTest(OutOfStepTestCase):
     # Guards against streams that are refused although one version serves, and
     # against a read of the store for each of them.
