--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -89,7 +89,7 @@
             self._connect_to_process(req.id)
         else:
             self._connect(req.id)
-        self._check_announcements()
+        self._check_permission(req)
         sent_ms = self._clock.now()
         remaining_ms = req.deadline_ms - sent_ms
         if remaining_ms <= 0.0:
@@ -164,7 +164,7 @@
             errors.AttemptError: The response ended with its connection and the
                 endpoint has gone down, so it may have been interrupted.
         """
-        if self._conn.has_closed and not self._is_up():
+        if self._conn.has_closed and not self._pool.probe(self.endpoint):
             raise errors.AttemptError(
                 "the endpoint went down as the connection ended the response",
                 verdict.Verdict.MAY_HAVE_RUN,
@@ -184,10 +184,6 @@
             self._conn.close()
             self._conn = None
 
-    def _is_up(self) -> bool:
-        endpoint = self._state.endpoint
-        return endpoint.leaving or self._pool.probe(endpoint)
-
     def _connect(self, request_id: str) -> None:
         try:
             self._conn = self._pool.acquire(self._state.endpoint, request_id)
@@ -215,14 +211,12 @@
             self._conn, self._state.endpoint, self._deadline_ms, self._clock
         )
 
-    def _check_announcements(self) -> None:
+    def _check_permission(self, req: requests.Request) -> None:
         """Asks for permission last, as connecting may have taken a while."""
+        if not self._state.serves(req.service):
+            raise _withheld("the endpoint has left or is leaving")
         if not self._announcements.take(self._state.endpoint):
-            raise errors.AttemptError(
-                "the endpoint wants fewer requests",
-                verdict.Verdict.NOT_RUN,
-                withheld=True,
-            )
+            raise _withheld("the endpoint wants fewer requests")
 
     def _lost_response(self, exc: Exception) -> errors.AttemptError:
         # A TimeoutError with an errno comes from TCP keep-alive: the endpoint
@@ -238,3 +232,7 @@
             timed_out=timed_out,
             silent=silent,
         )
+
+
+def _withheld(reason: str) -> errors.AttemptError:
+    return errors.AttemptError(reason, verdict.Verdict.NOT_RUN, withheld=True)
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -11,6 +11,7 @@
 from hornbeampier.forwarding import cache_survey
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import context
+from hornbeampier.forwarding import departure_checks
 from hornbeampier.forwarding import forwarder
 from hornbeampier.ingress import admission
 from hornbeampier.ingress import caller_handler
@@ -134,11 +135,9 @@
         self._store_readers = store_readers.StoreReaders(
             self._cfg.host, self._clock, expects_peers=bool(seeds)
         )
-        registrations = self._origins.build_reader(
-            self._replicas[names.ENDPOINT_TOPIC], self._should_read_store
+        readers = self._origins.build_readers(
+            self._replicas, self._should_read_store
         )
-        # The log is read before the first snapshot makes this VM ready.
-        before_first = {names.ENDPOINT_TOPIC: registrations.read_before}
         self._followers = [
             follower.TopicFollower(
                 topic_replica,
@@ -147,14 +146,13 @@
                 self._env.rng,
                 self._count_readers,
                 self._should_read_store,
-                before_first.get(topic, follower.ignore_snapshot),
+                # The log is read before this VM becomes ready.
+                readers[topic].read_before,
             )
             for topic, topic_replica in self._replicas.items()
         ]
-        reads = self._origins.build_fresh_reads(
-            self._replicas[names.OPERATOR_TOPIC], self._count_vms
-        )
-        self.app.add(*self._followers, registrations, *reads)
+        reads = self._origins.build_fresh_reads(self._count_vms)
+        self.app.add(*self._followers, *readers.values(), *reads)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
@@ -232,6 +230,11 @@
             usage=self._duties.usage,
         )
         self._forwarder = forwarder.Forwarder(self._context)
+        self.app.add(
+            departure_checks.DepartureChecks(
+                self._context, self._fleet, cfg.host, self._peer_hosts
+            )
+        )
         if cfg.control is not None and not cfg.bootstrap:
             self.app.add(
                 cache_survey.CacheSurvey(
