--- a/tests/test_skipped_records.py
+++ b/tests/test_skipped_records.py
@@ -201,9 +201,11 @@
 
 class BatchTest(testtools.TestCase):
     def decode(self, *parts):
-        return store._decode_batch(
+        batch, log_end = store._decode_batch(
             struct.pack(">QQ", 9, 0) + b"".join(parts), 5, 1
         )
+        self.assertEqual(9, log_end)
+        return batch
 
     def part(self, record, length=None):
         length = len(record) if length is None else length
