--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -23,6 +23,7 @@
 from hornbeampier.replication import messages
 from hornbeampier.replication import replica
 from hornbeampier.replication import store_readers
+from hornbeampier.replication import store_silence
 from hornbeampier.routing import catalog as catalogs
 from hornbeampier.routing import domain
 from hornbeampier.routing import freshness as freshnesses
@@ -49,6 +50,7 @@
         )
         self._readers: dict[str, log_reader.LogReader] = {}
         self._replicas: dict[str, replica.TopicReplica] = {}
+        self._silence: store_silence.StoreSilence | None = None
         self._freshness: freshnesses.Freshness = freshnesses.SingleVm()
         self._was_proved = False
         self._log = structlog.get_logger(task="origins")
@@ -60,6 +62,9 @@
     ) -> dict[str, log_reader.LogReader]:
         """Returns the readers of the store's logs, by topic."""
         self._replicas = replicas
+        self._silence = store_silence.StoreSilence(
+            replicas[names.ENDPOINT_TOPIC], self._cfg.heartbeat_ms, self._clock
+        )
         self._watch_replicas()
         histories = {
             names.OPERATOR_TOPIC: configuration_log.ConfigurationLog(
@@ -138,6 +143,7 @@
             self._observe()
         self._history.expire()
         self._directory.expire()
+        self._directory.announce_all(self._silence.is_silent())
         self._log_change(is_in_touch)
 
     def _log_change(self, is_in_touch: bool) -> None:
--- a/hornbeampier/replication/appliers.py
+++ b/hornbeampier/replication/appliers.py
@@ -1,5 +1,6 @@
 """Applies endpoint entries and configurations to the catalog."""
 
+from collections.abc import Callable
 import dataclasses
 import math
 
@@ -15,6 +16,9 @@
 # Time in which an endpoint can register again before it is removed, if its
 # entry expired during or shortly after an outage of the store.
 REREGISTER_MS = 2_000.0
+# Entries may take longer by this to reach a VM than the first one after an
+# outage.
+READ_SLACK_MS = 500.0
 # An entry expires after three heartbeats without a new one. If it is removed
 # within this number of heartbeats, its endpoint has left.
 DEPARTURE_HEARTBEATS = 2.0
@@ -23,6 +27,14 @@
 SILENCE_HEARTBEATS = 1.5
 # Maximum number of endpoints whose last entry is remembered.
 MAX_REMEMBERED = 20_000
+ENDPOINT = "endpoint"
+CONFIGURATION = "configuration"
+# Counts an unreadable record by its kind.
+CountUnreadable = Callable[[str], None]
+
+
+def count_nothing(kind: str) -> None:
+    """Default `CountUnreadable`: does nothing."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -41,6 +53,7 @@
         catalog: catalog.Catalog,
         heartbeat_ms: float,
         clock: clocks.Clock,
+        count_unreadable: CountUnreadable = count_nothing,
     ):
         """Creates an applier.
 
@@ -48,8 +61,12 @@
             catalog: What the entries are applied to.
             heartbeat_ms: Interval at which endpoints write their entries.
             clock: The clock.
+            count_unreadable: Counts entries that cannot be read.
         """
         self._catalog = catalog
+        self._count_unreadable = count_unreadable
+        # Why the last entry of an id could not be read.
+        self._unreadable: dict[str, str] = {}
         self._heartbeat_ms = heartbeat_ms
         self._clock = clock
         self._source_lost = False
@@ -77,23 +94,20 @@
     def apply_record(self, record: messages.Record) -> bool:
         """Adds, updates or removes an endpoint.
 
-        An unreadable entry removes its endpoint. Returns False for an entry
-        that is like the one before.
+        An unreadable entry removes its endpoint: whoever has only the newest
+        entry cannot tell whether the one before announced that it leaves.
+        Returns False for an entry that is like the one before.
         """
         if record.value is None:
+            self._unreadable.pop(record.key, None)
             self._remove_or_delay(record.key)
             return True
         try:
             endpoint = records.decode_endpoint(record.key, record.value)
         except errors.PlatformError as exc:
-            self._log.warning(
-                "entry_unreadable",
-                endpoint=record.key,
-                offset=record.offset,
-                error=str(exc),
-            )
             self._catalog.remove_endpoint(record.key)
-            return True
+            return self._record_unreadable(record, str(exc))
+        self._unreadable.pop(record.key, None)
         self._removal_due_ms.pop(record.key, None)
         self._record_time(record.key)
         self._remember(endpoint)
@@ -126,14 +140,35 @@
             del self._removal_due_ms[endpoint_id]
             self._catalog.remove_endpoint(endpoint_id)
 
+    def _record_unreadable(self, record: messages.Record, error: str) -> bool:
+        """Counts an entry; logs it and returns True unless it is a repeat."""
+        self._count_unreadable(ENDPOINT)
+        if self._unreadable.get(record.key) == error:
+            return False
+        self._unreadable[record.key] = error
+        if len(self._unreadable) > MAX_REMEMBERED:
+            del self._unreadable[next(iter(self._unreadable))]
+        self._log.warning(
+            "entry_unreadable",
+            endpoint=record.key,
+            offset=record.offset,
+            error=error,
+        )
+        return True
+
     def _record_time(self, endpoint_id: str) -> None:
         now_ms = self._clock.now()
-        if now_ms - self._entry_ms > SILENCE_HEARTBEATS * self._heartbeat_ms:
+        if self._is_silent(now_ms):
             # What comes now may have been written before the silence.
             self._steady_ms = now_ms + REREGISTER_MS
         self._entry_ms = now_ms
         self._entries_ms[endpoint_id] = now_ms
 
+    def _is_silent(self, now_ms: float) -> bool:
+        """Whether no entry of any endpoint came for a while."""
+        silence_ms = SILENCE_HEARTBEATS * self._heartbeat_ms
+        return now_ms - self._entry_ms > silence_ms
+
     def _has_left(self, endpoint_id: str) -> bool:
         """Whether an endpoint whose entry was removed has itself removed it.
 
@@ -158,6 +193,9 @@
         due_ms = self._grace_end_ms
         if self._source_lost:
             due_ms = now_ms + REREGISTER_MS
+        if not self._is_silent(now_ms):
+            # The store has returned by then, whenever this VM noticed its loss.
+            due_ms = min(due_ms, self._steady_ms + READ_SLACK_MS)
         if now_ms < due_ms and not has_left:
             self._removal_due_ms[endpoint_id] = due_ms
         else:
@@ -171,9 +209,15 @@
 class ConfigurationApplier:
     """Applies the configurations that operators publish."""
 
-    def __init__(self, catalog: catalog.Catalog, key: str):
+    def __init__(
+        self,
+        catalog: catalog.Catalog,
+        key: str,
+        count_unreadable: CountUnreadable = count_nothing,
+    ):
         self._catalog = catalog
         self._key = key
+        self._count_unreadable = count_unreadable
         self._log = structlog.get_logger(task="configuration")
 
     def on_source_lost(self) -> None:
@@ -192,6 +236,7 @@
         try:
             cfg = records.decode_configuration(record.value)
         except errors.PlatformError as exc:
+            self._count_unreadable(CONFIGURATION)
             self._log.error(
                 "configuration_unreadable",
                 offset=record.offset,
--- a/hornbeampier/replication/log_reader.py
+++ b/hornbeampier/replication/log_reader.py
@@ -146,6 +146,13 @@
 
     def _read(self, end: int) -> None:
         self._reads_left -= 1
+        try:
+            self._add_log(end)
+        except Exception:
+            # The first snapshot is applied all the same.
+            self._log.exception("registrations_unread")
+
+    def _add_log(self, end: int) -> None:
         began_ms = self._clock.now()
         self._history.prepare()
         try:
