Soak: endpoints answer health checks

VMs ask an endpoint that started again after it announced that it leaves. The soak's endpoints took such a check for a request of a caller and raised an error, as it has no id. They answer as the protocol has it now.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -125,6 +125,9 @@
         if req.request_line.startswith("GET /kv-list"):
             req.respond(b'{"held": []}')
             return
+        if req.request_line.startswith("GET /health"):
+            self._check_health(req)
+            return
         vm = announcing_endpoint.vm_of(req.id)
         prefix = req.headers.get(crashing_engines.PREFIX_HEADER, "")
         if prefix.startswith(POISON):
@@ -151,6 +154,19 @@
             self._open.discard(req.id)
             self._ended_ms[req.id] = self._clock.now()
 
+    def _check_health(self, req):
+        """Responds to a health check, which is no request of a caller."""
+        is_leaving = self.announcing.leaving or self.state != "ready"
+        status = "503 Service Unavailable" if is_leaving else "200 OK"
+        lines = [
+            f"HTTP/1.1 {status}",
+            "Content-Length: 0",
+            f"X-Hornbeampier-Instance-Id: {self.id}",
+        ]
+        if self.announcing.leaving:
+            lines.append("Server-Leaving: 1")
+        req.send("\r\n".join(lines) + "\r\n\r\n")
+
     def _is_spoiled(self, fault, req):
         if fault in self.faults and self._rng.random() < SPOILED:
             self._ledger.spoiled.add(req.id)
