Responses of endpoints count only if they name their request

Callers were told 503, "not run", for requests that an endpoint ran afterwards, or the request was sent to a second endpoint and ran twice (REFUSED, TWICE).

Cause: on the first request of a connection a response without an id was taken for the response to it. An endpoint that writes an earlier refusal once more, without an id, on a new connection (the connection of a probe counts as new) was believed. The announcements of such a copy marked a sound endpoint. The cache survey believed any response, also one that bears the id of another request.

Change: a response to a request with an id counts only if it bears the id, on any connection. Without one, nothing is known of the request (502), and the connection is closed. The survey, which has no id, skips responses that have one.

HeadTest's endpoint did not copy the id, which all endpoints do; now it does. What the test checks is unchanged.

--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -17,6 +17,7 @@
 from hornbeampier.http1 import client
 from hornbeampier.platform import announcements as announcement_headers
 from hornbeampier.platform import cache_lists
+from hornbeampier.platform import names
 from hornbeampier.routing import announcements
 from hornbeampier.routing import catalog
 from hornbeampier.routing import fleet
@@ -98,7 +99,8 @@
                 raise errors.PlatformError("the engine wants fewer requests")
             sent_ms = self._clock.now()
             head = cache_lists.encode_request(state.endpoint)
-            response = conn.call(head, deadline_ms)
+            # The call has no id: a response with one is to another request.
+            response = conn.call(head, deadline_ms, id_header=names.REQUEST_ID)
         finally:
             conn.close()
         announcement = announcement_headers.decode(response.head)
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -59,7 +59,6 @@
         self._sender: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
         self._eof_received = False
-        self._is_reused = False
         self.request_id = ""
 
     def send(
@@ -72,7 +71,6 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
-            self._is_reused = True
         self._request = h11.Request(
             method=head.method, target=head.target, headers=list(head.headers)
         )
@@ -94,10 +92,11 @@
 
         Args:
             deadline_ms: Time of the monotonic clock at which to give up.
-            id_header: Header that the server copies from the request; a
-                response with a different value is discarded. On a connection
-                that has carried another request, a response without one may
-                be a late copy.
+            id_header: Header that the server copies from the request, or None
+                if it copies none. A response with a different value is
+                discarded. A response without it to a request that has it may
+                be another one's, also on a new connection, and ends the
+                connection.
 
         Raises:
             OSError, h11.ProtocolError: No valid response arrived in time.
@@ -119,13 +118,13 @@
             head = self._to_head(event)
             if id_header is None:
                 return head
-            received_id = head.get(id_header)
-            if received_id is None and self._is_reused:
+            received_id = head.get(id_header) or b""
+            if received_id == self._sent_id(id_header):
+                return head
+            if not received_id:
                 raise ConnectionLostError(
                     "the response does not name its request"
                 )
-            if received_id in (None, self._sent_id(id_header)):
-                return head
             self._skip_response(deadline_ms)
             skipped_count += 1
 
@@ -160,15 +159,21 @@
         return self._eof_received
 
     def call(
-        self, head: messages.RequestHead, deadline_ms: float, body: bytes = b""
+        self,
+        head: messages.RequestHead,
+        deadline_ms: float,
+        body: bytes = b"",
+        id_header: bytes | None = None,
     ) -> CompleteResponse:
         """Sends a request and returns the complete response.
 
+        `id_header` is that of `read_head`.
+
         Raises:
             OSError, h11.ProtocolError: No complete response arrived in time.
         """
         self.send(head, body, deadline_ms)
-        response = self.read_head(deadline_ms)
+        response = self.read_head(deadline_ms, id_header)
         body = b"".join(self._read_at_most(MAX_CALL_BYTES, deadline_ms))
         return CompleteResponse(response, body)
 
@@ -258,8 +263,8 @@
             length=int(length) if length is not None else None,
         )
 
-    def _sent_id(self, id_header: bytes) -> bytes | None:
-        return messages.get(tuple(self._request.headers), id_header)
+    def _sent_id(self, id_header: bytes) -> bytes:
+        return messages.get(tuple(self._request.headers), id_header) or b""
 
     def _skip_response(self, deadline_ms: float) -> None:
         """Discards a response to an earlier request on this connection."""
--- a/tests/test_cache_survey.py
+++ b/tests/test_cache_survey.py
@@ -76,6 +76,27 @@
             lambda: router._announcements.is_leaving(endpoint)
         )
 
+    # Guards against LOST: a copy of the refusal of another request, ahead of
+    # the list, marks a sound engine as leaving.
+    def test_response_to_another_request_is_skipped(self):
+        def handler(req):
+            req.headers["x-hornbeampier-attempt-id"] = "id-refused"
+            req.respond(
+                b"full", "503 Service Unavailable", ["Server-Leaving: 1"]
+            )
+            req.headers["x-hornbeampier-attempt-id"] = ""
+            req.respond(json.dumps(CACHE_LIST).encode())
+
+        self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        for router in self.start_two_routers():
+            store_standin.wait_until(
+                lambda router=router: (
+                    self.cached_segments(router) == {"aa", "bb"}
+                )
+            )
+            endpoint = router._fleet.all()[0].endpoint
+            self.assertFalse(router._announcements.is_leaving(endpoint))
+
     def test_unreadable_list_is_ignored(self):
         def handler(req):
             req.headers["x-hornbeampier-attempt-id"] = ""
--- a/tests/test_node_requests.py
+++ b/tests/test_node_requests.py
@@ -276,6 +276,7 @@
         def handler(req):
             req.send(
                 "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n"
+                f"X-Hornbeampier-Attempt-Id: {req.id}\r\n"
                 "X-Hornbeampier-Server-Seal: s\r\n\r\n"
             )
 
