A second refusal of the same request id proves nothing

Callers could be told 503, "not run", for a request that ran, if an endpoint got its id twice and wrote the first refusal once more while it ran the second request (REFUSED). That is so if a caller sends a refused request again with the same id, and, within one request, if two entries name one address, as that of an endpoint that is gone and its successor do: the retry reaches the process that refused. A request without an id has nothing that names it at all (TWICE).

Cause: an id identifies a response only if the process sees it once.

A further one with the same address and id, or one of a request without an id, leaves open whether the request runs: 502, and no retry of what may run once only. Its announcements are not recorded.

A caller that sends one id through two VMs to one endpoint is not covered: the VMs do not share what was refused.

--- a/hornbeampier/forwarding/connection_pool.py
+++ b/hornbeampier/forwarding/connection_pool.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from hornbeampier import clock as clocks
+from hornbeampier.forwarding import refusal_log
 from hornbeampier.http1 import client
 from hornbeampier.http1 import sockets
 from hornbeampier.routing import domain
@@ -31,12 +32,17 @@
 
 
 class ConnectionPool:
-    """The idle connections to all endpoints, by incarnation."""
+    """The idle connections to all endpoints, by incarnation.
+
+    Attributes:
+        refusals: The recent refusals that came over its connections.
+    """
 
     def __init__(self, fleet: fleet.Fleet, clock: clocks.Clock):
         self._fleet = fleet
         self._clock = clock
         self._idle: dict[Incarnation, collections.deque[_IdleConnection]] = {}
+        self.refusals = refusal_log.RefusalLog()
 
     def acquire(
         self, endpoint: domain.Endpoint, request_id: str
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -77,7 +77,8 @@
 
         Raises:
             errors.AttemptError: The endpoint is unreachable or wants fewer
-                requests, or no valid head of a response arrived in time.
+                requests, or no valid head of a response arrived in time, or
+                it may be the response to an earlier request.
         """
         self._deadline_ms = req.deadline_ms
         self._connect(req.id)
@@ -107,7 +108,10 @@
             )
         except client.TRANSPORT_ERRORS as exc:
             raise self._lost_response(exc) from exc
-        self.fields = headers.decode_response(self.head)
+        fields = headers.decode_response(self.head)
+        if fields.not_executed:
+            self._pool.refusals.check(self._state.endpoint, req.id)
+        self.fields = fields
         if self.fields.announcement is not None:
             self._announcements.record(
                 self._state.endpoint,
--- a/tests/test_refusal_copies.py
+++ b/tests/test_refusal_copies.py
@@ -148,6 +148,13 @@
             announcements = self.router._announcements
             self.assertIsNone(announcements.describe(state.endpoint))
 
+    # Guards against TWICE: without an id, nothing tells the refusal of this
+    # request from that of another.
+    def test_refusal_of_a_request_without_an_id_is_not_believed(self):
+        self.start(self.send_copy_and_run)
+        self.copy = refusal(None)
+        self.assertEqual(502, self.send("").status)
+
     # Guards against REFUSED: the probe that tells whether an endpoint is down
     # leaves a connection for the next request, and the copy waits on it.
     def test_copy_on_the_connection_of_a_probe(self):
@@ -270,3 +277,39 @@
             self.copy = refusal(copy_id)
             response = self.send(request_id, LONG_BODY)
             self.assertEqual(status, response.status)
+
+
+class SameIdTest(CopyTestCase):
+    """One process sees the same id twice, on two connections."""
+
+    def refuse_and_run_the_second(self, req):
+        """Refuses; sends the refusal once more, and runs what comes then."""
+        self.received.append(req.id)
+        req.send(refusal(req.id))
+        if len(self.received) > 1:
+            gevent.sleep(COPY_GAP_S)
+            self.run_request(req)
+
+    # Guards against REFUSED: a caller sends a refused id again, and the copy of
+    # its refusal arrives while the request runs.
+    def test_second_refusal_of_the_same_id_is_not_believed(self):
+        self.received = []
+        self.start(self.refuse_and_run_the_second, count=1)
+        self.assertEqual(503, self.send("id-again").status)
+        self.assertEqual(502, self.send("id-again").status)
+
+    # Guards against REFUSED: two entries name one address, so that a retry
+    # reaches the process that refused.
+    def test_two_entries_with_one_address(self):
+        self.received = []
+        endpoint = self.start_endpoint(
+            nodes.PLAIN_SERVICE, self.refuse_and_run_the_second
+        )
+        self.store.put_endpoint(
+            f"{endpoint.id}-2",
+            nodes.endpoint_record(nodes.PLAIN_SERVICE, endpoint.address),
+        )
+        self.start_router()
+        response = self.send("id-again")
+        self.assertEqual(["id-again"] * 2, self.received)
+        self.assertEqual(502, response.status)
