A connection carries each request id once

A caller that sent an id, another one and the first once more over one connection to an endpoint got a late copy of the first response (MIXED).

Cause: a connection remembered the id of its last request only.

Evidence: test_id_that_returns_after_another_request fails before the change: the third body is b'old'.

Change: a connection remembers hashes of the ids of all its requests, and is closed after 500 of them, which bounds the memory.

--- a/hornbeampier/forwarding/connection_pool.py
+++ b/hornbeampier/forwarding/connection_pool.py
@@ -19,6 +19,8 @@
 # Fraction of the endpoint's keep-alive time after which an idle connection is
 # no longer used.
 KEEP_ALIVE_FRACTION = 0.5
+# Requests for which a connection is used. Their ids are remembered.
+MAX_REQUESTS = 500
 
 Incarnation = tuple[str, int, str, int]
 
@@ -50,8 +52,8 @@
         """Returns an idle or a new connection for a request.
 
         A late copy of an earlier response on a connection is told apart by its
-        id. So a request without an id, or with that of the request before, gets
-        a new connection.
+        id. So a request without an id, or with that of an earlier request on
+        the connection, gets a new connection.
 
         Raises:
             OSError: The endpoint did not accept a new connection.
@@ -62,7 +64,7 @@
                 return conn
         sock = sockets.connect(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
         conn = client.ClientConnection(sock, self._clock)
-        conn.request_id = request_id
+        conn.carried.add(hash(request_id))
         return conn
 
     def probe(self, endpoint: domain.Endpoint) -> bool:
@@ -90,7 +92,7 @@
         """
         if keep_alive_ms is None:
             keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
-        if not conn.is_reusable():
+        if not conn.is_reusable() or len(conn.carried) >= MAX_REQUESTS:
             conn.close()
             return
         self._keep(endpoint, conn, keep_alive_ms)
@@ -127,10 +129,10 @@
             conn = idle_conn.conn
             if (
                 now_ms < idle_conn.expires_ms
-                and conn.request_id != request_id
+                and hash(request_id) not in conn.carried
                 and conn.has_no_input()
             ):
-                conn.request_id = request_id
+                conn.carried.add(hash(request_id))
                 return conn
             conn.close()
         return None
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -49,7 +49,8 @@
     """One connection to a server, used for one request at a time.
 
     Attributes:
-        request_id: The id of the last request; empty if it had none.
+        carried: Hashes of the ids of its requests; their length is up to the
+            callers.
     """
 
     def __init__(self, sock: socket.socket, clock: clocks.Clock):
@@ -59,7 +60,7 @@
         self._sender: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
         self._eof_received = False
-        self.request_id = ""
+        self.carried: set[int] = set()
 
     def send(
         self, head: messages.RequestHead, body: bytes, deadline_ms: float
--- a/tests/test_refusal_copies.py
+++ b/tests/test_refusal_copies.py
@@ -55,15 +55,16 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\nfull"
 
 
-def success(request_id):
-    """Returns the bytes of a response whose body is the id."""
+def success(request_id, body=None):
+    """Returns the bytes of a response; its body is the id by default."""
+    body = request_id if body is None else body
     lines = [
         "HTTP/1.1 200 OK",
-        f"Content-Length: {len(request_id)}",
+        f"Content-Length: {len(body)}",
         f"X-Hornbeampier-Attempt-Id: {request_id}",
         endpoint_standin.SEAL,
     ]
-    return "\r\n".join([*lines, "", request_id]).encode()
+    return "\r\n".join([*lines, "", body]).encode()
 
 
 class CopyTestCase(nodes.NodeTestCase):
@@ -241,6 +242,27 @@
         self.copy = refusal(None)
         self.assertEqual(502, self.send().status)
 
+    # Guards against MIXED: a late copy of a response is passed on to a caller
+    # that sends the same id again after another request.
+    def test_id_that_returns_after_another_request(self):
+        def send_copy(req):
+            if req.id in self.ran:
+                req.send(success(req.id, "old"))
+                gevent.sleep(COPY_GAP_S)
+
+        self.start_with_copies(send_copy)
+        bodies = []
+        for request_id in ("id-a", "id-b", "id-a"):
+            response = self.call(
+                self.router,
+                "POST",
+                "/unsafe/x",
+                headers={"X-Hornbeampier-Attempt-Id": request_id},
+                body=b"x",
+            )
+            bodies.append(response.body)
+        self.assertEqual([b"id-a", b"id-b", b"id-a"], bodies)
+
 
 class LongBodyTest(CopyTestCase):
     # Guards against REFUSED: a copy is believed while the request is written.
