A refusal of a HEAD request is answered without a body

Callers that sent HEAD got a closed connection in place of any answer of this VM itself: 404, 503 and the like (LOST).

Cause: the body of the refusal was handed to h11, which takes none for the response to HEAD and raised LocalProtocolError. Responses of endpoints to HEAD have no body and were passed on.

Evidence: test_refusal_of_head_declares_the_content_length fails before the change with that error.

Change: respond() leaves the body out after HEAD; its length stays declared. The tests of test_node_requests.py, test_bad_bytes.py and test_node_shutdown.py pass.

--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -57,6 +57,7 @@
         self.busy = False
         self.close_after_response = False
         self._shut_down = False
+        self._is_head = False
 
     def read_head(
         self,
@@ -74,9 +75,11 @@
             # A request that arrives after `close_idle` is not run.
             return None
         self.busy = True
+        self._is_head = False
         event = self._next_event(self._clock.now() + header_timeout_ms)
         if not isinstance(event, h11.Request):
             return None
+        self._is_head = event.method == b"HEAD"
         head = messages.RequestHead(
             event.method, event.target, tuple(event.headers)
         )
@@ -140,9 +143,12 @@
     def respond(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
-        """Writes a complete response with a single send."""
+        """Writes a complete response with a single send.
+
+        The response to a HEAD request is sent without its body.
+        """
         data = self._send_head(status, headers)
-        if body:
+        if body and not self._is_head:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         self._write(data)
--- a/tests/test_node_requests.py
+++ b/tests/test_node_requests.py
@@ -286,3 +286,16 @@
         caller.send("HEAD", "/safe/x")
         status, headers = caller.read_head()
         self.assertEqual((200, "7"), (status, headers["content-length"]))
+
+    # Guards against LOST: a refusal of a HEAD request, whose body must not be
+    # sent, ends in a closed connection.
+    def test_refusal_of_head_declares_the_content_length(self):
+        router = self.start_ready_node()
+        caller = self.connect(router)
+        caller.send("HEAD", "/safe/x")
+        status, headers = caller.read_head()
+        self.assertEqual(503, status)
+        self.assertNotEqual("0", headers["content-length"])
+        caller.send("HEAD", "/unknown/x")
+        status, _ = caller.read_head()
+        self.assertEqual(404, status)
