--- a/hornbeampier/forwarding/departure_checks.py
+++ b/hornbeampier/forwarding/departure_checks.py
@@ -16,6 +16,7 @@
 from hornbeampier.http1 import client
 from hornbeampier.platform import announcements as announcement_headers
 from hornbeampier.platform import health_checks
+from hornbeampier.platform import names
 from hornbeampier.routing import domain
 from hornbeampier.routing import fleet
 from hornbeampier.routing import rendezvous
@@ -110,7 +111,9 @@
             conn = self._context.connection_pool.acquire(endpoint, "")
             try:
                 response = conn.call(
-                    request, self._clock.now() + CALL_TIMEOUT_MS
+                    request,
+                    self._clock.now() + CALL_TIMEOUT_MS,
+                    id_header=names.REQUEST_ID,
                 )
             finally:
                 conn.close()
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -82,7 +82,8 @@
         Raises:
             process_check.UnprovedProcessError: Nothing proves the version.
             errors.AttemptError: The endpoint is unreachable or wants fewer
-                requests, or no valid head of a response arrived in time.
+                requests, or no valid head of a response arrived in time, or
+                it may be the response to an earlier request.
         """
         self._deadline_ms = req.deadline_ms
         if needs_version:
@@ -115,7 +116,10 @@
             )
         except client.TRANSPORT_ERRORS as exc:
             raise self._lost_response(exc) from exc
-        self.fields = headers.decode_response(self.head)
+        fields = headers.decode_response(self.head)
+        if fields.not_executed:
+            self._pool.refusals.check(self._state.endpoint, req.id)
+        self.fields = fields
         if self.fields.announcement is not None:
             self._announcements.record(
                 self._state.endpoint,
@@ -203,7 +207,7 @@
             # An idle connection may have ended, or hold an earlier response.
             self.close()
             self._connect("")
-            self._conn.request_id = request_id
+            self._conn.carried.add(hash(request_id))
             self._check_process()
 
     def _check_process(self) -> None:
