Do not start a soak's process twice while it is starting

Cause: gevent's Popen lets other tasks run until the program is executed, long on a busy machine. Meanwhile the process had a new name, but has_ended told of the one before, so that another fault started it again; signals went to the one before, too. Change: a process that is starting has not ended, and signals wait until it has started.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -8,6 +8,7 @@
 import tempfile
 
 import gevent
+from gevent import event
 import yaml
 
 from hornbeampier import clock as clocks
@@ -39,6 +40,8 @@
         self._settings = pathlib.Path(self._directory.name) / "node.yaml"
         self._log = pathlib.Path(self._directory.name) / "log"
         self._process = None
+        self._has_started = event.Event()
+        self._has_started.set()
         self.write_settings(seeds, store_port)
 
     @property
@@ -73,9 +76,16 @@
         self._settings.write_text(yaml.safe_dump(fields))
 
     def start(self):
-        """Starts the process."""
+        """Starts the process; other tasks run meanwhile."""
         self.boots += 1
         self.started_ms = clocks.SystemClock().now()
+        self._has_started.clear()
+        try:
+            self._spawn()
+        finally:
+            self._has_started.set()
+
+    def _spawn(self):
         with self._log.open("a") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "hornbeampier", "node"],
@@ -86,12 +96,14 @@
 
     def signal(self, signum):
         """Sends a signal, unless the process has ended."""
+        self._has_started.wait()
         if self._process.poll() is None:
             self._process.send_signal(signum)
 
     def has_ended(self):
         """Whether the process has ended."""
-        return self._process.poll() is not None
+        is_starting = not self._has_started.is_set()
+        return not is_starting and self._process.poll() is not None
 
     def wait_ended(self, timeout_s):
         """Returns whether the process ends in time."""
