Datagrams of other VMs are bounded where they are decoded

The crash of a suspect that is not hexadecimal raised an error in each later round (it ends with a task that is started again every second), and numbers of more than 53 bits did not fit the sums of hubs. A host that is no address would have been looked up as a name. One with a long digest made the datagrams of the VMs that believed it unreadable to their peers; that came up while the bounds were tried.

Change: bounds.py has the types of values that can be used, summed over all VMs and sent on; the messages of gossip, streams and usage use them. Hosts are IP literals, workloads finite, digests 64 bytes at most. What is out of bounds is an unreadable datagram, as before for malformed ones.

--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.routing import prompt_kinds
 
@@ -20,10 +21,10 @@
         expected_ms: Decayed sum of the latencies that were expected.
     """
 
-    in_flight: int
-    prefill_tokens: int
-    measured_ms: int
-    expected_ms: int
+    in_flight: bounds.Integer
+    prefill_tokens: bounds.Integer
+    measured_ms: bounds.Integer
+    expected_ms: bounds.Integer
 
 
 class Placement(msgspec.Struct, array_like=True, frozen=True):
@@ -31,7 +32,7 @@
 
     endpoint: str
     segment: str
-    tokens: int
+    tokens: bounds.Count
 
 
 class Crash(msgspec.Struct, array_like=True, frozen=True):
@@ -43,7 +44,7 @@
 
 # Digests of the suspects of crashes, by incarnation of the endpoint. A crash
 # may concern as many requests as an engine runs.
-CrashReports = dict[str, tuple[bytes, ...]]
+CrashReports = dict[str, tuple[bounds.Digest, ...]]
 
 
 class BlockReport(msgspec.Struct, array_like=True, frozen=True):
@@ -56,10 +57,10 @@
         age_ms: Time since that crash.
     """
 
-    suspects: tuple[bytes, ...]
-    count: int
+    suspects: tuple[bounds.Digest, ...]
+    count: bounds.Count
     incarnation: str
-    age_ms: int
+    age_ms: bounds.WholeMs
 
 
 class EndpointNotice(msgspec.Struct, array_like=True, frozen=True):
@@ -74,10 +75,10 @@
     """
 
     endpoint: str
-    started_ms: int
+    started_ms: bounds.Number
     leaving: bool
     limit_per_s: float | None
-    limit_age_ms: int | None
+    limit_age_ms: bounds.WholeMs | None
 
 
 class Scope(enum.IntEnum):
@@ -105,8 +106,8 @@
 class RecordPosition(msgspec.Struct, array_like=True, frozen=True):
     """A `positions.Position` of a topic."""
 
-    era: int
-    offset: int
+    era: bounds.Count
+    offset: bounds.Count
     carried: bool
 
 
@@ -119,9 +120,9 @@
         carried: See `positions.Position`.
     """
 
-    offset: int
+    offset: bounds.Count
     hosts: tuple[str, ...]
-    era: int = 0
+    era: bounds.Count = 0
     carried: bool = False
 
 
@@ -134,8 +135,8 @@
     """
 
     host: str
-    zone: int
-    silent_ms: int
+    zone: bounds.Count
+    silent_ms: bounds.WholeMs
 
 
 class StateMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -183,17 +184,17 @@
     sequence: int
     is_delta: bool
     reads_store: bool
-    offsets: dict[str, int]
+    offsets: dict[str, bounds.Count]
     loads: dict[str, EndpointLoad]
     workload: dict[str, tuple[float, ...]] = {}
-    pools: dict[str, tuple[int, int]] = {}
-    sent_tokens: dict[str, int] = {}
+    pools: dict[str, tuple[bounds.Count, bounds.Count]] = {}
+    sent_tokens: dict[str, bounds.Count] = {}
     placements: tuple[Placement, ...] = ()
     crashes: tuple[Crash, ...] = ()
     members: tuple[str, ...] = ()
     scope: int = Scope.PEER
-    zone: int = 0
-    vm_count: int = 1
+    zone: bounds.Count = 0
+    vm_count: bounds.Count = 1
     readers: tuple[str, ...] = ()
     reports: tuple[MemberReport, ...] = ()
     sources: dict[str, RecordSources] = {}
@@ -201,10 +202,14 @@
     positions: dict[str, RecordPosition] = {}
     crash_reports: CrashReports = {}
     cleared_reports: CrashReports = {}
-    crash_ages_ms: dict[str, int] = {}
+    crash_ages_ms: dict[str, bounds.WholeMs] = {}
     blocks: tuple[BlockReport, ...] = ()
 
 
+# How much of an invalid host is shown in an error.
+SHOWN_CHARACTERS = 60
+# Largest workload of a service, in prompt tokens.
+MAX_WORKLOAD = 1e15
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(StateMessage)
 
@@ -216,28 +221,37 @@
 
 def _check_notices(notices: tuple[EndpointNotice, ...]) -> None:
     for notice in notices:
-        limit_per_s, age_ms = notice.limit_per_s, notice.limit_age_ms
+        limit_per_s = notice.limit_per_s
         if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
-            raise errors.PeerError(
-                f"invalid gossip datagram: limit {limit_per_s} is out of range"
-            )
-        if age_ms is not None and age_ms < 0:
-            raise errors.PeerError(
-                f"invalid gossip datagram: age {age_ms} is negative"
-            )
+            raise ValueError(f"limit {limit_per_s} is out of range")
 
 
 def _check_crashes(message: StateMessage) -> None:
-    ages_ms = [*message.crash_ages_ms.values()]
-    ages_ms += [block.age_ms for block in message.blocks]
-    if any(age_ms < 0 for age_ms in ages_ms):
-        raise errors.PeerError(
-            "invalid gossip datagram: the age of a crash is negative"
-        )
     if any(block.count < 1 or not block.suspects for block in message.blocks):
-        raise errors.PeerError(
-            "invalid gossip datagram: a block needs suspects and crashes"
-        )
+        raise ValueError("a block needs suspects and crashes")
+    for crash in message.crashes:
+        if len(bytes.fromhex(crash.suspect)) > bounds.MAX_DIGEST_BYTES:
+            raise ValueError("the digest of a suspect is too long")
+
+
+def _check_workload(workload: dict[str, tuple[float, ...]]) -> None:
+    kind_count = len(prompt_kinds.PromptKind)
+    for values in workload.values():
+        if len(values) != kind_count:
+            raise ValueError(f"a workload needs {kind_count} values")
+        if not all(-MAX_WORKLOAD <= value <= MAX_WORKLOAD for value in values):
+            raise ValueError("a workload is out of range")
+
+
+def _check_hosts(message: StateMessage) -> None:
+    """Checks that no datagram or call brings about the look-up of a name."""
+    hosts = [*message.members, *message.readers]
+    hosts += [report.host for report in message.reports]
+    for sources in message.sources.values():
+        hosts += sources.hosts
+    for host in hosts:
+        if not bounds.is_ip_address(host):
+            raise ValueError(f"{host[:SHOWN_CHARACTERS]!r} is no IP address")
 
 
 def decode(data: bytes) -> StateMessage:
@@ -248,13 +262,10 @@
     """
     try:
         message = _decoder.decode(data)
-    except errors.DECODE_ERRORS as exc:
+        _check_notices(message.notices)
+        _check_crashes(message)
+        _check_workload(message.workload)
+        _check_hosts(message)
+    except (*errors.DECODE_ERRORS, ValueError) as exc:
         raise errors.PeerError(f"invalid gossip datagram: {exc}") from exc
-    _check_notices(message.notices)
-    _check_crashes(message)
-    kind_count = len(prompt_kinds.PromptKind)
-    if any(len(values) != kind_count for values in message.workload.values()):
-        raise errors.PeerError(
-            f"invalid gossip datagram: a workload needs {kind_count} values"
-        )
     return message
--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
@@ -19,8 +20,8 @@
         remaining_ms: Time until its caller gives up.
     """
 
-    key: bytes
-    remaining_ms: int
+    key: bounds.Digest
+    remaining_ms: bounds.Integer
 
 
 class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -45,7 +46,7 @@
     """
 
     origin: OriginEntry
-    age_ms: int
+    age_ms: bounds.Integer
 
 
 class Announcement(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -63,7 +64,7 @@
     """
 
     number: int
-    key: bytes | None
+    key: bounds.Digest | None
 
 
 class LookupReply(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -79,7 +80,7 @@
     number: int
     origin: OriginEntry | None
     ages: tuple[OriginAge, ...]
-    covered_ms: int = 0
+    covered_ms: bounds.Count = 0
 
 
 Message = Announcement | Lookup | LookupReply
--- a/hornbeampier/peers/usage_messages.py
+++ b/hornbeampier/peers/usage_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 
 
@@ -13,9 +14,9 @@
             the position of its name among all names the process has sent.
     """
 
-    window: int
+    window: bounds.Integer
     is_final: bool
-    pairs: tuple[int, ...]
+    pairs: tuple[bounds.Count, ...]
 
 
 class Counts(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -32,7 +33,7 @@
 
     process: int
     sequence: int
-    first_name: int
+    first_name: bounds.Count
     names: tuple[str, ...]
     windows: tuple[WindowEntry, ...]
     wants_ack: bool
@@ -51,9 +52,9 @@
 
     process: int
     sequence: int
-    known_names: int
+    known_names: bounds.Count
     is_complete: bool
-    time_ms: int
+    time_ms: bounds.Count
 
 
 class Subscription(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -73,7 +74,7 @@
         known: The processes whose final counts the sender has.
     """
 
-    window: int
+    window: bounds.Integer
     known: tuple[int, ...]
 
 
@@ -83,7 +84,7 @@
     host: str
     process: int
     is_final: bool
-    counts: dict[str, int]
+    counts: dict[str, bounds.Count]
 
 
 class QueryReply(msgspec.Struct, array_like=True, frozen=True, tag=5):
@@ -93,7 +94,7 @@
         is_last: Whether no further datagram follows.
     """
 
-    window: int
+    window: bounds.Integer
     is_last: bool
     rows: tuple[HeldRow, ...]
 
@@ -105,9 +106,9 @@
         accepted_through: See `usage_records.UsageReport`.
     """
 
-    window: int
-    counts: dict[str, int]
-    accepted_through: int
+    window: bounds.Integer
+    counts: dict[str, bounds.Count]
+    accepted_through: bounds.Integer
 
 
 Message = Counts | Ack | Subscription | Query | QueryReply | Finalized
@@ -137,7 +138,7 @@
 
 def _check_pairs(message: Counts) -> None:
     for entry in message.windows:
-        if len(entry.pairs) % 2 or any(number < 0 for number in entry.pairs):
+        if len(entry.pairs) % 2:
             raise errors.PeerError(
                 "invalid datagram on usage: counts need pairs of numbers"
             )
--- a/hornbeampier/platform/fields.py
+++ b/hornbeampier/platform/fields.py
@@ -1,18 +1,13 @@
-"""Types and bounds of the fields of records that other processes write.
-
-What is within these bounds can be used, summed and sent to other VMs anywhere.
-"""
+"""Fields of the records that operators and endpoints write; see `bounds`."""
 
 import functools
-import socket
 from typing import Annotated
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier.platform import settings
 
-MAX_INTEGER = 2**63 - 1
-MAX_MS = 1e12
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = len(str(MAX_PORT))
@@ -25,11 +20,7 @@
 # Only with this escape can a JSON text hold code points that have no encoding.
 _UNICODE_ESCAPE = b"\\u"
 
-Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-# A time that may lie in the past.
-Ms = Annotated[float, msgspec.Meta(ge=-MAX_MS, le=MAX_MS)]
 
 
 @functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
@@ -39,20 +30,18 @@
     The host is an IP literal, so that no name is ever looked up.
     """
     host, _, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-    if not is_port or not 1 <= int(port) <= MAX_PORT or not is_ip_address(host):
+    if not (_is_port(port) and bounds.is_ip_address(host)):
         raise ValueError(f"{text[:SHOWN_CHARACTERS]!r} is not IP:PORT")
     return settings.Address(host, int(port))
 
 
-def is_ip_address(host: str) -> bool:
-    """Whether a host is an IP literal."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    try:
-        socket.inet_pton(family, host)
-    except (OSError, ValueError):
-        return False
-    return True
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit()
+    return (
+        is_number
+        and len(text) <= MAX_PORT_DIGITS
+        and 1 <= int(text) <= MAX_PORT
+    )
 
 
 def check_id(endpoint_id: str) -> None:
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier.platform import fields
@@ -107,11 +108,11 @@
     version: str
     slots: fields.Slots
     state: Literal["ready", "draining"]
-    cold_left_ms: fields.Ms
-    sequence: fields.Count
-    born: fields.Count = 0
+    cold_left_ms: bounds.Ms
+    sequence: bounds.Number
+    born: bounds.Number = 0
     spot: bool = False
-    leaves: fields.Ms | None = msgspec.field(default=None, name="leaves_ms")
+    leaves: bounds.Ms | None = msgspec.field(default=None, name="leaves_ms")
 
 
 _version_decoder = msgspec.json.Decoder(_Version)
