--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import route_history
@@ -24,8 +25,8 @@
         remaining_ms: Time until its caller gives up.
     """
 
-    key: bytes
-    remaining_ms: int
+    key: bounds.Digest
+    remaining_ms: bounds.Integer
 
 
 class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -50,7 +51,7 @@
     """
 
     origin: OriginEntry
-    age_ms: int
+    age_ms: bounds.Integer
 
 
 class RouteRow(msgspec.Struct, array_like=True, frozen=True):
@@ -73,7 +74,7 @@
     """
 
     rows: tuple[RouteRow, ...]
-    age_ms: int
+    age_ms: bounds.Count
 
 
 class RouteReport(msgspec.Struct, array_like=True, frozen=True):
@@ -85,9 +86,9 @@
         longest_ms: For how long streams last, by the routes that it knows.
     """
 
-    version: int
-    covered_ms: int
-    longest_ms: int
+    version: bounds.Integer
+    covered_ms: bounds.Count
+    longest_ms: bounds.Count
     earlier: tuple[EarlierRoutes, ...]
 
 
@@ -106,7 +107,7 @@
     """
 
     number: int
-    key: bytes | None
+    key: bounds.Digest | None
 
 
 class LookupReply(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -123,7 +124,7 @@
     number: int
     origin: OriginEntry | None
     ages: tuple[OriginAge, ...]
-    covered_ms: int = 0
+    covered_ms: bounds.Count = 0
     routes: RouteReport | None = None
 
 
