Prove where a stream began before it goes on within its response

Callers could see answers with events of two software versions (ORDER): the endpoint that began them had already started again with a newer version, and its new entry had not been read. They were bound to the version before, and went on there at an endpoint whose process is proved.

Before such a stream goes on for the first time, the VM asks the endpoint that began it for its report. If the process of the entry still runs, it began the stream. If it cannot be asked, a read of the store that begins now shows its newest entry; without an answer of the store, or with an entry of another version, the response is broken off. Streams that are taken up begin at processes that are proved, so they are not asked about.

A test said that the engine that began a stream is not asked. It is asked once now, and the test demands exactly one report of each engine, and none for a stream that does not break.

--- a/hornbeampier/errors.py
+++ b/hornbeampier/errors.py
@@ -129,6 +129,11 @@
         self.timed_out = timed_out
         self.silent = silent
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the request, or a part of it, was sent."""
+        return not (self.unsent or self.withheld)
+
 
 class PreemptedError(Exception):
     """A request lost its slot to a higher tier and has to be resumed."""
--- /dev/null
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -0,0 +1,84 @@
+"""Proves at which software version a stream began.
+
+An endpoint may start again with another version, and run streams before its new
+entry has been read. Such a stream looks as if the version before had begun it.
+"""
+
+from hornbeampier import clock as clocks
+from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import process_check
+from hornbeampier.routing import catalog as catalogs
+from hornbeampier.routing import domain
+from hornbeampier.routing import freshness as freshnesses
+
+
+class BeginProof:
+    """Proves which process of an endpoint has begun a stream."""
+
+    def __init__(
+        self,
+        pool: connection_pool.ConnectionPool,
+        freshness: freshnesses.Freshness,
+        catalog: catalogs.Catalog,
+        clock: clocks.Clock,
+    ):
+        """Creates the component.
+
+        Args:
+            pool: Connections to endpoints.
+            freshness: Confirms that this VM knows the newest entries.
+            catalog: The entries that this VM has read.
+            clock: The clock.
+        """
+        self._pool = pool
+        self._freshness = freshness
+        self._catalog = catalog
+        self._clock = clock
+
+    def is_proved(self, endpoint: domain.Endpoint, deadline_ms: float) -> bool:
+        """Whether a stream began at the software version of an entry.
+
+        The stream was sent to the endpoint after the entry had been written. If
+        the process of the entry still runs, it has begun the stream, as an
+        endpoint has one process at a time. If the endpoint cannot be asked, the
+        store has its newest entry, unless the process ended before it had
+        written one.
+
+        Args:
+            endpoint: The entry by which the endpoint was chosen.
+            deadline_ms: When to give up, on the monotonic clock.
+        """
+        if not endpoint.started_ms:
+            return True
+        is_running = self._is_running(endpoint, deadline_ms)
+        if is_running is not None:
+            return is_running
+        return self._freshness.request().wait() and self._is_newest(endpoint)
+
+    def _is_running(
+        self, endpoint: domain.Endpoint, deadline_ms: float
+    ) -> bool | None:
+        """Whether the process of an entry runs; None if it does not tell."""
+        if not self._pool.probe(endpoint):
+            return None
+        try:
+            conn = self._pool.acquire(endpoint, "")
+        except OSError:
+            # The endpoint has ended since the probe.
+            return None
+        try:
+            process_check.check(conn, endpoint, deadline_ms, self._clock)
+        except process_check.OtherProcessError:
+            return False
+        except process_check.UnprovedProcessError:
+            return None
+        finally:
+            conn.close()
+        return True
+
+    def _is_newest(self, endpoint: domain.Endpoint) -> bool:
+        current = self._catalog.endpoints.get(endpoint.id)
+        return (
+            current is None
+            or current.software_version == endpoint.software_version
+        )
--- a/hornbeampier/forwarding/context.py
+++ b/hornbeampier/forwarding/context.py
@@ -5,6 +5,7 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import node_metrics
+from hornbeampier.forwarding import begin_proof
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import request_usage
 from hornbeampier.forwarding import resumption
@@ -30,6 +31,7 @@
     engine_models: engine_model.EngineModels
     announcements: announcements.Announcements
     resumption: resumption.Resumption
+    begin_proof: begin_proof.BeginProof
     metrics: node_metrics.NodeMetrics
     clock: clocks.Clock
     rng: random.Random
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -81,7 +81,7 @@
             context.dispatcher, req, context.clock, context.rng
         )
         self._version_guard = version_guard.VersionGuard(
-            req, origin, context.resumption
+            req, origin, context.resumption, context.begin_proof
         )
         self._relay = streams.StreamRelay(
             caller, context.clock, self._version_guard.record_begin
@@ -133,9 +133,8 @@
     def _choose_endpoint(self) -> endpoint_choice.EndpointChoice:
         self.check_blocked()
         try:
-            choice = self._selector.select(
-                self._tried, self._version_guard.version
-            )
+            version = self._version_guard.prove_version()
+            choice = self._selector.select(self._tried, version)
         except selection.NoEndpointError as exc:
             raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
         # The request may have waited for its turn meanwhile.
@@ -182,8 +181,7 @@
             in_flight_attempt.record_response()
             choice.state.record_success(self._clock.now())
         except errors.AttemptError as exc:
-            was_sent = not (exc.unsent or exc.withheld)
-            if was_sent and attempt.fields is None:
+            if exc.was_sent and attempt.fields is None:
                 self._attempts += 1
             if exc.verdict.may_have_run:
                 self._usage.record_run()
--- a/hornbeampier/forwarding/process_check.py
+++ b/hornbeampier/forwarding/process_check.py
@@ -27,6 +27,10 @@
         )
 
 
+class OtherProcessError(UnprovedProcessError):
+    """The endpoint's process is another one than that of its entry."""
+
+
 def check(
     conn: client.ClientConnection,
     endpoint: domain.Endpoint,
@@ -40,8 +44,9 @@
     whose entries have no start time, no endpoint starts again under its id.
 
     Raises:
-        UnprovedProcessError: The process is another one, it did not reply, or
-            the connection cannot carry a request afterwards.
+        OtherProcessError: The process is another one.
+        UnprovedProcessError: It did not reply, or the connection cannot carry a
+            request afterwards.
     """
     if not endpoint.started_ms:
         return
@@ -69,7 +74,7 @@
     except errors.PlatformError as exc:
         raise UnprovedProcessError(str(exc)) from exc
     if started_ms != endpoint.started_ms:
-        raise UnprovedProcessError(
+        raise OtherProcessError(
             f"the endpoint's process started at {started_ms}, and that of its "
             f"entry at {endpoint.started_ms}"
         )
--- a/hornbeampier/forwarding/version_guard.py
+++ b/hornbeampier/forwarding/version_guard.py
@@ -1,6 +1,9 @@
 """Keeps one stream at the software version of the endpoint that began it."""
 
+from hornbeampier import errors
+from hornbeampier.forwarding import begin_proof
 from hornbeampier.forwarding import resumption
+from hornbeampier.forwarding import selection
 from hornbeampier.routing import domain
 from hornbeampier.routing import requests
 from hornbeampier.routing import stream_origins
@@ -18,6 +21,7 @@
         req: requests.Request,
         origin: stream_origins.Origin | None,
         resumption: resumption.Resumption,
+        proof: begin_proof.BeginProof,
     ):
         """Creates a guard.
 
@@ -25,12 +29,34 @@
             req: The request.
             origin: Where the stream began that the request takes up, or None.
             resumption: Records where the stream begins.
+            proof: Proves which process has begun the stream.
         """
         self._req = req
         self._resumption = resumption
+        self._proof = proof
+        self._unproved: domain.Endpoint | None = None
         self.version = None if origin is None else origin.version
 
     def record_begin(self, endpoint: domain.Endpoint) -> None:
         """Records that the first event of an endpoint is to be passed on."""
+        if self.version is None:
+            self._unproved = endpoint
         self.version = endpoint.software_version
         self._resumption.record_begin(self._req, endpoint)
+
+    def prove_version(self) -> str | None:
+        """Returns `version` for the next attempt.
+
+        Raises:
+            selection.NoEndpointError: Another version may have begun the
+                stream.
+        """
+        if self._unproved is not None:
+            if not self._proof.is_proved(self._unproved, self._req.deadline_ms):
+                raise selection.NoEndpointError(
+                    errors.RefusalCode.STREAM_ORIGIN_UNKNOWN,
+                    f"endpoint {self._unproved.id}, which began the stream, "
+                    "may have started again with another software version",
+                )
+            self._unproved = None
+        return self.version
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -224,6 +224,7 @@
             engine_models=self._engine_models,
             announcements=self._announcements,
             resumption=self._origins.build_resumption(self._metrics),
+            begin_proof=self._origins.build_begin_proof(self._connection_pool),
             metrics=self._metrics,
             clock=self._clock,
             rng=self._env.rng,
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -10,6 +10,8 @@
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import node_metrics
+from hornbeampier.forwarding import begin_proof
+from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import resumption
 from hornbeampier.peers import components
 from hornbeampier.platform import names
@@ -51,6 +53,7 @@
         self._readers: dict[str, log_reader.LogReader] = {}
         self._replicas: dict[str, replica.TopicReplica] = {}
         self._silence: store_silence.StoreSilence | None = None
+        self._reads: freshnesses.Freshness = freshnesses.SingleVm()
         self._freshness: freshnesses.Freshness = freshnesses.SingleVm()
         self._was_proved = False
         self._log = structlog.get_logger(task="origins")
@@ -95,8 +98,6 @@
         self, count_vms: Callable[[], int]
     ) -> list[application.Component]:
         """Returns the component that reads the store for streams taken up."""
-        if not self._cfg.seeds:
-            return []
         reads = fresh_reads.FreshReads(
             list(self._replicas.values()),
             store.StoreClient(self._cfg.store, self._clock),
@@ -104,7 +105,9 @@
             self._has_route,
             self._clock,
         )
-        self._freshness = reads
+        self._reads = reads
+        if self._cfg.seeds:
+            self._freshness = reads
         return [reads]
 
     def build_exchange(
@@ -137,6 +140,14 @@
             self._clock,
         )
 
+    def build_begin_proof(
+        self, pool: connection_pool.ConnectionPool
+    ) -> begin_proof.BeginProof:
+        """Returns the object that proves which process began a stream."""
+        return begin_proof.BeginProof(
+            pool, self._reads, self._catalog, self._clock
+        )
+
     def maintain(self, is_in_touch: bool) -> None:
         """Records that this VM follows registrations; drops what is old."""
         if is_in_touch:
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -68,14 +68,69 @@
         self.assertGreater(restarted[0].reports, 0)
 
     # Guards against a probe of every request: only a stream that goes on needs
-    # the proof.
-    def test_engine_is_asked_only_where_a_stream_goes_on(self):
+    # the proofs, one of where it began and one of where it goes on.
+    def test_engines_are_asked_only_if_a_stream_goes_on(self):
         router = self.start_ready_node(self.configuration())
         response = self.stream(router, "a0")
         self.assertEqual(stream_versions.ALL_EVENTS, response.body)
         first, second = self.engines.runs["a0"]
-        self.assertEqual(0, self.engines._engines[first].reports)
+        self.assertEqual(1, self.engines._engines[first].reports)
         self.assertEqual(1, self.engines._engines[second].reports)
+        for engine in self.engines._engines.values():
+            engine.handler = self.complete
+        self.stream(router, "a1")
+        reports = [e.reports for e in self.engines._engines.values()]
+        self.assertEqual([1, 1], reports)
+
+    def complete(self, req):
+        req.begin_stream()
+        req.send_event(1)
+        req.end_stream()
+
+    # Guards against an answer of two versions: the engine that began it had
+    # started again with v2 before, and its new entry had not been read.
+    def test_stream_that_began_at_a_restarted_engine_does_not_go_on(self):
+        router = self.start_ready_node(self.configuration())
+        for position in range(2):
+            self.engine(position).handler = self.run_first_at_restarted
+        response = self.stream(router, "a0")
+        self.assertFalse(response.complete)
+        self.assertEqual(1, len(self.engines.runs["a0"]))
+
+    def run_first_at_restarted(self, req):
+        """The first run of a stream is one of a process that started again."""
+        if not self.engines.runs[req.id]:
+            engine_id = req.headers["x-hornbeampier-expect-instance"]
+            self.restart_unseen(list(self.engines.ids()).index(engine_id))
+        self.engines._run(req)
+
+    # Guards against an answer of two versions: nobody can say any more which
+    # process began it.
+    def test_stream_does_not_go_on_if_its_engine_and_the_store_are_gone(self):
+        response = self.break_off_and_kill(store_down=True)
+        self.assertFalse(response.complete)
+        self.assertEqual(1, len(self.engines.runs["a0"]))
+
+    # Guards against streams that are broken off whenever an engine crashes.
+    def test_stream_goes_on_if_the_store_has_no_newer_entry(self):
+        response = self.break_off_and_kill(store_down=False)
+        self.assertEqual(stream_versions.ALL_EVENTS, response.body)
+
+    def break_off_and_kill(self, store_down):
+        router = self.start_ready_node(self.configuration())
+
+        def run(req):
+            if not self.engines.runs[req.id]:
+                engine_id = req.headers["x-hornbeampier-expect-instance"]
+                self.store.down = store_down
+                self.engines._run(req)
+                self.engines._engines[engine_id].kill()
+            else:
+                self.engines._run(req)
+
+        for position in range(2):
+            self.engine(position).handler = run
+        return self.stream(router, "a0")
 
     # Guards against a version that nothing proves: the engine does not answer
     # the question as the protocol has it.
