--- a/hornbeampier/forwarding/process_check.py
+++ b/hornbeampier/forwarding/process_check.py
@@ -8,6 +8,7 @@
 from hornbeampier import errors
 from hornbeampier import verdict
 from hornbeampier.http1 import client
+from hornbeampier.platform import names
 from hornbeampier.platform import reports
 from hornbeampier.routing import domain
 
@@ -52,7 +53,11 @@
         return
     deadline_ms = min(deadline_ms, clock.now() + CHECK_TIMEOUT_MS)
     try:
-        response = conn.call(reports.encode_request(endpoint), deadline_ms)
+        response = conn.call(
+            reports.encode_request(endpoint),
+            deadline_ms,
+            id_header=names.REQUEST_ID,
+        )
     except client.TRANSPORT_ERRORS as exc:
         raise UnprovedProcessError(
             f"the endpoint did not send a report: {exc or type(exc).__name__}"
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -61,6 +61,7 @@
         self.response_begun = False
         self.must_linger = False
         self._shut_down = False
+        self._is_head = False
 
     def read_head(
         self,
@@ -79,9 +80,11 @@
             return None
         self.busy = True
         self.response_begun = False
+        self._is_head = False
         event = self._next_event(self._clock.now() + header_timeout_ms)
         if not isinstance(event, h11.Request):
             return None
+        self._is_head = event.method == b"HEAD"
         head = messages.RequestHead(
             event.method, event.target, tuple(event.headers)
         )
@@ -146,9 +149,12 @@
     def respond(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
-        """Writes a complete response with a single send."""
+        """Writes a complete response with a single send.
+
+        The response to a HEAD request is sent without its body.
+        """
         data = self._send_head(status, headers)
-        if body:
+        if body and not self._is_head:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         self.response_begun = True
@@ -165,6 +171,11 @@
         self._http = h11.Connection(h11.SERVER)
         self.must_linger = True
         self.close_after_response = True
+        if self._is_head:
+            # The new state machine does not know the request's method.
+            headers = [h for h in headers if h[0] != b"Content-Length"]
+            headers.append((b"Content-Length", b"0"))
+            body = b""
         self.respond(status, headers, body)
 
     @property
