Prove the process behind the record of a stream that is taken up

A record now names the process by whose entry it was made, on the VM that began the stream and on the five that get it. A VM at which the stream is taken up asks that endpoint for its report, as within a response. If it cannot be asked, or its entry is gone, a read of the store that begins now must show no other version. Otherwise the request is refused as not run. Announcements grow by 20 B a stream and VM; records of earlier releases have no process, and go on as before.

The test of the wire format has the new field, None where no stream is recorded.

--- a/hornbeampier/forwarding/begin_proof.py
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -53,7 +53,27 @@
         is_running = self._is_running(endpoint, deadline_ms)
         if is_running is not None:
             return is_running
-        return self._freshness.request().wait() and self._is_newest(endpoint)
+        return self._freshness.request().wait() and self._has_no_other_version(
+            endpoint.id, endpoint.software_version
+        )
+
+    def is_record_proved(
+        self, process: domain.ProcessId, version: str, deadline_ms: float
+    ) -> bool:
+        """Whether a recorded stream began at the version of its record.
+
+        Args:
+            process: The process by whose entry the version was recorded.
+            version: The recorded software version.
+            deadline_ms: When to give up, on the monotonic clock.
+        """
+        endpoint_id, _ = process
+        current = self._catalog.endpoints.get(endpoint_id)
+        if current is not None and current.process_id == process:
+            return self.is_proved(current, deadline_ms)
+        if current is None and not self._freshness.request().wait():
+            return False
+        return self._has_no_other_version(endpoint_id, version)
 
     def _is_running(
         self, endpoint: domain.Endpoint, deadline_ms: float
@@ -76,9 +96,7 @@
             conn.close()
         return True
 
-    def _is_newest(self, endpoint: domain.Endpoint) -> bool:
-        current = self._catalog.endpoints.get(endpoint.id)
-        return (
-            current is None
-            or current.software_version == endpoint.software_version
-        )
+    def _has_no_other_version(self, endpoint_id: str, version: str) -> bool:
+        """Whether the newest entry of an endpoint, if any, has a version."""
+        current = self._catalog.endpoints.get(endpoint_id)
+        return current is None or current.software_version == version
--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -10,6 +10,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import node_metrics
+from hornbeampier.forwarding import begin_proof
 from hornbeampier.routing import domain
 from hornbeampier.routing import freshness as freshnesses
 from hornbeampier.routing import origin_history
@@ -29,6 +30,7 @@
         history: origin_history.OriginHistory,
         directory: stream_origins.Directory,
         freshness: freshnesses.Freshness,
+        proof: begin_proof.BeginProof,
         is_learning: Callable[[], bool],
         metrics: node_metrics.NodeMetrics,
         clock: clocks.Clock,
@@ -41,6 +43,7 @@
             directory: The streams that are recorded on other VMs.
             freshness: Confirms that this VM knows all versions and routes that
                 any VM knew when a request arrived.
+            proof: Proves which process of an endpoint has begun a stream.
             is_learning: Whether this VM may soon learn which versions served
                 before it started.
             metrics: Counts the streams that are taken up.
@@ -50,6 +53,7 @@
         self._history = history
         self._directory = directory
         self._freshness = freshness
+        self._proof = proof
         self._is_learning = is_learning
         self._metrics = metrics
         self._clock = clock
@@ -105,6 +109,7 @@
             stream_origins.digest_id(request_id),
             stream_origins.Origin(endpoint.service, endpoint.software_version),
             self._clock.now() + stream_origins.bound_retention(remaining_ms),
+            endpoint.process_id if endpoint.started_ms else None,
         )
         self._directory.record(stream, not self._is_unambiguous(req))
 
@@ -113,9 +118,10 @@
     ) -> tuple[stream_origins.Origin, str]:
         """Returns where a stream began, and how this VM learnt it."""
         key = stream_origins.digest_id(request_id) if request_id else None
-        recorded = self._origins.find(key) if key is not None else None
+        recorded = self._origins.find_stream(key) if key is not None else None
         if recorded is not None:
-            return recorded, "own_record"
+            self._check_process(req, recorded.process, recorded.origin)
+            return recorded.origin, "own_record"
         if key is None and not self._has_one_origin(req):
             raise self._unknown("its caller does not name it", None)
         remaining_ms = req.caller_deadline_ms - self._clock.now()
@@ -126,6 +132,7 @@
             lambda: confirmation.is_confirmed and self._is_unambiguous(req),
         )
         if result.origin is not None:
+            self._check_process(req, result.process, result.origin)
             return result.origin, "peer"
         reason = f"none of {result.replies} VMs that replied knows it"
         if self._has_one_origin(req) and not (
@@ -142,6 +149,26 @@
             raise self._unknown(reason, None)
         raise self._unproved(req, reason)
 
+    def _check_process(
+        self,
+        req: requests.Request,
+        process: domain.ProcessId | None,
+        origin: stream_origins.Origin,
+    ) -> None:
+        """Raises a refusal if another process may have begun the stream.
+
+        Without a process there is nothing to ask.
+        """
+        if process is None or self._proof.is_record_proved(
+            process, origin.version, req.deadline_ms
+        ):
+            return
+        raise self._unknown(
+            f"endpoint {process[0]} may have started again before",
+            RETRY_AFTER_MS,
+            "unconfirmed",
+        )
+
     def _request_confirmation(
         self, req: requests.Request
     ) -> freshnesses.Confirmation:
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -213,6 +213,7 @@
         self._connection_pool = connection_pool.ConnectionPool(
             self._fleet, self._clock
         )
+        proof = self._origins.build_begin_proof(self._connection_pool)
         self._context = context.Context(
             catalog=self.catalog,
             peer_loads=self._peer_loads,
@@ -228,8 +229,8 @@
             ),
             engine_models=self._engine_models,
             announcements=self._announcements,
-            resumption=self._origins.build_resumption(self._metrics),
-            begin_proof=self._origins.build_begin_proof(self._connection_pool),
+            resumption=self._origins.build_resumption(proof, self._metrics),
+            begin_proof=proof,
             metrics=self._metrics,
             clock=self._clock,
             rng=self._env.rng,
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -127,7 +127,9 @@
         return [transport, exchange]
 
     def build_resumption(
-        self, metrics: node_metrics.NodeMetrics
+        self,
+        proof: begin_proof.BeginProof,
+        metrics: node_metrics.NodeMetrics,
     ) -> resumption.Resumption:
         """Returns the object that finds and records the origins of streams."""
         return resumption.Resumption(
@@ -135,6 +137,7 @@
             self._history,
             self._directory,
             self._freshness,
+            proof,
             lambda: any(r.is_pending for r in self._readers.values()),
             metrics,
             self._clock,
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -19,6 +19,7 @@
 from hornbeampier.peers import hash_ring
 from hornbeampier.peers import origin_messages
 from hornbeampier.peers import udp_transport
+from hornbeampier.routing import domain
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import stream_origins
 
@@ -48,6 +49,7 @@
     Attributes:
         waiting: The VMs that have not replied.
         origin: Where the stream began, once a VM has told.
+        process: The endpoint's process of the stream's record, if it was told.
         replies: Number of replies.
         done: Set when no more replies are needed.
     """
@@ -58,18 +60,25 @@
         self._is_unambiguous = is_unambiguous
         self.waiting = set(hosts)
         self.origin: stream_origins.Origin | None = None
+        self.process: domain.ProcessId | None = None
         self.replies = 0
         self.done = event.Event()
         if not self.waiting:
             self.done.set()
 
-    def record(self, host: str, origin: stream_origins.Origin | None) -> None:
+    def record(
+        self,
+        host: str,
+        origin: stream_origins.Origin | None,
+        process: domain.ProcessId | None,
+    ) -> None:
         """Records the reply of a VM."""
         if host not in self.waiting:
             return
         self.waiting.remove(host)
         self.replies += 1
-        self.origin = self.origin or origin
+        if self.origin is None:
+            self.origin, self.process = origin, process
         if (
             self.origin is not None
             or not self.waiting
@@ -154,7 +163,10 @@
         finally:
             del self._lookups[number]
         return stream_origins.LookupResult(
-            pending.origin, pending.replies, pending.done.is_set()
+            pending.origin,
+            pending.replies,
+            pending.done.is_set(),
+            pending.process,
         )
 
     def accept(self, host: str, message: origin_messages.Message) -> None:
@@ -193,20 +205,21 @@
                 )
                 self._origins.record(
                     stream_origins.RecordedStream(
-                        entry.key, origin, now_ms + retention_ms
+                        entry.key, origin, now_ms + retention_ms, entry.process
                     )
                 )
 
     def _reply(self, host: str, message: origin_messages.Lookup) -> None:
-        origin = None
+        stream = None
         if message.key is not None:
-            origin = self._origins.find(message.key)
+            stream = self._origins.find_stream(message.key)
         reply = origin_messages.LookupReply(
             message.number,
-            None if origin is None else origin_messages.to_entry(origin),
+            None if stream is None else origin_messages.to_entry(stream.origin),
             origin_messages.to_ages(self._history.ages()),
             origin_messages.to_covered(self._history.coverage.length_ms()),
             origin_messages.to_routes(self._history.routes.report()),
+            None if stream is None else stream.process,
         )
         self._transport.send(host, origin_messages.encode(reply))
 
@@ -224,7 +237,9 @@
             return
         entry = message.origin
         pending.record(
-            host, None if entry is None else origin_messages.of_entry(entry)
+            host,
+            None if entry is None else origin_messages.of_entry(entry),
+            message.process,
         )
 
     def _choose_asked(self, key: bytes | None) -> list[str]:
--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -22,10 +22,13 @@
 
     Attributes:
         remaining_ms: Time until its caller gives up.
+        process: See `stream_origins.RecordedStream`; None from VMs whose
+            release lacks the field.
     """
 
     key: bytes
     remaining_ms: int
+    process: tuple[str, int] | None = None
 
 
 class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -118,6 +121,8 @@
         covered_ms: Time up to now in which no other version served; 0 from VMs
             whose release lacks the field.
         routes: None from VMs whose release lacks the field.
+        process: That of the stream's record; None from VMs whose release lacks
+            the field.
     """
 
     number: int
@@ -125,6 +130,7 @@
     ages: tuple[OriginAge, ...]
     covered_ms: int = 0
     routes: RouteReport | None = None
+    process: tuple[str, int] | None = None
 
 
 Message = Announcement | Lookup | LookupReply
@@ -244,7 +250,7 @@
     entries: dict[stream_origins.Origin, list[StreamEntry]] = {}
     for stream in streams:
         remaining_ms = max(0, round(stream.expires_ms - now_ms))
-        entry = StreamEntry(stream.key, remaining_ms)
+        entry = StreamEntry(stream.key, remaining_ms, stream.process)
         entries.setdefault(stream.origin, []).append(entry)
     return Announcement(
         tuple(
--- a/hornbeampier/routing/stream_origins.py
+++ b/hornbeampier/routing/stream_origins.py
@@ -35,11 +35,14 @@
     Attributes:
         key: Digest of the id of the request that brought its first event.
         expires_ms: When its caller has given up, on the monotonic clock.
+        process: The endpoint's process by whose entry the origin is known; None
+            if the VM that began the stream did not tell.
     """
 
     key: bytes
     origin: Origin
     expires_ms: float
+    process: domain.ProcessId | None = None
 
 
 def of_endpoint(endpoint: domain.Endpoint) -> Origin:
@@ -72,10 +75,15 @@
 
     def find(self, key: bytes) -> Origin | None:
         """Returns where a stream began, or None if it is not recorded."""
+        stream = self.find_stream(key)
+        return None if stream is None else stream.origin
+
+    def find_stream(self, key: bytes) -> RecordedStream | None:
+        """Returns the record of a stream, or None."""
         stream = self._streams.get(key)
         if stream is None or stream.expires_ms <= self._clock.now():
             return None
-        return stream.origin
+        return stream
 
     def expire(self) -> None:
         """Drops the streams whose callers have given up."""
@@ -102,11 +110,13 @@
         origin: Where it began, or None if none of them knows.
         replies: Number of VMs that replied.
         is_complete: Whether all VMs that were asked replied, or enough of them.
+        process: See `RecordedStream`.
     """
 
     origin: Origin | None = None
     replies: int = 0
     is_complete: bool = True
+    process: domain.ProcessId | None = None
 
 
 class Directory(Protocol):
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -2,6 +2,7 @@
 
 import json
 
+from hornbeampier.routing import stream_origins
 from tests import nodes
 from tests import store_standin
 from tests import test_stream_versions as stream_versions
@@ -21,9 +22,12 @@
         engine_id = list(self.engines.ids())[position]
         return self.engines._engines[engine_id]
 
-    def restart_unseen(self, position):
-        """An engine starts again with v2, of which no VM reads."""
-        self.store.down = True
+    def restart_unseen(self, position, store_down=True):
+        """An engine starts again with v2, of which no VM reads.
+
+        If the store is not down, the engine has not written its entry yet.
+        """
+        self.store.down = store_down
         engine = self.engine(position)
         engine.born = BORN_AGAIN
         self.engines._versions[engine.id] = "v2"
@@ -36,11 +40,18 @@
             if id_ != engine_id
         )
 
+    def run_first_at_restarted(self, req):
+        """The first run of a stream is one of a process that started again."""
+        if not self.engines.runs[req.id]:
+            engine_id = req.headers["x-hornbeampier-expect-instance"]
+            self.restart_unseen(list(self.engines.ids()).index(engine_id))
+        self.engines._run(req)
+
     def begin_and_restart_other(self, router):
         """Begins a stream; the engine that did not run it is of v2 then."""
         self.begin(router, "a0")
         first_id = self.engines.runs["a0"][0]
-        self.restart_unseen(self.other_than(first_id))
+        self.restart_unseen(self.other_than(first_id), store_down=False)
         self.engines._engines[first_id].kill()
 
 
@@ -97,13 +108,6 @@
         self.assertFalse(response.complete)
         self.assertEqual(1, len(self.engines.runs["a0"]))
 
-    def run_first_at_restarted(self, req):
-        """The first run of a stream is one of a process that started again."""
-        if not self.engines.runs[req.id]:
-            engine_id = req.headers["x-hornbeampier-expect-instance"]
-            self.restart_unseen(list(self.engines.ids()).index(engine_id))
-        self.engines._run(req)
-
     # Guards against an answer of two versions: nobody can say any more which
     # process began it.
     def test_stream_does_not_go_on_if_its_engine_and_the_store_are_gone(self):
@@ -158,6 +162,33 @@
 
 
 class ResumedByCallerTest(RestartedEndpointTestCase):
+    # Guards against a stream of v2 that goes on at v1: its record names v1, as
+    # the new entry of the engine that began it had not been read.
+    def test_stream_that_began_at_a_restarted_engine_is_not_taken_up(self):
+        first, second, _ = self.start_vms()
+        for position in range(2):
+            self.engine(position).handler = self.run_first_at_restarted
+        self.begin(first, "a0")
+        key = stream_origins.digest_id("a0")
+        store_standin.wait_until(
+            lambda: second._origins._streams.find(key) is not None
+        )
+        for router in (first, second):
+            response = self.take_up(router, "b0", "a0")
+            self.assert_refused("stream_origin_unknown", response, "b0")
+
+    # Guards against records that are refused once their engine has gone.
+    def test_stream_of_an_engine_that_has_gone_is_taken_up(self):
+        first, second, _ = self.start_vms()
+        self.begin(first, "a0")
+        self.engines.start("v2", 1)
+        self.wait_for_engines(3, first, second)
+        self.engines._engines[self.engines.runs["a0"][0]].kill()
+        for number, router in enumerate((first, second)):
+            response = self.take_up(router, f"b{number}", "a0")
+            self.assertEqual(200, response.status, response.body)
+            self.assertEqual(["v1"], self.engines.versions(f"b{number}"))
+
     # Guards against a stream that goes on at another version: the engine at
     # which it was taken up had started again, and its entry had not been read.
     def test_stream_is_refused_rather_than_taken_up_at_another_process(self):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,5 +1,6 @@
 """Records of streams on several VMs: losses, restarts, bounds."""
 
+import msgspec
 import testtools
 
 from hornbeampier import errors
@@ -175,3 +176,30 @@
         ring = hash_ring.HashRing(["a", "b", "c"])
         key = stream_origins.digest_id("x")
         self.assertEqual({"a", "b", "c"}, set(ring.successors(key, 5)))
+
+
+class ProcessTest(testtools.TestCase):
+    # Guards against a record whose version nobody can prove any more: the VMs
+    # that hold it do not know which process has begun the stream.
+    def test_records_on_other_vms_name_the_process(self):
+        network = origin_network.OriginNetwork(9, VERSIONS)
+        key = stream_origins.digest_id("a0")
+        process = ("i-7f3a91c2", 1_764_900_000_000)
+        stream = stream_origins.RecordedStream(
+            key,
+            stream_origins.Origin("service", "v1"),
+            network.clock.now() + origin_network.CALLER_TIMEOUT_MS,
+            process,
+        )
+        network.vms[network.hosts[0]].exchange.record(stream, True)
+        for vm in network.vms.values():
+            result = vm.exchange.lookup(key, lambda: False)
+            self.assertEqual(
+                (stream.origin, process), (result.origin, result.process)
+            )
+
+    # Guards against announcements of earlier releases being dropped.
+    def test_announcements_without_processes_are_understood(self):
+        old = msgspec.msgpack.encode([1, [[["s", "v1"], [[b"k" * 8, 500]]]]])
+        (group,) = origin_messages.decode(old).groups
+        self.assertIsNone(group.streams[0].process)
--- a/tests/test_version_coverage.py
+++ b/tests/test_version_coverage.py
@@ -8,6 +8,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import node_metrics
+from hornbeampier.forwarding import begin_proof
 from hornbeampier.forwarding import resumption
 from hornbeampier.peers import origin_messages
 from hornbeampier.replication import endpoint_log
@@ -178,7 +179,7 @@
         self.assertIsNone(origin_messages.decode(old).routes)
         new = origin_messages.LookupReply(7, None, (), 5_000)
         fields = msgspec.msgpack.decode(origin_messages.encode(new))
-        self.assertEqual([3, 7, None, [], 5_000, None], fields)
+        self.assertEqual([3, 7, None, [], 5_000, None, None], fields)
 
     # Guards against versions that are missed as their entries arrive out of
     # order.
@@ -207,6 +208,9 @@
             self.vm.history,
             stream_origins.LocalDirectory(self.vm.origins),
             freshness.SingleVm(),
+            begin_proof.BeginProof(
+                None, freshness.SingleVm(), self.vm.catalog, self.network.clock
+            ),
             lambda: self.is_learning,
             node_metrics.NodeMetrics(),
             self.network.clock,
