--- a/hornbeampier/peers/origin_messages.py
+++ b/hornbeampier/peers/origin_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.routing import origin_history
 from hornbeampier.routing import route_history
@@ -26,9 +27,9 @@
             release lacks the field.
     """
 
-    key: bytes
-    remaining_ms: int
-    process: tuple[str, int] | None = None
+    key: bounds.Digest
+    remaining_ms: bounds.Integer
+    process: tuple[str, bounds.Number] | None = None
 
 
 class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -53,7 +54,7 @@
     """
 
     origin: OriginEntry
-    age_ms: int
+    age_ms: bounds.Integer
 
 
 class RouteRow(msgspec.Struct, array_like=True, frozen=True):
@@ -76,7 +77,7 @@
     """
 
     rows: tuple[RouteRow, ...]
-    age_ms: int
+    age_ms: bounds.Count
 
 
 class RouteReport(msgspec.Struct, array_like=True, frozen=True):
@@ -88,9 +89,9 @@
         longest_ms: For how long streams last, by the routes that it knows.
     """
 
-    version: int
-    covered_ms: int
-    longest_ms: int
+    version: bounds.Integer
+    covered_ms: bounds.Count
+    longest_ms: bounds.Count
     earlier: tuple[EarlierRoutes, ...]
 
 
@@ -109,7 +110,7 @@
     """
 
     number: int
-    key: bytes | None
+    key: bounds.Digest | None
 
 
 class LookupReply(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -128,9 +129,9 @@
     number: int
     origin: OriginEntry | None
     ages: tuple[OriginAge, ...]
-    covered_ms: int = 0
+    covered_ms: bounds.Count = 0
     routes: RouteReport | None = None
-    process: tuple[str, int] | None = None
+    process: tuple[str, bounds.Number] | None = None
 
 
 Message = Announcement | Lookup | LookupReply
