Do not ask endpoints that leave where a stream began

An endpoint that has said that it leaves, or whose entry is gone, got the question which process runs there. Calls after a departure are to be avoided (DRAIN counts what reaches it). The store's newest entry is the proof then.

Evidence: test_engine_that_leaves_is_not_asked counts one report on, none now; the stream goes on in both.

--- a/hornbeampier/forwarding/begin_proof.py
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -78,7 +78,13 @@
     def _is_running(
         self, endpoint: domain.Endpoint, deadline_ms: float
     ) -> bool | None:
-        """Whether the process of an entry runs; None if it does not tell."""
+        """Whether the process of an entry runs; None if it does not tell.
+
+        An endpoint that leaves, or has no entry any more, is not called.
+        """
+        current = self._catalog.endpoints.get(endpoint.id)
+        if current is None or current.leaving:
+            return None
         if not self._pool.probe(endpoint):
             return None
         try:
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -177,6 +177,30 @@
             response = self.take_up(router, "b0", "a0")
             self.assert_refused("stream_origin_unknown", response, "b0")
 
+    # Guards against calls of engines that have said that they leave, or have
+    # gone, and against streams that are refused because of that.
+    def test_engine_that_leaves_is_not_asked(self):
+        self.engines.start("v1", 1)
+        router, *_ = self.start_vms()
+        self.begin(router, "a0")
+        engine_id = self.engines.runs["a0"][0]
+        engine = self.engines._engines[engine_id]
+        record = nodes.endpoint_record(
+            nodes.ENGINE_SERVICE, engine.address, state="draining"
+        )
+        for number, value in enumerate((record, None)):
+            self.store.put_endpoint(engine_id, value)
+            store_standin.wait_until(
+                lambda: not self.may_serve(router, engine_id)
+            )
+            response = self.take_up(router, f"b{number}", "a0")
+            self.assertEqual(200, response.status, response.body)
+            self.assertEqual(0, engine.reports)
+
+    def may_serve(self, router, engine_id):
+        endpoint = router.catalog.endpoints.get(engine_id)
+        return endpoint is not None and not endpoint.leaving
+
     # Guards against records that are refused once their engine has gone.
     def test_stream_of_an_engine_that_has_gone_is_taken_up(self):
         first, second, _ = self.start_vms()
