Configurations, event ids, cache lists and duty records are bounded, too

Change: these decoders use the same bounds. A configuration that does not fit is unreadable as a whole: the one in force stays, the record is logged and counted, and a VM that starts is not ready. Ids of events of more than 18 digits are not compared as numbers.

--- a/hornbeampier/duties/usage_records.py
+++ b/hornbeampier/duties/usage_records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 
 # A key is reused after this number of windows.
@@ -17,9 +18,9 @@
             one is to be sent again.
     """
 
-    window: int
-    counts: dict[str, int]
-    accepted_through: int
+    window: bounds.Integer
+    counts: dict[str, bounds.Count]
+    accepted_through: bounds.Integer
 
 
 _decoder = msgspec.json.Decoder(UsageReport)
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -24,6 +24,8 @@
 EVENT_DELAY_QUANTILE = 0.25
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
+# Longer ids of events are not compared as numbers.
+MAX_ID_DIGITS = 18
 
 
 class InterruptedStreamError(Exception):
@@ -152,7 +154,7 @@
 
     def _is_duplicate(self, event_id: str) -> bool:
         last = self.last_event_id
-        if last is None or not (event_id.isdecimal() and last.isdecimal()):
+        if last is None or not (_is_number(event_id) and _is_number(last)):
             return False
         return int(event_id) <= int(last)
 
@@ -174,6 +176,10 @@
         )
 
 
+def _is_number(event_id: str) -> bool:
+    return event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+
+
 def read_buffered(
     attempt: endpoint_attempt.EndpointAttempt,
 ) -> endpoint_attempt.BufferedResponse:
--- a/hornbeampier/platform/cache_lists.py
+++ b/hornbeampier/platform/cache_lists.py
@@ -2,15 +2,17 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.http1 import messages
+from hornbeampier.platform import fields
 from hornbeampier.routing import domain
 
 
 class _CacheList(msgspec.Struct):
     """A cache list; entries are (empty text, segment id, tokens, model)."""
 
-    held: list[tuple[str, str, int, str]]
+    held: list[tuple[str, str, bounds.Count, str]]
 
 
 _decoder = msgspec.json.Decoder(_CacheList)
@@ -30,7 +32,8 @@
     """
     try:
         cache_list = _decoder.decode(body)
-    except errors.DECODE_ERRORS as exc:
+        fields.check_text(cache_list, body)
+    except (*errors.DECODE_ERRORS, ValueError) as exc:
         raise errors.PlatformError(f"malformed KV cache list: {exc}") from exc
     return [
         domain.PromptSegment(segment_id, tokens)
--- a/hornbeampier/platform/duty_store.py
+++ b/hornbeampier/platform/duty_store.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from hornbeampier import bounds
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier.duties import lease_records
+from hornbeampier.platform import fields
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -19,8 +21,8 @@
 
 class _Holder(msgspec.Struct, rename="camel", omit_defaults=True):
     vm: str
-    process: int
-    era: int
+    process: bounds.Number
+    era: bounds.Count
     released: bool = False
 
 
@@ -130,7 +132,8 @@
 def _decode_holder(value: bytes) -> lease_records.HolderRecord:
     try:
         record = _holder_decoder.decode(value)
-    except errors.DECODE_ERRORS:
+        fields.check_text(record, value)
+    except (*errors.DECODE_ERRORS, ValueError):
         return _UNKNOWN_HOLDER
     return lease_records.HolderRecord(
         record.vm, record.process, record.era, record.released
--- a/hornbeampier/platform/records.py
+++ b/hornbeampier/platform/records.py
@@ -1,5 +1,6 @@
 """Records that operators and endpoints write to the platform's store."""
 
+from typing import Annotated
 from typing import Literal
 
 import msgspec
@@ -17,10 +18,15 @@
 }
 DEFAULT_INTER_EVENT_TARGET_MS = 1_000.0
 
+MAX_AMOUNT = 1e15
+# A finite number that is not below zero.
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Timeout = Annotated[float, msgspec.Meta(gt=0, le=bounds.MAX_MS)]
+
 
 class _WeightedService(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -30,31 +36,31 @@
     host: str
     path_prefix: str
     kind: Literal["safe", "unsafe", "streaming"]
-    timeout_ms: float
-    slo_ms: float
-    priority: int
-    max_attempts: int = 1
+    timeout_ms: bounds.Ms
+    slo_ms: bounds.Ms
+    priority: bounds.Integer
+    max_attempts: bounds.Integer = 1
     service: str | None = None
     split: list[_WeightedService] | None = None
     anonymous: bool = False
     stream_resume: bool = False
-    gap_aim_ms: float = DEFAULT_INTER_EVENT_TARGET_MS
+    gap_aim_ms: bounds.Ms = DEFAULT_INTER_EVENT_TARGET_MS
 
 
 class _Engine(msgspec.Struct, rename="camel"):
     """The engines of a service; `stride` is the number of tokens per event."""
 
-    slots: int
-    kv_tokens: int
-    kv_bytes: float = 0.0
-    link_mbps: float = 0.0
-    stride: float = 1.0
+    slots: bounds.Integer
+    kv_tokens: bounds.Integer
+    kv_bytes: _Amount = 0.0
+    link_mbps: _Amount = 0.0
+    stride: _Amount = 1.0
 
 
 class _Autoscale(msgspec.Struct, rename="camel"):
-    min: int
-    max: int
-    boot_time_s: float
+    min: bounds.Integer
+    max: bounds.Integer
+    boot_time_s: bounds.Ms
     spot_price: float | None = None
     zone_prices: dict[str, float] = {}
 
@@ -62,16 +68,16 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     health_path: str
-    max_conns: int
+    max_conns: bounds.Integer
     engine: _Engine | None = None
     autoscale: _Autoscale | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    header_bytes: bounds.Count
+    max_body_bytes: bounds.Count
+    header_timeout_ms: _Timeout
+    idle_timeout_ms: _Timeout
 
 
 class _Account(msgspec.Struct, rename="camel"):
@@ -79,11 +85,11 @@
 
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: bounds.Integer | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: bounds.Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -93,7 +99,7 @@
 class _Version(msgspec.Struct):
     """A configuration of which only the version is decoded."""
 
-    version: int
+    version: bounds.Number
 
 
 class _Endpoint(msgspec.Struct, rename="camel"):
@@ -128,6 +134,7 @@
     """
     try:
         record = _configuration_decoder.decode(value)
+        fields.check_text(record, value)
         return domain.Configuration(
             version=record.version,
             routes=tuple(_to_route(r) for r in record.routes),
