An odd sequence in an entry does not make the log seem old

What could happen: another writer's entry under the id and start of an endpoint, with a sequence of 10^12 (which fits 64 bits), made a VM that starts take the log of registrations to reach back 31,000 years (covered_ms was 999,999,999,946,000 instead of 6,000). A version that had left just before counted as long gone, and a stream that began there could go on at another version (ORDER).

Cause: the age of a record followed from the sequences of two entries of a process alone, as if all entries between them had been written.

Change: only entries that are in the log count. Where a process skipped sequences, the bound is lower than before, which is the safe side.

Evidence: test_sequence_that_jumps_proves_no_age failed with the figure above.

--- a/hornbeampier/routing/registration_log.py
+++ b/hornbeampier/routing/registration_log.py
@@ -72,19 +72,23 @@
     """Returns a lower bound on the age of each record, and 0 for the end.
 
     It is the longest time that a process needed to write its entries from this
-    record on.
+    record on. Entries that are not in the log do not count, as another writer
+    may have changed a sequence.
     """
     last: dict[_Process, int] = {}
+    later_counts: collections.Counter[_Process] = collections.Counter()
     min_ages_ms = [0.0] * (len(rows) + 1)
     for index in range(len(rows) - 1, -1, -1):
         min_ages_ms[index] = min_ages_ms[index + 1]
         endpoint = rows[index].endpoint
         if endpoint is None:
             continue
-        interval_count = last.setdefault(_process(endpoint), endpoint.sequence)
-        interval_count -= endpoint.sequence + EXTRA_ENTRIES
+        process = _process(endpoint)
+        newest = last.setdefault(process, endpoint.sequence)
+        interval_count = min(newest - endpoint.sequence, later_counts[process])
+        later_counts[process] += 1
         min_ages_ms[index] = max(
-            min_ages_ms[index], interval_count * heartbeat_ms
+            min_ages_ms[index], (interval_count - EXTRA_ENTRIES) * heartbeat_ms
         )
     return min_ages_ms
 
--- a/tests/test_version_coverage.py
+++ b/tests/test_version_coverage.py
@@ -65,6 +65,20 @@
         self.assertEqual(20_000.0 - 4_000.0, covered_ms)
         self.assertEqual(0.0, summarize([]).covered_ms)
 
+    # Guards against ORDER: another writer's sequence in an entry made the log
+    # seem to reach back for years, so that a version that served just before
+    # counted as long gone.
+    def test_sequence_that_jumps_proves_no_age(self):
+        rows = [
+            entry("e1", "v2", 7),
+            removal("e1"),
+            *entries("e2", "v1", 50, 59),
+            entry("e2", "v1", 10**12),
+        ]
+        summary = summarize(rows)
+        self.assertEqual(10_000.0 - 4_000.0, summary.covered_ms)
+        self.assertLessEqual(summary.ages_ms[V2], 10_000.0)
+
     # A process that starts again counts from the beginning.
     def test_entries_of_two_processes_do_not_add_up(self):
         rows = [entry("e1", "v1", 5), entry("e1", "v1", 90, born=2)]
