--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -1,6 +1,7 @@
 """Wire types of the gossip; fields are encoded by position, without names."""
 
 import enum
+import functools
 import math
 
 import msgspec
@@ -210,6 +211,9 @@
 SHOWN_CHARACTERS = 60
 # Largest workload of a service, in prompt tokens.
 MAX_WORKLOAD = 1e15
+# Number of hosts that are known to be addresses; peers repeat them.
+MAX_HOSTS = 4_096
+_is_ip_address = functools.lru_cache(maxsize=MAX_HOSTS)(bounds.is_ip_address)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(StateMessage)
 
@@ -250,7 +254,7 @@
     for sources in message.sources.values():
         hosts += sources.hosts
     for host in hosts:
-        if not bounds.is_ip_address(host):
+        if not _is_ip_address(host):
             raise ValueError(f"{host[:SHOWN_CHARACTERS]!r} is no IP address")
 
 
