Soak: endpoints start again under their ids, leave unread or are reclaimed

The soak's endpoints had a new id at each start and framing in each stream, so it could show neither a leaving process that is taken for the one before nor a stream without a length that breaks off as its endpoint leaves. They answer health checks.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -31,6 +31,11 @@
         action="store_true",
         help="with new software versions of the engines",
     )
+    parser.add_argument(
+        "--restarts",
+        action="store_true",
+        help="with endpoints that start again under their ids or are reclaimed",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.start, args.start + args.seeds):
@@ -44,6 +49,7 @@
             args.logs,
             not args.without_network,
             args.versions,
+            restarts=args.restarts,
         )
         taken_up, went_on = played.ledger.resumptions()
         outcomes = played.ledger.outcomes
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -29,10 +29,16 @@
 
 
 class SoakEndpoint:
-    """One process of an endpoint.
+    """An endpoint, whose process may start again under its id.
 
     Attributes:
-        announcing: What it announces, and the check of what reaches it.
+        announcing: What its process announces, and the check of what reaches
+            it.
+        ended: The same of its earlier processes.
+        born: Start of its process in its entries.
+        writes_entries: Whether it writes its entry again and again.
+        has_length: Whether its streams have framing, so that they do not end
+            with their connection.
         faults: Names of its present faults.
         proxy: What VMs connect to.
         was_cut: Whether VMs may have missed what it announced.
@@ -46,6 +52,10 @@
         self.was_cut = False
         self.id = f"i-{next(_numbers)}"
         self.announcing = announcing_endpoint.AnnouncingEndpoint(clock)
+        self.ended = []
+        self.born = 1
+        self.writes_entries = True
+        self.has_length = True
         self.faults = set()
         self.sequence = 0
         self.state = "ready"
@@ -67,13 +77,32 @@
             sequence=self.sequence,
             state=self.state,
             version=self.version,
+            born=self.born,
         )
 
     def stop(self):
-        """Ends the process; its connections are reset."""
+        """Ends the process; its connections are closed."""
         self.spoil_open_requests()
         self.proxy.stop()
         self._standin.stop()
+        self._close_connections()
+
+    def restart(self, leaving=False):
+        """Ends the process and starts another one under its id and address.
+
+        Args:
+            leaving: Whether the new process announces that it leaves.
+        """
+        self.spoil_open_requests()
+        self._close_connections()
+        self.proxy.reset()
+        self.ended.append(self.announcing)
+        self.announcing = announcing_endpoint.AnnouncingEndpoint(self._clock)
+        self.announcing.leaving = leaving
+        self.born += 1
+        self.sequence = 0
+
+    def _close_connections(self):
         for req in self._standin.received:
             with contextlib.suppress(OSError):
                 req.close_connection()
@@ -82,9 +111,10 @@
         """Records that the responses to open requests may be lost.
 
         Those that are complete may still be in the proxy if it delays bytes.
+        If they have no length, the end of the process may show before theirs.
         """
         self._ledger.spoiled.update(self._open)
-        if self.proxy.delay_s:
+        if self.proxy.delay_s or not self.has_length:
             oldest_ms = self._clock.now() - MAX_IN_PROXY_MS
             self._ledger.spoiled.update(
                 id_
@@ -99,6 +129,9 @@
         if req.request_line.startswith("GET /kv-list"):
             req.respond(b'{"held": []}')
             return
+        if req.request_line.startswith("GET /health"):
+            self._respond_health(req)
+            return
         vm = announcing_endpoint.vm_of(req.id)
         prefix = req.headers.get(crashing_engines.PREFIX_HEADER, "")
         if prefix.startswith(POISON):
@@ -124,6 +157,15 @@
             self._open.discard(req.id)
             self._ended_ms[req.id] = self._clock.now()
 
+    def _respond_health(self, req):
+        req.headers["x-hornbeampier-attempt-id"] = ""
+        headers = [f"X-Hornbeampier-Instance-Id: {self.id}"]
+        status = "200 OK"
+        if self.announcing.leaving:
+            headers.append("Server-Leaving: 1")
+            status = "503 Service Unavailable"
+        req.respond(b"", status, headers, seal=False)
+
     def _is_spoiled(self, fault, req):
         if fault in self.faults and self._rng.random() < SPOILED:
             self._ledger.spoiled.add(req.id)
@@ -160,6 +202,9 @@
         if self._is_spoiled("lose", req):
             req.close_connection()
             return
+        if not self.has_length:
+            self._run_stream_without_length(req, headers, first)
+            return
         req.send(self._head(req, headers, "Transfer-Encoding: chunked"))
         broken = self._is_spoiled("break", req)
         stalled = self._is_spoiled("stall", req)
@@ -176,6 +221,13 @@
             self._pause(EVENT_GAP_S)
         req.end_stream()
 
+    def _run_stream_without_length(self, req, headers, first):
+        req.send(self._head(req, headers, "Connection: close"))
+        for number in range(first, records.STREAM_EVENTS + 1):
+            req.send(self._event_of(req, number))
+            self._pause(EVENT_GAP_S)
+        req.close_connection()
+
     def _event_of(self, req, number):
         return records.event_of(req.id, number, self.version)
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -20,6 +20,7 @@
     log_directory=None,
     network=True,
     versions=False,
+    restarts=False,
 ):
     """Plays one seed; returns the problems and the world.
 
@@ -28,7 +29,9 @@
     world = worlds.World(seed, vms, host_prefix, versions)
     try:
         world.start()
-        world.play(schedule.draw(seed, events, length_s, network, versions))
+        world.play(
+            schedule.draw(seed, events, length_s, network, versions, restarts)
+        )
         unsettled = world.settle()
         problems = world.problems()
         problems += [f"{name} does not serve again" for name in unsettled]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -34,6 +34,9 @@
     STORE_RESET = "store_reset"
     STORE_CUT = "store_cut"
     RELEASE = "release"
+    COME_BACK = "come_back"
+    LEAVE_UNREAD = "leave_unread"
+    RECLAIM = "reclaim"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -70,6 +73,13 @@
 }
 # New software versions of the engines; drawn only if asked for.
 VERSION_WEIGHTS = {Kind.RELEASE: 8}
+# Endpoints that start again under their ids, or are reclaimed; drawn only if
+# asked for.
+RESTART_WEIGHTS = {
+    Kind.COME_BACK: 8,
+    Kind.LEAVE_UNREAD: 8,
+    Kind.RECLAIM: 8,
+}
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 # A series repeats one fault on the same thing.
@@ -93,7 +103,7 @@
     duration_s: float
 
 
-def draw(seed, count, length_s, network=True, versions=False):
+def draw(seed, count, length_s, network=True, versions=False, restarts=False):
     """Returns the events of a soak, in order of time.
 
     Args:
@@ -102,10 +112,12 @@
         length_s: Time in which they begin.
         network: Whether the faults of `NETWORK_WEIGHTS` are among them.
         versions: Whether those of `VERSION_WEIGHTS` are among them.
+        restarts: Whether those of `RESTART_WEIGHTS` are among them.
     """
     rng = random.Random(seed)
     weights = {**WEIGHTS, **(NETWORK_WEIGHTS if network else {})}
     weights.update(VERSION_WEIGHTS if versions else {})
+    weights.update(RESTART_WEIGHTS if restarts else {})
     kinds = rng.choices(list(weights), list(weights.values()), k=count)
     events = []
     for kind in kinds:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,7 @@
 from tests.soak import proxies
 from tests.soak import records
 from tests.soak import releases
+from tests.soak import restarts
 from tests.soak import schedule
 
 PLAIN_ENDPOINTS = 3
@@ -49,6 +50,7 @@
     network_faults.NetworkFaults,
     network_faults.ResponseFaults,
     releases.Releases,
+    restarts.Restarts,
 ):
     """One soak.
 
@@ -147,7 +149,8 @@
                 continue
             lines += [
                 f"{endpoint.id}: {problem}"
-                for problem in endpoint.announcing.problems(
+                for announcing in (*endpoint.ended, endpoint.announcing)
+                for problem in announcing.problems(
                     DRAIN_MS, reaction_ms, self.ledger.disturbed
                 )
             ]
@@ -223,7 +226,8 @@
             gevent.sleep(HEARTBEAT_S)
             if not self.store.down:
                 for endpoint in self._endpoints:
-                    self.store.put_endpoint(endpoint.id, endpoint.entry())
+                    if endpoint.writes_entries:
+                        self.store.put_endpoint(endpoint.id, endpoint.entry())
 
     def _probe_vms(self):
         while True:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,13 +15,17 @@
 # (product code of 6e3a0dd); 783, as the check took a key for valid that was
 # revoked after the stream had begun.
 VERSION_SEEDS = (600, 783)
+# Seeds with endpoints that start again under their ids, or are reclaimed. Both
+# failed, as streams without a length passed for complete, and 904 as requests
+# went to endpoints that had announced their leaving (product code of 21b2af1).
+RESTART_SEEDS = (900, 904)
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
 
 
 class SoakTest(testtools.TestCase):
-    def play(self, seed, network, versions=False):
+    def play(self, seed, network, versions=False, restarts=False):
         host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
         problems, played = play.play(
             seed,
@@ -31,6 +35,7 @@
             host_prefix,
             network=network,
             versions=versions,
+            restarts=restarts,
         )
         self.assertEqual([], problems)
         statuses = [o.status for o in played.ledger.outcomes if o.complete]
@@ -47,3 +52,7 @@
     def test_streams_keep_their_version_while_engines_are_replaced(self):
         for seed in VERSION_SEEDS:
             self.play(seed, network=True, versions=True)
+
+    def test_promises_hold_while_endpoints_restart_and_are_reclaimed(self):
+        for seed in RESTART_SEEDS:
+            self.play(seed, network=False, restarts=True)
