Ask which process is up at the end of a response without a length

A stream or body that lacked its end passed for complete (ORDER, MIXED) if another process had the endpoint's address by the time this VM read the end, as after it was suspended. Cause: same class as of announcements: an address or id was taken for the process. The probe showed that some process accepts connections. Evidence: three tests of RestartedEndpointTest failed before. Change: the probe asks for the report, which names the start of its process; one other than in the entry shows that the process that responded has ended. Not covered: endpoints of plain services that send no report.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -7,6 +7,7 @@
 from hornbeampier import errors
 from hornbeampier import verdict
 from hornbeampier.forwarding import connection_pool
+from hornbeampier.forwarding import end_check
 from hornbeampier.forwarding import stalls
 from hornbeampier.http1 import client
 from hornbeampier.http1 import messages
@@ -156,7 +157,9 @@
             errors.AttemptError: The response ended with its connection and the
                 endpoint has gone down, so it may have been interrupted.
         """
-        if self._conn.has_closed and not self._pool.probe(self.endpoint):
+        if self._conn.has_closed and not end_check.has_outlived_response(
+            self._pool, self.endpoint, self._clock
+        ):
             raise errors.AttemptError(
                 "the endpoint went down as the connection ended the response",
                 verdict.Verdict.MAY_HAVE_RUN,
--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -1,9 +1,11 @@
 """A stand-in for an endpoint; its responses are sent by the test's handler."""
 
 import contextlib
+import json
 
 import gevent
 from gevent import server
+from gevent import socket
 
 HOST = "127.0.0.1"
 SEAL = "X-Hornbeampier-Server-Seal: seal"
@@ -69,11 +71,20 @@
 
 
 class EndpointStandin:
-    """Accepts connections and passes each request to a handler."""
+    """Accepts connections and passes each request to a handler.
 
-    def __init__(self, handler=ReceivedRequest.respond):
+    Attributes:
+        born: When its process started, as it reports; None if it has no
+            report, and passes requests for it to the handler.
+        reports: Number of reports that it sent.
+    """
+
+    def __init__(self, handler=ReceivedRequest.respond, born=1):
         self.handler = handler
+        self.born = born
+        self.reports = 0
         self.received = []
+        self._socks = set()
         self._server = server.StreamServer((HOST, 0), self._serve)
         self._server.start()
 
@@ -84,7 +95,21 @@
     def stop(self):
         self._server.stop(timeout=0)
 
+    def kill(self):
+        """Ends the process: its connections close, idle ones too."""
+        self.stop()
+        for sock in list(self._socks):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def _serve(self, sock, _):
+        self._socks.add(sock)
+        try:
+            self._serve_requests(sock)
+        finally:
+            self._socks.discard(sock)
+
+    def _serve_requests(self, sock):
         buffer = b""
         with contextlib.suppress(OSError):
             while True:
@@ -99,5 +124,18 @@
                 while len(buffer) < length:
                     buffer += sock.recv(65536)
                 req.body, buffer = buffer[:length], buffer[length:]
+                if self._is_report(req):
+                    self._send_report(req)
+                    continue
                 self.received.append(req)
                 self.handler(req)
+
+    def _is_report(self, req):
+        is_report = req.request_line.startswith("GET /report ")
+        return is_report and self.born is not None
+
+    def _send_report(self, req):
+        self.reports += 1
+        body = json.dumps({"stage": "both", "born": self.born}).encode()
+        lines = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        req.send(lines.encode() + body)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -100,6 +100,7 @@
         self.announcing = announcing_endpoint.AnnouncingEndpoint(self._clock)
         self.announcing.leaving = leaving
         self.born += 1
+        self._standin.born = self.born
         self.sequence = 0
 
     def _close_connections(self):
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -6,6 +6,7 @@
 
 import struct
 
+from gevent import server
 from gevent import socket
 
 from tests import endpoint_standin
@@ -122,6 +123,48 @@
         self.assertEqual(1, len(router._crashes.to_gossip()))
 
 
+class RestartedEndpointTest(UnframedTestCase):
+    """The endpoint accepts connections again when this VM reads the end."""
+
+    def crash_and_restart(self, req, born=2):
+        [endpoint] = [e for e in self.endpoints if req in e.received]
+        port = endpoint._server.server_port
+        endpoint.stop()
+        req.close_connection()
+        endpoint.born = born
+        endpoint._server = server.StreamServer(
+            (endpoint_standin.HOST, port), endpoint._serve
+        )
+        endpoint._server.start()
+
+    # Guards against ORDER: the process that has the address next being taken
+    # for the one whose stream broke off.
+    def test_stream_whose_engine_has_restarted_is_not_complete(self):
+        router = self.start(
+            nodes.ENGINE_SERVICE, [EVENTS[0], self.crash_and_restart]
+        )
+        response = self.call(router, "POST", "/stream/x")
+        self.assertFalse(response.complete)
+
+    def test_stream_whose_engine_has_restarted_is_resumed(self):
+        router = self.start(
+            nodes.ENGINE_SERVICE,
+            [EVENTS[0], self.crash_and_restart],
+            [*EVENTS[1:], self.close],
+        )
+        response = self.call(router, "POST", "/resume/x")
+        self.assertTrue(response.complete)
+        self.assertEqual("".join(EVENTS).encode(), response.body)
+
+    # Guards against MIXED: the same for a body that is not a stream.
+    def test_body_whose_endpoint_has_restarted_is_not_complete(self):
+        router = self.start(
+            nodes.PLAIN_SERVICE, ["who", self.crash_and_restart]
+        )
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual(502, response.status)
+
+
 class LeavingEndpointTest(UnframedTestCase):
     def leave(self, req):
         """Writes the entry of an endpoint that leaves; waits until it is read.
