--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -34,7 +34,12 @@
     parser.add_argument(
         "--departures",
         action="store_true",
-        help="with endpoints that leave by their entry or start again",
+        help="with endpoints that leave by their entry alone",
+    )
+    parser.add_argument(
+        "--restarts",
+        action="store_true",
+        help="with endpoints that start again under their ids or are reclaimed",
     )
     args = parser.parse_args()
     failed = []
@@ -50,6 +55,7 @@
             not args.without_network,
             args.versions,
             args.departures,
+            restarts=args.restarts,
         )
         taken_up, went_on = played.ledger.resumptions()
         outcomes = played.ledger.outcomes
--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -1,4 +1,4 @@
-"""Endpoints that leave by their entry alone or start again under their id."""
+"""Endpoints of a soak that leave by their entry alone."""
 
 import gevent
 
@@ -11,8 +11,6 @@
 STABLE_MS = 3_000.0
 # How long a departing endpoint serves on after the VMs are bound.
 SERVES_ON_S = 3.0
-# Time between the end of an endpoint's process and its next start.
-RESTART_S = 0.3
 # Faults after which VMs may hear late of an endpoint's departure.
 DISTURBING = {
     schedule.Kind.TERMINATE,
@@ -72,10 +70,6 @@
         if self._left_ms is None and self._calm.is_stable():
             self._left_ms = self._clock.now()
 
-    def end(self):
-        """Records that the endpoint serves again."""
-        self._left_ms = None
-
     def arrive(self, vm, slack_ms):
         """Records a request of a VM."""
         if self._left_ms is None or not self._calm.is_stable():
@@ -85,7 +79,7 @@
 
 
 class Departures:
-    """Endpoints that leave or start again; a part of `World`."""
+    """Lets endpoints leave by their entry alone; a part of `World`."""
 
     def _drain(self, event):
         """An endpoint's entry, and nothing else, says that it leaves."""
@@ -104,34 +98,9 @@
             self.store.put_endpoint(endpoint.id, None)
             self._end_departure(endpoint)
 
-    def _rebirth(self, event):
-        """An endpoint starts again under its id, and may then leave at once.
-
-        Until its new entry is written, its responses alone say that it leaves.
-        """
-        endpoint = self._endpoint(event)
-        if endpoint.is_departing or endpoint.announcing.leaving:
-            return
-        endpoint.writes_entries = False
-        endpoint.end_process()
-        gevent.sleep(RESTART_S)
-        endpoint.start_again()
-        if event.target % 2:
-            self._add_endpoint(endpoint.service, endpoint.version)
-            endpoint.is_departing = endpoint.announcing.leaving = True
-        gevent.sleep(event.duration_s)
-        self.store.put_endpoint(endpoint.id, endpoint.entry())
-        endpoint.writes_entries = True
-        if not endpoint.is_departing:
-            return
-        gevent.sleep(DRAIN_MS / 1_000.0)
-        endpoint.state = "draining"
-        self.store.put_endpoint(endpoint.id, endpoint.entry())
-        self._end_departure(endpoint)
-
     def _begin_departure(self, endpoint):
         """Starts a replacement; returns whether the endpoint may depart."""
-        if endpoint.is_departing or endpoint.announcing.leaving:
+        if endpoint.is_leaving:
             return False
         endpoint.is_departing = True
         self._add_endpoint(endpoint.service, endpoint.version)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -31,17 +31,22 @@
 
 
 class SoakEndpoint:
-    """One process of an endpoint.
+    """An endpoint, whose process may start again under its id.
 
     Attributes:
-        announcing: What it announces, and the check of what reaches it.
+        announcing: What its process announces, and the check of what reaches
+            it.
+        ended: The same of its earlier processes.
+        born: Start of its process in its entries.
+        writes_entries: Whether it writes its entry again and again.
+        has_length: Whether its streams have framing, so that they do not end
+            with their connection.
         faults: Names of its present faults.
         proxy: What VMs connect to.
         was_cut: Whether VMs may have missed what it announced.
         version: Version of its software.
         departure: The check of what reaches it after its entry has gone.
-        is_departing: Whether it is about to end for good.
-        writes_entries: Whether it writes its entry at each heartbeat.
+        is_departing: Whether it leaves without an announcement.
     """
 
     def __init__(
@@ -53,13 +58,15 @@
         self.was_cut = False
         self.id = f"i-{next(_numbers)}"
         self.announcing = announcing_endpoint.AnnouncingEndpoint(clock)
+        self.ended = []
+        self.born = 1
+        self.writes_entries = True
+        self.has_length = True
         self.faults = set()
         self.sequence = 0
-        self.born = 1
         self.state = "ready"
         self.departure = departure
         self.is_departing = False
-        self.writes_entries = True
         self._ledger = ledger
         self._rng = random.Random(rng.random())
         self._open = set()
@@ -69,6 +76,11 @@
         host, _, port = self._standin.address.partition(":")
         self.proxy = proxies.Proxy((host, int(port)))
 
+    @property
+    def is_leaving(self):
+        """Whether it leaves, announced or not."""
+        return self.is_departing or self.announcing.leaving
+
     def entry(self):
         """Returns its next entry in the store."""
         self.sequence += 1
@@ -82,23 +94,29 @@
         )
 
     def stop(self):
-        """Ends the process for good."""
+        """Ends the process; its connections are closed."""
+        self.spoil_open_requests()
         self.proxy.stop()
         self._standin.stop()
-        self.end_process()
+        self._close_connections()
 
-    def start_again(self):
-        """Starts another process under the same id."""
-        self.sequence = 0
-        self.born += 1
-        self._standin.born = self.born
-        self.proxy.refuses = False
+    def restart(self, leaving=False):
+        """Ends the process and starts another one under its id and address.
 
-    def end_process(self):
-        """Ends the process; its connections are reset."""
+        Args:
+            leaving: Whether the new process announces that it leaves.
+        """
         self.spoil_open_requests()
-        self.proxy.refuses = True
+        self._close_connections()
         self.proxy.reset()
+        self.ended.append(self.announcing)
+        self.announcing = announcing_endpoint.AnnouncingEndpoint(self._clock)
+        self.announcing.leaving = leaving
+        self.born += 1
+        self._standin.born = self.born
+        self.sequence = 0
+
+    def _close_connections(self):
         for req in self._standin.received:
             with contextlib.suppress(OSError):
                 req.close_connection()
@@ -107,12 +125,13 @@
         """Records that the responses to open requests may be lost.
 
         Those that have just ended may still be in the proxy, longer if it
-        delays bytes.
+        delays bytes. If they have no length, the end of the process may show
+        before theirs.
         """
         self._ledger.spoiled.update(self._open)
         oldest_ms = self._clock.now() - MAX_IN_PROXY_MS
         is_delaying = self.proxy.delay_s or self.proxy.delayed_ms > oldest_ms
-        if not is_delaying:
+        if self.has_length and not is_delaying:
             oldest_ms = self._clock.now() - PASS_MS
         self._ledger.spoiled.update(
             id_ for id_, at_ms in self._ended_ms.items() if at_ms >= oldest_ms
@@ -203,6 +222,9 @@
         if self._is_spoiled("lose", req):
             req.close_connection()
             return
+        if not self.has_length:
+            self._run_stream_without_length(req, headers, first)
+            return
         req.send(self._head(req, headers, "Transfer-Encoding: chunked"))
         broken = self._is_spoiled("break", req)
         stalled = self._is_spoiled("stall", req)
@@ -219,6 +241,13 @@
             self._pause(EVENT_GAP_S)
         req.end_stream()
 
+    def _run_stream_without_length(self, req, headers, first):
+        req.send(self._head(req, headers, "Connection: close"))
+        for number in range(first, records.STREAM_EVENTS + 1):
+            req.send(self._event_of(req, number))
+            self._pause(EVENT_GAP_S)
+        req.close_connection()
+
     def _event_of(self, req, number):
         return records.event_of(req.id, number, self.version)
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -21,6 +21,7 @@
     network=True,
     versions=False,
     departures=False,
+    restarts=False,
 ):
     """Plays one seed; returns the problems and the world.
 
@@ -30,7 +31,15 @@
     try:
         world.start()
         world.play(
-            schedule.draw(seed, events, length_s, network, versions, departures)
+            schedule.draw(
+                seed,
+                events,
+                length_s,
+                network,
+                versions,
+                departures,
+                restarts,
+            )
         )
         unsettled = world.settle()
         problems = world.problems()
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -37,5 +37,5 @@
             endpoint
             for endpoint in self._endpoints
             if endpoint.service == nodes.ENGINE_SERVICE
-            and not endpoint.announcing.leaving
+            and not endpoint.is_leaving
         ]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -36,7 +36,9 @@
     RELEASE = "release"
     DRAIN = "drain"
     VANISH = "vanish"
-    REBIRTH = "rebirth"
+    COME_BACK = "come_back"
+    LEAVE_UNREAD = "leave_unread"
+    RECLAIM = "reclaim"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -73,9 +75,15 @@
 }
 # New software versions of the engines; drawn only if asked for.
 VERSION_WEIGHTS = {Kind.RELEASE: 8}
-# Endpoints that leave by their entry alone, or start again; drawn only if asked
-# for.
-DEPARTURE_WEIGHTS = {Kind.DRAIN: 12, Kind.VANISH: 12, Kind.REBIRTH: 24}
+# Endpoints that leave by their entry alone; drawn only if asked for.
+DEPARTURE_WEIGHTS = {Kind.DRAIN: 20, Kind.VANISH: 20}
+# Endpoints that start again under their ids, or are reclaimed; drawn only if
+# asked for.
+RESTART_WEIGHTS = {
+    Kind.COME_BACK: 8,
+    Kind.LEAVE_UNREAD: 8,
+    Kind.RECLAIM: 8,
+}
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 # A series repeats one fault on the same thing.
@@ -99,7 +107,15 @@
     duration_s: float
 
 
-def draw(seed, count, length_s, network=True, versions=False, departures=False):
+def draw(
+    seed,
+    count,
+    length_s,
+    network=True,
+    versions=False,
+    departures=False,
+    restarts=False,
+):
     """Returns the events of a soak, in order of time.
 
     Args:
@@ -109,11 +125,13 @@
         network: Whether the faults of `NETWORK_WEIGHTS` are among them.
         versions: Whether those of `VERSION_WEIGHTS` are among them.
         departures: Whether those of `DEPARTURE_WEIGHTS` are among them.
+        restarts: Whether those of `RESTART_WEIGHTS` are among them.
     """
     rng = random.Random(seed)
     weights = {**WEIGHTS, **(NETWORK_WEIGHTS if network else {})}
     weights.update(VERSION_WEIGHTS if versions else {})
     weights.update(DEPARTURE_WEIGHTS if departures else {})
+    weights.update(RESTART_WEIGHTS if restarts else {})
     kinds = rng.choices(list(weights), list(weights.values()), k=count)
     events = []
     for kind in kinds:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from tests.soak import proxies
 from tests.soak import records
 from tests.soak import releases
+from tests.soak import restarts
 from tests.soak import schedule
 
 PLAIN_ENDPOINTS = 3
@@ -51,6 +52,7 @@
     network_faults.ResponseFaults,
     releases.Releases,
     departures.Departures,
+    restarts.Restarts,
 ):
     """One soak.
 
@@ -151,7 +153,8 @@
                 continue
             lines += [
                 f"{endpoint.id}: {problem}"
-                for problem in endpoint.announcing.problems(
+                for announcing in (*endpoint.ended, endpoint.announcing)
+                for problem in announcing.problems(
                     DRAIN_MS, reaction_ms, self.ledger.disturbed
                 )
             ]
@@ -364,7 +367,7 @@
 
     def _replace(self, endpoint, version, notice_s=NOTICE_S):
         """An endpoint leaves, and one of a software version comes for it."""
-        if endpoint.announcing.leaving:
+        if endpoint.is_leaving:
             return
         self._add_endpoint(endpoint.service, version)
         endpoint.announcing.leaving = True
@@ -376,7 +379,7 @@
 
     def _crash(self, event):
         endpoint = self._endpoint(event)
-        if endpoint.announcing.leaving:
+        if endpoint.is_leaving:
             return
         self._add_endpoint(endpoint.service, endpoint.version)
         endpoint.announcing.leaving = True
