The stand-in of an endpoint answers requests without an id

A health check or a report that reaches the successor at an address gets 421; the stand-in raised an error instead, as it copied an id that was not there.

--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -35,7 +35,10 @@
         """Sends a complete response."""
         lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
         lines += [SEAL] if seal else []
-        lines += [f"X-Hornbeampier-Attempt-Id: {self.id}", *headers]
+        request_id = self.headers.get("x-hornbeampier-attempt-id")
+        if request_id is not None:
+            lines.append(f"X-Hornbeampier-Attempt-Id: {request_id}")
+        lines += headers
         self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
     def begin_stream(self, headers=()):
