Soak: configurations that move the path of streams, and kills after them

Right after a move it kills no VM, one or all, while streams run on. Their callers wait for VMs that start, and take the streams up.

How many of the streams go on is not checked here, as those of a path that has moved are to be refused.

`_wait` stands with the other faults of responses now.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -36,6 +36,11 @@
         action="store_true",
         help="with endpoints that leave by their entry or start again",
     )
+    parser.add_argument(
+        "--routes",
+        action="store_true",
+        help="with configurations that move the path of resumable streams",
+    )
     args = parser.parse_args()
     failed = []
     for seed in range(args.start, args.start + args.seeds):
@@ -50,6 +55,7 @@
             not args.without_network,
             args.versions,
             args.departures,
+            args.routes,
         )
         taken_up, went_on = played.ledger.resumptions()
         outcomes = played.ledger.outcomes
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,8 @@
 RETRY_S = 0.05
 # How often a caller takes up a stream that was interrupted.
 MAX_TAKE_UPS = 2
+# How long a caller waits for VMs that start.
+RESTART_WAIT_MS = 2_500.0
 # With several software versions, callers lose the connection of this fraction
 # of their streams, after at most this time.
 LOST_FRACTION = 0.3
@@ -56,6 +58,16 @@
             return False
         return True
 
+    def _connect_again(self):
+        """Connects; waits for VMs that start if all are killed at times."""
+        end_ms = self._world.clock.now() + RESTART_WAIT_MS
+        while not self._connect():
+            is_over = self._world.clock.now() >= end_ms
+            if is_over or not self._world.has_routes:
+                return False
+            gevent.sleep(RETRY_S)
+        return True
+
     def _call(self):
         """Sends a request; returns whether the connection may be kept."""
         self._number += 1
@@ -100,7 +112,7 @@
             if not outcome.last_event or is_whole or outcome.late:
                 return
             self._conn.close()
-            if not self._connect():
+            if not self._connect_again():
                 return
             outcome = dataclasses.replace(
                 outcome,
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -42,6 +42,7 @@
         departure: The check of what reaches it after its entry has gone.
         is_departing: Whether it is about to end for good.
         writes_entries: Whether it writes its entry at each heartbeat.
+        event_gap_s: Time between two events of a stream.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
     ):
         self.service = service
         self.version = version
+        self.event_gap_s = EVENT_GAP_S
         self._on_poison = on_poison
         self.was_cut = False
         self.id = f"i-{next(_numbers)}"
@@ -216,7 +218,7 @@
                 self._trickle(req, event)
             else:
                 req.send_chunk(event)
-            self._pause(EVENT_GAP_S)
+            self._pause(self.event_gap_s)
         req.end_stream()
 
     def _event_of(self, req, number):
--- a/tests/soak/network_faults.py
+++ b/tests/soak/network_faults.py
@@ -12,6 +12,8 @@
 POISON_INTERVAL_S = 0.2
 # A crashed engine is back, under another id, after this time.
 RETURN_S = 0.5
+# Time to wait that an endpoint names.
+WAIT_S = 1.5
 
 
 class NetworkFaults:
@@ -98,6 +100,13 @@
 class ResponseFaults:
     """The part that lets endpoints spoil their responses."""
 
+    def _wait(self, event):
+        """An endpoint refuses requests and names a time to wait."""
+        announcing = self._endpoint(event).announcing
+        announcing.wait_s = WAIT_S
+        gevent.sleep(event.duration_s)
+        announcing.wait_s = None
+
     def _spoil(self, event, fault):
         endpoint = self._endpoint(event)
         endpoint.faults.add(fault)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -21,17 +21,19 @@
     network=True,
     versions=False,
     departures=False,
+    routes=False,
 ):
     """Plays one seed; returns the problems and the world.
 
     If there are problems, the logs of all VMs are kept in `log_directory`.
     """
-    world = worlds.World(seed, vms, host_prefix, versions)
+    world = worlds.World(seed, vms, host_prefix, versions, routes)
     try:
         world.start()
-        world.play(
-            schedule.draw(seed, events, length_s, network, versions, departures)
+        drawn = schedule.draw(
+            seed, events, length_s, network, versions, departures, routes
         )
+        world.play(drawn)
         unsettled = world.settle()
         problems = world.problems()
         problems += [f"{name} does not serve again" for name in unsettled]
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -24,7 +24,13 @@
         gevent.joinall(replacements, raise_error=True)
 
     def serves_twice(self, versions):
-        """Whether two engines serve that run one of these versions."""
+        """Whether two engines serve that run one of these versions.
+
+        It is not told while the path of streams moves, as streams of the
+        service that it has left are to be refused.
+        """
+        if self.has_routes:
+            return False
         serving = [
             engine
             for engine in self._serving_engines()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -37,6 +37,7 @@
     DRAIN = "drain"
     VANISH = "vanish"
     REBIRTH = "rebirth"
+    MOVE = "move"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -76,6 +77,8 @@
 # Endpoints that leave by their entry alone, or start again; drawn only if asked
 # for.
 DEPARTURE_WEIGHTS = {Kind.DRAIN: 12, Kind.VANISH: 12, Kind.REBIRTH: 24}
+# Configurations that move the path of streams; drawn only if asked for.
+ROUTE_WEIGHTS = {Kind.MOVE: 16}
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
 # A series repeats one fault on the same thing.
@@ -99,7 +102,15 @@
     duration_s: float
 
 
-def draw(seed, count, length_s, network=True, versions=False, departures=False):
+def draw(
+    seed,
+    count,
+    length_s,
+    network=True,
+    versions=False,
+    departures=False,
+    routes=False,
+):
     """Returns the events of a soak, in order of time.
 
     Args:
@@ -109,11 +120,13 @@
         network: Whether the faults of `NETWORK_WEIGHTS` are among them.
         versions: Whether those of `VERSION_WEIGHTS` are among them.
         departures: Whether those of `DEPARTURE_WEIGHTS` are among them.
+        routes: Whether those of `ROUTE_WEIGHTS` are among them.
     """
     rng = random.Random(seed)
     weights = {**WEIGHTS, **(NETWORK_WEIGHTS if network else {})}
     weights.update(VERSION_WEIGHTS if versions else {})
     weights.update(DEPARTURE_WEIGHTS if departures else {})
+    weights.update(ROUTE_WEIGHTS if routes else {})
     kinds = rng.choices(list(weights), list(weights.values()), k=count)
     events = []
     for kind in kinds:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from tests.soak import proxies
 from tests.soak import records
 from tests.soak import releases
+from tests.soak import route_changes
 from tests.soak import schedule
 
 PLAIN_ENDPOINTS = 3
@@ -41,7 +42,6 @@
 # store and all VMs are undisturbed.
 IN_FORCE_MS = 5_000.0
 LIMIT_PER_S = 2.0
-WAIT_S = 1.5
 REVOKED_KEYS = 20
 HANGUP_S = 0.3
 
@@ -51,6 +51,7 @@
     network_faults.ResponseFaults,
     releases.Releases,
     departures.Departures,
+    route_changes.RouteChanges,
 ):
     """One soak.
 
@@ -61,7 +62,7 @@
         has_versions: Whether engines run several software versions.
     """
 
-    def __init__(self, seed, vms, host_prefix, versions=False):
+    def __init__(self, seed, vms, host_prefix, versions=False, routes=False):
         self._rng = random.Random(seed)
         self.clock = clocks.SystemClock()
         self.ledger = records.Ledger()
@@ -70,7 +71,8 @@
         self.lag_ms = 0.0
         self._version = 0
         self._engine_version = 1
-        self.has_versions = versions
+        self.has_versions = versions or routes
+        self.has_routes = routes
         self._revoked_count = 0
         self._revoked_ms = None
         self._disturbed_ms = self.clock.now()
@@ -98,6 +100,7 @@
             self._add_endpoint(nodes.PLAIN_SERVICE)
         for _ in range(VERSIONED_ENGINES if self.has_versions else ENGINES):
             self._add_endpoint(nodes.ENGINE_SERVICE)
+        self._add_other_engines()
         for vm in self.vms:
             vm.start()
         self._tasks = [
@@ -206,7 +209,9 @@
             {"name": "account-1", "apiKeys": [nodes.KEY], "priority": 1},
             {"name": "account-2", "apiKeys": keys, "priority": 2},
         ]
-        self._cfg = nodes.configuration(self._version, tenants=accounts)
+        self._cfg = nodes.configuration(
+            self._version, tenants=accounts, **self.configured_routes()
+        )
         self.store.put_configuration(self._cfg)
 
     def _add_endpoint(self, service, version="v1"):
@@ -219,6 +224,7 @@
             version,
             departures.Departure(self._calm, self.clock),
         )
+        self._slow_down(endpoint)
         self._endpoints.append(endpoint)
         self.store.put_endpoint(endpoint.id, endpoint.entry())
 
@@ -351,12 +357,6 @@
         gevent.sleep(event.duration_s + 4.0)
         announcing.limit_per_s = None
 
-    def _wait(self, event):
-        announcing = self._endpoint(event).announcing
-        announcing.wait_s = WAIT_S
-        gevent.sleep(event.duration_s)
-        announcing.wait_s = None
-
     def _leave(self, event):
         """An endpoint leaves; its entry follows its announcement."""
         endpoint = self._endpoint(event)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,13 +15,16 @@
 # (product code of 6e3a0dd); 783, as the check took a key for valid that was
 # revoked after the stream had begun.
 VERSION_SEEDS = (600, 783)
+# A seed in which streams went on at a service to which their path had moved, as
+# VMs were killed (product code of 21b2af1).
+ROUTE_SEEDS = (921,)
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
 
 
 class SoakTest(testtools.TestCase):
-    def play(self, seed, network, versions=False):
+    def play(self, seed, network, versions=False, routes=False):
         host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
         problems, played = play.play(
             seed,
@@ -31,6 +34,7 @@
             host_prefix,
             network=network,
             versions=versions,
+            routes=routes,
         )
         self.assertEqual([], problems)
         statuses = [o.status for o in played.ledger.outcomes if o.complete]
@@ -47,3 +51,9 @@
     def test_streams_keep_their_version_while_engines_are_replaced(self):
         for seed in VERSION_SEEDS:
             self.play(seed, network=True, versions=True)
+
+    # Guards against streams that go on at the service to which their path has
+    # moved, as the VMs that knew where they began are gone.
+    def test_streams_keep_their_service_while_configurations_move_paths(self):
+        for seed in ROUTE_SEEDS:
+            self.play(seed, network=False, routes=True)
