--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,18 @@
 import sys
 
 from tests.soak import play
+from tests.soak import schedule
+
+EXTRAS = {
+    schedule.Extra.VERSIONS: "with new software versions of the engines",
+    schedule.Extra.DEPARTURES: "with endpoints that leave by their entry alone",
+    schedule.Extra.RESTARTS: (
+        "with endpoints that start again under their ids or are reclaimed"
+    ),
+    schedule.Extra.ROUTES: (
+        "with configurations that move the path of resumable streams"
+    ),
+}
 
 
 def main():
@@ -26,21 +38,15 @@
         action="store_true",
         help="without faults of connections and prompts that crash engines",
     )
-    parser.add_argument(
-        "--versions",
-        action="store_true",
-        help="with new software versions of the engines",
-    )
-    parser.add_argument(
-        "--departures",
-        action="store_true",
-        help="with endpoints that leave by their entry alone",
-    )
-    parser.add_argument(
-        "--restarts",
-        action="store_true",
-        help="with endpoints that start again under their ids or are reclaimed",
-    )
+    for extra, help_text in EXTRAS.items():
+        parser.add_argument(
+            f"--{extra}",
+            dest="extras",
+            action="append_const",
+            const=extra,
+            default=[],
+            help=help_text,
+        )
     args = parser.parse_args()
     failed = []
     for seed in range(args.start, args.start + args.seeds):
@@ -53,9 +59,7 @@
             host_prefix,
             args.logs,
             not args.without_network,
-            args.versions,
-            args.departures,
-            restarts=args.restarts,
+            args.extras,
         )
         taken_up, went_on = played.ledger.resumptions()
         outcomes = played.ledger.outcomes
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -47,6 +47,7 @@
         version: Version of its software.
         departure: The check of what reaches it after its entry has gone.
         is_departing: Whether it leaves without an announcement.
+        event_gap_s: Time between two events of a stream.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
     ):
         self.service = service
         self.version = version
+        self.event_gap_s = EVENT_GAP_S
         self._on_poison = on_poison
         self.was_cut = False
         self.id = f"i-{next(_numbers)}"
@@ -238,7 +240,7 @@
                 self._trickle(req, event)
             else:
                 req.send_chunk(event)
-            self._pause(EVENT_GAP_S)
+            self._pause(self.event_gap_s)
         req.end_stream()
 
     def _run_stream_without_length(self, req, headers, first):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -19,28 +19,16 @@
     host_prefix,
     log_directory=None,
     network=True,
-    versions=False,
-    departures=False,
-    restarts=False,
+    extras=(),
 ):
     """Plays one seed; returns the problems and the world.
 
     If there are problems, the logs of all VMs are kept in `log_directory`.
     """
-    world = worlds.World(seed, vms, host_prefix, versions)
+    world = worlds.World(seed, vms, host_prefix, extras)
     try:
         world.start()
-        world.play(
-            schedule.draw(
-                seed,
-                events,
-                length_s,
-                network,
-                versions,
-                departures,
-                restarts,
-            )
-        )
+        world.play(schedule.draw(seed, events, length_s, network, extras))
         unsettled = world.settle()
         problems = world.problems()
         problems += [f"{name} does not serve again" for name in unsettled]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -39,6 +39,7 @@
     COME_BACK = "come_back"
     LEAVE_UNREAD = "leave_unread"
     RECLAIM = "reclaim"
+    MOVE = "move"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -73,16 +74,33 @@
     Kind.STORE_RESET: 1,
     Kind.STORE_CUT: 1,
 }
-# New software versions of the engines; drawn only if asked for.
-VERSION_WEIGHTS = {Kind.RELEASE: 8}
-# Endpoints that leave by their entry alone; drawn only if asked for.
-DEPARTURE_WEIGHTS = {Kind.DRAIN: 20, Kind.VANISH: 20}
-# Endpoints that start again under their ids, or are reclaimed; drawn only if
-# asked for.
-RESTART_WEIGHTS = {
-    Kind.COME_BACK: 8,
-    Kind.LEAVE_UNREAD: 8,
-    Kind.RECLAIM: 8,
+
+
+class Extra(enum.StrEnum):
+    """A group of changes that is drawn only if asked for.
+
+    Attributes:
+        VERSIONS: New software versions of the engines.
+        DEPARTURES: Endpoints that leave by their entry alone.
+        RESTARTS: Endpoints that start again under their ids, or are reclaimed.
+        ROUTES: Configurations that move the path of resumable streams.
+    """
+
+    VERSIONS = "versions"
+    DEPARTURES = "departures"
+    RESTARTS = "restarts"
+    ROUTES = "routes"
+
+
+EXTRA_WEIGHTS = {
+    Extra.VERSIONS: {Kind.RELEASE: 8},
+    Extra.DEPARTURES: {Kind.DRAIN: 20, Kind.VANISH: 20},
+    Extra.RESTARTS: {
+        Kind.COME_BACK: 8,
+        Kind.LEAVE_UNREAD: 8,
+        Kind.RECLAIM: 8,
+    },
+    Extra.ROUTES: {Kind.MOVE: 16},
 }
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
@@ -107,15 +125,7 @@
     duration_s: float
 
 
-def draw(
-    seed,
-    count,
-    length_s,
-    network=True,
-    versions=False,
-    departures=False,
-    restarts=False,
-):
+def draw(seed, count, length_s, network=True, extras=()):
     """Returns the events of a soak, in order of time.
 
     Args:
@@ -123,15 +133,12 @@
         count: Number of faults and of series of faults.
         length_s: Time in which they begin.
         network: Whether the faults of `NETWORK_WEIGHTS` are among them.
-        versions: Whether those of `VERSION_WEIGHTS` are among them.
-        departures: Whether those of `DEPARTURE_WEIGHTS` are among them.
-        restarts: Whether those of `RESTART_WEIGHTS` are among them.
+        extras: Groups whose changes are among them.
     """
     rng = random.Random(seed)
     weights = {**WEIGHTS, **(NETWORK_WEIGHTS if network else {})}
-    weights.update(VERSION_WEIGHTS if versions else {})
-    weights.update(DEPARTURE_WEIGHTS if departures else {})
-    weights.update(RESTART_WEIGHTS if restarts else {})
+    for extra in Extra:
+        weights.update(EXTRA_WEIGHTS[extra] if extra in extras else {})
     kinds = rng.choices(list(weights), list(weights.values()), k=count)
     events = []
     for kind in kinds:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import testtools
 
 from tests.soak import play
+from tests.soak import schedule
 
 SEEDS = (1, 6, 7)
 # Seeds that failed, with the faults of connections: 416, as requests that all
@@ -19,13 +20,16 @@
 # failed, as streams without a length passed for complete, and 904 as requests
 # went to endpoints that had announced their leaving (product code of 21b2af1).
 RESTART_SEEDS = (900, 904)
+# A seed in which streams went on at a service to which their path had moved, as
+# VMs were killed (product code of 21b2af1).
+ROUTE_SEEDS = (921,)
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
 
 
 class SoakTest(testtools.TestCase):
-    def play(self, seed, network, versions=False, restarts=False):
+    def play(self, seed, network, extras=()):
         host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
         problems, played = play.play(
             seed,
@@ -34,8 +38,7 @@
             LENGTH_S,
             host_prefix,
             network=network,
-            versions=versions,
-            restarts=restarts,
+            extras=extras,
         )
         self.assertEqual([], problems)
         statuses = [o.status for o in played.ledger.outcomes if o.complete]
@@ -51,8 +54,14 @@
 
     def test_streams_keep_their_version_while_engines_are_replaced(self):
         for seed in VERSION_SEEDS:
-            self.play(seed, network=True, versions=True)
+            self.play(seed, network=True, extras=(schedule.Extra.VERSIONS,))
 
     def test_promises_hold_while_endpoints_restart_and_are_reclaimed(self):
         for seed in RESTART_SEEDS:
-            self.play(seed, network=False, restarts=True)
+            self.play(seed, network=False, extras=(schedule.Extra.RESTARTS,))
+
+    # Guards against streams that go on at the service to which their path has
+    # moved, as the VMs that knew where they began are gone.
+    def test_streams_keep_their_service_while_configurations_move_paths(self):
+        for seed in ROUTE_SEEDS:
+            self.play(seed, network=False, extras=(schedule.Extra.ROUTES,))
