Windows that may have been reported in an earlier era are skipped

Cause: a new holder took a window without a record for one that was never reported. The record is lost if the store returns from an older copy, and the copies of the report if the holder and the collectors are killed at the same moment. The fact outlived all its holders but one: the store's era.

Change: a VM that takes the duty over in an era in which no holder has left a record skips the windows that had ended when it first saw the era, unless it knows their report. What is lost had been appended before that, and a window is finalized a second after its end at the earliest. It writes the last of these windows to usage-era before it finalizes any, so that later holders of the era skip no others. A holder that keeps the lease while the era rises knows all reports and skips none.

A window that is skipped is not reported: its price is paid, in place of a broken rule.

--- a/hornbeampier/duties/lease.py
+++ b/hornbeampier/duties/lease.py
@@ -74,6 +74,7 @@
         # Era and end of the partition, and when they were first observed.
         self._position = (0, -1)
         self._observed_ms = -math.inf
+        self._era_seen_ms = -math.inf
         self._refused_token = -1
         self._failures = 0
         self._is_draining = False
@@ -105,6 +106,12 @@
             return None
         return now_ms - hold.acquired_ms
 
+    def era(self) -> terms.StoreEra | None:
+        """Returns the era that the records are of; None without the lease."""
+        if self._hold is None:
+            return None
+        return terms.StoreEra(self._hold.era, self._era_seen_ms)
+
     def records(self) -> dict[str, bytes]:
         """Returns the newest record of each key, as last read or appended."""
         known = self._hold or self._contents
@@ -286,6 +293,8 @@
         self._contents = contents
         position = (contents.era, contents.end)
         if position != self._position:
+            if contents.era != self._position[0]:
+                self._era_seen_ms = self._clock.now()
             self._position = position
             self._observed_ms = self._clock.now()
 
--- a/hornbeampier/duties/lease_keeper.py
+++ b/hornbeampier/duties/lease_keeper.py
@@ -96,6 +96,10 @@
         """Returns for how long this VM has held the lease, or None."""
         return self._decision.held_ms()
 
+    def era(self) -> terms.StoreEra | None:
+        """Returns the era that the records are of; None without the lease."""
+        return self._decision.era()
+
     def records(self) -> dict[str, bytes]:
         """Returns the newest record of each key, as last read or appended."""
         return self._decision.records()
--- a/hornbeampier/duties/terms.py
+++ b/hornbeampier/duties/terms.py
@@ -20,6 +20,19 @@
     expires_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEra:
+    """The era of the store, which rises when it returns from an older copy.
+
+    Attributes:
+        number: The era.
+        seen_ms: When this process first saw it, on the monotonic clock.
+    """
+
+    number: int
+    seen_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointOrder:
     """The number of endpoints that a service is to have in a zone.
@@ -55,6 +68,10 @@
         """Returns the permission to act, or None if this VM has none now."""
         ...
 
+    def era(self) -> StoreEra | None:
+        """Returns the era that the records are of; None without the lease."""
+        ...
+
     def records(self) -> dict[str, bytes]:
         """Returns the newest record of each key, as last read or appended."""
         ...
--- a/hornbeampier/duties/usage_reporter.py
+++ b/hornbeampier/duties/usage_reporter.py
@@ -12,6 +12,7 @@
 from hornbeampier.duties import terms
 from hornbeampier.duties import usage_clock
 from hornbeampier.duties import usage_counts
+from hornbeampier.duties import usage_eras
 from hornbeampier.duties import usage_records
 from hornbeampier.duties import usage_windows
 
@@ -107,6 +108,7 @@
         self._reports: dict[int, usage_records.UsageReport] = {}
         self._accepted: set[int] = set()
         self._skipped: set[int] = set()
+        self._eras = usage_eras.UsageEras(lease, windows, true_time)
         self._is_draining = False
         self._log = structlog.get_logger(task="usage_reporter")
 
@@ -134,7 +136,8 @@
         now_ms = self._time.now()
         holding = self._describe_holding()
         self._gather(now_ms, holding)
-        if self._restore_records():
+        if self._restore_records() and self._eras.settle():
+            self._skip_doubtful(now_ms)
             self._finalize(now_ms, holding)
         self._send_next()
 
@@ -144,6 +147,7 @@
         self._subscriptions_sent = 0
         self._next_subscription_ms = 0.0
         self._windows.forget_replies()
+        self._eras.begin_holding()
         self._skipped.clear()
         self._log.info("usage_duty_begun", windows=len(self._reports))
 
@@ -230,7 +234,17 @@
             self._reports[due.window] = report
             self._exchange.announce(report)
             self._record_finalized(due)
-        self._record_skipped(skipped)
+        self._record_skipped(skipped, "no_counts")
+
+    def _skip_doubtful(self, now_ms: float) -> None:
+        """Skips windows that may have been reported with other counts."""
+        done = self._done()
+        doubtful = [
+            window
+            for window in self._windows.open_windows(now_ms)
+            if window <= self._eras.doubtful_through and window not in done
+        ]
+        self._record_skipped(doubtful, "store_era")
 
     def _append(self, report: usage_records.UsageReport) -> bool:
         return self._lease.append(
@@ -255,7 +269,7 @@
             missing_vms=sorted(due.missing)[:LOGGED_VMS],
         )
 
-    def _record_skipped(self, windows: list[int]) -> None:
+    def _record_skipped(self, windows: list[int], reason: str) -> None:
         if not windows:
             return
         self._skipped.update(windows)
@@ -263,6 +277,7 @@
             self._metrics.record_usage_window("skipped")
         self._log.warning(
             "usage_windows_skipped",
+            reason=reason,
             first=windows[0],
             last=windows[-1],
             count=len(windows),
--- a/hornbeampier/duties/usage_windows.py
+++ b/hornbeampier/duties/usage_windows.py
@@ -105,6 +105,10 @@
         """Returns when a window ends, in true time."""
         return (window + 1) * self._window_ms
 
+    def last_ended(self, at_ms: float) -> int:
+        """Returns the last window that has ended at a time."""
+        return int(at_ms // self._window_ms) - 1
+
     def open_windows(self, now_ms: float) -> range:
         """Returns the windows that are neither too old nor in the future."""
         oldest = math.ceil((now_ms - self._retention_ms) / self._window_ms) - 1
--- a/tests/usage_network.py
+++ b/tests/usage_network.py
@@ -55,6 +55,7 @@
 
     def __init__(self):
         self.records = {}
+        self.era = 1
         self.holder = None
         self.token = 0
         self.store_up = True
@@ -67,6 +68,11 @@
         self.holder = host
         self.token += 1
 
+    def restore(self, records):
+        """Returns from a copy that holds only some earlier records."""
+        self.records = dict(records)
+        self.era += 1
+
     def report_usage(self, term, window, counts):
         if not self.api_up:
             return terms.Outcome.UNKNOWN
@@ -83,6 +89,13 @@
         self._platform = platform
         self._host = host
         self._clock = clock
+        self._seen = (0, 0.0)
+
+    def era(self):
+        era = self._platform.era
+        if era != self._seen[0]:
+            self._seen = (era, self._clock.now())
+        return terms.StoreEra(*self._seen)
 
     def term(self):
         platform = self._platform
