Tests of the era that a lease knows

They guard the two facts that usage reports rely on: since when a process has seen the era, and that the era of a holder rises only with the append that restores its records.

--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -49,6 +49,38 @@
                 decision.on_read(contents)
 
 
+class EraTest(LeaseTestCase):
+    # Guards against windows of usage that count as reported in an earlier era,
+    # or as not reported, because the era was seen at another time.
+    def test_era_is_known_since_it_was_first_seen(self):
+        decision = self.make()
+        began_ms = self.clock.now()
+        self.assertIsNone(decision.era())
+        waited_ms = self.acquire_ms(decision, self.contents(era=2))
+        first, held = decision.era(), self.clock.now()
+        self.assertEqual(2, first.number)
+        self.assertLess(first.seen_ms, held - LEASE_MS / 2)
+        self.assertGreater(first.seen_ms, began_ms)
+        self.assertGreaterEqual(waited_ms, LEASE_MS)
+        step = decision.begin_record("key", b"value")
+        decision.on_appended(step, lease_records.Appended(6, 7, 2))
+        self.assertEqual(first, decision.era())
+
+    # Guards against records of an earlier era that count as those of the later
+    # one before they have been written there.
+    def test_era_rises_with_the_append_that_restores_the_records(self):
+        decision = self.make()
+        self.acquire_ms(decision, self.contents(era=1))
+        decision.on_read(self.contents(era=2, end=3))
+        self.assertEqual(1, decision.era().number)
+        step = decision.next_step(True)
+        seen_ms = self.clock.now()
+        self.clock.advance(10.0)
+        decision.on_appended(step, lease_records.Appended(3, 4, 2))
+        self.assertEqual(2, decision.era().number)
+        self.assertEqual(seen_ms, decision.era().seen_ms)
+
+
 class AcquisitionTest(LeaseTestCase):
     # Guards against a VM that acts again within the lease time because it was
     # restarted while another VM took over and released the lease.
