--- a/tests/test_route_history.py
+++ b/tests/test_route_history.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import testtools
 
 from hornbeampier import clock as clocks
@@ -241,6 +242,29 @@
         self.assertEqual(LONGEST_MS, vm.history.longest_ms)
 
 
+class EarlierReply(msgspec.Struct, array_like=True, tag=3):
+    """A reply as VMs of the release before know it."""
+
+    number: int
+    origin: object
+    ages: tuple
+    covered_ms: int = 0
+
+
+class MixedFleetTest(testtools.TestCase):
+    # Guards against VMs of the release before that cannot read the reply.
+    def test_vm_of_an_earlier_release_reads_a_reply_with_routes(self):
+        vm = Vm(clocks.ManualClock())
+        vm.apply(1, stream_route("a.example", "/", "s1"))
+        vm.apply(2, stream_route("a.example", "/", "s2"))
+        routes = origin_messages.to_routes(vm.history.report())
+        reply = origin_messages.LookupReply(7, None, (), 5_000, routes)
+        decoded = msgspec.msgpack.decode(
+            origin_messages.encode(reply), type=EarlierReply
+        )
+        self.assertEqual(EarlierReply(7, None, (), 5_000), decoded)
+
+
 class BoundsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
