--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from tests import nodes
 from tests.soak import schedule
 
 # An entry that is not `ready` any more binds the VMs from this time on after
@@ -108,6 +109,7 @@
         """An endpoint starts again under its id, and may then leave at once.
 
         Until its new entry is written, its responses alone say that it leaves.
+        With several software versions, an engine starts again with a new one.
         """
         endpoint = self._endpoint(event)
         if endpoint.is_departing or endpoint.announcing.leaving:
@@ -115,6 +117,8 @@
         endpoint.writes_entries = False
         endpoint.end_process()
         gevent.sleep(RESTART_S)
+        if self.has_versions and endpoint.service == nodes.ENGINE_SERVICE:
+            endpoint.version = self._next_version()
         endpoint.start_again()
         if event.target % 2:
             self._add_endpoint(endpoint.service, endpoint.version)
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -14,8 +14,7 @@
     def _release(self, event):
         """Replaces half of the engines, one after the other."""
         del event
-        self._engine_version += 1
-        version = f"v{self._engine_version}"
+        version = self._next_version()
         engines = self._serving_engines()
         replacements = []
         for engine in engines[: (len(engines) + 1) // 2]:
@@ -23,6 +22,10 @@
             gevent.sleep(REPLACE_GAP_S)
         gevent.joinall(replacements, raise_error=True)
 
+    def _next_version(self):
+        self._engine_version += 1
+        return f"v{self._engine_version}"
+
     def serves_twice(self, versions):
         """Whether two engines serve that run one of these versions."""
         serving = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,13 +15,16 @@
 # (product code of 6e3a0dd); 783, as the check took a key for valid that was
 # revoked after the stream had begun.
 VERSION_SEEDS = (600, 783)
+# Seeds in which engines start again under their ids with other versions, as
+# streams went on at another version (product code of 21b2af1).
+RESTART_SEEDS = (910, 911)
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
 
 
 class SoakTest(testtools.TestCase):
-    def play(self, seed, network, versions=False):
+    def play(self, seed, network, versions=False, departures=False):
         host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
         problems, played = play.play(
             seed,
@@ -31,6 +34,7 @@
             host_prefix,
             network=network,
             versions=versions,
+            departures=departures,
         )
         self.assertEqual([], problems)
         statuses = [o.status for o in played.ledger.outcomes if o.complete]
@@ -47,3 +51,9 @@
     def test_streams_keep_their_version_while_engines_are_replaced(self):
         for seed in VERSION_SEEDS:
             self.play(seed, network=True, versions=True)
+
+    # Guards against streams that go on at another version, as a process is
+    # taken for the one that had its id before.
+    def test_streams_keep_their_version_while_engines_start_again(self):
+        for seed in RESTART_SEEDS:
+            self.play(seed, network=True, versions=True, departures=True)
