--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -2,6 +2,8 @@
 
 import gevent
 
+from tests import nodes
+
 # Time from an endpoint's announcement that it leaves to its entry.
 NOTICE_S = 0.2
 # How long it serves on after its entry says so.
@@ -20,7 +22,10 @@
     """Starts endpoints again under their ids; a part of `World`."""
 
     def _come_back(self, event):
-        """An endpoint leaves and starts again under its id; it serves then."""
+        """An endpoint leaves and starts again under its id; it serves then.
+
+        With several software versions, an engine runs a new one.
+        """
         endpoint = self._endpoint(event)
         if endpoint.is_leaving:
             return
@@ -31,7 +36,12 @@
         if endpoint not in self._endpoints:
             # It has crashed meanwhile.
             return
+        has_new_version = self._update_version(endpoint)
         endpoint.restart()
+        if has_new_version:
+            # Its entry still names the version before.
+            endpoint.writes_entries = False
+            gevent.sleep(event.duration_s)
         self._put_entry(endpoint, "ready")
 
     def _leave_unread(self, event):
@@ -40,6 +50,7 @@
         if endpoint.is_leaving:
             return
         self._add_endpoint(endpoint.service, endpoint.version)
+        self._update_version(endpoint)
         endpoint.restart(leaving=True)
         endpoint.writes_entries = False
         gevent.sleep(UNREAD_S)
@@ -66,6 +77,13 @@
         gevent.sleep(RECLAIM_S)
         self._remove(engine)
 
+    def _update_version(self, endpoint):
+        """Gives an engine a new version; returns False if it keeps its own."""
+        if not self.has_versions or endpoint.service != nodes.ENGINE_SERVICE:
+            return False
+        endpoint.version = self._next_version()
+        return True
+
     def _put_entry(self, endpoint, state):
         endpoint.state = state
         endpoint.writes_entries = True
