--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,9 @@
 # failed, as streams without a length passed for complete, and 904 as requests
 # went to endpoints that had announced their leaving (product code of 21b2af1).
 RESTART_SEEDS = (900, 904)
+# Seeds in which engines start again under their ids with other versions, as
+# streams went on at another version (product code of 21b2af1).
+VERSION_RESTART_SEEDS = (930, 931)
 # A seed in which streams went on at a service to which their path had moved, as
 # VMs were killed (product code of 21b2af1).
 ROUTE_SEEDS = (921,)
@@ -60,6 +63,13 @@
         for seed in RESTART_SEEDS:
             self.play(seed, network=False, extras=(schedule.Extra.RESTARTS,))
 
+    # Guards against streams that go on at another version, as a process is
+    # taken for the one that had its id before.
+    def test_streams_keep_their_version_while_engines_start_again(self):
+        extras = (schedule.Extra.VERSIONS, schedule.Extra.RESTARTS)
+        for seed in VERSION_RESTART_SEEDS:
+            self.play(seed, network=True, extras=extras)
+
     # Guards against streams that go on at the service to which their path has
     # moved, as the VMs that knew where they began are gone.
     def test_streams_keep_their_service_while_configurations_move_paths(self):
