Offsets that peers and the store give are bounded

An offset or era of more than 53 bits in the records of a peer did not fit the VM's own messages: its gossip and its records for other peers raised OverflowError. They are unreadable records of that peer now. An offset of -1 stays valid, as the tombstone of a topic without records has it.

Evidence: PeerBatchTest, of which the first test failed before.

--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 import structlog
 
+from hornbeampier import bounds
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier.duties import lease_records
@@ -31,21 +32,21 @@
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: bounds.Count
 
 
 class _Page(msgspec.Struct, rename="camel"):
     """A page of the latest records; `end` is the topic's end offset."""
 
     items: list[_Item]
-    end: int
+    end: bounds.Count
     has_more: bool = False
 
 
 class _Trimmed(msgspec.Struct):
     """The body of a 410 response; `first` is the first retained offset."""
 
-    first: int
+    first: bounds.Count
 
 
 class _AppendOffsets(msgspec.Struct):
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import Protocol
 
+from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.replication import positions
 
@@ -23,8 +24,8 @@
 
     key: str
     value: bytes | None
-    offset: int
-    era: int = 0
+    offset: bounds.Integer
+    era: bounds.Integer = 0
     carried: bool = False
 
     @property
@@ -52,8 +53,8 @@
     """
 
     records: tuple[Record, ...]
-    end: int
-    era: int = 0
+    end: bounds.Integer
+    era: bounds.Integer = 0
     carried: bool = False
 
     @property
--- a/tests/test_skipped_records.py
+++ b/tests/test_skipped_records.py
@@ -5,14 +5,18 @@
 
 import gevent
 from gevent import socket
+import msgspec
 from structlog import testing
 import testtools
 
 from hornbeampier import application
 from hornbeampier import errors
+from hornbeampier.http1 import client
+from hornbeampier.http1 import messages as http
 from hornbeampier.peers import udp_transport
 from hornbeampier.platform import store
 from hornbeampier.replication import messages
+from hornbeampier.replication import relay
 from hornbeampier.replication import replica
 from hornbeampier.routing import registration_log
 from tests import nodes
@@ -229,6 +233,35 @@
         self.assertRaises(errors.PlatformError, self.decode, b"\0\0")
 
 
+class PeerBatchTest(testtools.TestCase):
+    def decode(self, record, end):
+        keys = ("key", "value", "offset", "era")
+        fields = dict(zip(keys, record, strict=True))
+        body = msgspec.msgpack.encode(
+            {"records": [fields], "end": end, "era": 0, "carried": False}
+        )
+        head = http.ResponseHead(200, (), len(body))
+        return relay._decode("peer", client.CompleteResponse(head, body))
+
+    # Guards against VMs that no longer gossip, and whose records peers cannot
+    # fetch: an offset that a peer passed on did not fit their own messages.
+    def test_offsets_out_of_bounds_make_records_of_a_peer_unreadable(self):
+        for offset, era, end in (
+            (2**64 - 1, 0, 1),
+            (0, 2**63, 1),
+            (0, 0, 2**64 - 1),
+            (0, 0, -(2**63)),
+        ):
+            self.assertRaises(
+                errors.PlatformError, self.decode, ("k", b"", offset, era), end
+            )
+
+    # The tombstone of a topic without records has the offset before the first.
+    def test_tombstone_before_the_first_offset_is_read(self):
+        batch = self.decode(("k", None, -1, 0), 0)
+        self.assertEqual([-1], [r.offset for r in batch.records])
+
+
 class DatagramTest(testtools.TestCase):
     # Guards against VMs that hear nobody any more: an error in one datagram
     # ended the task that receives them.
