Soak: an endpoint that starts again does not depart at the same time

An endpoint could depart while it was starting again. Its next entry then brought it back, VMs rightly sent requests, and the check counted them as sent after its departure.

What counts as late is as before.

--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -112,7 +112,7 @@
         With several software versions, an engine starts again with a new one.
         """
         endpoint = self._endpoint(event)
-        if endpoint.is_departing or endpoint.announcing.leaving:
+        if not self._may_depart(endpoint):
             return
         endpoint.writes_entries = False
         endpoint.end_process()
@@ -135,12 +135,20 @@
 
     def _begin_departure(self, endpoint):
         """Starts a replacement; returns whether the endpoint may depart."""
-        if endpoint.is_departing or endpoint.announcing.leaving:
+        if not self._may_depart(endpoint):
             return False
         endpoint.is_departing = True
         self._add_endpoint(endpoint.service, endpoint.version)
         return True
 
+    def _may_depart(self, endpoint):
+        """Whether an endpoint neither leaves nor is about to start again.
+
+        One that starts again writes an entry, which would end its departure.
+        """
+        is_leaving = endpoint.is_departing or endpoint.announcing.leaving
+        return endpoint.writes_entries and not is_leaving
+
     def _end_departure(self, endpoint):
         endpoint.departure.begin()
         gevent.sleep(DRAIN_MS / 1_000.0 + SERVES_ON_S)
