Keep the wait that an endpoint asks for by its id

Evidence: test_wait_outlasts_the_entry_of_another_process fails before. Change: waits are kept by id; the first response of any process with the id to a request after the wait ends it. A sound process that starts within the wait of the one before gets its first request at the end of that wait, as it would have been asked then. Their number is bounded with that of the processes. Limits stay with the process: each response names the limit anew.

--- a/hornbeampier/routing/announcements.py
+++ b/hornbeampier/routing/announcements.py
@@ -1,8 +1,9 @@
 """What endpoints announce about themselves in their responses.
 
-Limits and waits are kept for each process of an endpoint: a restart voids them,
-and a new entry in the store does not. That an endpoint leaves is kept by its
-id, see `departures`.
+Limits are kept for each process of an endpoint: a restart voids them, and a new
+entry in the store does not. Waits are kept by the endpoint's id, as a response
+does not name the process that sent it, and so is that an endpoint leaves (see
+`departures`).
 """
 
 from collections.abc import Callable
@@ -89,7 +90,6 @@
 
     known_ms: float
     limit: endpoint_limit.EndpointLimit | None = None
-    wait: endpoint_wait.EndpointWait | None = None
 
     @property
     def is_limited(self) -> bool:
@@ -117,6 +117,8 @@
         self._rng = rng
         self._processes: dict[domain.ProcessId, _Process] = {}
         self._departures = departures.Departures(clock)
+        # A response does not name the process that asks for a wait.
+        self._waits: dict[str, endpoint_wait.EndpointWait] = {}
         self.endpoint_ids: set[str] = set()
         self._log = structlog.get_logger(task="announcements")
 
@@ -139,6 +141,7 @@
         if (
             announcement == NO_ANNOUNCEMENT
             and process_id not in self._processes
+            and endpoint.id not in self._waits
         ):
             return
         is_limited = announcement.limit_per_s is not None
@@ -222,38 +225,34 @@
         """Returns why the endpoint may not get a request now, or None."""
         if self.is_leaving(endpoint):
             return "leaving"
+        if self._wait_ms(endpoint):
+            return "wait"
         process = self._processes.get(endpoint.process_id)
         if process is None:
             return None
-        if process.wait is not None and process.wait.opens_in_ms():
-            return "wait"
         if process.limit is not None and process.limit.opens_in_ms():
             return f"limit {process.limit.observation.limit_per_s:g}/s"
         return None
 
     def opens_in_ms(self, endpoint: domain.Endpoint) -> float:
         """Returns the time until it may get a request; 0 if it may now."""
+        wait_ms = self._wait_ms(endpoint)
         process = self._processes.get(endpoint.process_id)
-        if process is None:
-            return 0.0
-        return max(
-            process.wait.opens_in_ms() if process.wait else 0.0,
-            process.limit.opens_in_ms() if process.limit else 0.0,
-        )
+        if process is None or process.limit is None:
+            return wait_ms
+        return max(wait_ms, process.limit.opens_in_ms())
 
     def take(self, endpoint: domain.Endpoint) -> bool:
         """Accounts for a request; returns False if it may not be sent."""
         if self.is_leaving(endpoint):
             return False
-        process = self._processes.get(endpoint.process_id)
-        if process is None:
-            return True
         if self.opens_in_ms(endpoint) > 0.0:
             return False
-        if process.limit is not None:
+        process = self._processes.get(endpoint.process_id)
+        if process is not None and process.limit is not None:
             process.limit.take()
-        if process.wait is not None:
-            process.wait.take()
+        if endpoint.id in self._waits:
+            self._waits[endpoint.id].take()
         return True
 
     def to_gossip(self) -> list[Notice]:
@@ -286,6 +285,11 @@
         )
         if expired or has_changed:
             self.endpoint_ids = {id_ for id_, _ in self._processes}
+            self._waits = {
+                id_: wait
+                for id_, wait in self._waits.items()
+                if id_ in self.endpoint_ids
+            }
             self.endpoint_ids.update(self._departures.ids())
 
     def _observe_limit(
@@ -324,6 +328,11 @@
             return self._record_leaving(notice.process_id, notice.known_ms)
         return self._departures.record_peer_check(notice)
 
+    def _wait_ms(self, endpoint: domain.Endpoint) -> float:
+        """Returns how long the endpoint wants no requests from now on."""
+        wait = self._waits.get(endpoint.id)
+        return wait.opens_in_ms() if wait else 0.0
+
     def _record_wait(
         self,
         process_id: domain.ProcessId,
@@ -331,15 +340,18 @@
         sent_ms: float,
     ) -> bool:
         """Returns whether the endpoint wants no requests for some time."""
-        process = self._processes.get(process_id)
+        endpoint_id, _ = process_id
+        wait = self._waits.get(endpoint_id)
         if wait_ms is None:
-            if process is not None and process.wait is not None:
-                process.wait.record_response(sent_ms)
+            if wait is not None:
+                wait.record_response(sent_ms)
             return False
-        process = process or self._add(process_id)
-        if process.wait is None:
-            process.wait = endpoint_wait.EndpointWait(self._clock, self._rng)
-        process.wait.extend(wait_ms)
+        if process_id not in self._processes:
+            self._add(process_id)
+        if wait is None:
+            wait = endpoint_wait.EndpointWait(self._clock, self._rng)
+            self._waits[endpoint_id] = wait
+        wait.extend(wait_ms)
         return True
 
     def _add(self, process_id: domain.ProcessId) -> _Process:
@@ -348,6 +360,7 @@
                 self._processes, key=lambda key: self._processes[key].known_ms
             )
             del self._processes[oldest]
+            self._waits.pop(oldest[0], None)
         process = _Process(self._clock.now())
         self._processes[process_id] = process
         self.endpoint_ids.add(process_id[0])
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -291,6 +291,23 @@
         self.respond(wait_ms=100.0)
         self.assertEqual(0, self.count_sent(2.0))
 
+    # Guards against BUDGET: an endpoint that started again, and wants no
+    # requests for a while, got them once its new entry had been read.
+    def test_wait_outlasts_the_entry_of_another_process(self):
+        self.respond(wait_ms=2_000.0)
+        self.endpoint = fakes.endpoint(self.endpoint.id, started_ms=2)
+        self.catalog.apply_endpoint(self.endpoint)
+        self.assertEqual(0, self.count_sent(2.0))
+        self.assertEqual("wait", self.announcements.describe(self.endpoint))
+
+    def test_response_of_another_process_ends_the_wait(self):
+        self.respond(wait_ms=1_000.0)
+        self.endpoint = fakes.endpoint(self.endpoint.id, started_ms=2)
+        self.clock.advance(1_300.0)
+        self.assertEqual(1, self.count_sent(0.5))
+        self.respond()
+        self.assertEqual(10, self.count_sent(0.1))
+
     def test_vms_do_not_return_at_the_same_moment(self):
         ends = set()
         for seed in range(20):
@@ -311,16 +328,25 @@
         self.announcements.expire([])
         self.assertFalse(self.announcements.is_leaving(self.endpoint))
 
+    def test_waits_of_endpoints_that_are_gone_are_forgotten(self):
+        self.respond(wait_ms=1.0)
+        self.clock.advance(announcements.RETENTION_MS + 1.0)
+        self.announcements.expire([])
+        self.assertEqual({}, self.announcements._waits)
+
     def test_number_of_processes_is_bounded(self):
         for number in range(announcements.MAX_PROCESSES + 10):
             self.announcements.record(
                 fakes.endpoint(f"x{number}"),
-                announcements.Announcement(limit_per_s=1.0, leaving=True),
+                announcements.Announcement(
+                    limit_per_s=1.0, leaving=True, wait_ms=1.0
+                ),
                 "id-1",
                 0.0,
             )
         for kept in (
             self.announcements._processes,
+            self.announcements._waits,
             self.announcements._departures,
         ):
             self.assertEqual(announcements.MAX_PROCESSES, len(kept))
