Tests of log lines set the log level that they need

test_error_within_a_stream_cuts_it_off failed in a run of all tests: commands that other tests run in the process set the level to error for the tests after them, so that the warning it looks for was not logged. With the level set to error before, it and test_repeated_entry_is_logged_once fail each time; with this change both pass. The checks are as they were.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 from hornbeampier.platform import records
 from hornbeampier.replication import messages
 from tests import era_fakes
+from tests import log_levels
 from tests import nodes
 from tests import store_standin
 
@@ -264,6 +265,7 @@
 
     # Guards against a log that fills up: another writer may repeat its entry.
     def test_repeated_entry_is_logged_once(self):
+        log_levels.log_all(self)
         vm = era_fakes.Vm(clocks.ManualClock())
         replica = vm.replicas[names.ENDPOINT_TOPIC]
         values = [b"{", b"{", era_fakes.entry(), b"{", b"{", None, b"["]
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -13,6 +13,7 @@
 from hornbeampier.http1 import client
 from hornbeampier.platform import headers
 from hornbeampier.routing import route_table
+from tests import log_levels
 from tests import nodes
 
 OWN_ID = {"X-Hornbeampier-Attempt-Id": "me"}
@@ -27,6 +28,10 @@
 
 
 class UnexpectedErrorTest(nodes.NodeTestCase):
+    def setUp(self):
+        super().setUp()
+        log_levels.log_all(self)
+
     def start(self, handler=lambda attempt: attempt.respond(), count=1):
         """Starts endpoints of both services and a router."""
         self.endpoints = [
