A stream goes on if its engine has started again with the same version

Callers would have got broken streams after each quick restart. Now a read of the store decides: if the entry of the new process names the same version, it does not matter which one began the stream; otherwise, or if that entry is missing, the stream is broken off. The test that a stream is resumed lets the new process write its entry now, as its version is not known before; two tests demand that the stream breaks off if the entry is missing or names another version. Calls for a report skip responses that name a request, at the end of a response too.

--- a/hornbeampier/forwarding/begin_proof.py
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -40,9 +40,9 @@
 
         The stream was sent to the endpoint after the entry had been written. If
         the process of the entry still runs, it has begun the stream, as an
-        endpoint has one process at a time. If the endpoint cannot be asked, the
-        store has its newest entry, unless the process ended before it had
-        written one.
+        endpoint has one process at a time. If another one runs, its entry has
+        to name the same version. If the endpoint cannot be asked, the store has
+        its newest entry, unless the process ended before it had written one.
 
         Args:
             endpoint: The entry by which the endpoint was chosen.
@@ -51,11 +51,15 @@
         if not endpoint.started_ms:
             return True
         is_running = self._is_running(endpoint, deadline_ms)
-        if is_running is not None:
-            return is_running
-        return self._freshness.request().wait() and self._has_no_other_version(
-            endpoint.id, endpoint.software_version
-        )
+        if is_running:
+            return True
+        if not self._freshness.request().wait():
+            return False
+        if is_running is None:
+            return self._has_no_other_version(
+                endpoint.id, endpoint.software_version
+            )
+        return self._has_restarted_unchanged(endpoint)
 
     def is_record_proved(
         self, process: domain.ProcessId, version: str, deadline_ms: float
@@ -102,6 +106,15 @@
             conn.close()
         return True
 
+    def _has_restarted_unchanged(self, endpoint: domain.Endpoint) -> bool:
+        """Whether another process of an endpoint has the same version."""
+        current = self._catalog.endpoints.get(endpoint.id)
+        return (
+            current is not None
+            and current.started_ms != endpoint.started_ms
+            and current.software_version == endpoint.software_version
+        )
+
     def _has_no_other_version(self, endpoint_id: str, version: str) -> bool:
         """Whether the newest entry of an endpoint, if any, has a version."""
         current = self._catalog.endpoints.get(endpoint_id)
--- a/hornbeampier/forwarding/end_check.py
+++ b/hornbeampier/forwarding/end_check.py
@@ -10,6 +10,7 @@
 from hornbeampier import errors
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.http1 import client
+from hornbeampier.platform import names
 from hornbeampier.platform import reports
 from hornbeampier.routing import domain
 
@@ -51,7 +52,9 @@
         return None
     try:
         response = conn.call(
-            reports.encode_request(endpoint), clock.now() + REPORT_TIMEOUT_MS
+            reports.encode_request(endpoint),
+            clock.now() + REPORT_TIMEOUT_MS,
+            id_header=names.REQUEST_ID,
         )
         return reports.decode_started_ms(response.body)
     except (*client.TRANSPORT_ERRORS, errors.PlatformError):
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -146,16 +146,37 @@
         response = self.call(router, "POST", "/stream/x")
         self.assertFalse(response.complete)
 
-    def test_stream_whose_engine_has_restarted_is_resumed(self):
+    def register_again(self, req, version):
+        """The process that has the address next writes its entry."""
+        self.crash_and_restart(req)
+        [endpoint] = [e for e in self.endpoints if req in e.received]
+        record = nodes.endpoint_record(
+            nodes.ENGINE_SERVICE, endpoint.address, born=2, version=version
+        )
+        self.store.put_endpoint(endpoint.id, record)
+
+    def resume_after(self, fault):
         router = self.start(
-            nodes.ENGINE_SERVICE,
-            [EVENTS[0], self.crash_and_restart],
-            [*EVENTS[1:], self.close],
+            nodes.ENGINE_SERVICE, [EVENTS[0], fault], [*EVENTS[1:], self.close]
         )
-        response = self.call(router, "POST", "/resume/x")
+        return self.call(router, "POST", "/resume/x")
+
+    # Guards against streams that break off whenever an engine starts again.
+    def test_stream_whose_engine_has_restarted_unchanged_is_resumed(self):
+        response = self.resume_after(lambda req: self.register_again(req, "v1"))
         self.assertTrue(response.complete)
         self.assertEqual("".join(EVENTS).encode(), response.body)
 
+    # Guards against ORDER: which of the two processes began the stream is not
+    # known, and their versions differ, or may differ.
+    def test_stream_whose_engine_has_another_version_is_not_resumed(self):
+        response = self.resume_after(lambda req: self.register_again(req, "v2"))
+        self.assertFalse(response.complete)
+
+    def test_stream_whose_engine_has_not_registered_again_is_not_resumed(self):
+        response = self.resume_after(self.crash_and_restart)
+        self.assertFalse(response.complete)
+
     # Guards against MIXED: the same for a body that is not a stream.
     def test_body_whose_endpoint_has_restarted_is_not_complete(self):
         router = self.start(
