Another endpoint at the address does not prove that a response is whole

Callers could get a truncated stream or body as complete (ORDER, MIXED): a response without a length broke off as its endpoint's process ended, and another endpoint, under another id, had the address when this VM read the end.

Cause: the question which process is up names the endpoint, so the other one turns it away with 421. That has no report, and no report was taken for the process that had responded.

Change: a 421 says that the process at the address is another one. No other missing report changes its meaning.

--- a/hornbeampier/forwarding/end_check.py
+++ b/hornbeampier/forwarding/end_check.py
@@ -10,6 +10,7 @@
 from hornbeampier import errors
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.http1 import client
+from hornbeampier.platform import announcements
 from hornbeampier.platform import reports
 from hornbeampier.routing import domain
 
@@ -24,7 +25,7 @@
     """Whether an endpoint's process is up after the end of its response.
 
     A process that accepts connections and sends no report is taken for the one
-    that responded.
+    that responded, unless it is of another endpoint.
     """
     try:
         conn = pool.acquire(endpoint, "")
@@ -32,27 +33,28 @@
         # Not an error: the process has ended.
         return False
     try:
-        started_ms = _ask_started_ms(conn, endpoint, clock)
+        return _may_have_responded(conn, endpoint, clock)
     finally:
         conn.close()
-    return started_ms in (None, endpoint.started_ms)
 
 
-def _ask_started_ms(
+def _may_have_responded(
     conn: client.ClientConnection,
     endpoint: domain.Endpoint,
     clock: clocks.Clock,
-) -> int | None:
-    """Returns when the endpoint's process started; None if it does not tell.
+) -> bool:
+    """Asks the process on a connection whether it is that of an endpoint.
 
     On platforms whose entries have no start time, endpoints are not asked.
     """
     if not endpoint.started_ms:
-        return None
+        return True
     try:
         response = conn.call(
             reports.encode_request(endpoint), clock.now() + REPORT_TIMEOUT_MS
         )
-        return reports.decode_started_ms(response.body)
+        if response.status == announcements.MISDIRECTED_STATUS:
+            return False
+        return reports.decode_started_ms(response.body) == endpoint.started_ms
     except (*client.TRANSPORT_ERRORS, errors.PlatformError):
-        return None
+        return True
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -137,6 +137,14 @@
         )
         endpoint._server.start()
 
+    def crash_and_lose_address(self, req):
+        """Another endpoint has the address next; it turns all calls away."""
+        [endpoint] = [e for e in self.endpoints if req in e.received]
+        endpoint.handler = lambda other: other.respond(
+            b"", "421 Misdirected Request", seal=False
+        )
+        self.crash_and_restart(req, born=None)
+
     # Guards against ORDER: the process that has the address next being taken
     # for the one whose stream broke off.
     def test_stream_whose_engine_has_restarted_is_not_complete(self):
@@ -156,6 +164,22 @@
         self.assertTrue(response.complete)
         self.assertEqual("".join(EVENTS).encode(), response.body)
 
+    # Guards against ORDER and MIXED: another endpoint, which turns the question
+    # away, proving that the one that responded is up.
+    def test_stream_whose_engine_lost_its_address_is_not_complete(self):
+        router = self.start(
+            nodes.ENGINE_SERVICE, [EVENTS[0], self.crash_and_lose_address]
+        )
+        response = self.call(router, "POST", "/stream/x")
+        self.assertFalse(response.complete)
+
+    def test_body_whose_endpoint_lost_its_address_is_not_complete(self):
+        router = self.start(
+            nodes.PLAIN_SERVICE, ["who", self.crash_and_lose_address]
+        )
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual(502, response.status)
+
     # Guards against MIXED: the same for a body that is not a stream.
     def test_body_whose_endpoint_has_restarted_is_not_complete(self):
         router = self.start(
