A delayed health check does not void what was announced after it

Requests could reach an endpoint that had announced that it leaves (DRAIN): a VM that was suspended, or whose datagrams were late, took the time at which it read a peer's health check for the time of the check. An announcement that was made after the check, and reached the VM with a true age, then seemed to be older, and was dropped for good.

Cause: the age in a datagram does not include its way. The margin for this was kept when a check voids what is known already, and not for what is heard later.

Change: a peer's check voids announcements up to the margin before it, and later ones count.

--- a/hornbeampier/routing/departures.py
+++ b/hornbeampier/routing/departures.py
@@ -46,6 +46,7 @@
         serving_ms: When the last health check was sent that showed a process
             that does not leave.
         serving_process: Start of that process.
+        void_ms: Announcements up to this time are void.
         learned_ms: When this VM last learned any of this.
         known_ms: When the id was last in the catalog or heard of.
     """
@@ -56,10 +57,11 @@
     announced_ms: float = -math.inf
     serving_ms: float = -math.inf
     serving_process: int = 0
+    void_ms: float = -math.inf
 
     @property
     def is_leaving(self) -> bool:
-        return self.announced_ms > self.serving_ms
+        return self.announced_ms > self.void_ms
 
 
 class Departures:
@@ -109,7 +111,7 @@
         """
         endpoint_id, started_ms = process_id
         departure = self._get_or_add(endpoint_id)
-        if announced_ms <= departure.serving_ms:
+        if announced_ms <= departure.void_ms:
             return False
         if not departure.is_leaving:
             departure.started_ms.clear()
@@ -130,30 +132,14 @@
         Returns:
             Whether the endpoint may get requests now and could not before.
         """
-        endpoint_id, started_ms = process_id
-        departure = self._departures.get(endpoint_id)
-        if (
-            departure is None
-            or started_ms in departure.started_ms
-            or not departure.is_leaving
-            or asked_ms <= departure.announced_ms
-        ):
-            return False
-        departure.serving_ms = asked_ms
-        departure.serving_process = started_ms
-        departure.learned_ms = self._clock.now()
-        return True
+        return self._record_check(process_id, asked_ms, asked_ms)
 
     def record_peer_check(self, notice: DepartureNotice) -> bool:
         """Records a peer's health check; returns as `record_serving`."""
-        endpoint_id, _ = notice.process_id
-        departure = self._departures.get(endpoint_id)
-        if (
-            departure is None
-            or notice.known_ms - PEER_MARGIN_MS <= departure.announced_ms
-        ):
-            return False
-        return self.record_serving(notice.process_id, notice.known_ms)
+        asked_ms = notice.known_ms
+        return self._record_check(
+            notice.process_id, asked_ms, asked_ms - PEER_MARGIN_MS
+        )
 
     def news(self, oldest_ms: float) -> Iterator[DepartureNotice]:
         """Yields what this VM has learned since `oldest_ms`."""
@@ -206,3 +192,21 @@
             departure = _Departure(learned_ms=now_ms, known_ms=now_ms)
             self._departures[endpoint_id] = departure
         return departure
+
+    def _record_check(
+        self, process_id: domain.ProcessId, asked_ms: float, void_ms: float
+    ) -> bool:
+        endpoint_id, started_ms = process_id
+        departure = self._departures.get(endpoint_id)
+        if (
+            departure is None
+            or started_ms in departure.started_ms
+            or not departure.is_leaving
+            or void_ms <= departure.announced_ms
+        ):
+            return False
+        departure.serving_ms = asked_ms
+        departure.void_ms = void_ms
+        departure.serving_process = started_ms
+        departure.learned_ms = self._clock.now()
+        return True
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -240,6 +240,17 @@
         self.notify(False, started_ms=2, age_ms=0.0)
         self.assertTrue(self.is_leaving())
 
+    # Guards against DRAIN: a datagram that was on its way for a while voiding
+    # what is heard afterwards and was announced after the health check.
+    def test_delayed_health_check_does_not_void_a_later_announcement(self):
+        self.respond(leaving=True)
+        self.clock.advance(departures.PEER_MARGIN_MS + 100.0)
+        # The check was sent 1.5 s ago, and its age is that of the sending.
+        self.notify(False, started_ms=2, age_ms=0.0)
+        self.assertFalse(self.is_leaving())
+        self.notify(True, started_ms=2, age_ms=1_000.0)
+        self.assertTrue(self.is_leaving())
+
     def test_late_notice_of_a_void_announcement_changes_nothing(self):
         self.respond(leaving=True)
         self.clock.advance(1_000.0)
