A stalled stream is left only once it is proved where it may go on

Callers saw streams end early while the store was down: an engine paused for longer than four inter-event targets, and sent no report meanwhile; its stream was given up, and only then was it asked which version had begun it. Nothing proved that, so the response was broken off, although the engine went on.

Change: the proof is asked for before the stalled engine is left. Without it the stream is awaited, as are those that may not be resumed; a retry is taken from the budget after the proof.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -282,10 +282,10 @@
         If so, a retry is taken from the budget.
         """
         tried = self._tried | {choice.state.id}
-        version = self._version_guard.version
-        if not self._selector.has_candidates(tried, version):
+        guard = self._version_guard
+        if not self._selector.has_candidates(tried, guard.version):
             return False
-        self._retry_granted = self._try_acquire_retry(
+        self._retry_granted = guard.is_proved() and self._try_acquire_retry(
             verdict.Verdict.MAY_HAVE_RUN
         )
         return self._retry_granted
--- a/hornbeampier/forwarding/version_guard.py
+++ b/hornbeampier/forwarding/version_guard.py
@@ -44,6 +44,15 @@
         self.version = endpoint.software_version
         self._resumption.record_begin(self._req, endpoint)
 
+    def is_proved(self) -> bool:
+        """Whether it is proved which version began the stream, if one has."""
+        if self._unproved is None:
+            return True
+        if not self._proof.is_proved(self._unproved, self._req.deadline_ms):
+            return False
+        self._unproved = None
+        return True
+
     def prove_version(self) -> str | None:
         """Returns `version` for the next attempt.
 
@@ -51,12 +60,10 @@
             selection.NoEndpointError: Another version may have begun the
                 stream.
         """
-        if self._unproved is not None:
-            if not self._proof.is_proved(self._unproved, self._req.deadline_ms):
-                raise selection.NoEndpointError(
-                    errors.RefusalCode.STREAM_ORIGIN_UNKNOWN,
-                    f"endpoint {self._unproved.id}, which began the stream, "
-                    "may have started again with another software version",
-                )
-            self._unproved = None
+        if not self.is_proved():
+            raise selection.NoEndpointError(
+                errors.RefusalCode.STREAM_ORIGIN_UNKNOWN,
+                f"endpoint {self._unproved.id}, which began the stream, may "
+                "have started again with another software version",
+            )
         return self.version
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -2,12 +2,16 @@
 
 import json
 
+import gevent
+
 from hornbeampier.routing import stream_origins
 from tests import nodes
 from tests import store_standin
 from tests import test_stream_versions as stream_versions
 
 BORN_AGAIN = 2
+# Longer than the time after which a stream counts as stalled.
+HALT_S = 2.5
 EVENTS_BEFORE = stream_versions.EVENTS_BEFORE
 
 
@@ -254,3 +258,37 @@
         self.engines._engines[self.engines.runs["a0"][0]].kill()
         response = self.take_up(router, "b0", "a0")
         self.assertEqual(200, response.status, response.body)
+
+
+class StalledEngineTest(RestartedEndpointTestCase):
+    """The engine that began a stream halts, and sends no report either."""
+
+    def configuration(self, version=1, **fields):
+        return super().configuration(
+            version, maxAttempts=2, gapAimMs=100, **fields
+        )
+
+    def halt(self, req):
+        if req.request_line.startswith("GET /report "):
+            gevent.sleep(HALT_S)
+            return
+        engine_id = req.headers["x-hornbeampier-expect-instance"]
+        self.engines.runs[req.id].append(engine_id)
+        self.store.down = True
+        req.begin_stream()
+        req.send_event(1)
+        gevent.sleep(HALT_S)
+        for number in range(2, stream_versions.EVENTS + 1):
+            req.send_event(number)
+        req.end_stream()
+
+    # Guards against a stream that is broken off although its engine goes on:
+    # while the store is down, nothing proves where it could go on elsewhere.
+    def test_stream_is_awaited_if_nothing_proves_where_it_may_go_on(self):
+        for position in range(2):
+            self.engine(position).born = None
+            self.engine(position).handler = self.halt
+        router = self.start_ready_node(self.configuration())
+        response = self.stream(router, "a0")
+        self.assertEqual(stream_versions.ALL_EVENTS, response.body)
+        self.assertTrue(response.complete)
