A version that came and went unseen is not ruled out

Callers could see a stream go on at another software version (ORDER): a VM that gets records from its peers took it up as if one version had served. An engine of another version had joined, begun the stream and left before the VM's next batch, as after a few seconds out of step.

Cause: a batch of a peer has the newest record of each key, here only the removal. The read of the store that confirms begins after the removal.

Change: the removal of a key without a known entry, in a batch that leaves records out, ends the time for which this VM knows all versions. Replies of peers, who know the version, extend it again.

Evidence: on test_version_that_joined_and_left_unseen_is_not_ruled_out is answered 200 by an engine of the other version ("source=one_version"); now it is refused as not run.

--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -192,9 +192,9 @@
         self._history.routes.is_contiguous = lambda: (
             operator_replica.is_contiguous
         )
-        self._replicas[
-            names.ENDPOINT_TOPIC
-        ].on_superseded = self._record_superseded
+        endpoint_replica = self._replicas[names.ENDPOINT_TOPIC]
+        endpoint_replica.on_superseded = self._record_superseded
+        endpoint_replica.on_unseen = self._record_unseen
 
     def _record_superseded(self, record: messages.Record) -> None:
         """Records the version in an entry that came after a newer one."""
@@ -207,6 +207,11 @@
             return
         self._history.record_version(endpoint)
 
+    def _record_unseen(self, record: messages.Record) -> None:
+        """Records that an endpoint of any version may have come and gone."""
+        self._log.info("entry_unseen", endpoint=record.key)
+        self._history.coverage.limit(self._clock.now())
+
     def _record_earlier_configuration(self, record: messages.Record) -> None:
         """Records a configuration that came after a newer one."""
         cfg = configuration_log.decode(record, names.CONFIGURATION_KEY)
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -13,7 +13,7 @@
 
 
 def _ignore(record: messages.Record) -> None:
-    """Default `on_superseded`: does nothing."""
+    """Default `on_superseded` and `on_unseen`: does nothing."""
 
 
 class TopicReplica:
@@ -34,6 +34,8 @@
             The newest record of a key may hide older ones.
         on_superseded: Called with each record that is read after a newer one
             of its key, and so is not applied.
+        on_unseen: Called with the removal of a key whose record this VM may
+            have missed.
     """
 
     def __init__(self, topic: str, applier: messages.Applier):
@@ -44,6 +46,7 @@
         self.changed: positions.Position | None = None
         self.is_contiguous = False
         self.on_superseded: Callable[[messages.Record], None] = _ignore
+        self.on_unseen: Callable[[messages.Record], None] = _ignore
         self._log = structlog.get_logger(task="replica", topic=topic)
 
     @property
@@ -155,12 +158,23 @@
             ):
                 self._carry_over(current, position)
                 return True
+        if self._may_hide_another(record, current):
+            self.on_unseen(record)
         self._newest[record.key] = record
         has_changed = self._apply_to_state(record)
         if record.value is None:
             self._drop_oldest_tombstone()
         return has_changed
 
+    def _may_hide_another(
+        self, record: messages.Record, current: messages.Record | None
+    ) -> bool:
+        """Whether a key is removed that came after the last batch."""
+        if record.value is not None or self.position is None:
+            return False
+        is_unknown = current is None or current.value is None
+        return is_unknown and not self.is_contiguous
+
     def _apply_to_state(self, record: messages.Record) -> bool:
         """Applies a record; one that cannot be applied costs no other one."""
         try:
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.routing import stream_origins
 from tests import nodes
@@ -200,3 +201,48 @@
 
     def count_reads(self):
         return sum(path == "/log-read" for path, _ in self.store.calls)
+
+
+class UnseenEntryTest(OutOfStepTestCase):
+    """An engine joins and leaves between two batches that a VM gets."""
+
+    # Guards against streams of two versions joined: a VM that gets records from
+    # its peers gets the removal of an entry, and never the entry itself.
+    def test_version_that_joined_and_left_unseen_is_not_ruled_out(self):
+        self.engines.start("v1")
+        (first,) = self.start_group(HOSTS[:1])
+        (second,) = self.start_group(HOSTS[1:2])
+        store_standin.wait_until(second._origins._history.is_proved)
+        for follower in second._followers:
+            follower.stop()
+        count = len(first.catalog.endpoints)
+        self.engines.start("v2", 1)
+        self.wait_for_engines(count + 1, first)
+        self.engines.stop(list(self.engines.ids())[-1])
+        self.wait_for_engines(count, first)
+        self.fetch(first, second)
+        response = self.take_up(second, "b0", "a0")
+        self.assert_refused("stream_origin_unknown", response, "b0")
+
+    # Guards against streams that are refused whenever an engine leaves.
+    def test_removal_of_a_known_entry_hides_nothing(self):
+        self.engines.start("v1")
+        (first,) = self.start_group(HOSTS[:1])
+        (second,) = self.start_group(HOSTS[1:2])
+        store_standin.wait_until(second._origins._history.is_proved)
+        for follower in second._followers:
+            follower.stop()
+        count = len(first.catalog.endpoints)
+        for engine_id in list(self.engines.ids())[:1]:
+            self.engines.stop(engine_id)
+        self.wait_for_engines(count - 1, first)
+        self.fetch(first, second)
+        response = self.take_up(second, "b0", "a0")
+        self.assertEqual(200, response.status, response.body)
+
+    def fetch(self, source, target):
+        """`target` gets what it lacks, as from a peer."""
+        topic = names.ENDPOINT_TOPIC
+        own = target._replicas[topic]
+        theirs = source._replicas[topic]
+        own.apply_batch(theirs.records_since(own.position))
