--- a/hornbeampier/policy/health.py
+++ b/hornbeampier/policy/health.py
@@ -1,5 +1,6 @@
 """Outlier ejection: endpoints that fail or are far slower than the others."""
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import statistics
 
@@ -30,6 +31,15 @@
     return not is_leaving(state) and now_ms >= state.ejected_until_ms
 
 
+def has_other_open(
+    state: registry.EndpointState,
+    states: Iterable[registry.EndpointState],
+    now_ms: float,
+) -> bool:
+    """Returns whether any of `states` but `state` is open."""
+    return any(is_open(s, now_ms) for s in states if s is not state)
+
+
 def record_failure(
     state: registry.EndpointState,
     now_ms: float,
@@ -49,8 +59,7 @@
         # Requests that were lost together count as one failure.
         return False
     state.failures += 1
-    others = [s for s in states if s is not state and is_open(s, now_ms)]
-    if states and not others:
+    if states and not has_other_open(state, states, now_ms):
         state.ejected_until_ms = now_ms + LAST_EJECTION_MS
         return True
     duration_ms = min(
@@ -66,8 +75,8 @@
     states: Sequence[registry.EndpointState],
 ) -> None:
     """Ejects an endpoint briefly, since it declines all new requests."""
-    others = [s for s in states if s is not state and is_open(s, now_ms)]
-    duration_ms = BASE_EJECTION_MS if others else LAST_EJECTION_MS
+    has_other = has_other_open(state, states, now_ms)
+    duration_ms = BASE_EJECTION_MS if has_other else LAST_EJECTION_MS
     state.ejected_until_ms = max(state.ejected_until_ms, now_ms + duration_ms)
 
 
--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -359,11 +359,8 @@
     def _has_other_open(
         self, target: str, state: registry.EndpointState
     ) -> bool:
-        now_ms = self._clock.now()
-        return any(
-            health.is_open(s, now_ms)
-            for s in self._endpoints.serving(target)
-            if s is not state
+        return health.has_other_open(
+            state, self._endpoints.serving(target), self._clock.now()
         )
 
     def _mark_shared(self, name: str) -> None:
