Reservations for isolated runs get a module of their own

Change: policy/reservations.py holds the lock of each target, the choice of the endpoint and its release; Suspects asks it. The code is moved, not rewritten.

--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -16,14 +16,13 @@
 import random
 from typing import Protocol
 
-from gevent import lock
-
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import request_info
 from hornbeampier import verdict
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import health
+from hornbeampier.policy import reservations
 from hornbeampier.vms import messages
 
 # Bounds the endpoints that one request can crash, even if others ran on them.
@@ -39,7 +38,6 @@
 PEER_CRASH_REPORT_MS = 700.0
 MAX_SUSPECTS = 1_024
 CRASH_ID_BITS = 32
-RETRY_AFTER_MS = 1_000.0
 
 
 class IsolationLevel(enum.IntEnum):
@@ -136,8 +134,9 @@
             collections.OrderedDict()
         )
         self._running_suspects: dict[str, list[str]] = {}
-        self._reserved: dict[str, str] = {}
-        self._isolation_locks: dict[str, lock.Semaphore] = {}
+        self._reservations = reservations.Reservations(
+            clk, endpoints, peers.is_reserved, occupancy, on_change
+        )
         self._isolated_runs: dict[str, _IsolatedRun] = {}
         self._peer_crash_reported_ms: dict[str, float] = {}
 
@@ -176,26 +175,8 @@
         if self.isolation_level(info.fingerprint) is not IsolationLevel.ALONE:
             yield
             return
-        isolation_lock = self._isolation_locks.setdefault(
-            info.target, lock.Semaphore()
-        )
-        remaining_ms = max(0.0, info.deadline_ms - self._clock.now())
-        if not isolation_lock.acquire(
-            timeout=remaining_ms / clock.MS_PER_SECOND
-        ):
-            raise errors.RefusalError(
-                503,
-                errors.RefusalCode.WAIT_TIMEOUT,
-                "no endpoint became free before the request's deadline",
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        try:
-            self._reserve(info, failed)
+        with self._reservations.hold(info, failed):
             yield
-        finally:
-            self._release(info.fingerprint)
-            isolation_lock.release()
-            self._on_change()
 
     @contextlib.contextmanager
     def running(
@@ -232,9 +213,9 @@
         level = self.isolation_level(fingerprint)
         if level is IsolationLevel.ALONE and self._occupancy(state) > 0:
             return True
-        if self._is_reserved_for_other(fingerprint, name):
-            return level > IsolationLevel.NONE or self._has_other_open(
-                info.target, state
+        if self._reservations.is_for_other(fingerprint, name):
+            return level > IsolationLevel.NONE or health.has_other_open(
+                state, self._endpoints.serving(info.target), self._clock.now()
             )
         if level is IsolationLevel.NONE:
             return False
@@ -293,7 +274,7 @@
 
     def reserved_endpoints(self) -> tuple[str, ...]:
         """Returns the endpoints that this VM reserves for suspects."""
-        return tuple(self._reserved)
+        return self._reservations.endpoints()
 
     def merge(self, suspicions: tuple[messages.Suspicion, ...]) -> None:
         """Merges the suspicions from a peer's hint."""
@@ -328,41 +309,6 @@
         suspect.expires_ms = now_ms + EXPIRY_MS
         suspect.hint_until_ms = now_ms + HINT_REPEAT_MS
 
-    def _reserve(
-        self, info: request_info.RequestInfo, failed: frozenset[str]
-    ) -> None:
-        """Reserves the least occupied endpoint, but never the last open one."""
-        now_ms = self._clock.now()
-        states = [
-            s
-            for s in self._endpoints.serving(info.target)
-            if health.is_open(s, now_ms) and s.name not in failed
-        ]
-        if not states or not self._has_other_open(info.target, states[0]):
-            return
-        unreserved = [s for s in states if not self._peers.is_reserved(s.name)]
-        chosen = min(unreserved or states, key=self._occupancy)
-        self._reserved[chosen.name] = info.fingerprint
-        self._on_change()
-
-    def _release(self, fingerprint: str) -> None:
-        for name, owner in list(self._reserved.items()):
-            if owner == fingerprint:
-                del self._reserved[name]
-
-    def _is_reserved_for_other(self, fingerprint: str, name: str) -> bool:
-        owner = self._reserved.get(name)
-        if owner is not None:
-            return owner != fingerprint
-        return self._peers.is_reserved(name)
-
-    def _has_other_open(
-        self, target: str, state: registry.EndpointState
-    ) -> bool:
-        return health.has_other_open(
-            state, self._endpoints.serving(target), self._clock.now()
-        )
-
     def _mark_shared(self, name: str) -> None:
         isolated_run = self._isolated_runs.get(name)
         if isolated_run is not None:
