Runs of suspects get a module of their own

Change: policy/suspect_runs.py holds both maps. record_crash asks for the isolated run of one request, so it no longer compares fingerprints itself.

--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -23,6 +23,7 @@
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import health
 from hornbeampier.policy import reservations
+from hornbeampier.policy import suspect_runs
 from hornbeampier.vms import messages
 
 # Bounds the endpoints that one request can crash, even if others ran on them.
@@ -99,19 +100,6 @@
         return IsolationLevel.APART if self.crashes else IsolationLevel.NONE
 
 
-@dataclasses.dataclass
-class _IsolatedRun:
-    """A run for which a suspect should have its endpoint alone.
-
-    Attributes:
-        fingerprint: The suspect's fingerprint.
-        shared: Whether another request was at the endpoint nevertheless.
-    """
-
-    fingerprint: str
-    shared: bool
-
-
 class Suspects:
     """Records crashes by request and decides where suspects may run."""
 
@@ -133,11 +121,10 @@
         self._suspects: collections.OrderedDict[str, _Suspect] = (
             collections.OrderedDict()
         )
-        self._running_suspects: dict[str, list[str]] = {}
+        self._runs = suspect_runs.SuspectRuns(on_change)
         self._reservations = reservations.Reservations(
             clk, endpoints, peers.is_reserved, occupancy, on_change
         )
-        self._isolated_runs: dict[str, _IsolatedRun] = {}
         self._peer_crash_reported_ms: dict[str, float] = {}
 
     def refuse_if_blocked(self, fingerprint: str) -> None:
@@ -183,26 +170,18 @@
         self, fingerprint: str, state: registry.EndpointState
     ) -> Iterator[None]:
         """Records that a request runs at an endpoint, if it is a suspect."""
-        self._mark_shared(state.name)
+        self._runs.mark_shared(state.name)
         level = self.isolation_level(fingerprint)
         if level is IsolationLevel.NONE:
             yield
             return
+        isolated_run = None
         if level is IsolationLevel.ALONE:
-            shared = self._occupancy(state) > 1
-            self._isolated_runs[state.name] = _IsolatedRun(fingerprint, shared)
-        fingerprints = self._running_suspects.setdefault(state.name, [])
-        fingerprints.append(fingerprint)
-        self._on_change()
-        try:
+            isolated_run = suspect_runs.IsolatedRun(
+                fingerprint, shared=self._occupancy(state) > 1
+            )
+        with self._runs.add(fingerprint, state.name, isolated_run):
             yield
-        finally:
-            fingerprints.remove(fingerprint)
-            if not fingerprints:
-                self._running_suspects.pop(state.name, None)
-            self._on_change()
-            if level is IsolationLevel.ALONE:
-                self._isolated_runs.pop(state.name, None)
 
     def must_avoid(self, info: request_info.RequestInfo, name: str) -> bool:
         """Returns whether a request must not be sent to an endpoint."""
@@ -219,25 +198,21 @@
             )
         if level is IsolationLevel.NONE:
             return False
-        other_suspects = [
-            f for f in self._running_suspects.get(name, ()) if f != fingerprint
-        ]
-        return bool(other_suspects) or self._peers.runs_suspect(name)
+        return self._runs.has_other(
+            fingerprint, name
+        ) or self._peers.runs_suspect(name)
 
     def record_crash(
         self, fingerprint: str, state: registry.EndpointState
     ) -> None:
         """Records that an endpoint crashed while it ran a request."""
         suspect = self._find(fingerprint) or self._add(fingerprint)
-        isolated_run = self._isolated_runs.get(state.name)
-        is_isolated = (
-            isolated_run is not None and isolated_run.fingerprint == fingerprint
-        )
-        if is_isolated and not self._was_alone(isolated_run, state):
+        run = self._runs.find_isolated(fingerprint, state.name)
+        if run is not None and not self._was_alone(run, state):
             suspect.inconclusive_crashes += 1
         else:
             suspect.crashes.add(self._random.getrandbits(CRASH_ID_BITS))
-            suspect.blocked = is_isolated
+            suspect.blocked = run is not None
         if len(suspect.crashes) + suspect.inconclusive_crashes >= MAX_CRASHES:
             suspect.blocked = True
         suspect.endpoint = state.name
@@ -270,7 +245,7 @@
 
     def suspect_endpoints(self) -> tuple[str, ...]:
         """Returns the endpoints at which this VM runs suspects."""
-        return tuple(self._running_suspects)
+        return self._runs.endpoints()
 
     def reserved_endpoints(self) -> tuple[str, ...]:
         """Returns the endpoints that this VM reserves for suspects."""
@@ -309,13 +284,8 @@
         suspect.expires_ms = now_ms + EXPIRY_MS
         suspect.hint_until_ms = now_ms + HINT_REPEAT_MS
 
-    def _mark_shared(self, name: str) -> None:
-        isolated_run = self._isolated_runs.get(name)
-        if isolated_run is not None:
-            isolated_run.shared = True
-
     def _was_alone(
-        self, isolated_run: _IsolatedRun, state: registry.EndpointState
+        self, run: suspect_runs.IsolatedRun, state: registry.EndpointState
     ) -> bool:
         """Returns whether the run alone can have crashed the endpoint.
 
@@ -324,7 +294,7 @@
         peers had time to report crashes of their own.
         """
         crashed_ms = self._clock.now()
-        if isolated_run.shared or self._peers.in_flight(state.name):
+        if run.shared or self._peers.in_flight(state.name):
             return False
         self._clock.sleep(PEER_CRASH_REPORT_MS)
         reported_ms = self._peer_crash_reported_ms.get(
