--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -206,7 +206,7 @@
         self, fingerprint: str, state: registry.EndpointState
     ) -> None:
         """Records that an endpoint crashed while it ran a request."""
-        suspect = self._find(fingerprint) or self._add(fingerprint)
+        suspect = self._find_or_add(fingerprint)
         run = self._runs.find_isolated(fingerprint, state.name)
         if run is not None and not self._was_alone(run, state):
             suspect.inconclusive_crashes += 1
@@ -254,9 +254,7 @@
     def merge(self, suspicions: tuple[messages.Suspicion, ...]) -> None:
         """Merges the suspicions from a peer's hint."""
         for suspicion in suspicions:
-            suspect = self._find(suspicion.fingerprint)
-            if suspect is None:
-                suspect = self._add(suspicion.fingerprint)
+            suspect = self._find_or_add(suspicion.fingerprint)
             if not suspect.crashes.issuperset(suspicion.crashes):
                 self._peer_crash_reported_ms[suspicion.endpoint] = (
                     self._clock.now()
@@ -272,7 +270,10 @@
             return None
         return suspect
 
-    def _add(self, fingerprint: str) -> _Suspect:
+    def _find_or_add(self, fingerprint: str) -> _Suspect:
+        suspect = self._find(fingerprint)
+        if suspect is not None:
+            return suspect
         suspect = _Suspect()
         self._suspects[fingerprint] = suspect
         while len(self._suspects) > MAX_SUSPECTS:
