--- a/hornbeampier/policy/suspects.py
+++ b/hornbeampier/policy/suspects.py
@@ -16,14 +16,14 @@
 import random
 from typing import Protocol
 
-from gevent import lock
-
 from hornbeampier import clock
 from hornbeampier import errors
 from hornbeampier import request_info
 from hornbeampier import verdict
 from hornbeampier.endpoints import registry
 from hornbeampier.policy import health
+from hornbeampier.policy import reservations
+from hornbeampier.policy import suspect_runs
 from hornbeampier.vms import messages
 
 # Bounds the endpoints that one request can crash, even if others ran on them.
@@ -39,7 +39,6 @@
 PEER_CRASH_REPORT_MS = 700.0
 MAX_SUSPECTS = 1_024
 CRASH_ID_BITS = 32
-RETRY_AFTER_MS = 1_000.0
 
 
 class IsolationLevel(enum.IntEnum):
@@ -101,19 +100,6 @@
         return IsolationLevel.APART if self.crashes else IsolationLevel.NONE
 
 
-@dataclasses.dataclass
-class _IsolatedRun:
-    """A run for which a suspect should have its endpoint alone.
-
-    Attributes:
-        fingerprint: The suspect's fingerprint.
-        shared: Whether another request was at the endpoint nevertheless.
-    """
-
-    fingerprint: str
-    shared: bool
-
-
 class Suspects:
     """Records crashes by request and decides where suspects may run."""
 
@@ -135,10 +121,10 @@
         self._suspects: collections.OrderedDict[str, _Suspect] = (
             collections.OrderedDict()
         )
-        self._running_suspects: dict[str, list[str]] = {}
-        self._reserved: dict[str, str] = {}
-        self._isolation_locks: dict[str, lock.Semaphore] = {}
-        self._isolated_runs: dict[str, _IsolatedRun] = {}
+        self._runs = suspect_runs.SuspectRuns(on_change)
+        self._reservations = reservations.Reservations(
+            clk, endpoints, peers.is_reserved, occupancy, on_change
+        )
         self._peer_crash_reported_ms: dict[str, float] = {}
 
     def refuse_if_blocked(self, fingerprint: str) -> None:
@@ -176,52 +162,26 @@
         if self.isolation_level(info.fingerprint) is not IsolationLevel.ALONE:
             yield
             return
-        isolation_lock = self._isolation_locks.setdefault(
-            info.target, lock.Semaphore()
-        )
-        remaining_ms = max(0.0, info.deadline_ms - self._clock.now())
-        if not isolation_lock.acquire(
-            timeout=remaining_ms / clock.MS_PER_SECOND
-        ):
-            raise errors.RefusalError(
-                503,
-                errors.RefusalCode.WAIT_TIMEOUT,
-                "no endpoint became free before the request's deadline",
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        try:
-            self._reserve(info, failed)
+        with self._reservations.hold(info, failed):
             yield
-        finally:
-            self._release(info.fingerprint)
-            isolation_lock.release()
-            self._on_change()
 
     @contextlib.contextmanager
     def running(
         self, fingerprint: str, state: registry.EndpointState
     ) -> Iterator[None]:
         """Records that a request runs at an endpoint, if it is a suspect."""
-        self._mark_shared(state.name)
+        self._runs.mark_shared(state.name)
         level = self.isolation_level(fingerprint)
         if level is IsolationLevel.NONE:
             yield
             return
+        isolated_run = None
         if level is IsolationLevel.ALONE:
-            shared = self._occupancy(state) > 1
-            self._isolated_runs[state.name] = _IsolatedRun(fingerprint, shared)
-        fingerprints = self._running_suspects.setdefault(state.name, [])
-        fingerprints.append(fingerprint)
-        self._on_change()
-        try:
+            isolated_run = suspect_runs.IsolatedRun(
+                fingerprint, shared=self._occupancy(state) > 1
+            )
+        with self._runs.add(fingerprint, state.name, isolated_run):
             yield
-        finally:
-            fingerprints.remove(fingerprint)
-            if not fingerprints:
-                self._running_suspects.pop(state.name, None)
-            self._on_change()
-            if level is IsolationLevel.ALONE:
-                self._isolated_runs.pop(state.name, None)
 
     def must_avoid(self, info: request_info.RequestInfo, name: str) -> bool:
         """Returns whether a request must not be sent to an endpoint."""
@@ -232,31 +192,27 @@
         level = self.isolation_level(fingerprint)
         if level is IsolationLevel.ALONE and self._occupancy(state) > 0:
             return True
-        if self._is_reserved_for_other(fingerprint, name):
-            return level > IsolationLevel.NONE or self._has_other_open(
-                info.target, state
+        if self._reservations.is_for_other(fingerprint, name):
+            return level > IsolationLevel.NONE or health.has_other_open(
+                state, self._endpoints.serving(info.target), self._clock.now()
             )
         if level is IsolationLevel.NONE:
             return False
-        other_suspects = [
-            f for f in self._running_suspects.get(name, ()) if f != fingerprint
-        ]
-        return bool(other_suspects) or self._peers.runs_suspect(name)
+        return self._runs.has_other(
+            fingerprint, name
+        ) or self._peers.runs_suspect(name)
 
     def record_crash(
         self, fingerprint: str, state: registry.EndpointState
     ) -> None:
         """Records that an endpoint crashed while it ran a request."""
-        suspect = self._find(fingerprint) or self._add(fingerprint)
-        isolated_run = self._isolated_runs.get(state.name)
-        is_isolated = (
-            isolated_run is not None and isolated_run.fingerprint == fingerprint
-        )
-        if is_isolated and not self._was_alone(isolated_run, state):
+        suspect = self._find_or_add(fingerprint)
+        run = self._runs.find_isolated(fingerprint, state.name)
+        if run is not None and not self._was_alone(run, state):
             suspect.inconclusive_crashes += 1
         else:
             suspect.crashes.add(self._random.getrandbits(CRASH_ID_BITS))
-            suspect.blocked = is_isolated
+            suspect.blocked = run is not None
         if len(suspect.crashes) + suspect.inconclusive_crashes >= MAX_CRASHES:
             suspect.blocked = True
         suspect.endpoint = state.name
@@ -289,18 +245,16 @@
 
     def suspect_endpoints(self) -> tuple[str, ...]:
         """Returns the endpoints at which this VM runs suspects."""
-        return tuple(self._running_suspects)
+        return self._runs.endpoints()
 
     def reserved_endpoints(self) -> tuple[str, ...]:
         """Returns the endpoints that this VM reserves for suspects."""
-        return tuple(self._reserved)
+        return self._reservations.endpoints()
 
     def merge(self, suspicions: tuple[messages.Suspicion, ...]) -> None:
         """Merges the suspicions from a peer's hint."""
         for suspicion in suspicions:
-            suspect = self._find(suspicion.fingerprint)
-            if suspect is None:
-                suspect = self._add(suspicion.fingerprint)
+            suspect = self._find_or_add(suspicion.fingerprint)
             if not suspect.crashes.issuperset(suspicion.crashes):
                 self._peer_crash_reported_ms[suspicion.endpoint] = (
                     self._clock.now()
@@ -316,7 +270,10 @@
             return None
         return suspect
 
-    def _add(self, fingerprint: str) -> _Suspect:
+    def _find_or_add(self, fingerprint: str) -> _Suspect:
+        suspect = self._find(fingerprint)
+        if suspect is not None:
+            return suspect
         suspect = _Suspect()
         self._suspects[fingerprint] = suspect
         while len(self._suspects) > MAX_SUSPECTS:
@@ -328,51 +285,8 @@
         suspect.expires_ms = now_ms + EXPIRY_MS
         suspect.hint_until_ms = now_ms + HINT_REPEAT_MS
 
-    def _reserve(
-        self, info: request_info.RequestInfo, failed: frozenset[str]
-    ) -> None:
-        """Reserves the least occupied endpoint, but never the last open one."""
-        now_ms = self._clock.now()
-        states = [
-            s
-            for s in self._endpoints.serving(info.target)
-            if health.is_open(s, now_ms) and s.name not in failed
-        ]
-        if not states or not self._has_other_open(info.target, states[0]):
-            return
-        unreserved = [s for s in states if not self._peers.is_reserved(s.name)]
-        chosen = min(unreserved or states, key=self._occupancy)
-        self._reserved[chosen.name] = info.fingerprint
-        self._on_change()
-
-    def _release(self, fingerprint: str) -> None:
-        for name, owner in list(self._reserved.items()):
-            if owner == fingerprint:
-                del self._reserved[name]
-
-    def _is_reserved_for_other(self, fingerprint: str, name: str) -> bool:
-        owner = self._reserved.get(name)
-        if owner is not None:
-            return owner != fingerprint
-        return self._peers.is_reserved(name)
-
-    def _has_other_open(
-        self, target: str, state: registry.EndpointState
-    ) -> bool:
-        now_ms = self._clock.now()
-        return any(
-            health.is_open(s, now_ms)
-            for s in self._endpoints.serving(target)
-            if s is not state
-        )
-
-    def _mark_shared(self, name: str) -> None:
-        isolated_run = self._isolated_runs.get(name)
-        if isolated_run is not None:
-            isolated_run.shared = True
-
     def _was_alone(
-        self, isolated_run: _IsolatedRun, state: registry.EndpointState
+        self, run: suspect_runs.IsolatedRun, state: registry.EndpointState
     ) -> bool:
         """Returns whether the run alone can have crashed the endpoint.
 
@@ -381,7 +295,7 @@
         peers had time to report crashes of their own.
         """
         crashed_ms = self._clock.now()
-        if isolated_run.shared or self._peers.in_flight(state.name):
+        if run.shared or self._peers.in_flight(state.name):
             return False
         self._clock.sleep(PEER_CRASH_REPORT_MS)
         reported_ms = self._peer_crash_reported_ms.get(
