Only the entry of the process that runs tells its version

The process that ran may not have written its entry.

Cause: since an entry with any other start counted as that of the process which reports; the start in the report was dropped.

Change: the start in the report has to be that of the entry.

--- a/hornbeampier/forwarding/begin_proof.py
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -50,16 +50,16 @@
         """
         if not endpoint.started_ms:
             return True
-        is_running = self._is_running(endpoint, deadline_ms)
-        if is_running:
+        running_ms = self._ask_started_ms(endpoint, deadline_ms)
+        if running_ms == endpoint.started_ms:
             return True
         if not self._freshness.request().wait():
             return False
-        if is_running is None:
+        if running_ms is None:
             return self._has_no_other_version(
                 endpoint.id, endpoint.software_version
             )
-        return self._has_restarted_unchanged(endpoint)
+        return self._has_restarted_unchanged(endpoint, running_ms)
 
     def is_record_proved(
         self, process: domain.ProcessId, version: str, deadline_ms: float
@@ -79,10 +79,10 @@
             return False
         return self._has_no_other_version(endpoint_id, version)
 
-    def _is_running(
+    def _ask_started_ms(
         self, endpoint: domain.Endpoint, deadline_ms: float
-    ) -> bool | None:
-        """Whether the process of an entry runs; None if it does not tell.
+    ) -> int | None:
+        """Returns when the running process started; None if it does not tell.
 
         An endpoint that leaves, or has no entry any more, is not called.
         """
@@ -98,20 +98,22 @@
             return None
         try:
             process_check.check(conn, endpoint, deadline_ms, self._clock)
-        except process_check.OtherProcessError:
-            return False
+        except process_check.OtherProcessError as exc:
+            return exc.started_ms
         except process_check.UnprovedProcessError:
             return None
         finally:
             conn.close()
-        return True
+        return endpoint.started_ms
 
-    def _has_restarted_unchanged(self, endpoint: domain.Endpoint) -> bool:
-        """Whether another process of an endpoint has the same version."""
+    def _has_restarted_unchanged(
+        self, endpoint: domain.Endpoint, running_ms: int
+    ) -> bool:
+        """Whether the entry of another process names the same version."""
         current = self._catalog.endpoints.get(endpoint.id)
         return (
             current is not None
-            and current.started_ms != endpoint.started_ms
+            and current.started_ms == running_ms
             and current.software_version == endpoint.software_version
         )
 
--- a/hornbeampier/forwarding/process_check.py
+++ b/hornbeampier/forwarding/process_check.py
@@ -29,7 +29,15 @@
 
 
 class OtherProcessError(UnprovedProcessError):
-    """The endpoint's process is another one than that of its entry."""
+    """The endpoint's process is another one than that of its entry.
+
+    Attributes:
+        started_ms: When it started, as it reports.
+    """
+
+    def __init__(self, message: str, started_ms: int):
+        super().__init__(message)
+        self.started_ms = started_ms
 
 
 def check(
@@ -81,5 +89,6 @@
     if started_ms != endpoint.started_ms:
         raise OtherProcessError(
             f"the endpoint's process started at {started_ms}, and that of its "
-            f"entry at {endpoint.started_ms}"
+            f"entry at {endpoint.started_ms}",
+            started_ms,
         )
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -154,9 +154,12 @@
         response = self.call(router, "POST", "/stream/x")
         self.assertFalse(response.complete)
 
-    def register_again(self, req, version):
-        """The process that has the address next writes its entry."""
-        self.crash_and_restart(req)
+    def register_again(self, req, version, born=2):
+        """A process that has the address next wrote its entry.
+
+        `born` is the start of the process that has it by now.
+        """
+        self.crash_and_restart(req, born)
         [endpoint] = [e for e in self.endpoints if req in e.received]
         record = nodes.endpoint_record(
             nodes.ENGINE_SERVICE, endpoint.address, born=2, version=version
@@ -181,6 +184,12 @@
         response = self.resume_after(lambda req: self.register_again(req, "v2"))
         self.assertFalse(response.complete)
 
+    def test_stream_whose_engine_has_restarted_twice_is_not_resumed(self):
+        response = self.resume_after(
+            lambda req: self.register_again(req, "v1", born=3)
+        )
+        self.assertFalse(response.complete)
+
     def test_stream_whose_engine_has_not_registered_again_is_not_resumed(self):
         response = self.resume_after(self.crash_and_restart)
         self.assertFalse(response.complete)
