Send all records to a peer that missed removals before this VM started

Evidence: tests/test_missed_removals.py fails before. Change: a replica knows from which position on it has all removals (a complete read, or a dropped tombstone, moves it), and sends all its records, marked as complete, to a peer that asks from before. Result: the test passes, and those of replication, eras, catch-up, store readers, routes and joined streams.

--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -50,12 +50,15 @@
     Attributes:
         end: The offset to read from next.
         carried: See `positions.Position`.
+        is_complete: Whether these are all records of the topic, so that keys
+            without one have been removed.
     """
 
     records: tuple[Record, ...]
     end: bounds.Integer
     era: bounds.Integer = 0
     carried: bool = False
+    is_complete: bool = False
 
     @property
     def position(self) -> positions.Position:
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -44,6 +44,8 @@
         self._newest: dict[str, messages.Record] = {}
         self.position: positions.Position | None = None
         self.changed: positions.Position | None = None
+        # All keys are known that were removed from this position on.
+        self._removals_from = positions.START
         self.is_contiguous = False
         self.on_superseded: Callable[[messages.Record], None] = _ignore
         self.on_unseen: Callable[[messages.Record], None] = _ignore
@@ -69,7 +71,7 @@
 
         A batch of a later era must hold all records of that era.
         """
-        if batch.era > self.era:
+        if batch.era > self.era or batch.is_complete or self.position is None:
             self._apply_complete(batch.records, batch.position)
             return
         has_changed = self.position is None
@@ -83,12 +85,19 @@
     def records_since(self, position: positions.Position) -> messages.Batch:
         """Returns the newest record of each key changed from a position on.
 
-        The records are in order of their positions.
+        They are all records if keys may have been removed from that position
+        on that this VM does not know. The records are in order of their
+        positions.
         """
-        newer = [r for r in self._newest.values() if r.end > position]
+        is_complete = position < self._removals_from
+        newer = [
+            r for r in self._newest.values() if is_complete or r.end > position
+        ]
         newer.sort(key=lambda record: record.end)
         own = self.position or positions.START
-        return messages.Batch(tuple(newer), own.offset, own.era, own.carried)
+        return messages.Batch(
+            tuple(newer), own.offset, own.era, own.carried, is_complete
+        )
 
     def on_source_lost(self) -> None:
         """Reports to the applier that the store cannot be read."""
@@ -120,6 +129,7 @@
                     key, None, last_offset, position.era
                 )
                 self._apply(tombstone, position)
+        self._removals_from = max(self._removals_from, position)
         self._advance(position)
         self.changed = self.position
 
@@ -222,6 +232,7 @@
         tombstones = [r for r in self._newest.values() if r.value is None]
         if len(tombstones) > MAX_TOMBSTONES:
             oldest = min(tombstones, key=lambda record: record.end)
+            self._removals_from = max(self._removals_from, oldest.end)
             del self._newest[oldest.key]
 
     def _advance(self, position: positions.Position) -> None:
