Keep up to when a VM has missed no change of a topic, and show it

Change: a replica knows as of when it is current. A read of the store that reaches its end shows it, as of the start of the call (of its end, if it waited in vain); a peer tells it with the position of its last change, which counts once this VM has that position. 'routed' has entries_age_ms, the new gauge hornbeampier_records_age_seconds has it by topic. Nothing is decided by it yet. Full states of the gossip grow by one entry a topic.

--- a/hornbeampier/forwarding/choice_log.py
+++ b/hornbeampier/forwarding/choice_log.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from hornbeampier import bounds
 from hornbeampier.forwarding import context as contexts
 from hornbeampier.routing import endpoint_choice
 from hornbeampier.routing import requests
@@ -30,6 +31,7 @@
     prompt = req.prompt
     resumed = req.resumed
     loads_age_ms = context.peer_loads.age_ms()
+    entries_age_ms = context.entries.age_ms(context.clock.now())
     log.info(
         "routed",
         endpoint=choice.state.id,
@@ -48,4 +50,5 @@
         after_event=after_event or (resumed and resumed.last_event_id),
         version=context.catalog.version,
         loads_age_ms=None if loads_age_ms is None else round(loads_age_ms),
+        entries_age_ms=round(min(entries_age_ms, bounds.MAX_MS)),
     )
--- a/hornbeampier/forwarding/context.py
+++ b/hornbeampier/forwarding/context.py
@@ -9,6 +9,7 @@
 from hornbeampier.forwarding import connection_pool
 from hornbeampier.forwarding import request_usage
 from hornbeampier.forwarding import resumption
+from hornbeampier.replication import currency
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
 from hornbeampier.routing import catalog
@@ -20,7 +21,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Context:
-    """The components that all forwarded requests share."""
+    """The components that all forwarded requests share.
+
+    Attributes:
+        entries: How current the entries of endpoints are.
+    """
 
     catalog: catalog.Catalog
     connection_pool: connection_pool.ConnectionPool
@@ -30,6 +35,7 @@
     budget: budget.RetryBudget
     engine_models: engine_model.EngineModels
     announcements: announcements.Announcements
+    entries: currency.Currency
     resumption: resumption.Resumption
     begin_proof: begin_proof.BeginProof
     metrics: node_metrics.NodeMetrics
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -229,6 +229,7 @@
             ),
             engine_models=self._engine_models,
             announcements=self._announcements,
+            entries=self._replicas[names.ENDPOINT_TOPIC].currency,
             resumption=self._origins.build_resumption(proof, self._metrics),
             begin_proof=proof,
             metrics=self._metrics,
@@ -338,6 +339,9 @@
         )
 
     def _render_metrics(self) -> bytes:
+        for topic, topic_replica in self._replicas.items():
+            age_ms = topic_replica.currency.age_ms(self._clock.now())
+            self._metrics.record_age(topic, age_ms)
         return self._metrics.render(self.catalog.version)
 
     def _should_read_store(self) -> bool:
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -89,6 +89,12 @@
             "Version of the configuration in force.",
             registry=self._registry,
         )
+        self._records_age = aioprometheus.Gauge(
+            "hornbeampier_records_age_seconds",
+            "For how long changes in a topic of the store may have been "
+            "missed.",
+            registry=self._registry,
+        )
         self._scaling: _ScalingMetrics | None = None
 
     def record_response(self, route: str, status: int, code: str = "") -> None:
@@ -180,6 +186,10 @@
             {"service": service, "engine": "slowest"}, slowest
         )
 
+    def record_age(self, topic: str, age_ms: float) -> None:
+        """Shows for how long changes in a topic may have been missed."""
+        self._records_age.set({"topic": topic}, age_ms / clocks.MS_PER_SECOND)
+
     def render(self, version: int) -> bytes:
         """Returns the metrics in Prometheus' text exposition format."""
         self._version.set({}, version)
--- a/hornbeampier/peers/messages.py
+++ b/hornbeampier/peers/messages.py
@@ -118,6 +118,22 @@
     carried: bool
 
 
+class RecordCheck(msgspec.Struct, array_like=True, frozen=True):
+    """Up to when a VM has missed no change of a topic.
+
+    Attributes:
+        era: Era of the position before which all these changes come.
+        offset: Its offset.
+        carried: See `positions.Position`.
+        age_ms: How long ago that was.
+    """
+
+    era: bounds.Count
+    offset: bounds.Count
+    carried: bool
+    age_ms: bounds.WholeMs
+
+
 class RecordSources(msgspec.Struct, array_like=True, frozen=True):
     """Hosts from which records of a topic can be fetched.
 
@@ -184,6 +200,7 @@
         cleared_reports: Crashes that were not the fault of their suspect.
         crash_ages_ms: Time since each crash in `crash_reports`.
         blocks: What is blocked; left out of most messages.
+        checks: Up to when the VM has missed no change, by topic.
     """
 
     vm: str
@@ -211,6 +228,7 @@
     cleared_reports: CrashReports = {}
     crash_ages_ms: dict[str, bounds.WholeMs] = {}
     blocks: tuple[BlockReport, ...] = ()
+    checks: dict[str, RecordCheck] = {}
 
 
 # How much of an invalid host is shown in an error.
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -167,6 +167,8 @@
             reads_store=self._reads_store(),
             offsets=record_positions.to_offsets(delta.positions),
             positions=record_positions.to_messages(delta.positions),
+            # Peers get them with the full state, often enough; a hub does not.
+            checks=self.checks if scope is messages.Scope.MEMBER else {},
             loads=self._changed_loads(delta),
             workload=self._shared.pools.own_workload(),
             pools=self._pool_sizes(),
@@ -212,6 +214,7 @@
             reads_store=self._reads_store(),
             offsets=record_positions.to_offsets(self._sent_positions),
             positions=record_positions.to_messages(self._sent_positions),
+            checks=self.checks,
             loads=self._active_loads(),
             workload=self._shared.pools.own_workload(),
             pools=self._pool_sizes(),
@@ -258,6 +261,9 @@
             host, record_positions.of_message(message)
         )
         self._apply_sources(message)
+        record_positions.apply_checks(
+            message.checks, self._shared.replicas, self._clock.now()
+        )
         self._shared.store_readers.record_peer(host, message.reads_store)
         for reader in message.readers:
             self._shared.store_readers.record_peer(reader, True)
@@ -290,6 +296,13 @@
         """The position that this VM reported last for each topic."""
         return self._sent_positions
 
+    @property
+    def checks(self) -> dict[str, messages.RecordCheck]:
+        """Up to when this VM has missed no change, by topic."""
+        return record_positions.to_checks(
+            self._shared.replicas, self._clock.now()
+        )
+
     @property
     def crash_reports(self) -> messages.CrashReports:
         """The recent crashes, also those that peers reported."""
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -136,7 +136,7 @@
                 raise errors.PlatformError("the log changed while it was read")
             batch = next_batch
             records += batch.records
-        return messages.Batch(records, batch.end, batch.era)
+        return messages.Batch(records, batch.end, batch.era, reaches_end=True)
 
     def append(
         self, topic: str, at: int, records: Iterable[tuple[str, bytes]]
@@ -298,7 +298,8 @@
         raise errors.PlatformError(
             f"malformed log-read response: {exc}"
         ) from exc
-    batch = messages.Batch(tuple(records), offset + len(records), era)
+    end = offset + len(records)
+    batch = messages.Batch(tuple(records), end, era, reaches_end=end >= log_end)
     return batch, log_end
 
 
--- a/hornbeampier/replication/follower.py
+++ b/hornbeampier/replication/follower.py
@@ -106,6 +106,7 @@
             self._read_snapshot()
             return
         wait_ms = 0.0 if self.source_lost else self._poll_wait_ms()
+        began_ms = self._clock.now()
         batch = self._source.read(self._replica.topic, self._offset, wait_ms)
         self._check_era(batch.era)
         self._on_source_regained()
@@ -116,16 +117,34 @@
             return
         self._replica.apply_batch(batch)
         self._offset = batch.end
+        if batch.reaches_end:
+            self._replica.currency.confirm(
+                self._earliest_answer_ms(batch, began_ms, wait_ms)
+            )
         if batch.records:
             self._clock.sleep(READ_INTERVAL_MS)
 
+    def _earliest_answer_ms(
+        self, batch: messages.Batch, began_ms: float, wait_ms: float
+    ) -> float:
+        """Returns when the store answered a call at the earliest.
+
+        It answers without records only after it has waited.
+        """
+        has_waited = self._clock.now() - began_ms >= wait_ms
+        if batch.records or not has_waited:
+            return began_ms
+        return began_ms + wait_ms
+
     def _read_snapshot(self) -> None:
+        began_ms = self._clock.now()
         snapshot = self._source.read_snapshot(self._replica.topic)
         self._check_era(snapshot.era)
         self._on_source_regained()
         if self._replica.offset is None:
             self._before_first(snapshot)
         self._replica.apply_snapshot(snapshot)
+        self._replica.currency.confirm(began_ms)
         self._offset = snapshot.end
         self._era = snapshot.era
 
--- a/hornbeampier/replication/fresh_reads.py
+++ b/hornbeampier/replication/fresh_reads.py
@@ -111,14 +111,18 @@
         is_confirmed = False
         try:
             with gevent.Timeout(READ_TIMEOUT_MS / clocks.MS_PER_SECOND):
-                is_confirmed = all(self._read(r) for r in self._replicas)
+                is_confirmed = all(
+                    self._read(r, self._clock.now()) for r in self._replicas
+                )
         except (errors.PlatformError, gevent.Timeout) as exc:
             self._log.warning("store_unconfirmed", error=str(exc))
             self._source.close()
         finally:
             confirmation.finish(is_confirmed)
 
-    def _read(self, topic_replica: replica.TopicReplica) -> bool:
+    def _read(
+        self, topic_replica: replica.TopicReplica, began_ms: float
+    ) -> bool:
         """Whether a replica has all records of its topic after a read."""
         if topic_replica.offset is None:
             return False
@@ -129,4 +133,5 @@
         if batch.era != topic_replica.era:
             return False
         topic_replica.apply_batch(batch)
+        topic_replica.currency.confirm(began_ms)
         return True
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -52,6 +52,8 @@
         carried: See `positions.Position`.
         is_complete: Whether these are all records of the topic, so that keys
             without one have been removed.
+        reaches_end: Whether the store had no more records when it sent them;
+            false from peers.
     """
 
     records: tuple[Record, ...]
@@ -59,6 +61,7 @@
     era: bounds.Integer = 0
     carried: bool = False
     is_complete: bool = False
+    reaches_end: bool = False
 
     @property
     def position(self) -> positions.Position:
--- a/hornbeampier/replication/replica.py
+++ b/hornbeampier/replication/replica.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from hornbeampier.replication import currency
 from hornbeampier.replication import messages
 from hornbeampier.replication import positions
 
@@ -32,6 +33,7 @@
         is_contiguous: Whether this VM has seen all records up to the end of the
             batch or snapshot that was last applied, or that is being applied.
             The newest record of a key may hide older ones.
+        currency: Until when it has missed no change.
         on_superseded: Called with each record that is read after a newer one
             of its key, and so is not applied.
         on_unseen: Called with the removal of a key whose record this VM may
@@ -47,6 +49,7 @@
         # All keys are known that were removed from this position on.
         self._removals_from = positions.START
         self.is_contiguous = False
+        self.currency = currency.Currency()
         self.on_superseded: Callable[[messages.Record], None] = _ignore
         self.on_unseen: Callable[[messages.Record], None] = _ignore
         self._log = structlog.get_logger(task="replica", topic=topic)
@@ -238,3 +241,4 @@
     def _advance(self, position: positions.Position) -> None:
         if self.position is None or position > self.position:
             self.position = position
+            self.currency.advance(position)
--- a/tests/gossip_cluster.py
+++ b/tests/gossip_cluster.py
@@ -8,6 +8,7 @@
 from hornbeampier.peers import messages
 from hornbeampier.peers import state_exchange
 from hornbeampier.replication import catch_up
+from hornbeampier.replication import currency
 from hornbeampier.replication import positions
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import announcements
@@ -31,6 +32,7 @@
     def __init__(self):
         self.position = positions.Position(0, 1)
         self.changed = self.position
+        self.currency = currency.Currency()
 
     def beat(self):
         """An endpoint writes an entry that changes nothing."""
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,6 +10,7 @@
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
 from hornbeampier.peers import state_exchange
+from hornbeampier.replication import currency
 from hornbeampier.replication import positions
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import fleet
@@ -30,6 +31,7 @@
 class Replica:
     def __init__(self, offset):
         self.position = self.changed = positions.Position(0, offset)
+        self.currency = currency.Currency()
 
 
 class IdleComponent:
