--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 from tests.soak import play
 from tests.soak import schedule
+from tests.soak import staleness
 
 EXTRAS = {
     schedule.Extra.VERSIONS: "with new software versions of the engines",
@@ -19,6 +20,9 @@
     schedule.Extra.ROUTES: (
         "with configurations that move the path of resumable streams"
     ),
+    schedule.Extra.STALENESS: (
+        "with VMs that hear late of endpoints that leave all the time"
+    ),
 }
 
 
@@ -70,6 +74,8 @@
             f"lag {played.lag_ms:.0f} ms, {len(problems)} problems",
             flush=True,
         )
+        if schedule.Extra.STALENESS in args.extras:
+            print(f"  {staleness.describe(played.ages_ms())}", flush=True)
         for problem in problems[:10]:
             print(f"  {problem}", flush=True)
         if problems:
--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -1,5 +1,8 @@
 """Endpoints of a soak that leave by their entry alone."""
 
+import collections
+import contextlib
+
 import gevent
 
 from tests.soak import schedule
@@ -23,33 +26,54 @@
     schedule.Kind.STORE_DELAY,
     schedule.Kind.STORE_RESET,
     schedule.Kind.STORE_CUT,
+    schedule.Kind.SWALLOW_CALLS,
 }
 
 
 class Calm:
-    """Tells whether VMs and store have been without a fault for a while."""
+    """Tells whether VMs and store have been without a fault for a while.
+
+    A fault concerns some VMs, by their index, or else the store and all VMs.
+    """
 
     def __init__(self, clock):
         self._clock = clock
-        self._ongoing = 0
-        self._ended_ms = clock.now()
+        self._ongoing = collections.Counter()
+        self._ended_ms = {None: clock.now()}
 
     def run(self, event, apply):
         """Applies an event, which may disturb VMs or the store."""
         if event.kind not in DISTURBING:
             apply(event)
             return
-        self._ongoing += 1
-        try:
+        with self.disturb(None):
             apply(event)
+
+    @contextlib.contextmanager
+    def disturb(self, *indices):
+        """Marks VMs, or with None everything, as disturbed meanwhile."""
+        self._ongoing.update(indices)
+        try:
+            yield
         finally:
-            self._ongoing -= 1
-            self._ended_ms = self._clock.now()
+            self._ongoing.subtract(indices)
+            ended_ms = self._clock.now()
+            self._ended_ms.update(dict.fromkeys(indices, ended_ms))
+
+    def is_stable(self, index=None):
+        """Whether no fault disturbs, or did so within `STABLE_MS`.
+
+        Args:
+            index: The VM that is asked for; None for the store.
+        """
+        return self._is_calm(None) and self._is_calm(index)
 
-    def is_stable(self):
-        """Whether no fault disturbs, or did so within `STABLE_MS`."""
-        calm_ms = self._clock.now() - self._ended_ms
-        return not self._ongoing and calm_ms > STABLE_MS
+    def _is_calm(self, index):
+        ended_ms = self._ended_ms.get(index)
+        if ended_ms is None:
+            return not self._ongoing[index]
+        calm_ms = self._clock.now() - ended_ms
+        return not self._ongoing[index] and calm_ms > STABLE_MS
 
 
 class Departure:
@@ -57,6 +81,8 @@
 
     Attributes:
         late: The VMs that sent a request too late.
+        ages_ms: How long before each request from a VM in touch the store had
+            accepted that the endpoint leaves.
     """
 
     def __init__(self, calm, clock):
@@ -64,6 +90,7 @@
         self._clock = clock
         self._left_ms = None
         self.late = []
+        self.ages_ms = []
 
     def begin(self):
         """Records that the store has accepted that the endpoint leaves."""
@@ -72,12 +99,20 @@
 
     def arrive(self, vm, slack_ms):
         """Records a request of a VM."""
-        if self._left_ms is None or not self._calm.is_stable():
+        if self._left_ms is None or not self._calm.is_stable(index_of(vm)):
             return
-        if self._clock.now() > self._left_ms + DRAIN_MS + slack_ms:
+        age_ms = self._clock.now() - self._left_ms
+        self.ages_ms.append(age_ms)
+        if age_ms > DRAIN_MS + slack_ms:
             self.late.append(vm)
 
 
+def index_of(vm):
+    """Returns the index of the VM with a process's name, `vmINDEX.BOOT`."""
+    index = vm.partition(".")[0].removeprefix("vm")
+    return int(index) if index.isdecimal() else None
+
+
 class Departures:
     """Lets endpoints leave by their entry alone; a part of `World`."""
 
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -31,6 +31,7 @@
         delayed_ms: When a block was last held up, on the monotonic clock.
         cut: Directions in which all bytes are lost.
         refuses: Whether new connections are reset.
+        answered_ms: When bytes last went back to a client.
     """
 
     def __init__(self, target):
@@ -38,6 +39,8 @@
         self.delayed_ms = -math.inf
         self.cut = set()
         self.refuses = False
+        self.answered_ms = -math.inf
+        self._swallows = set()
         self._target = target
         self._clock = clocks.SystemClock()
         self._socks = set()
@@ -62,6 +65,10 @@
             _reset(sock)
         self._socks.clear()
 
+    def swallow(self):
+        """Loses all bytes of the connections that are open now."""
+        self._swallows |= self._socks
+
     def _serve(self, client, _):
         if self.refuses:
             _reset(client)
@@ -81,6 +88,7 @@
         for sock in socks:
             sock.close()
         self._socks -= socks
+        self._swallows -= socks
 
     def _pump(self, source, sink, direction):
         try:
@@ -88,8 +96,11 @@
                 if self.delay_s:
                     gevent.sleep(self.delay_s)
                     self.delayed_ms = self._clock.now()
-                if direction not in self.cut:
-                    sink.sendall(data)
+                if direction in self.cut or sink in self._swallows:
+                    continue
+                if direction is Direction.BACK:
+                    self.answered_ms = self._clock.now()
+                sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             _reset(source)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -40,6 +40,10 @@
     LEAVE_UNREAD = "leave_unread"
     RECLAIM = "reclaim"
     MOVE = "move"
+    STOP_READERS = "stop_readers"
+    KILL_READERS = "kill_readers"
+    MISS_RECORDS = "miss_records"
+    SWALLOW_CALLS = "swallow_calls"
 
 
 # Weights of the draw; what concerns processes comes more often.
@@ -84,12 +88,14 @@
         DEPARTURES: Endpoints that leave by their entry alone.
         RESTARTS: Endpoints that start again under their ids, or are reclaimed.
         ROUTES: Configurations that move the path of resumable streams.
+        STALENESS: VMs that hear late of endpoints that leave all the time.
     """
 
     VERSIONS = "versions"
     DEPARTURES = "departures"
     RESTARTS = "restarts"
     ROUTES = "routes"
+    STALENESS = "staleness"
 
 
 EXTRA_WEIGHTS = {
@@ -101,6 +107,12 @@
         Kind.RECLAIM: 8,
     },
     Extra.ROUTES: {Kind.MOVE: 16},
+    Extra.STALENESS: {
+        Kind.STOP_READERS: 60,
+        Kind.KILL_READERS: 60,
+        Kind.MISS_RECORDS: 60,
+        Kind.SWALLOW_CALLS: 15,
+    },
 }
 MIN_DURATION_S = 0.5
 MAX_DURATION_S = 4.0
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -21,6 +21,7 @@
         down: Whether every call gets a 503 response.
         era: How often the store has returned from an older copy; None to
             leave the header out.
+        wakes: Whether calls that wait for records are answered as one comes.
         unanswered_appends: Number of the next appends that are executed
             without a response.
     """
@@ -28,6 +29,7 @@
     def __init__(self, era=1):
         self.down = False
         self.era = era
+        self.wakes = True
         self.unanswered_appends = 0
         self.calls = []
         self._records = {names.OPERATOR_TOPIC: [], names.ENDPOINT_TOPIC: []}
@@ -48,8 +50,9 @@
         if isinstance(value, dict):
             value = json.dumps(value).encode()
         self._records[topic].append((key, value))
-        self._changed.set()
-        self._changed = event.Event()
+        if self.wakes:
+            self._changed.set()
+            self._changed = event.Event()
 
     def put_configuration(self, value):
         self.put(names.OPERATOR_TOPIC, names.CONFIGURATION_KEY, value)
