Ask another peer for records if one does not answer

What callers saw: requests to an endpoint that leaves, as their VM waited for a peer that stands still (DRAIN).

Cause: records were fetched from one peer at a time, in one task for all topics, with a time limit of 2,000 ms, as long as 'drainMs' on sites/. A peer that gossiped its position and was then suspended or cut off accepts the call (its kernel does) and answers nothing.

Change: each call is made in a task of its own. After 250 ms without an answer another peer that is ahead is asked, too, up to three for a topic; the first answer is applied, later ones change nothing. Topics do not wait for each other.

One test of test_relay.py waits for the call's task; what it checks is unchanged.

--- a/hornbeampier/replication/catch_up.py
+++ b/hornbeampier/replication/catch_up.py
@@ -1,8 +1,10 @@
 """Fetches records from peers that are ahead of this VM."""
 
 from collections.abc import Callable
+import math
 import random
 
+from gevent import pool
 import structlog
 
 from hornbeampier import application
@@ -16,6 +18,11 @@
 # How long a store reader waits for the store to deliver records that a peer
 # already has, before it fetches them from the peer.
 STORE_GRACE_MS = 200.0
+# A peer that has not answered for this time may be suspended or cut off; then
+# another one is asked, too.
+HEDGE_DELAY_MS = 250.0
+# Maximum number of calls for one topic at the same time.
+MAX_CALLS = 3
 # Maximum number of peers that are reported to others as sources of records. One
 # VM with a slow link cannot serve all others soon enough.
 MAX_SOURCES = 6
@@ -68,7 +75,11 @@
 
 
 class CatchUp(application.TaskComponent):
-    """Fetches records from a peer once this VM has been behind for a while."""
+    """Fetches records from peers once this VM has been behind for a while.
+
+    The calls are made apart from each other: none waits for another topic, or
+    for a peer that does not answer.
+    """
 
     def __init__(
         self,
@@ -88,6 +99,11 @@
             topic: _PeerPositions() for topic in replicas
         }
         self._behind_since_ms: dict[str, float] = {}
+        self._calls = pool.Group()
+        # When the open call to each host began, by topic.
+        self._began_ms: dict[str, dict[str, float]] = {
+            topic: {} for topic in replicas
+        }
         self._log = structlog.get_logger(task="catch_up")
 
     def record_peer(
@@ -118,6 +134,11 @@
             for topic in self._replicas:
                 self._fetch_if_behind(topic)
 
+    def stop(self) -> None:
+        """Stops checking, and ends the open calls."""
+        super().stop()
+        self._calls.kill()
+
     def _fetch_if_behind(self, topic: str) -> None:
         own = self._replicas[topic].position
         peers = self._peers[topic]
@@ -129,7 +150,25 @@
         behind_since_ms = self._behind_since_ms.setdefault(topic, now_ms)
         grace_ms = STORE_GRACE_MS if self._reads_store() else 0.0
         if now_ms - behind_since_ms >= grace_ms:
-            self._fetch(topic, self._rng.choice(sorted(peers.hosts_ahead)))
+            self._ask_another(topic, now_ms)
+
+    def _ask_another(self, topic: str, now_ms: float) -> None:
+        """Calls a peer that is ahead, unless a recent call is still open."""
+        began_ms = self._began_ms[topic]
+        last_ms = max(began_ms.values(), default=-math.inf)
+        if len(began_ms) >= MAX_CALLS or now_ms - last_ms < HEDGE_DELAY_MS:
+            return
+        hosts = sorted(self._peers[topic].hosts_ahead - began_ms.keys())
+        if hosts:
+            host = self._rng.choice(hosts)
+            began_ms[host] = now_ms
+            self._calls.spawn(self._call, topic, host)
+
+    def _call(self, topic: str, host: str) -> None:
+        try:
+            self._fetch(topic, host)
+        finally:
+            del self._began_ms[topic][host]
 
     def _fetch(self, topic: str, host: str) -> None:
         topic_replica = self._replicas[topic]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -130,6 +130,7 @@
 
         self.patch(relay, "fetch", fail)
         task._fetch_if_behind(TOPIC)
+        task._calls.join()
         return task.furthest_ahead(TOPIC)[1]
 
     def test_busy_peer_stays_a_source(self):
