Read the store if records may be older than allowed

What callers saw: requests to an endpoint that leaves, 2.1 to 4.7 s after the store had accepted it, through VMs in touch (DRAIN).

Cause: a VM took its records for current as long as nobody told it of newer ones. VMs that stand by never asked the store while they counted on a reader, and a reader relied on a call that may not be answered: not woken, or lost.

Change: each VM knows up to when it has missed nothing. Beyond 400 ms it reads the store itself, on a connection of its own, with 300 ms for a call; VMs that rank first do so first, and tell what they have read in the next round of gossip, so that in a calm time one VM reads for all (behind hubs the others wait for 1,300 ms). Calls to a store that is away become as rare as one a second, or one in 10 ms for all VMs.

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -31,6 +31,7 @@
 from hornbeampier.replication import follower
 from hornbeampier.replication import relay
 from hornbeampier.replication import replica
+from hornbeampier.replication import store_checks
 from hornbeampier.replication import store_readers
 from hornbeampier.routing import announcements
 from hornbeampier.routing import budget
@@ -157,7 +158,15 @@
             for topic, topic_replica in self._replicas.items()
         ]
         reads = self._origins.build_fresh_reads(self._count_vms)
-        self.app.add(*self._followers, *readers.values(), *reads)
+        checks = store_checks.StoreChecks(
+            self._replicas.values(),
+            reads,
+            self._allowed_age_ms,
+            self._count_vms,
+            self._clock,
+            self._env.rng,
+        )
+        self.app.add(*self._followers, *readers.values(), reads, checks)
 
     def _build_peers(self) -> None:
         cfg = self._cfg
@@ -349,6 +358,14 @@
             self._store_readers.record_members(self._membership.live())
         return self._store_readers.should_read()
 
+    def _allowed_age_ms(self) -> float:
+        """Returns the age of its records at which this VM reads the store."""
+        peers = self._live_peers()
+        return store_checks.allowed_age_ms(
+            self._store_readers.rank_among(peers),
+            len(peers) >= topology.MESH_LIMIT,
+        )
+
     def _reads_store(self) -> bool:
         return all(f.reads_store for f in self._followers)
 
--- a/hornbeampier/origin_components.py
+++ b/hornbeampier/origin_components.py
@@ -96,8 +96,8 @@
 
     def build_fresh_reads(
         self, count_vms: Callable[[], int]
-    ) -> list[application.Component]:
-        """Returns the component that reads the store for streams taken up."""
+    ) -> fresh_reads.FreshReads:
+        """Returns the component that reads the store when it is asked to."""
         reads = fresh_reads.FreshReads(
             list(self._replicas.values()),
             store.StoreClient(self._cfg.store, self._clock),
@@ -108,7 +108,7 @@
         self._reads = reads
         if self._cfg.seeds:
             self._freshness = reads
-        return [reads]
+        return reads
 
     def build_exchange(
         self, peer_hosts: Callable[[], Collection[str]], rng: random.Random
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -45,6 +45,8 @@
         crashes: Crashes of endpoints.
         notices: Announcements of endpoints.
         cleared: Crashes that were not the fault of their suspect.
+        checks: Up to when this VM has missed no change, if it has read the
+            store since.
     """
 
     positions: dict[str, positions.Position]
@@ -54,6 +56,7 @@
     crashes: frozenset[crashes.Crash]
     notices: tuple[messages.EndpointNotice, ...]
     cleared: frozenset[crashes.Crash]
+    checks: dict[str, messages.RecordCheck]
 
     @property
     def is_empty(self) -> bool:
@@ -66,6 +69,7 @@
             or self.crashes
             or self.notices
             or self.cleared
+            or self.checks
         )
 
 
@@ -122,6 +126,8 @@
         self._clock = clock
         self._sent_positions: dict[str, positions.Position] = {}
         self._quiet_report_ms = -math.inf
+        # As of when this VM has told that it has missed no change.
+        self._told_read_ms = -math.inf
         self._sent_crashes: frozenset[crashes.Crash] = frozenset()
         self._sent_cleared: frozenset[crashes.Crash] = frozenset()
         self._notices = endpoint_notices.EndpointNotices(
@@ -148,6 +154,7 @@
             crashes=self._sent_crashes - previous_crashes,
             notices=self._notices.take_changed(),
             cleared=self._sent_cleared - previous_cleared,
+            checks=self._take_checks(),
         )
         self._sent_positions = reached
         return delta
@@ -167,8 +174,9 @@
             reads_store=self._reads_store(),
             offsets=record_positions.to_offsets(delta.positions),
             positions=record_positions.to_messages(delta.positions),
-            # Peers get them with the full state, often enough; a hub does not.
-            checks=self.checks if scope is messages.Scope.MEMBER else {},
+            checks=(
+                delta.checks if scope is messages.Scope.PEER else self.checks
+            ),
             loads=self._changed_loads(delta),
             workload=self._shared.pools.own_workload(),
             pools=self._pool_sizes(),
@@ -357,6 +365,16 @@
             )
         return reached
 
+    def _take_checks(self) -> dict[str, messages.RecordCheck]:
+        """Returns the checks if the store was read since the last call."""
+        read_ms = max(
+            r.currency.read_ms for r in self._shared.replicas.values()
+        )
+        if read_ms <= self._told_read_ms:
+            return {}
+        self._told_read_ms = read_ms
+        return self.checks
+
     def _pool_sizes(self) -> dict[str, tuple[int, int]]:
         return load_messages.to_pool_messages(
             self._shared.pools.own_pool_sizes()
--- a/hornbeampier/replication/currency.py
+++ b/hornbeampier/replication/currency.py
@@ -18,16 +18,19 @@
 
     Attributes:
         as_of_ms: That time, on the monotonic clock; minus infinity at first.
+        read_ms: The same, as far as own reads of the store show it.
     """
 
     def __init__(self):
         self.as_of_ms = -math.inf
+        self.read_ms = -math.inf
         # What will be known once the replica has reached a position.
         self._awaited: dict[positions.Position, float] = {}
 
     def confirm(self, as_of_ms: float) -> None:
-        """Records that the replica has all changes accepted by `as_of_ms`."""
-        self.as_of_ms = max(self.as_of_ms, as_of_ms)
+        """Records that a read has shown all changes accepted by a time."""
+        self.read_ms = max(self.read_ms, as_of_ms)
+        self._extend(as_of_ms)
 
     def record_peer(
         self,
@@ -43,7 +46,7 @@
             own: What the replica has reached.
         """
         if own is not None and position <= own:
-            self.confirm(as_of_ms)
+            self._extend(as_of_ms)
             return
         if position in self._awaited or len(self._awaited) < MAX_AWAITED:
             known_ms = self._awaited.get(position, -math.inf)
@@ -53,8 +56,11 @@
         """Records that the replica has reached a position."""
         reached = [p for p in self._awaited if p <= own]
         for position in reached:
-            self.confirm(self._awaited.pop(position))
+            self._extend(self._awaited.pop(position))
 
     def age_ms(self, now_ms: float) -> float:
         """Returns for how long changes may have been missed."""
         return now_ms - self.as_of_ms
+
+    def _extend(self, as_of_ms: float) -> None:
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
--- a/hornbeampier/replication/fresh_reads.py
+++ b/hornbeampier/replication/fresh_reads.py
@@ -41,6 +41,14 @@
         """
         ...
 
+    def read_snapshot(self, topic: str) -> messages.Snapshot:
+        """Returns the newest record of each key.
+
+        Raises:
+            errors.PlatformError: The store cannot be read.
+        """
+        ...
+
     def close(self) -> None:
         """Closes the connection."""
         ...
@@ -126,12 +134,31 @@
         """Whether a replica has all records of its topic after a read."""
         if topic_replica.offset is None:
             return False
-        batch = self._source.read_to_end(
-            topic_replica.topic, topic_replica.offset
-        )
-        # The offsets of another era count other records.
+        try:
+            batch = self._source.read_to_end(
+                topic_replica.topic, topic_replica.offset
+            )
+        except messages.RecordsCompactedError:
+            self._read_snapshot(topic_replica, began_ms)
+            return False
         if batch.era != topic_replica.era:
+            # The offsets of another era count other records.
+            if batch.era > topic_replica.era:
+                self._read_snapshot(topic_replica, began_ms)
             return False
         topic_replica.apply_batch(batch)
         topic_replica.currency.confirm(began_ms)
         return True
+
+    def _read_snapshot(
+        self, topic_replica: replica.TopicReplica, began_ms: float
+    ) -> None:
+        """Brings a replica up to date that cannot read on at its offset."""
+        snapshot = self._source.read_snapshot(topic_replica.topic)
+        if snapshot.era < topic_replica.era:
+            raise errors.PlatformError(
+                f"the store is in era {snapshot.era}, and was in "
+                f"{topic_replica.era}"
+            )
+        topic_replica.apply_snapshot(snapshot)
+        topic_replica.currency.confirm(began_ms)
--- a/hornbeampier/replication/store_readers.py
+++ b/hornbeampier/replication/store_readers.py
@@ -73,8 +73,11 @@
             for host, known_ms in self._known_ms.items()
             if now_ms - known_ms < ASSUMED_MS
         )
-        ranked_before = sum(_rank(host) < self._rank for host in readers)
-        return ranked_before < READER_COUNT
+        return self.rank_among(readers) < READER_COUNT
+
+    def rank_among(self, hosts: Iterable[str]) -> int:
+        """Returns the number of hosts that rank before this VM."""
+        return sum(_rank(host) < self._rank for host in hosts)
 
     def live(self) -> list[str]:
         """Returns the hosts of the other store readers."""
--- a/tests/test_fresh_reads.py
+++ b/tests/test_fresh_reads.py
@@ -41,6 +41,9 @@
             raise outcome
         return outcome
 
+    def read_snapshot(self, topic):
+        return messages.Snapshot((), 7, 1)
+
     def close(self):
         pass
 
