Count only readers that are alive for the length of polls

Cause: the readers share one rate of polls by their number, which was taken from the members; a VM that was killed is one for 12 s. So one or two readers that are left polled as seldom as five.

Change: the readers that reported within 1.5 s are counted.

Result: the new test of UnreadStoreTest failed before (5 in place of 1).

--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -379,7 +379,10 @@
         return silent_ms < IN_TOUCH_MS
 
     def _count_readers(self) -> int:
-        return min(1 + len(self._live_peers()), store_readers.READER_COUNT)
+        """Returns the number of VMs that read the store at the moment."""
+        return min(
+            1 + len(self._store_readers.live()), store_readers.READER_COUNT
+        )
 
     def _peer_hosts(self) -> Collection[str]:
         """Returns the hosts of the live peers, or else of the seeds."""
--- a/tests/test_stale_records.py
+++ b/tests/test_stale_records.py
@@ -127,6 +127,15 @@
         self.leave()
         self.wait_left()
 
+    # Guards against DRAIN: after most VMs were killed, the readers that are
+    # left poll as seldom as all of them did together.
+    def test_readers_that_are_gone_do_not_make_polls_rare(self):
+        hosts = [f"10.0.0.{number}" for number in range(9)]
+        self.patch(self.router._membership, "live", lambda: hosts)
+        self.assertEqual(1, self.router._count_readers())
+        self.router._store_readers.record_peer(hosts[0], True)
+        self.assertEqual(2, self.router._count_readers())
+
     # Guards against DRAIN: the store does not wake the calls that wait there.
     def test_call_that_is_not_woken_does_not_keep_records_away(self):
         self.patch(
