Take only a stream of events for the rest of a stream

Cause: whatever had a status under 300 was taken for the rest of the stream, and whatever ended in good order for its end.

Change: forwarding/stream_parts.py says what a response has to be to go on with a stream (200, text/event-stream or no type, events with known fields and an id, first id next after the last one where ids count evenly), and what proves that a stream has ended (its end is marked or its endpoint outlives it, and it has the last event passed on or a later one, or it is an empty stream of events with framing). Events before a bad one are passed on once. A first answer of another type is the endpoint's own and passed on whole or not at all; an event stream that is closed right after its head is no empty stream. For streams that callers take up, their last event counts as passed on.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -64,6 +64,11 @@
         """The endpoint."""
         return self._state.endpoint
 
+    @property
+    def has_framing(self) -> bool:
+        """Whether more than the end of the connection ended the response."""
+        return not self._conn.has_closed
+
     def open(
         self,
         req: requests.Request,
--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -14,11 +14,11 @@
 from hornbeampier.forwarding import response_checks
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import stalls
+from hornbeampier.forwarding import stream_parts
 from hornbeampier.forwarding import streams
 from hornbeampier.forwarding import unexpected_errors
 from hornbeampier.forwarding import version_guard
 from hornbeampier.http1 import server
-from hornbeampier.routing import domain
 from hornbeampier.routing import endpoint_choice
 from hornbeampier.routing import engine_model
 from hornbeampier.routing import fleet
@@ -84,7 +84,10 @@
             req, origin, context.resumption, context.begin_proof
         )
         self._relay = streams.StreamRelay(
-            caller, context.clock, self._version_guard.record_begin
+            caller,
+            context.clock,
+            self._version_guard.record_begin,
+            req.last_event_before,
         )
         self._usage = request_usage.RequestUsage(
             context.usage, req, context.clock
@@ -222,8 +225,9 @@
         observer: engine_model.AttemptObserver,
         choice: endpoint_choice.EndpointChoice,
     ) -> None:
-        is_stream = self._req.route.semantics is domain.RequestSemantics.STREAM
-        if is_stream and response_checks.is_success(attempt.fields):
+        if stream_parts.is_relayed(
+            self._req, attempt.head, self._relay.started
+        ):
             watch = stalls.StallWatch(
                 self._req.route,
                 choice.state,
@@ -235,12 +239,6 @@
             self._relay.end(attempt)
             self._record_served(attempt)
             return
-        if self._relay.started:
-            raise errors.AttemptError(
-                f"the endpoint responded with status {attempt.fields.status} "
-                "instead of resuming the stream",
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
         response = streams.read_buffered(attempt)
         attempt.finish()
         self._caller.respond(response.status, response.headers, response.body)
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -1,6 +1,7 @@
 """Passes responses on to callers, as streams of events or buffered."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 
 from hornbeampier import clock as clocks
@@ -9,6 +10,7 @@
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import sse
 from hornbeampier.forwarding import stalls
+from hornbeampier.forwarding import stream_parts
 from hornbeampier.http1 import server
 from hornbeampier.platform import headers
 from hornbeampier.routing import domain
@@ -24,8 +26,6 @@
 EVENT_DELAY_QUANTILE = 0.25
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
-# Longer ids of events are not compared as numbers.
-MAX_ID_DIGITS = 18
 
 
 class InterruptedStreamError(Exception):
@@ -42,7 +42,6 @@
         shortest_delay_ms: The shortest inter-event delay that is at least
             MIN_EVENT_DELAY_MS; infinite without one.
         started: Whether the head of the response has been sent to the caller.
-        last_event_id: Id of the last event passed on, or None.
         events: Number of events passed on.
     """
 
@@ -51,6 +50,7 @@
         caller: server.ServerConnection,
         clock: clocks.Clock,
         on_begin: Callable[[domain.Endpoint], None],
+        after: str = "",
     ):
         """Creates a relay.
 
@@ -59,6 +59,7 @@
             clock: The clock.
             on_begin: Called with the endpoint that begins the stream, before
                 its first event is passed on.
+            after: Id of the last event that the caller had before.
         """
         self._caller = caller
         self._clock = clock
@@ -69,8 +70,8 @@
         self._delays_ms: list[float] = []
         self._last_event_ms = 0.0
         self.started = False
-        self.last_event_id: str | None = None
         self.events = 0
+        self._ids = stream_parts.EventIds(after)
 
     def relay(
         self,
@@ -85,15 +86,16 @@
         each block of the body.
 
         Raises:
-            errors.AttemptError: The stream was interrupted or has stalled.
+            errors.AttemptError: The stream was interrupted or has stalled, or
+                the response is no part of it.
         """
+        if self.started:
+            stream_parts.check_continuation(attempt.head)
+        part = stream_parts.StreamPart(self._ids, self.started)
         splitter = sse.EventSplitter()
         for block in attempt.blocks(watch):
             on_block()
-            data = b"".join(self._accept(e) for e in splitter.feed(block))
-            if data:
-                watch.on_event()
-                self._write(attempt, data)
+            self._pass_on(attempt, part, splitter.feed(block), watch)
             if len(splitter.incomplete) > MAX_EVENT_BYTES:
                 raise errors.AttemptError(
                     f"an event exceeds {MAX_EVENT_BYTES} bytes",
@@ -105,6 +107,7 @@
                 verdict.Verdict.MAY_HAVE_RUN,
                 connection_lost=True,
             )
+        part.check_end(attempt.head, attempt.has_framing)
 
     def end(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
         """Completes the response to the caller, also one without events."""
@@ -126,18 +129,30 @@
             return None
         return ordered[int(EVENT_DELAY_QUANTILE * len(ordered))]
 
-    def _accept(self, event: sse.Event) -> bytes:
-        """Returns the bytes of an event, or none for a duplicate.
+    @property
+    def last_event_id(self) -> str | None:
+        """Id of the last event passed on, or that the caller had before."""
+        return self._ids.last or None
 
-        An endpoint that resumes a stream may repeat events.
-        """
-        if event.id:
-            if self._is_duplicate(event.id):
-                return b""
-            self.last_event_id = event.id
-        self._record_delay()
-        self.events += 1
-        return event.data
+    def _pass_on(
+        self,
+        attempt: endpoint_attempt.EndpointAttempt,
+        part: stream_parts.StreamPart,
+        events: Iterable[sse.Event],
+        watch: stalls.StallWatch,
+    ) -> None:
+        """Writes the events up to one that is not part of the stream."""
+        accepted = []
+        try:
+            for event in events:
+                if part.accept(event):
+                    self._record_delay()
+                    self.events += 1
+                    accepted.append(event.data)
+        finally:
+            if accepted:
+                watch.on_event()
+                self._write(attempt, b"".join(accepted))
 
     def _record_delay(self) -> None:
         now_ms = self._clock.now()
@@ -152,12 +167,6 @@
                 self._delays_ms.append(delay_ms)
         self._last_event_ms = now_ms
 
-    def _is_duplicate(self, event_id: str) -> bool:
-        last = self.last_event_id
-        if last is None or not (_is_number(event_id) and _is_number(last)):
-            return False
-        return int(event_id) <= int(last)
-
     def _write(
         self, attempt: endpoint_attempt.EndpointAttempt, data: bytes
     ) -> None:
@@ -176,10 +185,6 @@
         )
 
 
-def _is_number(event_id: str) -> bool:
-    return event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
-
-
 def read_buffered(
     attempt: endpoint_attempt.EndpointAttempt,
 ) -> endpoint_attempt.BufferedResponse:
--- a/hornbeampier/platform/names.py
+++ b/hornbeampier/platform/names.py
@@ -21,6 +21,8 @@
 INSTANCE = b"x-hornbeampier-instance-id"
 EXPECT_INSTANCE = b"x-hornbeampier-expect-instance"
 EXPECT_VERSION = b"x-hornbeampier-expect-version"
+# First line of an event at which the version of an engine's weights changes.
+EVENT_VERSION = b"x-hornbeampier-weight-versions"
 SIGNATURE = b"x-hornbeampier-server-seal"
 NOT_EXECUTED = b"x-hornbeampier-not-executed"
 LOAD = b"x-hornbeampier-server-load"
--- a/hornbeampier/routing/requests.py
+++ b/hornbeampier/routing/requests.py
@@ -58,6 +58,13 @@
     urgency: int
     resumed: ResumedStream | None = None
 
+    @property
+    def last_event_before(self) -> str:
+        """Id of the last event that the caller has; empty for a new stream."""
+        if self.resumed is None or not self.route.resumable:
+            return ""
+        return self.resumed.last_event_id
+
     @property
     def location(self) -> route_table.Location:
         """What routes are matched with."""
