Tell callers at the end of a planned stop what became of their request

What callers saw: in a planned stop, in calm, requests that came late in the grace were passed on and cut at its end with a closed connection and no answer, among them requests that may not be repeated (LOST).

The product's own interface ends them with a true error.

Change: what is open at the limit gets what is known of it: 503 if it was never sent, 502 if it may have run; a stream that has begun is cut. It is on its way 300 ms before connections are killed. From the signal on, a request that may outlast the limit is refused before it is sent, also after a wait in the queue, if its route's requests usually do: the longest of the last 16 if it may not be repeated, the median otherwise. To refuse all requests with a late deadline from the signal on was weighed: a refusal costs callers a retry also where the request would have ended in time. Both kinds of early ends share one module.

The fake handler of that file gets the new methods; what is asserted is unchanged.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Forwards a request to endpoints until the caller has its response."""
 
+from collections.abc import Callable
 import dataclasses
 
 import structlog
@@ -9,14 +10,15 @@
 from hornbeampier.forwarding import choice_log
 from hornbeampier.forwarding import context as contexts
 from hornbeampier.forwarding import crash_guard
+from hornbeampier.forwarding import early_ends
 from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import request_usage
 from hornbeampier.forwarding import response_checks
 from hornbeampier.forwarding import selection
+from hornbeampier.forwarding import served_log
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import stream_parts
 from hornbeampier.forwarding import streams
-from hornbeampier.forwarding import unexpected_errors
 from hornbeampier.forwarding import version_guard
 from hornbeampier.http1 import server
 from hornbeampier.routing import endpoint_choice
@@ -39,10 +41,19 @@
         self._context = context
 
     def forward(
-        self, req: requests.Request, caller: server.ServerConnection
+        self,
+        req: requests.Request,
+        caller: server.ServerConnection,
+        check_time: Callable[[requests.Request], None],
     ) -> None:
         """Forwards a request and sends the response to the caller.
 
+        Args:
+            req: The request.
+            caller: The connection to the caller.
+            check_time: Raises errors.RefusalError if a request that has not
+                been sent may not end before this VM stops.
+
         Raises:
             errors.RefusalError: No endpoint gave a response to pass on, or
                 there was an unexpected error.
@@ -52,15 +63,15 @@
         origin = self._context.resumption.find_origin(req)
         if origin is not None:
             req = dataclasses.replace(req, service=origin.service)
-        forwarding = _Forwarding(self._context, req, caller, origin)
+        forwarding = _Forwarding(self._context, req, caller, origin, check_time)
         try:
             forwarding.check_blocked()
             self._context.budget.record_request(req.service)
             forwarding.run()
         except (errors.RefusalError, streams.InterruptedStreamError):
             raise
-        except Exception as exc:
-            forwarding.end_unexpected(exc)
+        except (Exception, errors.ShutdownError) as exc:
+            forwarding.end_early(exc)
 
 
 class _Forwarding:
@@ -72,11 +83,13 @@
         req: requests.Request,
         caller: server.ServerConnection,
         origin: stream_origins.Origin | None,
+        check_time: Callable[[requests.Request], None],
     ):
         self._context = context
         self._clock = context.clock
         self._req = req
         self._caller = caller
+        self._check_time = check_time
         self._selector = selection.EndpointSelector(
             context.dispatcher, req, context.clock, context.rng
         )
@@ -113,9 +126,9 @@
                 self._record_failure(choice, exc)
                 self._check_retry(exc)
 
-    def end_unexpected(self, exc: Exception) -> None:
-        """Ends the request after an error that nobody expected."""
-        unexpected_errors.end(
+    def end_early(self, exc: Exception | errors.ShutdownError) -> None:
+        """Ends the request after an unexpected error, or as the VM stops."""
+        early_ends.end(
             exc, self._caller, self._verdict, self._relay.events, self._log
         )
 
@@ -142,6 +155,8 @@
             raise self._refuse(exc.code, str(exc), exc.retry_after_ms) from exc
         # The request may have waited for its turn meanwhile.
         self.check_blocked()
+        if not self._attempts:
+            self._check_time(self._req)
         choice_log.log_choice(
             self._log,
             self._context,
@@ -190,7 +205,7 @@
                 self._usage.record_run()
             in_flight_attempt.record_failure()
             raise
-        except Exception:
+        except (Exception, errors.ShutdownError):
             # Not expected: it is only known whether the request was sent.
             if attempt.sent_ms is not None:
                 self._verdict = self._verdict.combine(
@@ -291,29 +306,15 @@
     def _record_served(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
         if response_checks.is_success(attempt.fields):
             self._crash_guard.record_served()
-        self._count_served(attempt.fields.status)
-        self._log.info(
-            "served",
-            status=attempt.fields.status,
-            attempts=self._attempts,
-            events=self._relay.events,
-            pause_ms=round(self._relay.longest_delay_ms),
-            first_ms=self._ms_since_arrival(self._relay.first_event_ms),
-            took_ms=self._ms_since_arrival(self._clock.now()),
+        served_log.record_served(
+            self._log,
+            self._context,
+            self._req,
+            attempt.fields.status,
+            self._attempts,
+            self._relay,
         )
 
-    def _count_served(self, status: int) -> None:
-        metrics = self._context.metrics
-        route = self._req.route.name
-        metrics.record_response(route, status)
-        metrics.record_attempt(self._req.service, "answered")
-        first_ms = self._relay.first_event_ms
-        if first_ms is not None:
-            metrics.record_first_event(route, first_ms - self._req.arrived_ms)
-
-    def _ms_since_arrival(self, at_ms: float | None) -> int | None:
-        return None if at_ms is None else round(at_ms - self._req.arrived_ms)
-
     def _record_failure(
         self, choice: endpoint_choice.EndpointChoice, exc: errors.AttemptError
     ) -> None:
--- a/hornbeampier/ingress/caller_handler.py
+++ b/hornbeampier/ingress/caller_handler.py
@@ -2,22 +2,23 @@
 
 import json
 
+import gevent
 import structlog
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
 from hornbeampier import node_metrics
+from hornbeampier.forwarding import early_ends
 from hornbeampier.forwarding import forwarder
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import streams
-from hornbeampier.forwarding import unexpected_errors
 from hornbeampier.http1 import messages
 from hornbeampier.http1 import server
 from hornbeampier.ingress import admission
+from hornbeampier.ingress import late_requests
 from hornbeampier.platform import headers
 from hornbeampier.routing import catalog
 from hornbeampier.routing import domain
-from hornbeampier.routing import requests
 
 # Limits until a configuration is known.
 INITIAL_LIMITS = domain.Limits(
@@ -33,10 +34,7 @@
 
     Attributes:
         draining: Whether each response closes its connection.
-        latest_deadline_ms: Requests with a later deadline are refused, because
-            the VM stops at that time; None unless it is shutting down.
-        open_requests: Requests whose head has arrived and whose response is not
-            complete.
+        late_requests: Which requests are taken while the VM shuts down.
     """
 
     def __init__(
@@ -54,8 +52,32 @@
         self._clock = clock
         self._log = structlog.get_logger(task="callers")
         self.draining = False
-        self.latest_deadline_ms: float | None = None
-        self.open_requests = 0
+        self.late_requests = late_requests.LateRequests(clock)
+        # The tasks that serve requests.
+        self._open: set[gevent.Greenlet] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have begun and are not responded to."""
+        return len(self._open)
+
+    def begin_drain(self, end_ms: float) -> None:
+        """Closes connections after responses, and refuses what ends too late.
+
+        Args:
+            end_ms: When open requests are ended, on the monotonic clock.
+        """
+        self.draining = True
+        self.late_requests.begin(end_ms)
+
+    def refuse_late(self, latest_deadline_ms: float) -> None:
+        """Refuses all requests with a later deadline."""
+        self.late_requests.latest_deadline_ms = latest_deadline_ms
+
+    def abort_requests(self) -> None:
+        """Ends the open requests; callers are told what is known of them."""
+        for task in list(self._open):
+            task.kill(errors.ShutdownError, block=False)
 
     def limits(self) -> domain.Limits:
         """Returns the limits of the configuration in force."""
@@ -67,10 +89,14 @@
     ) -> bool:
         """Serves a request; returns whether another may follow on `conn`."""
         arrived_ms = self._clock.now()
-        self.open_requests += 1
+        task = gevent.getcurrent()
+        self._open.add(task)
         conn.close_after_response = self.draining
         try:
             self._respond(conn, head, arrived_ms)
+        except errors.ShutdownError:
+            self._end_at_shutdown(conn, head)
+            return False
         except streams.InterruptedStreamError as exc:
             self._log.warning(
                 "stream_broken", request_id=_request_id(head), error=str(exc)
@@ -89,7 +115,7 @@
         except Exception as exc:
             return self._end_unexpected(conn, head, exc)
         finally:
-            self.open_requests -= 1
+            self._open.discard(task)
         return not self.draining
 
     def _respond(
@@ -103,6 +129,22 @@
         except errors.RefusalError as exc:
             self._refuse(conn, head, exc)
 
+    def _end_at_shutdown(
+        self, conn: server.ServerConnection, head: messages.RequestHead
+    ) -> None:
+        """Ends a request that is not being forwarded, so that it has not run.
+
+        It may be a response that its caller is slow to read.
+        """
+        if conn.response_complete:
+            return
+        if conn.response_begun:
+            conn.abort()
+            return
+        refusal = late_requests.make_refusal()
+        self._log_refusal(head, refusal)
+        conn.respond_after_error(*_refusal_response(refusal))
+
     def _end_unexpected(
         self,
         conn: server.ServerConnection,
@@ -122,7 +164,7 @@
             refusal = errors.RefusalError(
                 503,
                 errors.RefusalCode.INTERNAL,
-                unexpected_errors.MESSAGE,
+                early_ends.UNEXPECTED,
                 retry_after_ms=selection.RETRY_AFTER_MS,
             )
         self._log.error(
@@ -167,19 +209,11 @@
             accepted.deadline_ms - self._clock.now(),
         )
         req = accepted.with_body(body)
-        self._check_shutdown(req)
+        self.late_requests.check(req)
         with conn.watch_caller():
-            self._forwarder.forward(req, conn)
-
-    def _check_shutdown(self, req: requests.Request) -> None:
-        latest_ms = self.latest_deadline_ms
-        if latest_ms is None or req.deadline_ms <= latest_ms:
-            return
-        raise errors.RefusalError(
-            503,
-            errors.RefusalCode.DRAINING,
-            "this VM is shutting down",
-            retry_after_ms=0.0,
+            self._forwarder.forward(req, conn, self.late_requests.check)
+        self.late_requests.durations.record(
+            req.route.name, self._clock.now() - arrived_ms
         )
 
     def _refuse(
@@ -187,6 +221,12 @@
         conn: server.ServerConnection,
         head: messages.RequestHead,
         exc: errors.RefusalError,
+    ) -> None:
+        self._log_refusal(head, exc)
+        conn.respond(*_refusal_response(exc))
+
+    def _log_refusal(
+        self, head: messages.RequestHead, exc: errors.RefusalError
     ) -> None:
         route = self._catalog.route_table.match(head.host, head.path)
         self._metrics.record_response(
@@ -203,7 +243,6 @@
             path=head.path,
             version=self._catalog.version,
         )
-        conn.respond(*_refusal_response(exc))
 
 
 def _refusal_response(
--- a/hornbeampier/ingress/shutdown.py
+++ b/hornbeampier/ingress/shutdown.py
@@ -8,6 +8,8 @@
 from hornbeampier import clock as clocks
 from hornbeampier.ingress import caller_handler
 
+# How long the answers to requests may take that are ended at the time limit.
+ABORT_MS = 300.0
 # How long the load balancer may still send new connections to an unready VM.
 DEREGISTRATION_DELAY_MS = 2_500.0
 # After this fraction of the grace time, requests are refused if their deadline
@@ -52,14 +54,15 @@
     def drain(self) -> None:
         """Returns once no connection is open, or at the drain's time limit."""
         started_ms = self._clock.now()
-        self._handler.draining = True
-        self._clock.sleep(DEREGISTRATION_DELAY_MS)
         end_ms = started_ms + self._grace_ms * END_AFTER_FRACTION
+        self._handler.begin_drain(end_ms)
+        self._clock.sleep(DEREGISTRATION_DELAY_MS)
         refuse_ms = started_ms + self._grace_ms * REFUSE_AFTER_FRACTION
         self._close_connections(refuse_ms, end_ms)
         self._listener.close_listener()
         # Closing accepted the backlog; these connections are drained too.
         self._close_connections(refuse_ms, end_ms)
+        self._end_open_requests()
         self._log.info(
             "drained",
             open_requests=self._handler.open_requests,
@@ -71,6 +74,16 @@
         """Closes idle connections until none is open or `end_ms` is reached."""
         while self._listener.connections and self._clock.now() < end_ms:
             if self._clock.now() >= refuse_ms:
-                self._handler.latest_deadline_ms = end_ms
+                self._handler.refuse_late(end_ms)
             self._listener.close_idle()
             self._clock.sleep(POLL_MS)
+
+    def _end_open_requests(self) -> None:
+        """Lets callers know what has become of requests that are open."""
+        if not self._handler.open_requests:
+            return
+        self._log.warning("requests_ended", open=self._handler.open_requests)
+        self._handler.abort_requests()
+        end_ms = self._clock.now() + ABORT_MS
+        while self._handler.open_requests and self._clock.now() < end_ms:
+            self._clock.sleep(POLL_MS)
--- a/tests/test_node_shutdown.py
+++ b/tests/test_node_shutdown.py
@@ -16,6 +16,13 @@
     latest_deadline_ms = None
     open_requests = 0
 
+    def begin_drain(self, end_ms):
+        del end_ms
+        self.draining = True
+
+    def refuse_late(self, latest_deadline_ms):
+        self.latest_deadline_ms = latest_deadline_ms
+
 
 class FakeConnections:
     """Connections whose number the test sets."""
@@ -196,7 +203,7 @@
         caller.send("GET", "/safe/slow", long_deadline)
         gevent.spawn(router.drain)
         store_standin.wait_until(
-            lambda: router._handler.latest_deadline_ms is not None
+            lambda: router._handler.late_requests.latest_deadline_ms is not None
         )
         self.assertEqual(503, self.call(router, headers=long_deadline).status)
         short_deadline = {"X-Hornbeampier-Deadline-Ms": "300"}
@@ -216,3 +223,119 @@
                 self.assertEqual(arrived, len(server.received))
             gevent.sleep(0.01)
         self.assertTrue(served)
+
+
+class OpenRequestTest(nodes.NodeTestCase):
+    """Requests that are open as the grace time ends."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(shutdown, "DEREGISTRATION_DELAY_MS", 50.0)
+        self.arrived = event.Event()
+        self.start_endpoint(nodes.PLAIN_SERVICE, self.handle)
+        self.start_endpoint(nodes.ENGINE_SERVICE, self.handle_stream)
+        self.router = self.start_ready_node(grace_ms=1_000.0)
+
+    def handle(self, req):
+        self.arrived.set()
+        gevent.sleep(20.0)
+
+    def handle_stream(self, req):
+        req.begin_stream()
+        req.send_event(1)
+        self.arrived.set()
+        gevent.sleep(20.0)
+
+    def send(self, path, body=b"x"):
+        caller = self.connect(self.router)
+        caller.send("POST", path, body=body)
+        self.assertTrue(self.arrived.wait(5.0))
+        return caller
+
+    def shut_down(self):
+        self.router.drain()
+        self.router.stop()
+
+    # Guards against LOST: a request that has been passed on is cut without an
+    # answer by a planned stop, though it is known that it may have run.
+    def test_request_that_may_have_run_is_told_so(self):
+        caller = self.send("/unsafe/x")
+        self.shut_down()
+        response = caller.read()
+        self.assertEqual((502, True), (response.status, response.complete))
+        self.assertIn(b"draining", response.body)
+        self.assertNotIn("retry-after", response.headers)
+        self.assertEqual(b"", caller.sock.recv(1))
+
+    def test_idempotent_request_that_may_have_run_is_told_so(self):
+        caller = self.send("/safe/x")
+        self.shut_down()
+        self.assertEqual(502, caller.read().status)
+
+    # Guards against a request that was never sent being taken for one that may
+    # have run: its caller could not send it again.
+    def test_request_whose_body_is_late_is_refused(self):
+        caller = self.connect(self.router)
+        caller.send("POST", "/unsafe/x", {"Content-Length": "9"})
+        store_standin.wait_until(lambda: self.router._handler.open_requests)
+        self.shut_down()
+        response = caller.read()
+        self.assertEqual((503, True), (response.status, response.complete))
+        self.assertIn("retry-after", response.headers)
+
+    # Guards against ORDER: a stream that is cut passes for complete.
+    def test_stream_that_has_begun_is_cut(self):
+        caller = self.send("/stream/x")
+        self.shut_down()
+        response = caller.read()
+        self.assertEqual((200, False), (response.status, response.complete))
+
+    def test_all_open_requests_get_an_answer(self):
+        callers = [self.send("/unsafe/x") for _ in range(20)]
+        self.shut_down()
+        self.assertEqual([502] * 20, [c.read().status for c in callers])
+
+
+class LateRequestTest(nodes.NodeTestCase):
+    """Requests that arrive after the signal."""
+
+    def start(self, run_s):
+        def handle(req):
+            gevent.sleep(run_s)
+            req.respond()
+
+        self.endpoint = self.start_endpoint(nodes.PLAIN_SERVICE, handle)
+        route = nodes.route(
+            "u",
+            "/unsafe/",
+            "unsafe",
+            nodes.PLAIN_SERVICE,
+            timeoutMs=20_000,
+            maxAttempts=1,
+        )
+        self.router = self.start_ready_node(
+            nodes.configuration(routes=[route]), grace_ms=4_000.0
+        )
+
+    def call_late(self):
+        headers = {"X-Hornbeampier-Deadline-Ms": "20000"}
+        self.assertEqual(
+            200, self.call(self.router, "POST", "/unsafe/x").status
+        )
+        self.router._handler.begin_drain(clocks.SystemClock().now() + 1_000.0)
+        return self.call(self.router, "POST", "/unsafe/x", headers=headers)
+
+    # Guards against LOST: a planned stop takes a request that it cannot finish,
+    # and that may not be repeated.
+    def test_request_that_usually_takes_too_long_is_refused_at_once(self):
+        self.start(run_s=1.5)
+        response = self.call_late()
+        self.assertEqual(503, response.status)
+        self.assertIn("retry-after", response.headers)
+        self.assertEqual(1, len(self.endpoint.received))
+
+    # Guards against callers that lose their only retry by a refusal, although
+    # there is time enough.
+    def test_request_that_usually_ends_in_time_is_served(self):
+        self.start(run_s=0.05)
+        self.assertEqual(200, self.call_late().status)
