Prove nothing by the entry of an endpoint that does not tell who it is

What callers saw: a stream joined from two versions (ORDER): an engine starts again under its id with another version, begins a stream before its entry is written, breaks it off and sends no report for 400 ms; the stream went on at the version of the old entry.

Cause: an endpoint that could be reached and did not reply was taken for one that has ended, whose newest entry is in the store.

Change: if it runs and does not tell, the stream does not go on; only if it does not run any more the entry counts.

--- a/hornbeampier/forwarding/begin_proof.py
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -41,8 +41,9 @@
         The stream was sent to the endpoint after the entry had been written. If
         the process of the entry still runs, it has begun the stream, as an
         endpoint has one process at a time. If another one runs, its entry has
-        to name the same version. If the endpoint cannot be asked, the store has
-        its newest entry, unless the process ended before it had written one.
+        to name the same version. If it runs and does not tell which one it is,
+        nothing is proved. If no process runs, the store has its newest entry,
+        unless the process ended before it had written one.
 
         Args:
             endpoint: The entry by which the endpoint was chosen.
@@ -50,7 +51,10 @@
         """
         if not endpoint.started_ms:
             return True
-        running_ms = self._ask_started_ms(endpoint, deadline_ms)
+        try:
+            running_ms = self._ask_started_ms(endpoint, deadline_ms)
+        except process_check.UnprovedProcessError:
+            return False
         if running_ms == endpoint.started_ms:
             return True
         if not self._freshness.request().wait():
@@ -82,9 +86,12 @@
     def _ask_started_ms(
         self, endpoint: domain.Endpoint, deadline_ms: float
     ) -> int | None:
-        """Returns when the running process started; None if it does not tell.
+        """Returns when the running process started; None if none runs.
 
         An endpoint that leaves, or has no entry any more, is not called.
+
+        Raises:
+            process_check.UnprovedProcessError: It runs and does not tell.
         """
         current = self._catalog.endpoints.get(endpoint.id)
         if current is None or current.leaving:
@@ -101,6 +108,9 @@
         except process_check.OtherProcessError as exc:
             return exc.started_ms
         except process_check.UnprovedProcessError:
+            if self._pool.probe(endpoint):
+                raise
+            # It has ended meanwhile.
             return None
         finally:
             conn.close()
