--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -1,7 +1,5 @@
 """The router process of one VM, for a platform with a store of topics."""
 
-from collections.abc import Collection
-
 from hornbeampier import application
 from hornbeampier import environment
 from hornbeampier import node_metrics
@@ -20,9 +18,9 @@
 from hornbeampier.ingress import readiness
 from hornbeampier.ingress import shutdown
 from hornbeampier.peers import components
+from hornbeampier.peers import known_vms
 from hornbeampier.peers import membership
 from hornbeampier.peers import state_exchange
-from hornbeampier.peers import topology
 from hornbeampier.platform import names
 from hornbeampier.platform import settings
 from hornbeampier.platform import store
@@ -47,7 +45,6 @@
 from hornbeampier.routing import pools
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
-from hornbeampier.routing import rendezvous
 
 MAINTENANCE_INTERVAL_MS = 250.0
 # A VM that hears none of its peers for this time may miss new endpoints.
@@ -71,11 +68,14 @@
         self._metrics_address = settings.Address(cfg.host, metrics_port)
         self._cfg = cfg
         self._clock = env.clock
+        self._vms = known_vms.KnownVms(cfg)
         self.app = application.Application(cfg.vm)
         self.catalog = catalog.Catalog()
         self._metrics = node_metrics.NodeMetrics()
         self._announcements = announcements.Announcements(
-            limit_shares.LimitShares(cfg.host, self._peer_hosts).share_per_s,
+            limit_shares.LimitShares(
+                cfg.host, self._vms.peer_hosts
+            ).share_per_s,
             self._metrics.record_announcement,
             self._clock,
             env.rng,
@@ -98,7 +98,7 @@
             self.catalog.engine_traits,
             self._clock,
         )
-        self._crashes = crashes.CrashHistory(self._clock, self._owns_trial)
+        self._crashes = crashes.CrashHistory(self._clock, self._vms.owns_trial)
         self._prefill_meter = prefill.PrefillMeter(self._clock)
         self._placements = placements.Placements(self._fleet, self.catalog)
         self._origins = origin_components.OriginComponents(
@@ -107,7 +107,7 @@
         self._build_replication()
         self._build_peers()
         self._duties = wiring.Duties(
-            cfg, self._live_peers, self._metrics, self._clock, env.rng
+            cfg, self._vms.live_peers, self._metrics, self._clock, env.rng
         )
         self.app.add(*self._duties.exchanges)
         self._build_forwarder()
@@ -119,7 +119,7 @@
                 self._context,
                 self._fleet,
                 self._prefill_meter,
-                self._live_peers,
+                self._vms.live_peers,
                 self._is_in_touch,
             )
         )
@@ -157,12 +157,12 @@
             )
             for topic, topic_replica in self._replicas.items()
         ]
-        reads = self._origins.build_fresh_reads(self._count_vms)
+        reads = self._origins.build_fresh_reads(self._vms.count)
         checks = store_checks.StoreChecks(
             self._replicas.values(),
             reads,
             self._allowed_age_ms,
-            self._count_vms,
+            self._vms.count,
             self._clock,
             self._env.rng,
         )
@@ -170,7 +170,6 @@
 
     def _build_peers(self) -> None:
         cfg = self._cfg
-        self._membership: membership.Membership | None = None
         if cfg.control is None:
             return
         self._catch_up = catch_up.CatchUp(
@@ -180,9 +179,10 @@
             self._clock,
             self._env.rng,
         )
-        self._membership = membership.Membership(
+        members = membership.Membership(
             cfg.host, [seed.host for seed in cfg.seeds], self._clock
         )
+        self._vms.membership = members
         shared = state_exchange.SharedComponents(
             replicas=self._replicas,
             fleet=self._fleet,
@@ -208,13 +208,13 @@
             *components.build_gossip(
                 identity,
                 shared,
-                self._membership,
+                members,
                 self._reads_store,
                 self._clock,
                 self._env.rng,
             ),
             self._catch_up,
-            *self._origins.build_exchange(self._peer_hosts, self._env.rng),
+            *self._origins.build_exchange(self._vms.peer_hosts, self._env.rng),
         )
 
     def _build_forwarder(self) -> None:
@@ -233,7 +233,7 @@
                 cfg.retry_ratio,
                 cfg.retry_extra,
                 cfg.retry_window_ms,
-                self._count_vms,
+                self._vms.count,
                 self._clock,
             ),
             engine_models=self._engine_models,
@@ -249,14 +249,14 @@
         self._forwarder = forwarder.Forwarder(self._context)
         self.app.add(
             departure_checks.DepartureChecks(
-                self._context, self._fleet, cfg.host, self._peer_hosts
+                self._context, self._fleet, cfg.host, self._vms.peer_hosts
             )
         )
         if cfg.control is not None and not cfg.bootstrap:
             self.app.add(
                 cache_survey.CacheSurvey(
                     cfg.host,
-                    self._membership.live,
+                    self._vms.live_peers,
                     self._fleet,
                     self.catalog,
                     self._connection_pool,
@@ -281,7 +281,7 @@
         return routing_components.build_dispatcher(
             shared,
             self._cfg.availability_zone,
-            self._count_zone_vms,
+            self._vms.count_in_zone,
             self._clock,
             self._env.rng,
         )
@@ -354,17 +354,13 @@
         return self._metrics.render(self.catalog.version)
 
     def _should_read_store(self) -> bool:
-        if self._membership is not None:
-            self._store_readers.record_members(self._membership.live())
+        self._store_readers.record_members(self._vms.live_peers())
         return self._store_readers.should_read()
 
     def _allowed_age_ms(self) -> float:
         """Returns the age of its records at which this VM reads the store."""
-        peers = self._live_peers()
-        return store_checks.allowed_age_ms(
-            self._store_readers.rank_among(peers),
-            len(peers) >= topology.MESH_LIMIT,
-        )
+        rank = self._store_readers.rank_among(self._vms.live_peers())
+        return store_checks.allowed_age_ms(rank, self._vms.has_hubs())
 
     def _reads_store(self) -> bool:
         return all(f.reads_store for f in self._followers)
@@ -373,9 +369,9 @@
         """Whether this VM hears of new endpoints, from the store or peers."""
         if self._reads_store() or not self._cfg.seeds:
             return True
-        if self._membership is None:
+        if self._vms.membership is None:
             return False
-        silent_ms = self._clock.now() - self._membership.last_seen_ms()
+        silent_ms = self._clock.now() - self._vms.membership.last_seen_ms()
         return silent_ms < IN_TOUCH_MS
 
     def _count_readers(self) -> int:
@@ -384,32 +380,6 @@
             1 + len(self._store_readers.live()), store_readers.READER_COUNT
         )
 
-    def _peer_hosts(self) -> Collection[str]:
-        """Returns the hosts of the live peers, or else of the seeds."""
-        return self._live_peers() or [seed.host for seed in self._cfg.seeds]
-
-    def _owns_trial(self, key: str, owners: int) -> bool:
-        """Whether this VM is among the `owners` live VMs that try `key`."""
-        host = self._cfg.host
-        return host in rendezvous.rank(key, {host, *self._live_peers()}, owners)
-
-    def _live_peers(self) -> list[str]:
-        return self._membership.live() if self._membership else []
-
-    def _count_zone_vms(self) -> int:
-        members = self._membership.members() if self._membership else []
-        code = topology.zone_code(self._cfg.availability_zone)
-        return 1 + sum(member.zone == code for member in members)
-
-    def _count_vms(self) -> int:
-        """Returns the number of VMs that share the retry budget.
-
-        Unreachable VMs are included.
-        """
-        seeds = {seed.host for seed in self._cfg.seeds}
-        known = self._membership.known_count() if self._membership else 0
-        return max(1 + known, len(seeds))
-
     def _maintain(self) -> None:
         self._announcements.expire(
             [e.process_id for e in self.catalog.endpoints.values()]
--- a/hornbeampier/peers/hub_states.py
+++ b/hornbeampier/peers/hub_states.py
@@ -133,7 +133,7 @@
             scope=scope,
             zone=self._sender.zone,
             sources=self._sources(),
-            checks=self._exchange.checks,
+            checks=self._exchange.checks.all(),
             **fields,
         )
 
--- a/hornbeampier/peers/state_exchange.py
+++ b/hornbeampier/peers/state_exchange.py
@@ -11,6 +11,7 @@
 from hornbeampier.peers import load_messages
 from hornbeampier.peers import membership
 from hornbeampier.peers import messages
+from hornbeampier.peers import record_checks
 from hornbeampier.peers import record_positions
 from hornbeampier.replication import catch_up
 from hornbeampier.replication import positions
@@ -107,7 +108,11 @@
 
 
 class StateExchange:
-    """Translates between gossip messages and the components' state."""
+    """Translates between gossip messages and the components' state.
+
+    Attributes:
+        checks: Tells up to when this VM has missed no change.
+    """
 
     def __init__(
         self,
@@ -126,8 +131,7 @@
         self._clock = clock
         self._sent_positions: dict[str, positions.Position] = {}
         self._quiet_report_ms = -math.inf
-        # As of when this VM has told that it has missed no change.
-        self._told_read_ms = -math.inf
+        self.checks = record_checks.RecordChecks(shared.replicas, clock)
         self._sent_crashes: frozenset[crashes.Crash] = frozenset()
         self._sent_cleared: frozenset[crashes.Crash] = frozenset()
         self._notices = endpoint_notices.EndpointNotices(
@@ -154,7 +158,7 @@
             crashes=self._sent_crashes - previous_crashes,
             notices=self._notices.take_changed(),
             cleared=self._sent_cleared - previous_cleared,
-            checks=self._take_checks(),
+            checks=self.checks.take_news(),
         )
         self._sent_positions = reached
         return delta
@@ -175,7 +179,9 @@
             offsets=record_positions.to_offsets(delta.positions),
             positions=record_positions.to_messages(delta.positions),
             checks=(
-                delta.checks if scope is messages.Scope.PEER else self.checks
+                delta.checks
+                if scope is messages.Scope.PEER
+                else self.checks.all()
             ),
             loads=self._changed_loads(delta),
             workload=self._shared.pools.own_workload(),
@@ -222,7 +228,7 @@
             reads_store=self._reads_store(),
             offsets=record_positions.to_offsets(self._sent_positions),
             positions=record_positions.to_messages(self._sent_positions),
-            checks=self.checks,
+            checks=self.checks.all(),
             loads=self._active_loads(),
             workload=self._shared.pools.own_workload(),
             pools=self._pool_sizes(),
@@ -269,9 +275,7 @@
             host, record_positions.of_message(message)
         )
         self._apply_sources(message)
-        record_positions.apply_checks(
-            message.checks, self._shared.replicas, self._clock.now()
-        )
+        self.checks.apply(message.checks)
         self._shared.store_readers.record_peer(host, message.reads_store)
         for reader in message.readers:
             self._shared.store_readers.record_peer(reader, True)
@@ -304,13 +308,6 @@
         """The position that this VM reported last for each topic."""
         return self._sent_positions
 
-    @property
-    def checks(self) -> dict[str, messages.RecordCheck]:
-        """Up to when this VM has missed no change, by topic."""
-        return record_positions.to_checks(
-            self._shared.replicas, self._clock.now()
-        )
-
     @property
     def crash_reports(self) -> messages.CrashReports:
         """The recent crashes, also those that peers reported."""
@@ -365,16 +362,6 @@
             )
         return reached
 
-    def _take_checks(self) -> dict[str, messages.RecordCheck]:
-        """Returns the checks if the store was read since the last call."""
-        read_ms = max(
-            r.currency.read_ms for r in self._shared.replicas.values()
-        )
-        if read_ms <= self._told_read_ms:
-            return {}
-        self._told_read_ms = read_ms
-        return self.checks
-
     def _pool_sizes(self) -> dict[str, tuple[int, int]]:
         return load_messages.to_pool_messages(
             self._shared.pools.own_pool_sizes()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -28,6 +28,8 @@
     world = worlds.World(seed, vms, host_prefix, extras)
     try:
         world.start()
+        if schedule.Extra.STALENESS in extras:
+            world.begin_departures()
         world.play(schedule.draw(seed, events, length_s, network, extras))
         unsettled = world.settle()
         problems = world.problems()
--- a/tests/soak/staleness.py
+++ b/tests/soak/staleness.py
@@ -18,6 +18,10 @@
 class Staleness:
     """The part of a soak's world that puts these faults on it."""
 
+    def begin_departures(self):
+        """Lets endpoints leave from now on until the soak is over."""
+        self._tasks.append(gevent.spawn(self._depart_often))
+
     def _depart_often(self):
         """Lets endpoints leave by their entry alone, again and again."""
         while not self.is_over:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -75,7 +75,6 @@
         self.lag_ms = 0.0
         self._version = 0
         self._engine_version = 1
-        self.has_staleness = schedule.Extra.STALENESS in extras
         self.has_routes = schedule.Extra.ROUTES in extras
         self.has_versions = self.has_routes or schedule.Extra.VERSIONS in extras
         self._revoked_count = 0
@@ -127,8 +126,6 @@
             gevent.spawn(callers.Caller(f"c{n}", self, self._rng).run)
             for n in range(CALLERS)
         ]
-        if self.has_staleness:
-            self._tasks.append(gevent.spawn(self._depart_often))
         faults = []
         start_ms = self.clock.now()
         for event in events:
--- a/tests/test_currency.py
+++ b/tests/test_currency.py
@@ -6,7 +6,7 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier.peers import messages as gossip
-from hornbeampier.peers import record_positions
+from hornbeampier.peers import record_checks
 from hornbeampier.replication import currency
 from hornbeampier.replication import follower
 from hornbeampier.replication import messages
@@ -106,9 +106,14 @@
         self.other.apply_snapshot(messages.Snapshot((), 4, 1))
         self.reader.currency.confirm(1_000.0)
 
+    def checks(self, topic_replica, now_ms):
+        return record_checks.RecordChecks(
+            {TOPIC: topic_replica}, clocks.ManualClock(now_ms)
+        )
+
     def tell(self, now_ms):
-        checks = record_positions.to_checks({TOPIC: self.reader}, now_ms)
-        record_positions.apply_checks(checks, {TOPIC: self.other}, now_ms)
+        told = self.checks(self.reader, now_ms).all()
+        self.checks(self.other, now_ms).apply(told)
 
     def test_vm_with_all_changes_is_as_current_as_its_peer(self):
         self.tell(1_200.0)
@@ -126,13 +131,12 @@
         self.assertEqual(1_000.0, self.other.currency.as_of_ms)
 
     def test_peer_that_has_been_away_for_long_tells_nothing(self):
-        now_ms = 1_001.0 + record_positions.MAX_CHECK_AGE_MS
-        checks = record_positions.to_checks({TOPIC: self.reader}, now_ms)
-        self.assertEqual({}, checks)
+        now_ms = 1_001.0 + record_checks.MAX_AGE_MS
+        self.assertEqual({}, self.checks(self.reader, now_ms).all())
 
     def test_topic_that_this_vm_does_not_know_is_skipped(self):
         checks = {"other": gossip.RecordCheck(1, 1, False, 5)}
-        record_positions.apply_checks(checks, {TOPIC: self.other}, 10.0)
+        self.checks(self.other, 10.0).apply(checks)
 
     # Guards against positions of peers that pile up without end.
     def test_number_of_awaited_positions_is_bounded(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,19 +26,31 @@
 # A seed in which streams went on at a service to which their path had moved, as
 # VMs were killed (product code of 21b2af1).
 ROUTE_SEEDS = (921,)
+# A seed in which VMs in touch sent requests 2.1 s after the store had accepted
+# that their endpoint leaves (product code of 9eb9ff4).
+STALENESS_SEEDS = (7102,)
+STALENESS_VMS = 9
 VMS = 3
 EVENTS = 16
 LENGTH_S = 12.0
 
 
 class SoakTest(testtools.TestCase):
-    def play(self, seed, network, extras=()):
+    def play(
+        self,
+        seed,
+        network,
+        extras=(),
+        vms=VMS,
+        events=EVENTS,
+        length_s=LENGTH_S,
+    ):
         host_prefix = f"127.{10 + os.getpid() % 200}.{seed % 250}"
         problems, played = play.play(
             seed,
-            VMS,
-            EVENTS,
-            LENGTH_S,
+            vms,
+            events,
+            length_s,
             host_prefix,
             network=network,
             extras=extras,
@@ -75,3 +87,16 @@
     def test_streams_keep_their_service_while_configurations_move_paths(self):
         for seed in ROUTE_SEEDS:
             self.play(seed, network=False, extras=(schedule.Extra.ROUTES,))
+
+    # Guards against DRAIN: requests to endpoints that leave, as nobody asks the
+    # store while it wakes no call and VMs that have read it stand still.
+    def test_vms_in_touch_hear_in_time_of_endpoints_that_leave(self):
+        for seed in STALENESS_SEEDS:
+            self.play(
+                seed,
+                network=False,
+                extras=(schedule.Extra.STALENESS,),
+                vms=STALENESS_VMS,
+                events=10,
+                length_s=40.0,
+            )
--- a/tests/test_stale_records.py
+++ b/tests/test_stale_records.py
@@ -131,7 +131,7 @@
     # left poll as seldom as all of them did together.
     def test_readers_that_are_gone_do_not_make_polls_rare(self):
         hosts = [f"10.0.0.{number}" for number in range(9)]
-        self.patch(self.router._membership, "live", lambda: hosts)
+        self.patch(self.router._vms.membership, "live", lambda: hosts)
         self.assertEqual(1, self.router._count_readers())
         self.router._store_readers.record_peer(hosts[0], True)
         self.assertEqual(2, self.router._count_readers())
--- a/tests/test_usage_counting.py
+++ b/tests/test_usage_counting.py
@@ -164,7 +164,7 @@
     def test_drained_node_has_told_its_counts(self):
         self.start_endpoint(nodes.PLAIN_SERVICE, lambda req: req.respond())
         router, other = self.start_two()
-        store_standin.wait_until(router._live_peers)
+        store_standin.wait_until(router._vms.live_peers)
         self.call(router)
         router._duties.exchanges[1].drain()
         windows = other._duties.exchanges[1]._windows
