Pass the id of a caller's last event on with its bytes

Cause: ids are decoded as Latin-1 and were encoded as UTF-8.

Result: the new test of test_stream_parts.py passes.

--- a/hornbeampier/platform/headers.py
+++ b/hornbeampier/platform/headers.py
@@ -143,7 +143,7 @@
         source = f"{fetch_from.host}:{fetch_from.port}"
         headers.append((names.KV_FETCH, source.encode()))
     if last_event_id is not None:
-        headers.append((names.LAST_EVENT_ID, last_event_id.encode()))
+        headers.append((names.LAST_EVENT_ID, last_event_id.encode("latin-1")))
     if req.body or req.method not in (b"GET", b"HEAD"):
         headers.append((b"Content-Length", b"%d" % len(req.body)))
     return messages.RequestHead(req.method, req.target, tuple(headers))
--- a/tests/test_stream_parts.py
+++ b/tests/test_stream_parts.py
@@ -198,6 +198,17 @@
         self.assertEqual(event(3), response.body)
         self.assertTrue(response.complete)
 
+    # Guards against UNASKED: an id whose bytes are changed on the way.
+    def test_id_of_the_callers_event_is_passed_on_as_it_is(self):
+        received = []
+
+        def handler(req):
+            received.append(req.headers["last-event-id"])
+            events(3)(req)
+
+        self.call(handler, headers={"Last-Event-Id": "\xe9-2"})
+        self.assertEqual(["\xc3\xa9-2"], received)
+
     # Guards against ORDER: an endpoint that begins again and stops.
     def test_stream_that_stops_before_the_callers_event_is_not_complete(self):
         response = self.take_up(events(1))
