Let connections close that are ended by a planned stop, and await the latest checks

Change: the last 300 ms wait for the connections, not the requests; the listener takes the error for the end of the connection; the oldest awaited position gives way.

--- a/hornbeampier/ingress/listener.py
+++ b/hornbeampier/ingress/listener.py
@@ -11,6 +11,7 @@
 
 from hornbeampier import application
 from hornbeampier import clock as clocks
+from hornbeampier import errors
 from hornbeampier.http1 import messages
 from hornbeampier.http1 import server
 from hornbeampier.http1 import sockets
@@ -116,6 +117,9 @@
                 pass
             if conn.must_linger:
                 self._linger(conn)
+        except errors.ShutdownError:
+            # The response was complete just before its request was ended.
+            self._log.debug("connection_ended", peer=address[0])
         except server.CallerGoneError:
             self._log.debug("connection_lost", peer=address[0])
         except Exception:
--- a/hornbeampier/ingress/shutdown.py
+++ b/hornbeampier/ingress/shutdown.py
@@ -8,7 +8,8 @@
 from hornbeampier import clock as clocks
 from hornbeampier.ingress import caller_handler
 
-# How long the answers to requests may take that are ended at the time limit.
+# How long connections may take to close whose requests are ended at the time
+# limit: an answer may be lost if its caller has not yet sent all of its body.
 ABORT_MS = 300.0
 # How long the load balancer may still send new connections to an unready VM.
 DEREGISTRATION_DELAY_MS = 2_500.0
@@ -85,5 +86,5 @@
         self._log.warning("requests_ended", open=self._handler.open_requests)
         self._handler.abort_requests()
         end_ms = self._clock.now() + ABORT_MS
-        while self._handler.open_requests and self._clock.now() < end_ms:
+        while self._listener.connections and self._clock.now() < end_ms:
             self._clock.sleep(POLL_MS)
--- a/hornbeampier/replication/currency.py
+++ b/hornbeampier/replication/currency.py
@@ -48,9 +48,11 @@
         if own is not None and position <= own:
             self._extend(as_of_ms)
             return
-        if position in self._awaited or len(self._awaited) < MAX_AWAITED:
-            known_ms = self._awaited.get(position, -math.inf)
-            self._awaited[position] = max(known_ms, as_of_ms)
+        known_ms = self._awaited.get(position, -math.inf)
+        self._awaited[position] = max(known_ms, as_of_ms)
+        if len(self._awaited) > MAX_AWAITED:
+            # It may be of a peer that is wrong, and never be reached.
+            del self._awaited[min(self._awaited, key=self._awaited.get)]
 
     def advance(self, own: positions.Position) -> None:
         """Records that the replica has reached a position."""
--- a/tests/test_currency.py
+++ b/tests/test_currency.py
@@ -144,3 +144,12 @@
         for offset in range(1_000):
             known.record_peer(positions.Position(1, offset), 5.0, None)
         self.assertEqual(currency.MAX_AWAITED, len(known._awaited))
+
+    # Guards against positions that are never reached and displace all others.
+    def test_latest_position_is_awaited_beside_wrong_ones(self):
+        known = currency.Currency()
+        for offset in range(100):
+            known.record_peer(positions.Position(9, offset), offset, None)
+        known.record_peer(positions.Position(1, 5), 200.0, None)
+        known.advance(positions.Position(1, 5))
+        self.assertEqual(200.0, known.as_of_ms)
