--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # without dependencies, so only their syntax is checked.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in harness2/*.py 6/*.py 7/*.py 8/*.py 9/*.py; do
+for file in harness2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
