Review cases: a case that is stopped ends its processes

Cause: after SIGTERM, or at its time limit, a script left routers and servers behind.

Done: the cases run under a limit of 105 s and end their processes when they are stopped.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -71,4 +71,4 @@
         await place.close()
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(asyncio.run(deployment.run(main)))
--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -46,6 +46,8 @@
         return first
 
 
+# A case that takes longer is ended.
+TIME_LIMIT_S = 105
 # What a machine's process may open (`maxFds`).
 OPEN_FILES = 4_100
 # Exit codes of a case; that of an unexpected error is 1.
@@ -510,3 +512,11 @@
             return False
         await asyncio.sleep(0.02)
     return True
+
+
+async def run(main):
+    """Returns the exit code of a case; ends its processes if it is stopped."""
+    stop = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
+    async with asyncio.timeout(TIME_LIMIT_S):
+        return await main()
