--- a/review/9/case.py
+++ b/review/9/case.py
@@ -44,7 +44,10 @@
 async def main():
     """Plays the case; returns the exit code."""
     place = await take_up.start(
-        ROUTERS, 2, HERE / "record.txt", memoryMb=memory_limit.MEMORY_MB
+        ROUTERS,
+        [take_up.make_route(2)],
+        HERE / "record.txt",
+        memoryMb=memory_limit.MEMORY_MB,
     )
     ends = {router.name: 0 for router in place.routers}
     watches = [
--- a/review/harness2/take_up.py
+++ b/review/harness2/take_up.py
@@ -43,12 +43,12 @@
 }
 
 
-def make_route(max_attempts):
+def make_route(max_attempts, name="guidance"):
     """Returns a route whose streams may be resumed."""
     return {
-        "name": "council-guidance",
+        "name": name,
         "host": deployment.HOST_NAME,
-        "pathPrefix": "/guidance/",
+        "pathPrefix": f"/{name}/",
         "kind": "streaming",
         "timeoutMs": DEADLINE_MS,
         "sloMs": 600,
@@ -62,7 +62,7 @@
     }
 
 
-async def start(routers, max_attempts, record_path, **limits):
+async def start(routers, routes, record_path, **limits):
     """Returns a deployment that is ready."""
     place = deployment.Deployment(record_path)
     try:
@@ -73,7 +73,7 @@
                 events=EVENTS,
                 pause_ms=EVENT_PAUSE_MS,
             )
-        place.put_configuration([make_route(max_attempts)], [SERVICE])
+        place.put_configuration(routes, [SERVICE])
         await place.start_routers(routers, **limits)
         # Calm before the disruption: `stableMs`.
         await asyncio.sleep(3)
@@ -120,9 +120,10 @@
 class Stream:
     """A client's stream: what it got over all its attempts."""
 
-    def __init__(self, place):
+    def __init__(self, place, route="guidance"):
         self.place = place
-        self.path = f"/guidance/{random.getrandbits(32):08x}"
+        self.route = route
+        self.path = f"/{route}/{random.getrandbits(32):08x}"
         self.prefix = f"{random.getrandbits(32):08x}:{TOKENS}"
         self.versions = []
         self.last_event = 0
@@ -185,13 +186,12 @@
         s for s in streams if s.answer.complete and s.answer.status == 200
     ]
     begun = [s for s in streams if "v2" in s.versions]
+    by_route = dict(collections.Counter(s.route for s in joined))
     place.record(
         f"{len(streams)} streams, {len(served)} ended as complete, "
-        f"{len(begun)} got pieces of v2, {len(joined)} of two versions"
-    )
-    print(
-        f"{len(joined)} of {len(streams)} streams were joined from two versions"
+        f"{len(begun)} got pieces of v2, joined: {by_route}"
     )
+    print(f"{len(joined)} of {len(streams)} streams were joined: {by_route}")
     if joined:
         return deployment.BROKEN
     if TROUBLE and not begun:
