Look routes up by the configured prefixes, not by those of the path

Cause: a look-up tried each prefix of the path that ends with a slash, n * n / 2 bytes for n slashes. The history of routes held all of them in a list, for each stream that can be taken up, several times for one that is, and for each row that a configuration moves. The route table tried them one by one. Change: one index of the configured prefixes, a tree of segments by host, serves both. It follows a path no further than the prefixes reach.

--- a/hornbeampier/routing/route_history.py
+++ b/hornbeampier/routing/route_history.py
@@ -13,6 +13,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier.routing import coverage as coverages
 from hornbeampier.routing import domain
+from hornbeampier.routing import prefix_index
 from hornbeampier.routing import route_table
 
 # Another VM may still have begun streams by an earlier configuration for this
@@ -88,6 +89,8 @@
         self._clock = clock
         self._version = -1
         self._rows: Rows = {}
+        # Of all rows below, so that a look-up does not depend on the path.
+        self._index = prefix_index.PrefixIndex()
         self._earlier: list[_EarlierTable] = []
         self._newest_reported = -1
         self._reported_ms = 0.0
@@ -114,7 +117,8 @@
         tables = [(t.rows, t.ended_ms) for t in self._earlier]
         if previous:
             tables.append(({}, self._clock.now()))
-        self._rows, self._earlier = rows, []
+        self._earlier = []
+        self._set_rows(rows)
         for differing, ended_ms in tables:
             earlier = {**previous, **differing}
             self._add(_difference(earlier, rows), ended_ms)
@@ -143,7 +147,7 @@
         self.coverage.begin(math.inf if covers_all else 0.0)
         if cfgs and not self._rows:
             # Few rows of the others differ from the newest.
-            self._rows = _to_rows(max(cfgs, key=lambda cfg: cfg.version))
+            self._set_rows(_to_rows(max(cfgs, key=lambda cfg: cfg.version)))
         for cfg in cfgs:
             self.record_earlier(cfg)
 
@@ -181,7 +185,7 @@
 
     def services(self, location: route_table.Location) -> set[str]:
         """Returns where streams of a location may have begun."""
-        keys = _keys(location)
+        keys = _find_keys(self._index, location)
         services = set(_match(keys, self._rows, {}))
         for table in self._earlier:
             services |= _match(keys, self._rows, table.rows)
@@ -209,6 +213,16 @@
         oldest_ms = self._clock.now() - longest_ms - CONFIGURATION_LAG_MS
         self._forget([t for t in self._earlier if t.ended_ms <= oldest_ms])
 
+    def _set_rows(self, rows: Rows) -> None:
+        """Sets the rows of the configuration in force."""
+        self._rows = rows
+        self._reindex()
+
+    def _reindex(self) -> None:
+        self._index = _to_index(
+            self._rows, *(table.rows for table in self._earlier)
+        )
+
     def _record_longest(self, cfg: domain.Configuration) -> None:
         for route in cfg.routes:
             if route.resumable:
@@ -224,17 +238,28 @@
                 return
         self._earlier.append(_EarlierTable(rows, ended_ms))
         self._earlier.sort(key=lambda table: table.ended_ms)
+        for host, prefix in rows:
+            self._index.add(host, prefix)
+        self._forget(self._surplus())
+
+    def _surplus(self) -> list[_EarlierTable]:
+        """Returns the oldest tables, whose rows are too many."""
         surplus = sum(len(t.rows) for t in self._earlier) - MAX_ROWS
-        while surplus > 0:
-            oldest = self._earlier[0]
-            surplus -= len(oldest.rows)
-            self._forget([oldest])
+        tables = []
+        for table in self._earlier:
+            if surplus <= 0:
+                break
+            surplus -= len(table.rows)
+            tables.append(table)
+        return tables
 
     def _forget(self, tables: list[_EarlierTable]) -> None:
         """Forgets earlier configurations, which limits the coverage."""
         for table in tables:
             self._earlier.remove(table)
             self.coverage.limit(table.ended_ms)
+        if tables:
+            self._reindex()
 
 
 def _to_rows(cfg: domain.Configuration) -> Rows:
@@ -257,9 +282,20 @@
     }
 
 
-def _keys(location: route_table.Location) -> list[RouteKey]:
+def _to_index(*tables: Rows) -> prefix_index.PrefixIndex:
+    index = prefix_index.PrefixIndex()
+    for rows in tables:
+        for host, prefix in rows:
+            index.add(host, prefix)
+    return index
+
+
+def _find_keys(
+    index: prefix_index.PrefixIndex, location: route_table.Location
+) -> list[RouteKey]:
+    """Returns the keys that a location may have, longest prefix first."""
     host = location.host.lower()
-    return [(host, p) for p in route_table.path_prefixes(location.path)]
+    return [(host, prefix) for prefix in index.find(host, location.path)]
 
 
 def _match(keys: list[RouteKey], base: Rows, differing: Rows) -> frozenset[str]:
@@ -273,8 +309,9 @@
 
 def _moves_streams(old: Rows, new: Rows) -> bool:
     """Whether a location of streams has other services than before."""
+    index = _to_index(old, new)
     for host, prefix in _difference(old, new):
-        keys = _keys(route_table.Location(host, prefix))
+        keys = _find_keys(index, route_table.Location(host, prefix))
         begun = _match(keys, old, {})
         if begun and begun != _match(keys, new, {}):
             return True
--- a/hornbeampier/routing/route_table.py
+++ b/hornbeampier/routing/route_table.py
@@ -1,11 +1,11 @@
 """Finds the route and the service of a request."""
 
 from collections.abc import Iterable
-from collections.abc import Iterator
 import dataclasses
 import hashlib
 
 from hornbeampier.routing import domain
+from hornbeampier.routing import prefix_index
 
 HASH_BYTES = 8
 HASH_RANGE = float(1 << (8 * HASH_BYTES))
@@ -26,29 +26,18 @@
     """The routes of one configuration, indexed by host and path prefix."""
 
     def __init__(self, routes: Iterable[domain.Route]):
-        self._by_host: dict[str, dict[str, domain.Route]] = {}
+        self._index = prefix_index.PrefixIndex()
+        self._routes: dict[tuple[str, str], domain.Route] = {}
         for route in routes:
-            prefixes = self._by_host.setdefault(route.host.lower(), {})
-            prefixes[route.path_prefix] = route
+            self._index.add(route.host, route.path_prefix)
+            self._routes[route.host.lower(), route.path_prefix] = route
 
     def match(self, host: str, path: str) -> domain.Route | None:
         """Returns the route with the longest matching path prefix, or None."""
-        prefixes = self._by_host.get(host.lower())
-        if prefixes is None:
+        prefixes = self._index.find(host, path)
+        if not prefixes:
             return None
-        for prefix in path_prefixes(path):
-            route = prefixes.get(prefix)
-            if route is not None:
-                return route
-        return None
-
-
-def path_prefixes(path: str) -> Iterator[str]:
-    """Yields the prefixes that routes of a path may have, longest first."""
-    end = path.rfind("/")
-    while end >= 0:
-        yield path[: end + 1]
-        end = path.rfind("/", 0, end)
+        return self._routes[host.lower(), prefixes[0]]
 
 
 def choose_service(route: domain.Route, request_id: str) -> str:
