Bound the answers to a VM's own calls by what these may be

What callers saw, as other operators reported it: a faulty server sent bytes without end, the VM that had called it kept them, ran out of memory, and the requests of all its clients ended with it. Cause: a call kept up to 32 MiB whatever it had asked for, as blocks and as a whole, and outside of the memory budget. Decoding multiplies that: many small entries of JSON take ten times their bytes. A peer's records were inflated up to 64 MiB. Nothing named the endpoint. Change: each call states how large its answer may be: a process report 64 KiB, a list of cached segments 1 MiB, of a health check the head alone, a page of the store 5 MiB and a read 3 MiB (1 MiB and a record, by its contract), a peer's records 4 MiB as sent, 8 MiB decompressed and 50,000 in number. Pages and reads together are bounded by 32 MiB a topic. An endpoint that sends more, or a head without end, is logged by id, counted and ejected.

--- a/hornbeampier/forwarding/cache_survey.py
+++ b/hornbeampier/forwarding/cache_survey.py
@@ -107,7 +107,12 @@
             sent_ms = self._clock.now()
             head = cache_lists.encode_request(state.endpoint)
             # The call has no id: a response with one is to another request.
-            response = conn.call(head, deadline_ms, id_header=names.REQUEST_ID)
+            response = conn.call(
+                head,
+                deadline_ms,
+                cache_lists.MAX_BYTES,
+                id_header=names.REQUEST_ID,
+            )
         finally:
             conn.close()
         announcement = announcement_headers.decode(response.head)
--- a/hornbeampier/forwarding/connection_pool.py
+++ b/hornbeampier/forwarding/connection_pool.py
@@ -1,7 +1,11 @@
 """Connection pool: idle connections to endpoints that may be reused."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
+import functools
+
+from gevent import socket
 
 from hornbeampier import clock as clocks
 from hornbeampier.forwarding import refusal_log
@@ -33,6 +37,10 @@
     expires_ms: float
 
 
+def _ignore(endpoint: domain.Endpoint, reason: str) -> None:
+    """Default `on_oversized`: does nothing."""
+
+
 class ConnectionPool:
     """The idle connections to all endpoints, by incarnation.
 
@@ -40,9 +48,23 @@
         refusals: The recent refusals that came over its connections.
     """
 
-    def __init__(self, fleet: fleet.Fleet, clock: clocks.Clock):
+    def __init__(
+        self,
+        fleet: fleet.Fleet,
+        clock: clocks.Clock,
+        on_oversized: Callable[[domain.Endpoint, str], None] = _ignore,
+    ):
+        """Creates a pool.
+
+        Args:
+            fleet: The endpoints.
+            clock: The clock.
+            on_oversized: Called with an endpoint that has sent more than a
+                response may hold, and the reason.
+        """
         self._fleet = fleet
         self._clock = clock
+        self._on_oversized = on_oversized
         self._idle: dict[Incarnation, collections.deque[_IdleConnection]] = {}
         self.refusals = refusal_log.RefusalLog()
 
@@ -63,7 +85,7 @@
             if conn is not None:
                 return conn
         sock = sockets.connect(endpoint.host, endpoint.port, CONNECT_TIMEOUT_MS)
-        conn = client.ClientConnection(sock, self._clock)
+        conn = self._connection(sock, endpoint)
         conn.carried.add(hash(request_id))
         return conn
 
@@ -76,7 +98,7 @@
         except OSError:
             # Not an error: this is the negative result of the probe.
             return False
-        conn = client.ClientConnection(sock, self._clock)
+        conn = self._connection(sock, endpoint)
         self._keep(endpoint, conn, DEFAULT_KEEP_ALIVE_MS)
         return True
 
@@ -119,6 +141,15 @@
                 idle_conn.conn.close()
         self._idle.clear()
 
+    def _connection(
+        self, sock: socket.socket, endpoint: domain.Endpoint
+    ) -> client.ClientConnection:
+        return client.ClientConnection(
+            sock,
+            self._clock,
+            functools.partial(self._on_oversized, endpoint),
+        )
+
     def _take_idle(
         self, endpoint: domain.Endpoint, request_id: str
     ) -> client.ClientConnection | None:
--- a/hornbeampier/forwarding/departure_checks.py
+++ b/hornbeampier/forwarding/departure_checks.py
@@ -110,18 +110,17 @@
         try:
             conn = self._context.connection_pool.acquire(endpoint, "")
             try:
-                response = conn.call(
-                    request,
-                    self._clock.now() + CALL_TIMEOUT_MS,
-                    id_header=names.REQUEST_ID,
-                )
+                deadline_ms = self._clock.now() + CALL_TIMEOUT_MS
+                conn.send(request, b"", deadline_ms)
+                # The body tells nothing.
+                head = conn.read_head(deadline_ms, names.REQUEST_ID)
             finally:
                 conn.close()
         except client.TRANSPORT_ERRORS:
             return False
-        announcement = announcement_headers.decode(response.head)
+        announcement = announcement_headers.decode(head)
         if announcement is not None:
             self._context.announcements.record(
                 endpoint, announcement, "", asked_ms
             )
-        return health_checks.is_serving(response.head, endpoint)
+        return health_checks.is_serving(head, endpoint)
--- a/hornbeampier/forwarding/end_check.py
+++ b/hornbeampier/forwarding/end_check.py
@@ -54,6 +54,7 @@
         response = conn.call(
             reports.encode_request(endpoint),
             clock.now() + REPORT_TIMEOUT_MS,
+            max_bytes=reports.MAX_BYTES,
             id_header=names.REQUEST_ID,
         )
         if response.status == announcements.MISDIRECTED_STATUS:
--- a/hornbeampier/forwarding/process_check.py
+++ b/hornbeampier/forwarding/process_check.py
@@ -64,6 +64,7 @@
         response = conn.call(
             reports.encode_request(endpoint),
             deadline_ms,
+            max_bytes=reports.MAX_BYTES,
             id_header=names.REQUEST_ID,
         )
     except client.TRANSPORT_ERRORS as exc:
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -1,5 +1,6 @@
 """The client side of an HTTP/1.1 connection."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -17,13 +18,14 @@
 INLINE_REQUEST_BYTES = 16_384
 # After this many events of one connection, other tasks run.
 TURN_EVENTS = 100
+# Status that h11 suggests for a head that does not end.
+TOO_LARGE_STATUS = 431
 TRANSPORT_ERRORS = (OSError, h11.ProtocolError)
 # Bounds on what is read for one request, apart from the body passed on: a
 # server may send bytes without end.
 MAX_INTERIM_RESPONSES = 16
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
-MAX_CALL_BYTES = 32 * 1024 * 1024
 
 
 class ConnectionLostError(OSError):
@@ -55,9 +57,23 @@
             callers.
     """
 
-    def __init__(self, sock: socket.socket, clock: clocks.Clock):
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: clocks.Clock,
+        on_endless: Callable[[str], None] | None = None,
+    ):
+        """Takes over a socket.
+
+        Args:
+            sock: The socket, which is connected.
+            clock: The clock.
+            on_endless: Called with the reason when the server has sent more
+                than is read.
+        """
         self._sock = sock
         self._clock = clock
+        self._on_endless = on_endless
         self._http = h11.Connection(h11.CLIENT)
         self._sender: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
@@ -110,9 +126,9 @@
         interim_count = skipped_count = 0
         while True:
             if interim_count > MAX_INTERIM_RESPONSES:
-                raise EndlessResponseError("too many interim responses")
+                raise self.endless("too many interim responses")
             if skipped_count > MAX_SKIPPED_RESPONSES:
-                raise EndlessResponseError("too many responses to others")
+                raise self.endless("too many responses to others")
             event = self._next_event(deadline_ms)
             if isinstance(event, h11.InformationalResponse):
                 interim_count += 1
@@ -168,21 +184,39 @@
         self,
         head: messages.RequestHead,
         deadline_ms: float,
+        max_bytes: int,
         body: bytes = b"",
         id_header: bytes | None = None,
     ) -> CompleteResponse:
         """Sends a request and returns the complete response.
 
-        `id_header` is that of `read_head`.
+        Args:
+            head: The head of the request.
+            deadline_ms: That of `read_head`.
+            max_bytes: Size of the largest body that the response may have.
+            body: The body of the request.
+            id_header: That of `read_head`.
 
         Raises:
+            EndlessResponseError: The body of the response is larger.
             OSError, h11.ProtocolError: No complete response arrived in time.
         """
         self.send(head, body, deadline_ms)
         response = self.read_head(deadline_ms, id_header)
-        body = b"".join(self._read_at_most(MAX_CALL_BYTES, deadline_ms))
+        if (response.length or 0) > max_bytes:
+            raise self._too_long(max_bytes)
+        body = b"".join(self._read_at_most(max_bytes, deadline_ms))
         return CompleteResponse(response, body)
 
+    def endless(self, reason: str) -> EndlessResponseError:
+        """Records that the server has sent too much; returns the error."""
+        if self._on_endless is not None:
+            self._on_endless(reason)
+        return EndlessResponseError(reason)
+
+    def _too_long(self, max_bytes: int) -> EndlessResponseError:
+        return self.endless(f"the body exceeds {max_bytes} bytes")
+
     def _read_at_most(
         self, max_bytes: int, deadline_ms: float
     ) -> Iterator[bytes]:
@@ -191,9 +225,7 @@
         for block in self.read_body(deadline_ms):
             size += len(block)
             if size > max_bytes:
-                raise EndlessResponseError(
-                    f"the body exceeds {max_bytes} bytes"
-                )
+                raise self._too_long(max_bytes)
             yield block
 
     def is_reusable(self) -> bool:
@@ -244,6 +276,8 @@
                     raise ConnectionLostError(
                         "connection closed before the end of the response"
                     ) from exc
+                if exc.error_status_hint == TOO_LARGE_STATUS:
+                    raise self.endless("the head is too large") from exc
                 raise
             if event is not h11.NEED_DATA:
                 self._let_others_run()
--- a/hornbeampier/node.py
+++ b/hornbeampier/node.py
@@ -13,6 +13,7 @@
 from hornbeampier.forwarding import context
 from hornbeampier.forwarding import departure_checks
 from hornbeampier.forwarding import forwarder
+from hornbeampier.forwarding import oversized
 from hornbeampier.ingress import admission
 from hornbeampier.ingress import caller_handler
 from hornbeampier.ingress import control
@@ -220,8 +221,11 @@
 
     def _build_forwarder(self) -> None:
         cfg = self._cfg
+        oversized_responses = oversized.OversizedResponses(
+            self._fleet, self._metrics, self._clock
+        )
         self._connection_pool = connection_pool.ConnectionPool(
-            self._fleet, self._clock
+            self._fleet, self._clock, oversized_responses.record
         )
         proof = self._origins.build_begin_proof(self._connection_pool)
         self._context = context.Context(
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -39,6 +39,10 @@
             "hornbeampier_unreadable_records_total",
             "Records of the store that cannot be read, by kind.",
         )
+        self._oversized = self._counter(
+            "hornbeampier_oversized_responses_total",
+            "Responses that were larger than allowed, by endpoint.",
+        )
         self._resumptions = self._counter(
             "hornbeampier_resumptions_total",
             "Streams that callers took up, by how their origin was found.",
@@ -121,6 +125,10 @@
         """Counts a record of the store that cannot be read."""
         self._unreadable.inc({"kind": kind})
 
+    def record_oversized(self, endpoint_id: str) -> None:
+        """Counts a response of an endpoint that was larger than allowed."""
+        self._oversized.inc({"endpoint": endpoint_id})
+
     def record_resumption(self, source: str) -> None:
         """Counts a stream that a caller took up.
 
--- a/hornbeampier/platform/cache_lists.py
+++ b/hornbeampier/platform/cache_lists.py
@@ -8,6 +8,10 @@
 from hornbeampier.platform import fields
 from hornbeampier.routing import domain
 
+# Some 25,000 segments; an engine may list more of them only if these are few
+# tokens each. Decoded, they take ten times as much.
+MAX_BYTES = 1024 * 1024
+
 
 class _CacheList(msgspec.Struct):
     """A cache list; entries are (empty text, segment id, tokens, model)."""
--- a/hornbeampier/platform/connection.py
+++ b/hornbeampier/platform/connection.py
@@ -23,11 +23,20 @@
         method: bytes,
         target: str,
         deadline_ms: float,
+        max_bytes: int,
         headers: http.Headers = (),
         body: bytes = b"",
     ) -> client.CompleteResponse:
         """Returns the response; the call is not repeated if none arrives.
 
+        Args:
+            method: The method of the request.
+            target: Path and query of the request.
+            deadline_ms: When to give up, on the monotonic clock.
+            max_bytes: Size of the largest body that the response may have.
+            headers: Further headers of the request.
+            body: The body of the request.
+
         Raises:
             errors.PlatformError: No valid response arrived in time. The call
                 may have been executed, or may be later.
@@ -38,7 +47,7 @@
         head = http.RequestHead(method, target.encode(), head_lines)
         try:
             conn = self._connect(deadline_ms)
-            response = conn.call(head, deadline_ms, body)
+            response = conn.call(head, deadline_ms, max_bytes, body)
         except client.TRANSPORT_ERRORS as exc:
             self.close()
             raise errors.PlatformError(
--- a/hornbeampier/platform/duty_api.py
+++ b/hornbeampier/platform/duty_api.py
@@ -17,6 +17,8 @@
 USAGE_PATH = "/usage"
 SCALE_PATH = "/scale"
 CALL_TIMEOUT_MS = 1_000.0
+# Of a response only the status is used.
+MAX_RESPONSE_BYTES = 64 * 1024
 # A call is not begun if less than this is left of the term.
 MIN_CALL_MS = 100.0
 # Factor on the interval between calls, so that network jitter does not make
@@ -155,7 +157,7 @@
         status, error = None, None
         try:
             response = self._conn.call(
-                b"POST", path, deadline_ms, headers, body
+                b"POST", path, deadline_ms, MAX_RESPONSE_BYTES, headers, body
             )
             status = response.status
         except errors.PlatformError as exc:
--- a/hornbeampier/platform/reports.py
+++ b/hornbeampier/platform/reports.py
@@ -7,6 +7,9 @@
 from hornbeampier.platform import names
 from hornbeampier.routing import domain
 
+# A report lists the runs of its process, some 40 bytes each.
+MAX_BYTES = 64 * 1024
+
 
 class _Report(msgspec.Struct):
     """A report; `born` is the Unix time of the process's start in ms."""
--- a/hornbeampier/platform/store.py
+++ b/hornbeampier/platform/store.py
@@ -22,6 +22,17 @@
 
 CALL_TIMEOUT_MS = 3_000.0
 FIRST_PARTITION = 0
+KIB = 1024
+MIB = 1024 * KIB
+# Bounds of responses, by the contract of the store. A record is no larger than
+# the body of an append. A read and a page have 1 MiB, or the first record that
+# exceeds it; values of a page are in base64, and its keys may be escaped.
+MAX_RECORD_BYTES = 2 * MIB
+MAX_READ_BYTES = MIB + MAX_RECORD_BYTES
+MAX_PAGE_BYTES = 5 * MIB
+MAX_APPENDED_BYTES = 64 * KIB
+# Bound of the records of a topic that are read in several calls.
+MAX_TOPIC_BYTES = 32 * MIB
 MAX_ERA_DIGITS = 18
 # How keys are encoded that are not valid Unicode.
 SURROGATES = "surrogatepass"
@@ -95,7 +106,8 @@
             errors.PlatformError: The store sent no valid response, or its era
                 changed between two pages.
         """
-        records = []
+        records: list[messages.Record] = []
+        size = 0
         first = None
         query = {"topic": topic, "part": self._partition}
         while True:
@@ -104,6 +116,8 @@
             end, first_era = first
             if era != first_era:
                 raise errors.PlatformError("the era changed between two pages")
+            size += sum(len(item.value) for item in page.items)
+            _check_size(size)
             records += self._to_records(topic, page.items, era)
             if not page.has_more or not page.items:
                 return messages.Snapshot(tuple(records), end, era)
@@ -129,14 +143,19 @@
                 changed between two of them.
         """
         batch, log_end = self._read(topic, offset, 0.0)
-        records = batch.records
+        records = list(batch.records)
+        size = _size(batch)
         while batch.end < log_end:
             next_batch, _ = self._read(topic, batch.end, 0.0)
             if next_batch.era != batch.era or not next_batch.records:
                 raise errors.PlatformError("the log changed while it was read")
             batch = next_batch
+            size += _size(batch)
+            _check_size(size)
             records += batch.records
-        return messages.Batch(records, batch.end, batch.era, reaches_end=True)
+        return messages.Batch(
+            tuple(records), batch.end, batch.era, reaches_end=True
+        )
 
     def append(
         self, topic: str, at: int, records: Iterable[tuple[str, bytes]]
@@ -150,7 +169,13 @@
         """
         query = {"topic": topic, "part": self._partition, "at": at}
         body = b"".join(_encode_record(*record) for record in records)
-        response = self._call("/log-append", query, method=b"POST", body=body)
+        response = self._call(
+            "/log-append",
+            query,
+            MAX_APPENDED_BYTES,
+            method=b"POST",
+            body=body,
+        )
         if response.status == 412:
             raise lease_records.AppendConflictError(
                 f"the topic does not end at {at}"
@@ -180,7 +205,7 @@
             "from": offset,
             "waitMs": round(wait_ms),
         }
-        response = self._call("/log-read", query, wait_ms)
+        response = self._call("/log-read", query, MAX_READ_BYTES, wait_ms)
         if response.status == 410:
             raise messages.RecordsCompactedError(
                 "the store no longer has the requested records",
@@ -208,7 +233,7 @@
 
     def _newest_page(self, query: dict) -> tuple[_Page, int]:
         """Returns a page and the era of the store."""
-        response = self._call("/log-newest", query)
+        response = self._call("/log-newest", query, MAX_PAGE_BYTES)
         _check_status("log-newest", response)
         try:
             page = _decode_page(response.body)
@@ -222,13 +247,16 @@
         self,
         path: str,
         query: dict,
+        max_bytes: int,
         wait_ms: float = 0.0,
         method: bytes = b"GET",
         body: bytes = b"",
     ) -> client.CompleteResponse:
         deadline_ms = self._clock.now() + wait_ms + self._timeout_ms
         target = f"{path}?{parse.urlencode(query, errors=SURROGATES)}"
-        return self._conn.call(method, target, deadline_ms, body=body)
+        return self._conn.call(
+            method, target, deadline_ms, max_bytes, body=body
+        )
 
 
 def _decode_era(response: client.CompleteResponse) -> int:
@@ -250,6 +278,18 @@
         return None
 
 
+def _size(batch: messages.Batch) -> int:
+    return sum(len(record.value or b"") for record in batch.records)
+
+
+def _check_size(size: int) -> None:
+    """Raises PlatformError for more of a topic than a VM can hold."""
+    if size > MAX_TOPIC_BYTES:
+        raise errors.PlatformError(
+            f"the topic has more than {MAX_TOPIC_BYTES} bytes"
+        )
+
+
 def _check_status(call: str, response: client.CompleteResponse) -> None:
     if response.status != 200:
         raise UnexpectedStatusError(
--- a/hornbeampier/replication/messages.py
+++ b/hornbeampier/replication/messages.py
@@ -5,12 +5,18 @@
 """
 
 import dataclasses
+from typing import Annotated
 from typing import Protocol
 
+import msgspec
+
 from hornbeampier import bounds
 from hornbeampier import errors
 from hornbeampier.replication import positions
 
+# More records of a topic than the largest deployment has, with those removed.
+MAX_RECORDS = 50_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
@@ -56,7 +62,7 @@
             false from peers.
     """
 
-    records: tuple[Record, ...]
+    records: Annotated[tuple[Record, ...], msgspec.Meta(max_length=MAX_RECORDS)]
     end: bounds.Integer
     era: bounds.Integer = 0
     carried: bool = False
--- a/hornbeampier/replication/relay.py
+++ b/hornbeampier/replication/relay.py
@@ -29,8 +29,10 @@
 MAX_TRANSFERS = 12
 CODING = b"deflate"
 COMPRESSION_LEVEL = 1
-# Larger bodies are refused after decompression.
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# The records of the largest deployment have 3 MB; larger bodies are refused, as
+# sent and after decompression.
+MAX_SENT_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
 BUSY_STATUS = 503
 # Longer numbers in a query are malformed.
 MAX_DIGITS = 19
@@ -137,7 +139,7 @@
         ) from exc
     conn = client.ClientConnection(sock, clock)
     try:
-        response = conn.call(head, deadline_ms)
+        response = conn.call(head, deadline_ms, MAX_SENT_BYTES)
     except client.TRANSPORT_ERRORS as exc:
         raise errors.PlatformError(
             f"no complete response from peer {host}: {exc}"
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -164,7 +164,7 @@
         self.addCleanup(task.kill)
         conn = client.ClientConnection(Endpoint(), clocks.ManualClock())
         head = client.messages.RequestHead(b"GET", b"/", ((b"host", b"x"),))
-        response = conn.call(head, 1_000.0)
+        response = conn.call(head, 1_000.0, 65_536)
         self.assertEqual(self.CHUNKS, len(response.body))
         self.assertGreater(turns, self.CHUNKS // 200)
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -59,6 +59,19 @@
                 gevent.sleep(0.01)
         self.assertLess(self.endpoint.sent, MAX_SENT_BYTES)
 
+    # Guards against a faulty endpoint that operators cannot find.
+    def test_endpoint_is_named_and_gets_nothing_for_a_moment(self):
+        self.endpoint = EndlessEndpoint(HEAD, b"X-Field: value\r\n")
+        endpoint_id = self.start_endpoint(nodes.PLAIN_SERVICE, self.endpoint).id
+        router = self.start_ready_node()
+        self.check_refused(self.call(router, "POST", "/unsafe/x", body=b"b"))
+        state = router._fleet.get(endpoint_id)
+        self.assertEqual(1, state.failures)
+        self.assertIn(
+            f'oversized_responses_total{{endpoint="{endpoint_id}"}} 1',
+            router._render_metrics().decode(),
+        )
+
     def test_line_of_a_head_without_end(self):
         self.check_refused(self.ask("/unsafe/x", HEAD + "X-Long: "))
 
--- a/tests/test_store_connection.py
+++ b/tests/test_store_connection.py
@@ -10,6 +10,7 @@
 from hornbeampier.platform import settings
 
 HOST = "127.0.0.1"
+MAX_BYTES = 65_536
 TIMEOUT_MS = 400.0
 LATE_S = 0.6
 
@@ -35,7 +36,7 @@
 
     def call(self, target):
         return self.store.call(
-            b"GET", target, self.clock.now() + TIMEOUT_MS
+            b"GET", target, self.clock.now() + TIMEOUT_MS, MAX_BYTES
         ).body
 
     def response(self, body):
