Let responses that endpoints do not end yield their memory

What callers saw: beside 200 responses without a length that had stopped after 128 KB and stayed open, a large response (300 KB) of a sound endpoint waited for room until its deadline: 504, or no answer in 20 s. Cause: a large response counts in the memory budget from the endpoint on, and kept its part for as long as its connection was open, whether anything arrived or not. Change: a response of which less than 16 KiB arrive in a second gives up its part once others need it: its attempt fails as one that may have run, and its request goes on as after any failed attempt. Only the wait for the endpoint is interrupted, never a write to the caller. What waits for room isn't stalled. Open: `serve` reads its services' responses in another way and does not have this yet.

--- a/hornbeampier/forwarding/forwarder.py
+++ b/hornbeampier/forwarding/forwarder.py
@@ -255,7 +255,7 @@
             self._record_served(attempt)
             return
         response = streams.read_buffered(
-            attempt, self._caller, self._req.deadline_ms
+            attempt, self._caller, self._req.deadline_ms, self._clock
         )
         attempt.finish()
         self._caller.respond(response.status, response.headers, response.body)
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -6,9 +6,9 @@
 
 from hornbeampier import clock as clocks
 from hornbeampier import errors
-from hornbeampier import memory_budget
 from hornbeampier import verdict
 from hornbeampier.forwarding import endpoint_attempt
+from hornbeampier.forwarding import response_memory
 from hornbeampier.forwarding import sse
 from hornbeampier.forwarding import stalls
 from hornbeampier.forwarding import stream_parts
@@ -25,7 +25,6 @@
 # send events in pairs.
 DELAY_GROUP_SIZE = 4
 EVENT_DELAY_QUANTILE = 0.25
-MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -190,6 +189,7 @@
     attempt: endpoint_attempt.EndpointAttempt,
     caller: server.ServerConnection,
     deadline_ms: float,
+    clock: clocks.Clock,
 ) -> endpoint_attempt.BufferedResponse:
     """Returns the response after its last byte has arrived.
 
@@ -199,23 +199,20 @@
         attempt: The attempt whose head has arrived.
         caller: The connection for which the response is held.
         deadline_ms: How long to wait for room, on the monotonic clock.
+        clock: The clock.
 
     Raises:
-        errors.AttemptError: It was interrupted, exceeds MAX_BUFFERED_BYTES, or
-            there was no room for it.
+        errors.AttemptError: It was interrupted, is too large, or there was no
+            room for it.
     """
     # One buffer: many blocks would leave the memory of the process in pieces.
     body = bytearray()
-    for block in attempt.blocks():
-        size = len(body) + len(block)
-        if size > MAX_BUFFERED_BYTES:
-            raise errors.AttemptError(
-                "the response exceeds the size limit of buffered responses",
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
-        if size > memory_budget.SMALL_BODY_BYTES:
-            _reserve(size, attempt, caller, deadline_ms)
-        body += block
+    with response_memory.ResponseMemory(
+        caller, attempt, deadline_ms, clock
+    ) as memory:
+        for block in memory.blocks():
+            memory.hold_body(len(body) + len(block))
+            body += block
     response_headers = headers.response_headers_to_forward(attempt.head)
     # A response to HEAD declares the length of a body that does not follow.
     length = len(body) or attempt.head.length or 0
@@ -223,23 +220,3 @@
     return endpoint_attempt.BufferedResponse(
         attempt.fields.status, response_headers, body
     )
-
-
-def _reserve(
-    size: int,
-    attempt: endpoint_attempt.EndpointAttempt,
-    caller: server.ServerConnection,
-    deadline_ms: float,
-) -> None:
-    """Waits for room for the response, of which `size` bytes have arrived."""
-    length = attempt.head.length
-    if not length and size <= memory_budget.UNKNOWN_LENGTH_BYTES:
-        length = memory_budget.UNKNOWN_LENGTH_BYTES
-    needed_bytes = min(length or MAX_BUFFERED_BYTES, MAX_BUFFERED_BYTES)
-    try:
-        caller.reserve_response(needed_bytes, deadline_ms)
-    except TimeoutError as exc:
-        raise errors.AttemptError(
-            "this VM has no room for the response",
-            verdict.Verdict.MAY_HAVE_RUN,
-        ) from exc
--- a/hornbeampier/http1/server.py
+++ b/hornbeampier/http1/server.py
@@ -10,6 +10,7 @@
 from hornbeampier import clock as clocks
 from hornbeampier import memory_budget
 from hornbeampier import memory_usage
+from hornbeampier import response_room
 from hornbeampier.http1 import bodies
 from hornbeampier.http1 import caller_watch
 from hornbeampier.http1 import chunks
@@ -237,14 +238,9 @@
         for part in parts:
             self._output.write(part)
 
-    def reserve_response(self, size: int, deadline_ms: float) -> None:
-        """Waits until the process can hold a response of `size` bytes.
-
-        Raises:
-            TimeoutError: It cannot until `deadline_ms`.
-        """
-        timeout_ms = max(0.0, deadline_ms - self._clock.now())
-        self._holder.reserve_response(size, timeout_ms)
+    def read_response(self) -> response_room.ResponseReading:
+        """Returns a context in which a task reads a large response for it."""
+        return self._holder.read_response()
 
     def respond_after_error(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
--- a/hornbeampier/memory_budget.py
+++ b/hornbeampier/memory_budget.py
@@ -15,11 +15,11 @@
 import random
 
 import gevent
-from gevent import lock
 
 from hornbeampier import clock as clocks
 from hornbeampier import memory_usage
 from hornbeampier import reclaim_order
+from hornbeampier import response_room
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -39,8 +39,6 @@
 # Refused clients come back spread over this range.
 MIN_RETRY_MS = 500.0
 MAX_RETRY_MS = 2_000.0
-# How often a response that waits for room looks for it.
-ROOM_CHECK_MS = 20.0
 
 
 class ReclaimedError(Exception):
@@ -122,9 +120,17 @@
         more_bytes = size - self.response_bytes
         if size <= SMALL_BODY_BYTES or more_bytes <= 0:
             return
-        self._budget.await_response_room(self, more_bytes, timeout_ms)
+        self._budget.responses.wait(self, more_bytes, timeout_ms)
         self._count_response(more_bytes)
 
+    def read_response(self) -> response_room.ResponseReading:
+        """Returns a context in which a task reads a large response."""
+        return self._budget.responses.open(self)
+
+    def release_response(self) -> None:
+        """Counts nothing of a response any longer."""
+        self._count_response(-self.response_bytes)
+
     @contextlib.contextmanager
     def writing(self, size: int) -> Iterator[None]:
         """Counts `size` bytes of a response while they are written.
@@ -148,7 +154,7 @@
         finally:
             self._waiter = None
             if self.is_reclaimed:
-                self._count_response(-self.response_bytes)
+                self.release_response()
             else:
                 self._enter(earlier)
                 self._count_response(-size)
@@ -165,7 +171,7 @@
             self.drop_body()
             if self.stage is not reclaim_order.Stage.RESPONDING:
                 # Else it counts until its task has let go of it.
-                self._count_response(-self.response_bytes)
+                self.release_response()
             self._budget.add(-REQUEST_BYTES)
             self._enter(reclaim_order.Stage.IDLE)
 
@@ -236,6 +242,7 @@
 
     Attributes:
         clock: The clock of the holders.
+        responses: The part that responses of endpoints hold.
     """
 
     def __init__(
@@ -252,9 +259,9 @@
         self._leaving: set[Holder] = set()
         self._reclaimed = dict.fromkeys(memory_usage.Reason, 0)
         self._shortage = memory_usage.ShortageLog(clock)
-        # Large responses wait in turn.
-        self._response_turn = lock.BoundedSemaphore()
-        self._response_bytes = 0
+        self.responses = response_room.ResponseRoom(
+            self._try_make_room_for_response, clock
+        )
 
     def open(self) -> Holder:
         """Returns the holder of a new connection.
@@ -287,32 +294,16 @@
         """Makes room for `size` bytes, or raises ReclaimedError."""
         self._make_room(size, self._limit_bytes, requester)
 
-    def await_response_room(
-        self, holder: Holder, size: int, timeout_ms: float
-    ) -> None:
-        """Waits until there is room for `size` more bytes of a response.
-
-        One large response is always taken, so that requests which hold the
-        rest cannot wait for each other.
-
-        Raises:
-            TimeoutError: There is none within `timeout_ms`.
-        """
-        with gevent.Timeout(timeout_ms / clocks.MS_PER_SECOND, TimeoutError):
-            with self._response_turn:
-                while not self._has_response_room(holder, size):
-                    self.clock.sleep(ROOM_CHECK_MS)
-
     def count_response(self, size: int) -> None:
         """Counts `size` more bytes of responses, or fewer if negative."""
-        self._response_bytes += size
+        self.responses.held_bytes += size
         self.add(size)
 
-    def _has_response_room(self, holder: Holder, size: int) -> bool:
+    def _try_make_room_for_response(self, size: int) -> bool:
         try:
             self._make_room(size, self._large_limit_bytes)
         except ReclaimedError:
-            return self._response_bytes == holder.response_bytes
+            return False
         return True
 
     def add(self, size: int) -> None:
@@ -361,6 +352,8 @@
         wanted_bytes = missing_bytes + int(limit_bytes * SLACK_FRACTION)
         victims, freed_bytes = self._choose_victims(wanted_bytes, requester)
         if freed_bytes < missing_bytes:
+            # Their memory is free in a moment only.
+            self.responses.yield_bytes(missing_bytes - freed_bytes)
             if requester is not None:
                 self._reclaim(requester, memory_usage.Reason.MEMORY)
             raise ReclaimedError
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -4,6 +4,7 @@
 
 import gevent
 from gevent import event
+from gevent import queue
 from gevent import socket
 import testtools
 
@@ -11,6 +12,7 @@
 from hornbeampier import connection_places
 from hornbeampier import memory_budget
 from hornbeampier import memory_usage
+from hornbeampier import response_room
 from hornbeampier import vm_memory
 from hornbeampier.http1 import server
 
@@ -244,6 +246,81 @@
         self.assertEqual(0, holder.response_bytes)
 
 
+class StalledResponseTest(BudgetCase):
+    """An endpoint that sends a part of a large response, then nothing."""
+
+    def setUp(self):
+        super().setUp()
+        self.stalled, self.other = (self.receive(KIB) for _ in range(2))
+        for holder in (self.stalled, self.other):
+            holder.begin_serving()
+        self.arrived = queue.Queue()
+        self.may_pass_on = event.Event()
+        self.may_pass_on.set()
+        self.passed_on = 0
+        self.task = gevent.spawn(self.read)
+        self.arrived.put(KIB)
+        gevent.sleep(0)
+
+    def source(self):
+        while True:
+            yield bytes(self.arrived.get())
+
+    def read(self):
+        with self.stalled.read_response() as reading:
+            for block in reading.blocks(self.source()):
+                reading.reserve(2 * MIB, 1_000.0)
+                self.may_pass_on.wait()
+                self.passed_on += len(block)
+
+    def check_kept(self):
+        self.assertRaises(
+            TimeoutError, self.other.reserve_response, 2 * MIB, 0.0
+        )
+        self.assertFalse(self.task.ready())
+        self.assertEqual(2 * MIB, self.stalled.response_bytes)
+
+    # Guards against sound responses that wait for the memory of those which
+    # endpoints never end.
+    def test_stalled_response_yields_to_another(self):
+        self.clock.advance(response_room.STALLED_MS)
+        self.other.reserve_response(2 * MIB, 1_000.0)
+        self.assertRaises(
+            response_room.StalledResponseError, self.task.get, timeout=5
+        )
+        self.assertEqual(0, self.stalled.response_bytes)
+        for holder in (self.stalled, self.other):
+            holder.close()
+        self.assertEqual(0, self.held_bytes())
+
+    def test_response_that_goes_on_keeps_its_memory(self):
+        self.clock.advance(response_room.STALLED_MS)
+        self.arrived.put(response_room.PROGRESS_BYTES)
+        gevent.sleep(0)
+        self.check_kept()
+
+    # Guards against responses that are kept alive byte by byte.
+    def test_response_of_single_bytes_yields(self):
+        for _ in range(20):
+            self.clock.advance(response_room.STALLED_MS / 10)
+            self.arrived.put(1)
+            gevent.sleep(0)
+        self.other.reserve_response(2 * MIB, 1_000.0)
+        self.assertTrue(self.task.ready())
+
+    # Guards against a stream that is broken off while its caller is written to,
+    # and goes on at another endpoint.
+    def test_task_that_passes_a_block_on_is_not_interrupted(self):
+        self.may_pass_on.clear()
+        self.arrived.put(KIB)
+        gevent.sleep(0)
+        self.clock.advance(response_room.STALLED_MS)
+        self.check_kept()
+        self.may_pass_on.set()
+        gevent.sleep(0)
+        self.assertEqual(2 * KIB, self.passed_on)
+
+
 class PlacesTest(BudgetCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_misbehaving_servers.py
+++ b/tests/test_misbehaving_servers.py
@@ -158,6 +158,31 @@
     req.send(f"{UNFRAMED}\r\n")
 
 
+class StalledResponseTest(ServerCrowdCase):
+    """Bodies without a length that stop before their end and stay open."""
+
+    COUNT = 200
+    RESPONSE = bytes(300_000)
+
+    # Guards against callers of a sound endpoint that are refused, as responses
+    # that go nowhere hold the memory.
+    def test_stalled_bodies_leave_room_for_sound_responses(self):
+        self.endpoint.handler = lambda req: req.respond(self.RESPONSE)
+
+        def handler(req):
+            begin_unframed(req)
+            with contextlib.suppress(OSError):
+                req.send(BLOCK + BLOCK)
+                req.wait_closed(callers.LONG_MS)
+
+        crowd = self.come_to("whole", self.COUNT, handler)
+        self.wait_received(self.COUNT)
+        gevent.sleep(1.0)
+        for _ in range(3):
+            self.check_ordinary()
+        self.check(crowd)
+
+
 class LargePageTest(callers.CrowdCase):
     """A store whose pages are larger than its contract allows."""
 
