Count unfinished events of streams in the memory budget

What callers saw: 100 streams, each with one event that stops just under its limit of 1 MiB, took a process to 153 MB of 96; a process over its memory is ended, and all requests there with it. Cause: the limit was one of an event. Nobody counted the sum. Change: an event of more than 16 KiB that is not complete holds the room of the largest event until it has been passed on. It is read on once there is room, and yields as other responses of which nothing arrives. One that exceeds its limit names and ejects its endpoint.

--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -64,6 +64,11 @@
         """The endpoint."""
         return self._state.endpoint
 
+    @property
+    def deadline_ms(self) -> float:
+        """When the response has to be complete, on the monotonic clock."""
+        return self._deadline_ms
+
     @property
     def has_framing(self) -> bool:
         """Whether more than the end of the connection ended the response."""
@@ -167,6 +172,10 @@
                     "the endpoint has stalled", verdict.Verdict.MAY_HAVE_RUN
                 )
 
+    def reject(self, reason: str) -> errors.AttemptError:
+        """Returns the error for a response that is larger than allowed."""
+        return self._lost_response(self._conn.endless(reason))
+
     def finish(self) -> None:
         """Releases the connection after the response was read completely.
 
--- a/hornbeampier/forwarding/response_memory.py
+++ b/hornbeampier/forwarding/response_memory.py
@@ -1,7 +1,7 @@
 """The memory of what an endpoint sends until it can be passed on.
 
-Small responses are not counted. A large one is read on once the process can
-hold it.
+Small responses and events are not counted. A large one is read on once the
+process can hold it.
 """
 
 from collections.abc import Iterator
@@ -16,6 +16,7 @@
 from hornbeampier.http1 import server
 
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class ResponseMemory:
@@ -43,6 +44,8 @@
         self._deadline_ms = deadline_ms
         self._clock = clock
         self._reading = caller.read_response()
+        # Whether an event is held that counts.
+        self._holds_event = False
 
     def __enter__(self) -> "ResponseMemory":
         self._reading.__enter__()
@@ -78,6 +81,23 @@
             length = memory_budget.UNKNOWN_LENGTH_BYTES
         self._reserve(min(length or MAX_BUFFERED_BYTES, MAX_BUFFERED_BYTES))
 
+    def hold_event(self, size: int) -> None:
+        """Holds `size` bytes of an event that is not complete, or none.
+
+        Raises:
+            errors.AttemptError: It is too large, or there is no room for it.
+        """
+        if size > MAX_EVENT_BYTES:
+            raise self._attempt.reject(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes"
+            )
+        if size > memory_budget.SMALL_BODY_BYTES:
+            self._reserve(MAX_EVENT_BYTES)
+            self._holds_event = True
+        elif self._holds_event:
+            self._reading.release()
+            self._holds_event = False
+
     def _reserve(self, size: int) -> None:
         timeout_ms = max(0.0, self._deadline_ms - self._clock.now())
         try:
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -25,7 +25,6 @@
 # send events in pairs.
 DELAY_GROUP_SIZE = 4
 EVENT_DELAY_QUANTILE = 0.25
-MAX_EVENT_BYTES = 1024 * 1024
 
 
 class InterruptedStreamError(Exception):
@@ -93,20 +92,19 @@
             stream_parts.check_continuation(attempt.head)
         part = stream_parts.StreamPart(self._ids, self.started)
         splitter = sse.EventSplitter()
-        for block in attempt.blocks(watch):
-            on_block()
-            self._pass_on(attempt, part, splitter.feed(block), watch)
-            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+        with response_memory.ResponseMemory(
+            self._caller, attempt, attempt.deadline_ms, self._clock
+        ) as memory:
+            for block in memory.blocks(watch):
+                on_block()
+                self._pass_on(attempt, part, splitter.feed(block), watch)
+                memory.hold_event(len(splitter.incomplete))
+            if splitter.incomplete:
                 raise errors.AttemptError(
-                    f"an event exceeds {MAX_EVENT_BYTES} bytes",
+                    "the endpoint's stream ended in the middle of an event",
                     verdict.Verdict.MAY_HAVE_RUN,
+                    connection_lost=True,
                 )
-        if splitter.incomplete:
-            raise errors.AttemptError(
-                "the endpoint's stream ended in the middle of an event",
-                verdict.Verdict.MAY_HAVE_RUN,
-                connection_lost=True,
-            )
         part.check_end(attempt.head, attempt.has_framing)
 
     def end(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import gevent
+from gevent import event
 
 from tests import endpoint_standin
 from tests import nodes
@@ -115,6 +116,29 @@
         )
         self.check_closed()
 
+    # Guards against memory of an event that is held once it was passed on.
+    def test_large_event_is_passed_on_and_held_no_longer(self):
+        data = b"data: " + b"x" * 900_000 + b"\n\n"
+
+        def handler(req):
+            req.begin_stream()
+            for start in range(0, len(data), len(BLOCK)):
+                req.send_chunk(data[start : start + len(BLOCK)])
+            arrived.wait()
+            held.append(router._client_memory.responses.held_bytes)
+            req.end_stream()
+
+        held, arrived = [], event.Event()
+        self.start_endpoint(nodes.ENGINE_SERVICE, handler)
+        router = self.start_ready_node()
+        caller = self.connect(router)
+        caller.send("POST", "/stream/x", body=b"b")
+        caller.read_until(b"x\n\n")
+        arrived.set()
+        response = caller.read()
+        self.assertEqual((data, True), (response.body, response.complete))
+        self.assertEqual([0], held)
+
     def test_copy_of_another_response_without_end(self):
         other = "X-Hornbeampier-Attempt-Id: other\r\n\r\n"
         self.check_refused(self.ask("/unsafe/x", HEAD + other))
--- a/tests/test_misbehaving_servers.py
+++ b/tests/test_misbehaving_servers.py
@@ -21,6 +21,7 @@
 BLOCK = b"x" * 65_536
 # More than a VM may take of anything.
 MAX_SENT_BYTES = 64 * crowds.KIB * crowds.KIB
+MAX_EVENT_BYTES = crowds.KIB * crowds.KIB
 UNFRAMED = f"HTTP/1.1 200 OK\r\n{endpoint_standin.SEAL}\r\n"
 
 
@@ -116,6 +117,29 @@
         self.wait_until(lambda: len(self.faulty.received) >= count)
 
 
+class UnfinishedEventTest(ServerCrowdCase):
+    """Streams with an event that does not end, just under its limit."""
+
+    COUNT = 100
+
+    # Guards against a process that runs out of memory for unfinished events.
+    def test_events_that_do_not_end_stay_within_the_memory(self):
+        event = b"data: " + b"x" * (MAX_EVENT_BYTES - 4 * crowds.KIB)
+        sent = []
+
+        def handler(req):
+            req.begin_stream()
+            with contextlib.suppress(OSError):
+                req.send_chunk(event)
+                sent.append(req)
+                req.wait_closed(callers.LONG_MS)
+
+        crowd = self.come_to("stream", self.COUNT, handler)
+        self.wait_received(self.COUNT)
+        gevent.sleep(2.0)
+        self.check(crowd)
+
+
 class ProcessReportTest(ServerCrowdCase):
     """Responses without a length, after which the VM asks for a report."""
 
