Ask a process who it is before it begins a stream that may have to go on

What callers saw: ORDER. A server started again under its id with another version, cut off from the store, was sent streams by its old entry, and crashed in the middle of them. Cause: whatever could prove where a stream began, a running process or the store's newest entry, was gone; its absence was taken for the old entry. Change: each connection is asked once for its process before it carries the first stream of a resumable route. If the process is not that of the entry, the stream's origin is the process itself, recorded and told to all VMs as a version that no entry names; streams of it, and unnamed ones of the service, are refused as unknown until its entry is read. An endpoint that did not tell and has ended proves nothing. The stand-in of endpoints sends its parts without Nagle's delay: a reset dropped a part that a connection in use again still held back.

--- a/hornbeampier/forwarding/begin_proof.py
+++ b/hornbeampier/forwarding/begin_proof.py
@@ -10,6 +10,7 @@
 from hornbeampier.routing import catalog as catalogs
 from hornbeampier.routing import domain
 from hornbeampier.routing import freshness as freshnesses
+from hornbeampier.routing import stream_origins
 
 # Stands for the id of a question that carries none.
 SURVEY_ID = "survey"
@@ -38,22 +39,35 @@
         self._catalog = catalog
         self._clock = clock
 
-    def is_proved(self, endpoint: domain.Endpoint, deadline_ms: float) -> bool:
+    def is_proved(
+        self,
+        endpoint: domain.Endpoint,
+        process: domain.ProcessId | None,
+        deadline_ms: float,
+    ) -> bool:
         """Whether a stream began at the software version of an entry.
 
-        The stream was sent to the endpoint after the entry had been written. If
+        The stream was sent to the endpoint after the entry had been written.
+        The process that began it told which one it was; if that is another one
+        than that of the entry, its own entry has to name the same version. If
         the process of the entry still runs, it has begun the stream, as an
         endpoint has one process at a time. If another one runs, its entry has
         to name the same version. If it runs and does not tell which one it is,
-        nothing is proved. If no process runs, the store has its newest entry,
-        unless the process ended before it had written one.
+        nothing is proved. If no process runs, the one that began the stream has
+        to have told.
 
         Args:
             endpoint: The entry by which the endpoint was chosen.
+            process: The process that began the stream; None if it did not tell.
             deadline_ms: When to give up, on the monotonic clock.
         """
         if not endpoint.started_ms:
             return True
+        if process is not None and process != endpoint.process_id:
+            return (
+                self._freshness.request().wait()
+                and self._has_restarted_unchanged(endpoint, process[1])
+            )
         try:
             running_ms = self._ask_started_ms(endpoint, deadline_ms)
         except process_check.UnprovedProcessError:
@@ -63,7 +77,7 @@
         if not self._freshness.request().wait():
             return False
         if running_ms is None:
-            return self._has_no_other_version(
+            return process is not None and self._has_no_other_version(
                 endpoint.id, endpoint.software_version
             )
         return self._has_restarted_unchanged(endpoint, running_ms)
@@ -74,18 +88,29 @@
         """Whether a recorded stream began at the version of its record.
 
         Args:
-            process: The process by whose entry the version was recorded.
+            process: The process of the record.
             version: The recorded software version.
             deadline_ms: When to give up, on the monotonic clock.
         """
         endpoint_id, _ = process
         current = self._catalog.endpoints.get(endpoint_id)
         if current is not None and current.process_id == process:
-            return self.is_proved(current, deadline_ms)
+            return self.is_proved(current, process, deadline_ms)
         if current is None and not self._freshness.request().wait():
             return False
         return self._has_no_other_version(endpoint_id, version)
 
+    def find_origin(
+        self, process: domain.ProcessId
+    ) -> stream_origins.Origin | None:
+        """Returns the origin of a process's streams; None without its entry."""
+        if not self._freshness.request().wait():
+            return None
+        current = self._catalog.endpoints.get(process[0])
+        if current is None or current.process_id != process:
+            return None
+        return stream_origins.of_endpoint(current)
+
     def may_run_other_version(
         self, endpoint: domain.Endpoint, deadline_ms: float
     ) -> bool:
--- a/hornbeampier/forwarding/endpoint_attempt.py
+++ b/hornbeampier/forwarding/endpoint_attempt.py
@@ -40,6 +40,8 @@
         fields: The decoded head of the response; None before it is read.
         head: The head as received.
         sent_ms: When the request was sent, on the monotonic clock, or None.
+        process: The process that the request was sent to; None if it did not
+            tell.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.fields: headers.ResponseFields | None = None
         self.head: messages.ResponseHead | None = None
         self.sent_ms: float | None = None
+        self.process: domain.ProcessId | None = None
 
     @property
     def endpoint(self) -> domain.Endpoint:
@@ -101,6 +104,10 @@
             self._connect_to_process(req.id)
         else:
             self._connect(req.id)
+            if req.route.resumable:
+                self._ask_process(req.id)
+        if self._conn.process_ms is not None:
+            self.process = (self.endpoint.id, self._conn.process_ms)
         self._check_permission(req)
         sent_ms = self._clock.now()
         remaining_ms = req.deadline_ms - sent_ms
@@ -227,6 +234,24 @@
             self._conn.carried.add(hash(request_id))
             self._check_process()
 
+    def _ask_process(self, request_id: str) -> None:
+        """Asks which process begins a stream that may have to go on.
+
+        Once it has ended, nobody else can tell. One that does not reply gets
+        the request all the same.
+        """
+        endpoint = self._state.endpoint
+        if not endpoint.started_ms:
+            return
+        try:
+            process_check.ask(
+                self._conn, endpoint, self._deadline_ms, self._clock
+            )
+        except process_check.UnprovedProcessError:
+            self.close()
+            self._connect("")
+            self._conn.carried.add(hash(request_id))
+
     def _check_process(self) -> None:
         process_check.check(
             self._conn, self._state.endpoint, self._deadline_ms, self._clock
--- a/hornbeampier/forwarding/process_check.py
+++ b/hornbeampier/forwarding/process_check.py
@@ -59,6 +59,31 @@
     """
     if not endpoint.started_ms:
         return
+    started_ms = ask(conn, endpoint, deadline_ms, clock)
+    if started_ms != endpoint.started_ms:
+        raise OtherProcessError(
+            f"the endpoint's process started at {started_ms}, and that of its "
+            f"entry at {endpoint.started_ms}",
+            started_ms,
+        )
+
+
+def ask(
+    conn: client.ClientConnection,
+    endpoint: domain.Endpoint,
+    deadline_ms: float,
+    clock: clocks.Clock,
+) -> int:
+    """Returns when the process on a connection started, in Unix ms.
+
+    It is asked once.
+
+    Raises:
+        UnprovedProcessError: It did not reply, or the connection cannot carry a
+            request afterwards.
+    """
+    if conn.process_ms is not None:
+        return conn.process_ms
     deadline_ms = min(deadline_ms, clock.now() + CHECK_TIMEOUT_MS)
     try:
         response = conn.call(
@@ -71,25 +96,19 @@
         raise UnprovedProcessError(
             f"the endpoint did not send a report: {exc or type(exc).__name__}"
         ) from exc
-    _check_started(response, endpoint)
+    started_ms = _decode(response)
     if not conn.is_reusable():
         raise UnprovedProcessError("the endpoint closes the connection")
+    conn.process_ms = started_ms
+    return started_ms
 
 
-def _check_started(
-    response: client.CompleteResponse, endpoint: domain.Endpoint
-) -> None:
+def _decode(response: client.CompleteResponse) -> int:
     if response.status != 200:
         raise UnprovedProcessError(
             f"the endpoint sent status {response.status} instead of a report"
         )
     try:
-        started_ms = reports.decode_started_ms(response.body)
+        return reports.decode_started_ms(response.body)
     except errors.PlatformError as exc:
         raise UnprovedProcessError(str(exc)) from exc
-    if started_ms != endpoint.started_ms:
-        raise OtherProcessError(
-            f"the endpoint's process started at {started_ms}, and that of its "
-            f"entry at {endpoint.started_ms}",
-            started_ms,
-        )
--- a/hornbeampier/forwarding/resumption.py
+++ b/hornbeampier/forwarding/resumption.py
@@ -97,23 +97,37 @@
         return origin
 
     def record_begin(
-        self, req: requests.Request, endpoint: domain.Endpoint
+        self,
+        req: requests.Request,
+        endpoint: domain.Endpoint,
+        process: domain.ProcessId | None,
     ) -> None:
         """Records that a stream begins, or goes on, at an endpoint.
 
         It is called before the first event is passed on. From then on the
         caller may take the stream up at any VM.
+
+        Args:
+            req: The request.
+            endpoint: The entry by which the endpoint was chosen.
+            process: The process that has begun it; None if it did not tell.
         """
         request_id = req.resumed.request_id if req.resumed else req.id
         if not request_id or not req.route.resumable:
             return
         remaining_ms = req.caller_deadline_ms - self._clock.now()
         self._history.record_stream(remaining_ms)
+        if process is None and endpoint.started_ms:
+            process = endpoint.process_id
+        origin = stream_origins.of_endpoint(endpoint)
+        if process is not None and process != endpoint.process_id:
+            origin = stream_origins.of_unread_process(endpoint.service, process)
+            self._history.record_unread(origin)
         stream = stream_origins.RecordedStream(
             stream_origins.digest_id(request_id),
-            stream_origins.Origin(endpoint.service, endpoint.software_version),
+            origin,
             self._clock.now() + stream_origins.bound_retention(remaining_ms),
-            endpoint.process_id if endpoint.started_ms else None,
+            process,
         )
         self._directory.record(stream, not self._is_unambiguous(req))
 
@@ -124,8 +138,8 @@
         key = stream_origins.digest_id(request_id) if request_id else None
         recorded = self._origins.find_stream(key) if key is not None else None
         if recorded is not None:
-            self._check_process(req, recorded.process, recorded.origin)
-            return recorded.origin, "own_record"
+            origin = self._check_process(req, recorded.process, recorded.origin)
+            return origin, "own_record"
         if key is None and not self._has_one_origin(req):
             raise self._unknown("its caller does not name it", None)
         remaining_ms = req.caller_deadline_ms - self._clock.now()
@@ -136,8 +150,8 @@
             lambda: confirmation.is_confirmed and self._is_unambiguous(req),
         )
         if result.origin is not None:
-            self._check_process(req, result.process, result.origin)
-            return result.origin, "peer"
+            origin = self._check_process(req, result.process, result.origin)
+            return origin, "peer"
         reason = f"none of {result.replies} VMs that replied knows it"
         if self._has_one_origin(req) and not (
             confirmation.wait() and self._freshness.is_current(req.route)
@@ -160,17 +174,24 @@
         req: requests.Request,
         process: domain.ProcessId | None,
         origin: stream_origins.Origin,
-    ) -> None:
-        """Raises a refusal if another process may have begun the stream.
+    ) -> stream_origins.Origin:
+        """Returns the origin of a record.
 
-        Without a process there is nothing to ask.
+        Raises a refusal if another process may have begun the stream, or if the
+        entry of its process has not been read. Without a process there is
+        nothing to ask.
         """
-        if process is None or self._proof.is_record_proved(
+        unread = origin.unread_process
+        if unread is not None:
+            read_origin = self._proof.find_origin(unread)
+            if read_origin is not None:
+                return read_origin
+        elif process is None or self._proof.is_record_proved(
             process, origin.version, req.deadline_ms
         ):
-            return
+            return origin
         raise self._unknown(
-            f"endpoint {process[0]} may have started again before",
+            "its endpoint may have started again before",
             RETRY_AFTER_MS,
             "unconfirmed",
         )
--- a/hornbeampier/forwarding/streams.py
+++ b/hornbeampier/forwarding/streams.py
@@ -14,7 +14,6 @@
 from hornbeampier.forwarding import stream_parts
 from hornbeampier.http1 import server
 from hornbeampier.platform import headers
-from hornbeampier.routing import domain
 
 # Events that follow each other faster were delayed together on their way.
 MIN_EVENT_DELAY_MS = 1.0
@@ -48,7 +47,7 @@
         self,
         caller: server.ServerConnection,
         clock: clocks.Clock,
-        on_begin: Callable[[domain.Endpoint], None],
+        on_begin: Callable[[endpoint_attempt.EndpointAttempt], None],
         after: str = "",
     ):
         """Creates a relay.
@@ -56,8 +55,8 @@
         Args:
             caller: The connection to the caller.
             clock: The clock.
-            on_begin: Called with the endpoint that begins the stream, before
-                its first event is passed on.
+            on_begin: Called with the attempt that begins the stream, before its
+                first event is passed on.
             after: Id of the last event that the caller had before.
         """
         self._caller = caller
@@ -172,7 +171,7 @@
             self._caller.write_body(data)
             return
         self.started = True
-        self._on_begin(attempt.endpoint)
+        self._on_begin(attempt)
         self._caller.start_response(
             attempt.fields.status,
             [
--- a/hornbeampier/forwarding/version_guard.py
+++ b/hornbeampier/forwarding/version_guard.py
@@ -2,6 +2,7 @@
 
 from hornbeampier import errors
 from hornbeampier.forwarding import begin_proof
+from hornbeampier.forwarding import endpoint_attempt
 from hornbeampier.forwarding import resumption
 from hornbeampier.forwarding import selection
 from hornbeampier.routing import domain
@@ -35,20 +36,26 @@
         self._resumption = resumption
         self._proof = proof
         self._unproved: domain.Endpoint | None = None
+        # The process that began the stream, if it has told.
+        self._process: domain.ProcessId | None = None
         self.version = None if origin is None else origin.version
 
-    def record_begin(self, endpoint: domain.Endpoint) -> None:
-        """Records that the first event of an endpoint is to be passed on."""
+    def record_begin(self, attempt: endpoint_attempt.EndpointAttempt) -> None:
+        """Records that the first event of an attempt is to be passed on."""
+        endpoint = attempt.endpoint
         if self.version is None:
             self._unproved = endpoint
+            self._process = attempt.process
         self.version = endpoint.software_version
-        self._resumption.record_begin(self._req, endpoint)
+        self._resumption.record_begin(self._req, endpoint, attempt.process)
 
     def is_proved(self) -> bool:
         """Whether it is proved which version began the stream, if one has."""
         if self._unproved is None:
             return True
-        if not self._proof.is_proved(self._unproved, self._req.deadline_ms):
+        if not self._proof.is_proved(
+            self._unproved, self._process, self._req.deadline_ms
+        ):
             return False
         self._unproved = None
         return True
--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -55,6 +55,9 @@
     Attributes:
         carried: Hashes of the ids of its requests; their length is up to the
             callers.
+        process_ms: When the process at its other end started, in Unix ms, as it
+            reported; None if it has not been asked. It stays the same for as
+            long as the connection is open.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         # Events since other tasks have run.
         self._turn_events = 0
         self.carried: set[int] = set()
+        self.process_ms: int | None = None
 
     def send(
         self, head: messages.RequestHead, body: bytes, deadline_ms: float
--- a/hornbeampier/peers/origin_exchange.py
+++ b/hornbeampier/peers/origin_exchange.py
@@ -36,6 +36,8 @@
 # versions served before.
 LEARN_INTERVAL_MS = 200.0
 LEARN_ATTEMPTS = 10
+# Processes after which all VMs are told again of those without a known entry.
+MAX_ANNOUNCED_UNREAD = 1_000
 # How often the members are compared with those on the ring.
 RING_INTERVAL_MS = 100.0
 # Maximum number of datagrams sent at once, and their interval.
@@ -113,6 +115,8 @@
         # This VM's streams that no other VM holds a record of.
         self._unannounced: dict[bytes, stream_origins.RecordedStream] = {}
         self._announces_all = False
+        # Processes without a known entry of which all VMs have been told.
+        self._announced_unread: set[domain.ProcessId] = set()
         self._lookups: dict[int, _PendingLookup] = {}
         self._lookup_number = 0
         self._tasks: list[gevent.Greenlet] = []
@@ -137,6 +141,11 @@
                 other VMs need the record.
         """
         self._origins.record(stream)
+        process = stream.origin.unread_process
+        if process is not None and process not in self._announced_unread:
+            self._announced_unread.add(process)
+            self._announce_to_all(stream)
+            return
         if not (is_ambiguous or self._announces_all):
             self._unannounced[stream.key] = stream
             if len(self._unannounced) > stream_origins.MAX_STREAMS:
@@ -188,6 +197,8 @@
             for key, stream in self._unannounced.items()
             if stream.expires_ms > now_ms
         }
+        if len(self._announced_unread) > MAX_ANNOUNCED_UNREAD:
+            self._announced_unread.clear()
 
     def announce_all(self, is_needed: bool) -> None:
         """Sets whether other VMs need all records; see `Directory`."""
@@ -199,6 +210,8 @@
         now_ms = self._clock.now()
         for group in message.groups:
             origin = origin_messages.of_entry(group.origin)
+            if origin.unread_process is not None:
+                self._history.record_unread(origin)
             for entry in group.streams:
                 retention_ms = stream_origins.bound_retention(
                     entry.remaining_ms
@@ -278,6 +291,14 @@
             for message in origin_messages.to_announcements(held, now_ms)
         ]
 
+    def _announce_to_all(self, stream: stream_origins.RecordedStream) -> None:
+        """Tells all VMs of an unread process; any may have to know."""
+        now_ms = self._clock.now()
+        for message in origin_messages.to_announcements([stream], now_ms):
+            data = origin_messages.encode(message)
+            for host in set(self._peers()) - {self._host}:
+                self._transport.send(host, data)
+
     def _announce_later(self) -> None:
         self._tasks = [task for task in self._tasks if not task.dead]
         self._tasks.append(gevent.spawn(self._announce_backlog))
--- a/hornbeampier/routing/origin_history.py
+++ b/hornbeampier/routing/origin_history.py
@@ -38,6 +38,7 @@
     """
 
     def __init__(self, catalog: catalogs.Catalog, clock: clocks.Clock):
+        self._catalog = catalog
         self._clock = clock
         # Number of registered endpoints by origin.
         self._serving: collections.Counter[stream_origins.Origin] = (
@@ -111,6 +112,13 @@
         if origin not in self._serving:
             self.merge({origin: 0.0})
 
+    def record_unread(self, origin: stream_origins.Origin) -> None:
+        """Records that streams begin at a process without a known entry.
+
+        Until the entry comes, it counts as a version of its own.
+        """
+        self.merge({origin: 0.0})
+
     def record_stream(self, caller_timeout_ms: float) -> None:
         """Records for how long the caller of a stream waits in total."""
         self._longest_stream_ms = max(
@@ -130,6 +138,8 @@
         """Adds the origins that a peer or the store's log knows."""
         now_ms = self._clock.now()
         for origin, age_ms in ages.items():
+            if self._is_read(origin.unread_process):
+                continue
             if origin not in self._serving:
                 ended_ms = now_ms - age_ms
                 known_ms = self._ended_ms.get(origin, ended_ms)
@@ -161,6 +171,8 @@
         self, previous: domain.Endpoint | None, current: domain.Endpoint | None
     ) -> None:
         """Takes over the version of an endpoint that has come or gone."""
+        if current is not None:
+            self._forget_unread(current)
         begun = None if current is None else stream_origins.of_endpoint(current)
         ended = (
             None if previous is None else stream_origins.of_endpoint(previous)
@@ -177,6 +189,21 @@
         if self.routes.apply(cfg):
             self.on_change()
 
+    def _is_read(self, process: domain.ProcessId | None) -> bool:
+        """Whether the entry of a process is known, if there is one."""
+        if process is None:
+            return False
+        endpoint = self._catalog.endpoints.get(process[0])
+        return endpoint is not None and endpoint.process_id == process
+
+    def _forget_unread(self, endpoint: domain.Endpoint) -> None:
+        """Forgets that the process of an entry was unread."""
+        origin = stream_origins.of_unread_process(
+            endpoint.service, endpoint.process_id
+        )
+        if self._ended_ms.pop(origin, None) is not None:
+            self._index()
+
     def _add_endpoint(self, origin: stream_origins.Origin) -> None:
         self._serving[origin] += 1
         if self._serving[origin] == 1:
--- a/hornbeampier/routing/stream_origins.py
+++ b/hornbeampier/routing/stream_origins.py
@@ -20,13 +20,31 @@
 MAX_RETENTION_MS = 600_000.0
 
 
+# Begins the version of streams that an unread process began. No entry names
+# such a version, so VMs that do not know it refuse to go on with the streams.
+UNREAD_PREFIX = "\0unread/"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
-    """A software version of a service, at which streams began."""
+    """A software version of a service, at which streams began.
+
+    That of a process whose entry has not been read stands for itself.
+    """
 
     service: str
     version: str
 
+    @property
+    def unread_process(self) -> domain.ProcessId | None:
+        """The process if its entry had not been read, else None."""
+        if not self.version.startswith(UNREAD_PREFIX):
+            return None
+        started_ms, _, endpoint_id = self.version.removeprefix(
+            UNREAD_PREFIX
+        ).partition("/")
+        return endpoint_id, int(started_ms) if started_ms.isdecimal() else 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordedStream:
@@ -35,8 +53,8 @@
     Attributes:
         key: Digest of the id of the request that brought its first event.
         expires_ms: When its caller has given up, on the monotonic clock.
-        process: The endpoint's process by whose entry the origin is known; None
-            if the VM that began the stream did not tell.
+        process: The endpoint's process that began it, or by whose entry the
+            origin is known; None if the VM that began the stream did not tell.
     """
 
     key: bytes
@@ -50,6 +68,12 @@
     return Origin(endpoint.service, endpoint.software_version)
 
 
+def of_unread_process(service: str, process: domain.ProcessId) -> Origin:
+    """Returns the origin of streams at a process without a known entry."""
+    endpoint_id, started_ms = process
+    return Origin(service, f"{UNREAD_PREFIX}{started_ms}/{endpoint_id}")
+
+
 def digest_id(request_id: str) -> bytes:
     """Returns the key under which a request's stream is recorded."""
     return hashlib.blake2b(request_id.encode(), digest_size=KEY_BYTES).digest()
--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -80,12 +80,14 @@
         born: When its process started, as it reports; None if it has no
             report, and passes requests for it to the handler.
         reports: Number of reports that it sent.
+        on_connect: Called for each connection, before anything is read.
     """
 
     def __init__(self, handler=ReceivedRequest.respond, born=1):
         self.handler = handler
         self.born = born
         self.reports = 0
+        self.on_connect = lambda: None
         self.received = []
         self._socks = set()
         self._server = server.StreamServer((HOST, 0), self._serve)
@@ -107,6 +109,9 @@
 
     def _serve(self, sock, _):
         self._socks.add(sock)
+        # Each part is sent at once, also on a connection in use again.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.on_connect()
         try:
             self._serve_requests(sock)
         finally:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -203,3 +203,16 @@
         old = msgspec.msgpack.encode([1, [[["s", "v1"], [[b"k" * 8, 500]]]]])
         (group,) = origin_messages.decode(old).groups
         self.assertIsNone(group.streams[0].process)
+
+
+class UnreadOriginTest(testtools.TestCase):
+    def test_origin_of_an_unread_process_names_it(self):
+        for process in (("i-1", 2), ("a/b/3", 0), ("", 5)):
+            origin = stream_origins.of_unread_process("s", process)
+            self.assertEqual(process, origin.unread_process)
+
+    # Guards against odd versions in the messages of other VMs.
+    def test_other_versions_name_no_process(self):
+        self.assertIsNone(stream_origins.Origin("s", "v1").unread_process)
+        odd = stream_origins.Origin("s", stream_origins.UNREAD_PREFIX + "x")
+        self.assertEqual(("", 0), odd.unread_process)
--- a/tests/test_unread_processes.py
+++ b/tests/test_unread_processes.py
@@ -4,8 +4,12 @@
 the version before.
 """
 
+import functools
+
 import gevent
 
+from tests import nodes
+from tests import store_standin
 from tests import test_restarted_endpoints as restarted_endpoints
 
 SILENCE_S = 2.0
@@ -57,3 +61,98 @@
         self.set_handler(self.run_silent)
         self.stream(router, "a0")
         self.assertEqual(1, len(set(self.engines.versions("a0"))))
+
+
+class CrashedUnreadProcessTest(restarted_endpoints.RestartedEndpointTestCase):
+    """An unread process begins a stream and ends before it writes an entry."""
+
+    def setUp(self):
+        super().setUp()
+        self.restarted = []
+        for position in range(2):
+            engine = self.engine(position)
+            engine.handler = self.run_and_crash
+            engine.on_connect = functools.partial(self.connect_to, position)
+
+    def connect_to(self, position):
+        """The engine that is connected to first has started again before."""
+        if not self.restarted:
+            self.restarted.append(self.restart_unseen(position, False))
+
+    def run_and_crash(self, req):
+        self.engines._run(req)
+        if not int(req.headers.get("last-event-id", 0)):
+            engine_id = req.headers["x-hornbeampier-expect-instance"]
+            self.engines._engines[engine_id].kill()
+
+    # Guards against ORDER: an answer of two versions, since nobody is left to
+    # say which process began it, and the entry names the version before.
+    def test_stream_is_cut_off_rather_than_resumed(self):
+        router = self.start_ready_node(self.configuration(maxAttempts=2))
+        response = self.stream(router, "a0")
+        self.assertFalse(response.complete)
+        self.assertEqual(["v2"], self.engines.versions("a0"))
+
+    # Guards against ORDER: the same as its caller takes the stream up, at any
+    # VM.
+    def test_stream_is_not_taken_up_at_the_version_of_the_entry(self):
+        routers = self.start_vms()
+        self.begin(routers[0], "a0")
+        self.assertEqual(["v2"], self.engines.versions("a0"))
+        for router in routers:
+            response = self.take_up(router, "b0", "a0")
+            self.assert_refused("stream_origin_unknown", response, "b0")
+
+    def take_up_unnamed(self, router, request_id):
+        """Takes a stream up without naming its request."""
+        return self.stream(router, request_id, **{"Last-Event-Id": "2"})
+
+    # Guards against ORDER: the same by a caller that does not name the stream,
+    # also at VMs that sent nothing to the process.
+    def test_no_unnamed_stream_is_taken_up_meanwhile(self):
+        routers = self.start_vms()
+        self.begin(routers[0], "a0")
+        for number, router in enumerate(routers):
+            response = self.take_up_unnamed(router, f"b{number}")
+            self.assert_refused("stream_origin_unknown", response, f"b{number}")
+
+    # Guards against streams that are refused after a restart without a new
+    # version, though the entry has come.
+    def test_unnamed_streams_are_taken_up_once_the_entry_has_come(self):
+        routers = self.start_vms()
+        self.begin(routers[0], "a0")
+        record = nodes.endpoint_record(
+            nodes.ENGINE_SERVICE,
+            self.restarted[0].address,
+            born=restarted_endpoints.BORN_AGAIN,
+        )
+        self.store.put_endpoint(self.restarted[0].id, record)
+        store_standin.wait_until(
+            lambda: all(
+                r.catalog.endpoints[self.restarted[0].id].started_ms
+                == restarted_endpoints.BORN_AGAIN
+                for r in routers
+            )
+        )
+        for number, router in enumerate(routers):
+            response = self.take_up_unnamed(router, f"b{number}")
+            self.assertEqual(200, response.status, response.body)
+
+    # Guards against a stream that is refused for ever, though the entry of the
+    # process that began it has come.
+    def test_stream_is_taken_up_once_the_entry_has_come(self):
+        routers = self.start_vms()
+        self.begin(routers[0], "a0")
+        self.engines.start("v2", count=1)
+        record = nodes.endpoint_record(
+            nodes.ENGINE_SERVICE,
+            self.restarted[0].address,
+            version="v2",
+            born=restarted_endpoints.BORN_AGAIN,
+        )
+        self.store.put_endpoint(self.restarted[0].id, record)
+        self.wait_for_engines(3, *routers)
+        for number, router in enumerate(routers):
+            response = self.take_up(router, f"b{number}", "a0")
+            self.assertEqual(200, response.status, response.body)
+            self.assertEqual(["v2"], self.engines.versions(f"b{number}"))
