Let the kernel hold less unread input of clients' connections

Cause: the buffer for input was 32 KiB, of which the kernel held 48, and connections that wait to be accepted, or have yet to end, have one without counting. Change: 8 KiB. 32 KiB still count for a request. All connections that a VM can have, in its places, its backlog and about to end, then hold less than lies beside the budget.

--- a/hornbeampier/memory_budget.py
+++ b/hornbeampier/memory_budget.py
@@ -25,10 +25,11 @@
 MIB = 1024 * KIB
 # Memory of a connection: its task and its parser.
 CONNECTION_BYTES = 16 * KIB
-# Size of the kernel's buffer for input of a connection.
-KERNEL_INPUT_BYTES = 32 * KIB
+# Size of the kernel's buffer for input of a connection; it holds half as much
+# more. Connections that wait to be accepted have one and count for nothing.
+KERNEL_INPUT_BYTES = 8 * KIB
 # What a request adds: its head, and unread input.
-REQUEST_BYTES = KERNEL_INPUT_BYTES
+REQUEST_BYTES = 32 * KIB
 # Larger bodies and responses leave a part of the budget to others.
 SMALL_BODY_BYTES = 16 * KIB
 SMALL_FRACTION = 0.125
