Bound the number of segments that a VM remembers of prefix caches

Cause: the index of an engine was bounded by the tokens of its segments, not by their number; a segment takes some 170 bytes, also one without tokens. Change: 80,000 segments in the indexes of all engines together, of which an engine has its share. The ones used least recently go first, as before.

--- a/hornbeampier/routing/fleet.py
+++ b/hornbeampier/routing/fleet.py
@@ -336,6 +336,10 @@
         """Returns the states of all endpoints, leaving ones included."""
         return list(self._states.values())
 
+    def count(self) -> int:
+        """Returns the number of endpoints."""
+        return len(self._states)
+
     def get(self, endpoint_id: str) -> EndpointState | None:
         """Returns the state of an endpoint, or None if it is unknown."""
         return self._states.get(endpoint_id)
--- a/hornbeampier/routing/placements.py
+++ b/hornbeampier/routing/placements.py
@@ -52,6 +52,10 @@
         return placements
 
     def _set_capacity(self, state: fleet.EndpointState) -> None:
+        engines = max(1, self._fleet.count())
+        state.prefix_cache.capacity_segments = max(
+            1, prefix_cache.MAX_SEGMENTS // engines
+        )
         traits = self._catalog.engine_traits(state.endpoint.service)
         if traits is not None:
             state.prefix_cache.capacity_tokens = round(
--- a/hornbeampier/routing/prefix_cache.py
+++ b/hornbeampier/routing/prefix_cache.py
@@ -9,6 +9,9 @@
 # prefixes.
 PREFIX_CACHE_FRACTION = 0.6
 DEFAULT_CAPACITY_TOKENS = 250_000
+# Number of segments in the indexes of all engines together; one takes some 170
+# bytes, however few tokens it has.
+MAX_SEGMENTS = 80_000
 # The use of a segment is gossiped again only after this time, counted from the
 # last time that this VM or a peer gossiped it.
 REGOSSIP_INTERVAL_MS = 3_000.0
@@ -17,7 +20,12 @@
 
 
 class PrefixCacheIndex:
-    """Segments believed to be in one engine's prefix cache, in LRU order."""
+    """Segments believed to be in one engine's prefix cache, in LRU order.
+
+    Attributes:
+        capacity_tokens: Sum of the tokens of its segments at the most.
+        capacity_segments: Number of its segments at the most.
+    """
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
@@ -27,6 +35,7 @@
         self._gossiped_ms: dict[str, float] = {}
         self._tokens = 0
         self.capacity_tokens = DEFAULT_CAPACITY_TOKENS
+        self.capacity_segments = MAX_SEGMENTS
 
     def cached_prefix_tokens(self, prompt: domain.Prompt) -> int:
         """Returns the length in tokens of the prompt's cached prefix."""
@@ -70,7 +79,16 @@
             return
         self._segments[segment.id] = segment.tokens
         self._tokens += segment.tokens
-        while self._tokens > self.capacity_tokens and len(self._segments) > 1:
+        while self._is_over_capacity():
             segment_id, tokens = self._segments.popitem(last=False)
             self._tokens -= tokens
             self._gossiped_ms.pop(segment_id, None)
+
+    def _is_over_capacity(self) -> bool:
+        count = len(self._segments)
+        if count <= 1:
+            return False
+        return (
+            self._tokens > self.capacity_tokens
+            or count > self.capacity_segments
+        )
--- a/tests/test_routing_state.py
+++ b/tests/test_routing_state.py
@@ -1,8 +1,11 @@
 """Route table, endpoint states, retry budget, peer loads and prefix caches."""
 
+import tracemalloc
+
 import testtools
 
 from hornbeampier import clock as clocks
+from hornbeampier import node_memory
 from hornbeampier.routing import budget
 from hornbeampier.routing import domain
 from hornbeampier.routing import fleet
@@ -124,6 +127,54 @@
         self.assertIn(self.acquire_all(retry_budget), range(1, 6))
 
 
+class SegmentCountTest(testtools.TestCase):
+    """Prompts of a client that lists its parts token by token."""
+
+    ENGINES = 9
+    PROMPT_SEGMENTS = 1_400
+    PROMPTS = 120
+
+    def setUp(self):
+        super().setUp()
+        self.fixture = fakes.RoutingFixture(self.ENGINES)
+        self.placements = placements.Placements(
+            self.fixture.fleet, self.fixture.catalog
+        )
+
+    def prompt(self, number, tokens):
+        segments = tuple(
+            domain.PromptSegment(f"{number:08x}{part:08x}", tokens)
+            for part in range(self.PROMPT_SEGMENTS)
+        )
+        return domain.Prompt("m", 1_400, 100, 50, segments)
+
+    # Guards against a VM that runs out of memory for segments of one token, or
+    # none: only the tokens were bounded.
+    def test_segments_of_all_engines_fit_beside_the_program(self):
+        program = node_memory.PROGRAM
+        for tokens in (1, 0):
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            for number in range(self.PROMPTS):
+                state = self.fixture.states[number % self.ENGINES]
+                self.placements.record(state, self.prompt(number, tokens))
+            held_bytes = tracemalloc.get_traced_memory()[0]
+            self.assertLess(
+                held_bytes, program.largest_bytes - program.idle_bytes
+            )
+
+    # Guards against a bound that forgets the newest prompt.
+    def test_newest_prompt_is_known(self):
+        state = self.fixture.states[0]
+        for number in range(self.PROMPTS):
+            self.placements.record(state, self.prompt(number, 1))
+        newest = self.prompt(self.PROMPTS - 1, 1)
+        self.assertEqual(
+            self.PROMPT_SEGMENTS,
+            state.prefix_cache.cached_prefix_tokens(newest),
+        )
+
+
 class PrefixCacheIndexTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
