Ask again whether a process is up that accepts and does not reply

What callers saw: MIXED and ORDER. Cause: the kernel closes the listening socket of a killed process after its connections. A VM that connected in that millisecond was accepted, then reset, and took the lost report for a sign of life. Change: a question without a reply is asked again on a new connection, after 10, 20 and 40 ms. A refused connection shows that the process has ended.

--- a/hornbeampier/forwarding/end_check.py
+++ b/hornbeampier/forwarding/end_check.py
@@ -16,6 +16,9 @@
 from hornbeampier.routing import domain
 
 REPORT_TIMEOUT_MS = 150.0
+# Pauses before the questions after one without a reply. The kernel closes the
+# listening socket of a killed process last, some ms after its connections.
+RETRY_PAUSES_MS = (10.0, 20.0, 40.0)
 
 
 def has_outlived_response(
@@ -25,8 +28,27 @@
 ) -> bool:
     """Whether an endpoint's process is up after the end of its response.
 
-    A process that accepts connections and sends no report is taken for the one
-    that responded, unless it is of another endpoint.
+    A process that accepts connections again and again and sends no report is
+    taken for the one that responded, unless it is of another endpoint.
+    """
+    for pause_ms in (*RETRY_PAUSES_MS, None):
+        has_responded = _ask(pool, endpoint, clock)
+        if has_responded is not None:
+            return has_responded
+        if pause_ms is not None:
+            clock.sleep(pause_ms)
+    return True
+
+
+def _ask(
+    pool: connection_pool.ConnectionPool,
+    endpoint: domain.Endpoint,
+    clock: clocks.Clock,
+) -> bool | None:
+    """Whether the process at an address is that of an endpoint.
+
+    It is None if the process does not reply. On platforms whose entries have no
+    start time, endpoints are not asked.
     """
     try:
         conn = pool.acquire(endpoint, "")
@@ -34,31 +56,29 @@
         # Not an error: the process has ended.
         return False
     try:
-        return _may_have_responded(conn, endpoint, clock)
+        return not endpoint.started_ms or _is_process(conn, endpoint, clock)
+    except client.TRANSPORT_ERRORS:
+        return None
     finally:
         conn.close()
 
 
-def _may_have_responded(
+def _is_process(
     conn: client.ClientConnection,
     endpoint: domain.Endpoint,
     clock: clocks.Clock,
 ) -> bool:
-    """Asks the process on a connection whether it is that of an endpoint.
-
-    On platforms whose entries have no start time, endpoints are not asked.
-    """
-    if not endpoint.started_ms:
-        return True
+    """Whether a connection leads to the process of an entry."""
+    response = conn.call(
+        reports.encode_request(endpoint),
+        clock.now() + REPORT_TIMEOUT_MS,
+        max_bytes=reports.MAX_BYTES,
+        id_header=names.REQUEST_ID,
+    )
+    if response.status == announcements.MISDIRECTED_STATUS:
+        return False
     try:
-        response = conn.call(
-            reports.encode_request(endpoint),
-            clock.now() + REPORT_TIMEOUT_MS,
-            max_bytes=reports.MAX_BYTES,
-            id_header=names.REQUEST_ID,
-        )
-        if response.status == announcements.MISDIRECTED_STATUS:
-            return False
         return reports.decode_started_ms(response.body) == endpoint.started_ms
-    except (*client.TRANSPORT_ERRORS, errors.PlatformError):
+    except errors.PlatformError:
+        # It replies, and does not tell which process it is.
         return True
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -219,6 +219,57 @@
         self.assertEqual(502, response.status)
 
 
+class EndingProcessTest(UnframedTestCase):
+    """The address of a killed process accepts connections a moment longer."""
+
+    def end_slowly(self, req, lost_reports=1, ends=True):
+        """Its connections close first; some more are accepted, and reset."""
+        [endpoint] = [e for e in self.endpoints if req in e.received]
+        lost = []
+        send_report = endpoint._send_report
+
+        def lose_report(report):
+            if len(lost) >= lost_reports:
+                send_report(report)
+                return
+            lost.append(report)
+            self.reset(report)
+            if ends and len(lost) == lost_reports:
+                endpoint.stop()
+
+        endpoint._send_report = lose_report
+        req.close_connection()
+
+    # Guards against MIXED and ORDER: a stream that broke off being ended as
+    # complete, as the killed process still accepted a connection.
+    def test_stream_of_a_process_that_is_ending_is_not_complete(self):
+        for lost_reports in (1, 2):
+            router = self.start(
+                nodes.ENGINE_SERVICE,
+                [
+                    EVENTS[0],
+                    lambda req, n=lost_reports: self.end_slowly(req, n),
+                ],
+            )
+            response = self.call(router, "POST", "/stream/x")
+            self.assertFalse(response.complete)
+
+    # Guards against MIXED: the same for a body that is not a stream.
+    def test_body_of_a_process_that_is_ending_is_not_complete(self):
+        router = self.start(nodes.PLAIN_SERVICE, ["who", self.end_slowly])
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual(502, response.status)
+
+    # Guards against whole responses that are cut off as a report was lost.
+    def test_response_is_complete_if_the_process_replies_later(self):
+        router = self.start(
+            nodes.PLAIN_SERVICE,
+            ["whole", lambda req: self.end_slowly(req, ends=False)],
+        )
+        response = self.call(router, "POST", "/unsafe/x", body=b"b")
+        self.assertEqual((200, b"whole"), (response.status, response.body))
+
+
 class LeavingEndpointTest(UnframedTestCase):
     def leave(self, req):
         """Writes the entry of an endpoint that leaves; waits until it is read.
