Let a test's error come after its request, not while the process is asked

Cause: the test makes every reading of a response's head fail. Since a process is asked who it is before it gets a resumable stream, the error comes there, before the request is sent, and 503 as not run is the true answer. Change: the question is let through, so the error comes after the request on all four routes, as before, and 502 is still asked for on each; a new test asks for 503 and nothing received if the question fails. The count of received requests is awaited, as the last one is read from a connection that the VM has closed by then. No code of the product has changed.

--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -8,6 +8,7 @@
 from structlog import testing
 
 from hornbeampier.forwarding import endpoint_attempt
+from hornbeampier.forwarding import process_check
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import sse
 from hornbeampier.http1 import client
@@ -15,6 +16,7 @@
 from hornbeampier.routing import route_table
 from tests import log_levels
 from tests import nodes
+from tests import store_standin
 
 OWN_ID = {"X-Hornbeampier-Attempt-Id": "me"}
 
@@ -89,12 +91,30 @@
     # Guards against REFUSED: once it was sent it may have run.
     def test_error_after_the_request_was_sent_gives_502(self):
         router = self.start()
-        self.patch(client.ClientConnection, "read_head", fail)
+        read_head = client.ClientConnection.read_head
+
+        def fail_after_request(conn, *args):
+            # A process is asked who it is before it gets a resumable stream.
+            if conn._request.target == b"/report":
+                return read_head(conn, *args)
+            return fail()
+
+        self.patch(client.ClientConnection, "read_head", fail_after_request)
         for path in ("/unsafe/x", "/safe/x", "/stream/x", "/resume/x"):
             response = self.logged_call(router, method="POST", path=path)
             self.assert_refused(502, response)
+        # The endpoint may read the last one later.
+        store_standin.wait_until(lambda: self.received() >= 4)
         self.assertEqual(4, self.received())
 
+    # Guards against REFUSED: nothing is sent until the process was asked.
+    def test_error_while_the_process_is_asked_gives_503(self):
+        router = self.start()
+        self.patch(process_check, "ask", fail)
+        response = self.logged_call(router, method="POST", path="/resume/x")
+        self.assert_refused(503, response)
+        self.assertEqual(0, self.received())
+
     # Guards against REFUSED: an earlier attempt may have run.
     def test_error_after_an_earlier_attempt_gives_502(self):
         def handler(attempt):
