Start the endpoints of a test once: those of its first round were chosen again

Cause: the test started its endpoints and node in a loop, and the entries of the first round stayed in the store. If the second node chose one of them, its handler looked among the endpoints of the second round, failed (ValueError in the log) and closed the connection of a process that was up: the stream was complete, and rightly so. Change: two tests in place of the loop, with the same checks. No code of the product has changed.

--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -243,16 +243,19 @@
     # Guards against MIXED and ORDER: a stream that broke off being ended as
     # complete, as the killed process still accepted a connection.
     def test_stream_of_a_process_that_is_ending_is_not_complete(self):
-        for lost_reports in (1, 2):
-            router = self.start(
-                nodes.ENGINE_SERVICE,
-                [
-                    EVENTS[0],
-                    lambda req, n=lost_reports: self.end_slowly(req, n),
-                ],
-            )
-            response = self.call(router, "POST", "/stream/x")
-            self.assertFalse(response.complete)
+        self.check_stream(lost_reports=1)
+
+    # The same if it accepts another connection after that.
+    def test_stream_of_a_process_that_ends_later_is_not_complete(self):
+        self.check_stream(lost_reports=2)
+
+    def check_stream(self, lost_reports):
+        router = self.start(
+            nodes.ENGINE_SERVICE,
+            [EVENTS[0], lambda req: self.end_slowly(req, lost_reports)],
+        )
+        response = self.call(router, "POST", "/stream/x")
+        self.assertFalse(response.complete)
 
     # Guards against MIXED: the same for a body that is not a stream.
     def test_body_of_a_process_that_is_ending_is_not_complete(self):
