Measure the wait for room for a response by one clock

Cause: a response that waits for room slept by the clock of the process, and timed out by real time. With the clock of tests, which moves on at each sleep, over 1 s passed before a timeout of 0 s fired, so the other response counted as stalled and was ended. On the system's clock the two differ while a VM is suspended. Change: the wait for room ends by the same clock by which it sleeps. Only the wait for a turn, which does not sleep, has a timeout of the semaphore. The test and its check are as they were.

--- a/hornbeampier/response_room.py
+++ b/hornbeampier/response_room.py
@@ -175,10 +175,13 @@
         Raises:
             TimeoutError: There is none within `timeout_ms`.
         """
-        with gevent.Timeout(timeout_ms / clocks.MS_PER_SECOND, TimeoutError):
-            with self._turn:
-                while not self._has_room(holder, size):
-                    self._clock.sleep(ROOM_CHECK_MS)
+        due_ms = self._clock.now() + timeout_ms
+        if not self._turn.acquire(timeout=timeout_ms / clocks.MS_PER_SECOND):
+            raise TimeoutError("other responses wait for room")
+        try:
+            self._wait_in_turn(holder, size, due_ms)
+        finally:
+            self._turn.release()
 
     def yield_bytes(self, size: int) -> None:
         """Ends stalled responses that hold `size` bytes, the largest first."""
@@ -190,6 +193,15 @@
             size -= reading.yielding_bytes
             reading.end()
 
+    def _wait_in_turn(
+        self, holder: ResponseHolder, size: int, due_ms: float
+    ) -> None:
+        while not self._has_room(holder, size):
+            remaining_ms = due_ms - self._clock.now()
+            if remaining_ms <= 0.0:
+                raise TimeoutError("there is no room for the response")
+            self._clock.sleep(min(ROOM_CHECK_MS, remaining_ms))
+
     def _has_room(self, holder: ResponseHolder, size: int) -> bool:
         return (
             self._try_make_room(size)
