Take a reset that the writer of a request learns of for the reader's error

What callers saw (MIXED): an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got the part as a complete answer, on unsafe, safe and streaming routes. On this arm64 machine resumable streams ended as complete too. Cause: a long request is written by a greenlet while its response is read. The kernel reports the error of a socket once. The writer received it and returned False, and the reader then got an end of stream, which is the end of a body without a length. The endpoint was up, so the question after such an end did not help. Change: the error that the writer receives is raised where the reader would take the end of stream for an end. Two errors of a writer are not the connection's: its own timeout, and EPIPE, which Linux reports if the server's end of stream arrived before the reset. There the response was ended in order (RFC 9112, section 9.6), and the reader gets its end of stream whoever reads first. Not run on x86-64.

--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
+import errno
 
 import gevent
 from gevent import socket
@@ -79,6 +80,8 @@
         self._on_endless = on_endless
         self._http = h11.Connection(h11.CLIENT)
         self._sender: gevent.Greenlet | None = None
+        # The error of the connection, if the sender received it.
+        self._sender_error: OSError | None = None
         self._request: h11.Request | None = None
         self._eof_received = False
         # Events since other tasks have run.
@@ -266,8 +269,11 @@
         try:
             for part in parts:
                 self._sock.sendall(part)
-        except OSError:
-            # Reading the response reports the lost connection.
+        except OSError as exc:
+            # Timeouts without an errno are the sender's own. EPIPE follows the
+            # end of the server's stream, which can still be read.
+            if exc.errno not in (None, errno.EPIPE):
+                self._sender_error = exc
             return False
         return True
 
@@ -298,6 +304,9 @@
     def _receive(self, deadline_ms: float) -> None:
         self._set_deadline(deadline_ms)
         data = self._sock.recv(RECEIVE_BYTES)
+        if not data and self._sender_error is not None:
+            # The kernel reports an error once, and an end of stream after it.
+            raise self._sender_error
         self._eof_received = not data
         self._http.receive_data(data)
 
--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -23,6 +23,18 @@
             name, _, value = line.partition(":")
             self.headers[name.strip().lower()] = value.strip()
         self.body = body
+        self.rest = b""
+
+    def read_body(self):
+        """Reads the rest of the body, and perhaps the start of a request."""
+        length = int(self.headers.get("content-length", 0))
+        data = bytearray(self.body)
+        while len(data) < length:
+            block = self.sock.recv(65536)
+            if not block:
+                raise ConnectionError("connection closed within a body")
+            data += block
+        self.body, self.rest = bytes(data[:length]), bytes(data[length:])
 
     @property
     def id(self):
@@ -81,11 +93,17 @@
             report, and passes requests for it to the handler.
         reports: Number of reports that it sent.
         on_connect: Called for each connection, before anything is read.
+        reads_bodies: Whether a body has been read when its request is passed
+            to the handler. If not, the request has the part that came with
+            its head, and its connection takes no other.
     """
 
-    def __init__(self, handler=ReceivedRequest.respond, born=1):
+    def __init__(
+        self, handler=ReceivedRequest.respond, born=1, reads_bodies=True
+    ):
         self.handler = handler
         self.born = born
+        self.reads_bodies = reads_bodies
         self.reports = 0
         self.on_connect = lambda: None
         self.received = []
@@ -127,16 +145,18 @@
                         return
                     buffer += data
                 head, _, buffer = buffer.partition(b"\r\n\r\n")
-                req = ReceivedRequest(sock, head, b"")
-                length = int(req.headers.get("content-length", 0))
-                while len(buffer) < length:
-                    buffer += sock.recv(65536)
-                req.body, buffer = buffer[:length], buffer[length:]
+                req = ReceivedRequest(sock, head, buffer)
                 if self._is_report(req):
                     self._send_report(req)
+                    buffer = b""
                     continue
+                if self.reads_bodies:
+                    req.read_body()
                 self.received.append(req)
                 self.handler(req)
+                if not self.reads_bodies:
+                    return
+                buffer = req.rest
 
     def _is_report(self, req):
         is_report = req.request_line.startswith("GET /report ")
--- /dev/null
+++ b/tests/test_responses_to_uploads.py
@@ -0,0 +1,221 @@
+"""Responses without a length that arrive while their request is being written.
+
+Only the end of the connection ends them. A connection that was reset has not
+ended them, whether the reader or the writer of the request learns of it.
+"""
+
+import errno
+import struct
+
+import gevent
+from gevent import server
+from gevent import socket
+import testtools
+
+from hornbeampier import clock as clocks
+from hornbeampier import errors
+from hornbeampier import http_client
+from hornbeampier.http1 import client
+from hornbeampier.http1 import messages
+from hornbeampier.http1 import sockets
+from tests import endpoint_standin
+from tests import nodes
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# More than the kernel takes while the server reads nothing.
+UPLOAD = bytes(8 * 1024 * 1024)
+EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in (1, 2, 3))
+PAUSES_S = (0.0, 0.05)
+TIMEOUT_MS = 5_000.0
+
+
+def reset(req):
+    req.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    req.sock.close()
+
+
+def close(req):
+    """Closes the connection; the kernel resets it if input is unread."""
+    req.sock.close()
+
+
+def read_and_close(req):
+    req.read_body()
+    req.sock.close()
+
+
+def close_in_stages(req):
+    """Ends the response, and discards input until the client has closed."""
+    req.sock.shutdown(socket.SHUT_WR)
+    while req.sock.recv(65536):
+        pass
+    req.sock.close()
+
+
+def shut_down_and_reset(req):
+    """Ends the response, and does not wait for the client."""
+    req.sock.shutdown(socket.SHUT_WR)
+    reset(req)
+
+
+class UploadTestCase(nodes.NodeTestCase):
+    def start(self, service, respond):
+        """Starts an endpoint that responds while it is sent a request."""
+        cfg = nodes.configuration()
+        cfg["limits"]["maxBodyBytes"] = MAX_BODY_BYTES
+        self.endpoint = self.start_endpoint(service, respond)
+        self.endpoint.reads_bodies = False
+        self.router = self.start_ready_node(cfg)
+
+    def upload(self, path):
+        return self.call(self.router, "POST", path, body=UPLOAD)
+
+
+class ResponseBodyTest(UploadTestCase):
+    def responses(self, *ends, path="/unsafe/x", framing="", pauses=PAUSES_S):
+        """Yields the response to an upload for each way to end it."""
+        self.start(nodes.PLAIN_SERVICE, lambda req: None)
+        for end in ends:
+            for pause_s in pauses:
+                self.endpoint.handler = self.responder(framing, pause_s, end)
+                yield self.upload(path)
+
+    def responder(self, framing, pause_s, end):
+        def respond(req):
+            head = [
+                "HTTP/1.1 200 OK",
+                endpoint_standin.SEAL,
+                f"X-Hornbeampier-Attempt-Id: {req.id}",
+                "Content-Type: text/plain",
+                *([framing] if framing else []),
+            ]
+            req.send("\r\n".join(head) + "\r\n\r\nwhole")
+            gevent.sleep(pause_s)
+            end(req)
+
+        return respond
+
+    def assert_whole(self, responses):
+        for response in responses:
+            self.assertEqual((200, b"whole"), (response.status, response.body))
+
+    # Guards against MIXED: the part that a client got before its connection was
+    # reset passing for a whole response, as the writer got the error.
+    def test_reset_during_the_upload_does_not_end_the_body(self):
+        for response in self.responses(reset, close):
+            self.assertEqual(502, response.status)
+
+    def test_reset_during_the_upload_does_not_end_the_body_of_a_retry(self):
+        for response in self.responses(reset, close, path="/safe/x"):
+            self.assertEqual(502, response.status)
+
+    # Guards against work that has run being run again.
+    def test_request_whose_response_was_reset_is_not_repeated(self):
+        for count, _ in enumerate(self.responses(reset, close), 1):
+            self.assertEqual(count, len(self.endpoint.received))
+
+    # Guards against whole responses that are refused, as the upload ended with
+    # an error after them, or later than they.
+    def test_body_with_a_length_is_whole_before_a_reset(self):
+        self.assert_whole(
+            self.responses(
+                reset,
+                close,
+                framing="Content-Length: 5",
+                pauses=(0.05,),
+            )
+        )
+
+    def test_body_is_whole_if_the_upload_was_read(self):
+        self.assert_whole(self.responses(read_and_close))
+
+    def test_body_is_whole_if_the_server_ended_it_before_the_upload(self):
+        self.assert_whole(self.responses(close_in_stages, shut_down_and_reset))
+
+
+class StreamTest(UploadTestCase):
+    def stream(self, path, end):
+        def respond(req):
+            head = [
+                "HTTP/1.1 200 OK",
+                endpoint_standin.SEAL,
+                f"X-Hornbeampier-Attempt-Id: {req.id}",
+                "Content-Type: text/event-stream",
+            ]
+            req.send("\r\n".join(head).encode() + b"\r\n\r\n" + EVENTS)
+            gevent.sleep(0.05)
+            end(req)
+
+        self.start(nodes.ENGINE_SERVICE, respond)
+        return self.upload(path)
+
+    # Guards against MIXED: whole events before a reset passing for a stream.
+    def test_reset_during_the_upload_does_not_end_the_stream(self):
+        for end in (reset, close):
+            self.assertFalse(self.stream("/stream/x", end).complete)
+
+    def test_reset_during_the_upload_does_not_end_a_resumable_stream(self):
+        for end in (reset, close):
+            self.assertFalse(self.stream("/resume/x", end).complete)
+
+    def test_stream_is_complete_if_the_upload_was_read(self):
+        for path in ("/stream/x", "/resume/x"):
+            response = self.stream(path, read_and_close)
+            self.assertEqual((True, EVENTS), (response.complete, response.body))
+
+
+class ClientTestCase(testtools.TestCase):
+    def serve(self, end, pause_s):
+        """Starts a server that responds to a head and reads no body."""
+
+        def handle(sock, _):
+            req = endpoint_standin.ReceivedRequest(sock, b"GET /", b"")
+            sock.recv(1024)
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+            gevent.sleep(pause_s)
+            end(req)
+
+        standin = server.StreamServer((nodes.HOST, 0), handle)
+        standin.start()
+        self.addCleanup(standin.stop)
+        return standin.server_port
+
+
+class ClientConnectionTest(ClientTestCase):
+    """The client of nodes: for endpoints, the store and peers."""
+
+    def call(self, end, pause_s):
+        port = self.serve(end, pause_s)
+        sock = sockets.connect(nodes.HOST, port, TIMEOUT_MS)
+        clock = clocks.SystemClock()
+        conn = client.ClientConnection(sock, clock)
+        self.addCleanup(conn.close)
+        length = b"%d" % len(UPLOAD)
+        headers = ((b"Host", b"x"), (b"Content-Length", length))
+        return conn.call(
+            messages.RequestHead(b"POST", b"/", headers),
+            clock.now() + TIMEOUT_MS,
+            max_bytes=1024,
+            body=UPLOAD,
+        )
+
+    # Guards against a part of a response to a call passing for a whole one.
+    def test_reset_during_the_upload_is_an_error(self):
+        for end in (reset, close):
+            for pause_s in PAUSES_S:
+                exc = self.assertRaises(OSError, self.call, end, pause_s)
+                self.assertEqual(errno.ECONNRESET, exc.errno)
+
+
+class HttpClientTest(ClientTestCase):
+    """The client of `serve`, which writes all of a request first."""
+
+    # Guards against MIXED: a part of a response passing for a whole one.
+    def test_reset_during_the_upload_is_an_error(self):
+        for end in (reset, close, shut_down_and_reset):
+            for pause_s in PAUSES_S:
+                port = self.serve(end, pause_s)
+                http = http_client.HttpClient(nodes.HOST, port, TIMEOUT_MS)
+                request = http_client.OutgoingRequest("POST", "/", body=UPLOAD)
+                self.assertRaises(errors.AttemptError, http.call, request)
