--- a/tests/endpoint_standin.py
+++ b/tests/endpoint_standin.py
@@ -148,7 +148,6 @@
                 req = ReceivedRequest(sock, head, buffer)
                 if self._is_report(req):
                     self._send_report(req)
-                    buffer = b""
                     continue
                 if self.reads_bodies:
                     req.read_body()
