Refuse responses whose head has a folded line

The client of serve refused these heads already. Cause: h11 unfolds such lines, and says nothing of it. Change: the client of nodes reads heads along with h11 and refuses a response with a folded line, interim heads included, as RFC 9112, section 5.2 lets a gateway do. Tests: three failed before, on bodies and streams, after another field, in an interim head and after one. A body whose lines begin with blanks is passed on.

--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -10,6 +10,7 @@
 import h11
 
 from hornbeampier import clock as clocks
+from hornbeampier.http1 import folded_lines
 from hornbeampier.http1 import messages
 from hornbeampier.http1 import sockets
 
@@ -79,6 +80,7 @@
         self._clock = clock
         self._on_endless = on_endless
         self._http = h11.Connection(h11.CLIENT)
+        self._folded_lines = folded_lines.FoldedLineCheck()
         self._sender: gevent.Greenlet | None = None
         # The error of the connection, if the sender received it.
         self._sender_error: OSError | None = None
@@ -99,6 +101,7 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
+        self._folded_lines = folded_lines.FoldedLineCheck()
         self._request = h11.Request(
             method=head.method, target=head.target, headers=list(head.headers)
         )
@@ -290,10 +293,19 @@
                     raise self.endless("the head is too large") from exc
                 raise
             if event is not h11.NEED_DATA:
+                self._check_head(event)
                 self._let_others_run()
                 return event
             self._receive(deadline_ms)
 
+    def _check_head(self, event: h11.Event) -> None:
+        """Raises h11.RemoteProtocolError if `event` is an invalid head."""
+        if not isinstance(event, (h11.InformationalResponse, h11.Response)):
+            return
+        is_final = isinstance(event, h11.Response)
+        if self._folded_lines.end_head(is_final):
+            raise h11.RemoteProtocolError("a line of the head is folded")
+
     def _let_others_run(self) -> None:
         """Bounds the time that a received block of small parts takes."""
         self._turn_events += 1
@@ -308,6 +320,7 @@
             # The kernel reports an error once, and an end of stream after it.
             raise self._sender_error
         self._eof_received = not data
+        self._folded_lines.feed(data)
         self._http.receive_data(data)
 
     def _set_deadline(self, deadline_ms: float) -> None:
@@ -336,6 +349,7 @@
         # h11 accepts one response per request. A new state machine is given
         # the request again, with zeros of the same length as its body.
         self._http = h11.Connection(h11.CLIENT)
+        self._folded_lines = folded_lines.FoldedLineCheck(next_data)
         self._http.send(self._request)
         if self._http.our_state is h11.SEND_BODY:
             length = messages.get(
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -185,6 +185,34 @@
 
         self.check(OTHER_PLACES, respond)
 
+    # Guards against a value that is joined from two lines reaching callers, and
+    # against a body cut to a length that was folded.
+    def test_folded_line_is_refused(self):
+        self.check(FOLDED, lambda req, line: head_of(req, line) + BODY)
+
+    def test_folded_line_in_an_interim_head_is_refused(self):
+        def respond(req, line):
+            interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n"
+            head = head_of(req, b"Content-Length: 5")
+            return interim + line + b"\r\n\r\n" + head + BODY
+
+        self.check(FOLDED, respond)
+
+    def test_folded_line_after_an_interim_head_is_refused(self):
+        def respond(req, line):
+            interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+            return interim + head_of(req, line) + BODY
+
+        self.check(FOLDED, respond)
+
+    # Guards against sound responses that are refused for what their body holds.
+    def test_line_of_a_body_may_begin_with_a_blank(self):
+        def respond(req):
+            head = head_of(req, b"Content-Length: 7")
+            return head + b"\n a\r\n\tb"
+
+        self.assertEqual([200], self.statuses("/unsafe/x", respond))
+
 
 class HttpClientTest(testtools.TestCase):
     """The client of `serve`."""
