Refuse responses with a status over 599

What callers saw: a response with status 600 or 999 was passed on as it was, at nodes and by the client of serve; 000 and what is no three digits were refused with 502. Cause: the parsers take any three digits from 100. Change: both clients refuse a status over 599 as they do 000. RFC 9110, section 15 calls such values invalid and lets a client take them for a server error; 502 is the status for an invalid response. The cost: a caller no longer sees such a status of a service that uses one. Tests: with 600 and 999 in the tables, three tests failed before, on bodies, streams and at the client of serve; 299, 499 and 599 are passed on.

--- a/hornbeampier/http1/client.py
+++ b/hornbeampier/http1/client.py
@@ -305,6 +305,10 @@
         is_final = isinstance(event, h11.Response)
         if self._folded_lines.end_head(is_final):
             raise h11.RemoteProtocolError("a line of the head is folded")
+        if event.status_code > messages.MAX_STATUS:
+            raise h11.RemoteProtocolError(
+                f"the status {event.status_code} is invalid"
+            )
 
     def _let_others_run(self) -> None:
         """Bounds the time that a received block of small parts takes."""
--- a/hornbeampier/http1/messages.py
+++ b/hornbeampier/http1/messages.py
@@ -11,6 +11,9 @@
 # Bytes of a header line besides name and value: colon, space, CRLF.
 HEADER_LINE_BYTES = 4
 
+# Larger values are invalid (RFC 9110, section 15).
+MAX_STATUS = 599
+
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     {
--- a/hornbeampier/http_client.py
+++ b/hornbeampier/http_client.py
@@ -12,6 +12,7 @@
 
 from hornbeampier import errors
 from hornbeampier import verdict
+from hornbeampier.http1 import messages
 
 DEFAULT_CONNECT_TIMEOUT_MS = 1_000.0
 DEFAULT_POOL_SIZE = 256
@@ -207,6 +208,7 @@
             sock.settimeout(timeout_ms / MS_PER_SECOND)
             sock.sendall(self._encode(req))
             resp = _BoundedResponse(sock, req.method)
+            _check_status(resp)
         except TRANSPORT_ERRORS as exc:
             pool.release_socket(sock)
             raise _connection_lost(exc) from exc
@@ -242,6 +244,14 @@
         return head.encode("latin-1") + req.body
 
 
+def _check_status(resp: response.HTTPSocketResponse) -> None:
+    """Raises HTTPProtocolViolationError if the status is invalid."""
+    if resp.status_code > messages.MAX_STATUS:
+        raise response.HTTPProtocolViolationError(
+            f"the status {resp.status_code} is invalid"
+        )
+
+
 def _connection_lost(exc: BaseException) -> errors.AttemptError:
     """Returns the error for a failure or timeout after the connection was made.
 
