Test resets during uploads with a node as a process, and the retry after them

The tests of responses to uploads ran the node in the process of its endpoints, where the kernel tells both sides in one turn. Three more: four uploads at once to a node of its own process, with a reset and with a close that leaves input unread, then with a server that reads on and closes; and a safe request that is retried after a reset. The case for crowds takes its largest body and memory from its class for this; its values are as they were for the classes there.

--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -45,6 +45,8 @@
 
     host = "127.0.0.41"
     max_fds = MAX_FDS
+    max_body_bytes = MAX_BODY_BYTES
+    memory_mb = MEMORY_MB
 
     def setUp(self):
         super().setUp()
@@ -53,7 +55,7 @@
         )
         limits = {
             "headerBytes": MAX_HEAD_BYTES,
-            "maxBodyBytes": MAX_BODY_BYTES,
+            "maxBodyBytes": self.max_body_bytes,
             "headerTimeoutMs": LONG_MS,
             "idleTimeoutMs": LONG_MS,
         }
@@ -75,7 +77,7 @@
             self.host,
             [],
             self.store.port,
-            {"maxFds": self.max_fds, "memoryMb": MEMORY_MB},
+            {"maxFds": self.max_fds, "memoryMb": self.memory_mb},
         )
         self.addCleanup(self.vm.close)
         self.vm.start()
@@ -105,12 +107,12 @@
         crowd.wait_sent()
         return crowd
 
-    def ask(self):
+    def ask(self, body=ORDINARY_BODY):
         """Sends an ordinary request over a new connection."""
         caller = nodes.Caller(self.vm.callers, crowds.PATIENCE_S)
         self.addCleanup(caller.close)
         headers = {"X-Hornbeampier-Deadline-Ms": ORDINARY_DEADLINE_MS}
-        caller.send("POST", "/unsafe/ordinary", headers, ORDINARY_BODY)
+        caller.send("POST", "/unsafe/ordinary", headers, body)
         return caller.read()
 
     def check(self, crowd):
@@ -126,7 +128,7 @@
     def check_process(self):
         self.assertTrue(crowds.is_running(self.vm.pid))
         self.assertLess(
-            crowds.peak_memory_kib(self.vm.pid), MEMORY_MB * crowds.KIB
+            crowds.peak_memory_kib(self.vm.pid), self.memory_mb * crowds.KIB
         )
         self.assertLess(crowds.open_descriptors(self.vm.pid), self.max_fds)
 
--- a/tests/test_responses_to_uploads.py
+++ b/tests/test_responses_to_uploads.py
@@ -20,6 +20,7 @@
 from hornbeampier.http1 import sockets
 from tests import endpoint_standin
 from tests import nodes
+from tests import test_misbehaving_callers as callers
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -27,6 +28,7 @@
 UPLOAD = bytes(8 * 1024 * 1024)
 EVENTS = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in (1, 2, 3))
 PAUSES_S = (0.0, 0.05)
+UPLOADS = 4
 TIMEOUT_MS = 5_000.0
 
 
@@ -72,30 +74,33 @@
         return self.call(self.router, "POST", path, body=UPLOAD)
 
 
+def responder(framing, pause_s, end, body="whole"):
+    """Returns a handler that sends a body and ends it after a pause."""
+
+    def respond(req):
+        head = [
+            "HTTP/1.1 200 OK",
+            endpoint_standin.SEAL,
+            f"X-Hornbeampier-Attempt-Id: {req.id}",
+            "Content-Type: text/plain",
+            *([framing] if framing else []),
+        ]
+        req.send("\r\n".join(head) + "\r\n\r\n" + body)
+        gevent.sleep(pause_s)
+        end(req)
+
+    return respond
+
+
 class ResponseBodyTest(UploadTestCase):
     def responses(self, *ends, path="/unsafe/x", framing="", pauses=PAUSES_S):
         """Yields the response to an upload for each way to end it."""
         self.start(nodes.PLAIN_SERVICE, lambda req: None)
         for end in ends:
             for pause_s in pauses:
-                self.endpoint.handler = self.responder(framing, pause_s, end)
+                self.endpoint.handler = responder(framing, pause_s, end)
                 yield self.upload(path)
 
-    def responder(self, framing, pause_s, end):
-        def respond(req):
-            head = [
-                "HTTP/1.1 200 OK",
-                endpoint_standin.SEAL,
-                f"X-Hornbeampier-Attempt-Id: {req.id}",
-                "Content-Type: text/plain",
-                *([framing] if framing else []),
-            ]
-            req.send("\r\n".join(head) + "\r\n\r\nwhole")
-            gevent.sleep(pause_s)
-            end(req)
-
-        return respond
-
     def assert_whole(self, responses):
         for response in responses:
             self.assertEqual((200, b"whole"), (response.status, response.body))
@@ -110,6 +115,20 @@
         for response in self.responses(reset, close, path="/safe/x"):
             self.assertEqual(502, response.status)
 
+    def test_reset_during_the_upload_of_a_safe_request_is_retried(self):
+        handlers = [
+            responder("", 0.05, reset, body="wh"),
+            responder("", 0.0, read_and_close),
+        ]
+
+        def respond(req):
+            handlers.pop(0)(req)
+
+        other = self.start_endpoint(nodes.PLAIN_SERVICE, respond)
+        other.reads_bodies = False
+        self.start(nodes.PLAIN_SERVICE, respond)
+        self.assert_whole([self.upload("/safe/x")])
+
     # Guards against work that has run being run again.
     def test_request_whose_response_was_reset_is_not_repeated(self):
         for count, _ in enumerate(self.responses(reset, close), 1):
@@ -165,6 +184,32 @@
             self.assertEqual((True, EVENTS), (response.complete, response.body))
 
 
+class ProcessTest(callers.CrowdCase):
+    """The node as a process of its own."""
+
+    host = "127.0.0.57"
+    max_body_bytes = MAX_BODY_BYTES
+    memory_mb = 150
+
+    def upload(self, end):
+        """Returns the responses to uploads that come at once."""
+        self.endpoint.handler = responder("", 0.05, end)
+        self.endpoint.reads_bodies = False
+        uploads = [gevent.spawn(self.ask, UPLOAD) for _ in range(UPLOADS)]
+        gevent.joinall(uploads, raise_error=True)
+        return [upload.value for upload in uploads]
+
+    # Guards against MIXED, as above, where the kernel tells another process.
+    def test_reset_during_the_upload_does_not_end_the_body(self):
+        for end in (reset, close):
+            statuses = [response.status for response in self.upload(end)]
+            self.assertEqual([502] * UPLOADS, statuses)
+
+    def test_body_is_whole_if_the_upload_was_read(self):
+        for response in self.upload(read_and_close):
+            self.assertEqual((200, b"whole"), (response.status, response.body))
+
+
 class ClientTestCase(testtools.TestCase):
     def serve(self, end, pause_s):
         """Starts a server that responds to a head and reads no body."""
