--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -50,7 +50,7 @@
 }
 # Lines that are folded, or have one, if they follow another field.
 FOLDED = ("a blank before", "a tab before", "a folded length")
-# The names that a parser of another part of a message may take.
+# Those that are played in other places too.
 OTHER_PLACES = (
     "a blank within",
     "a blank after",
@@ -127,11 +127,13 @@
         for path in ("/unsafe/x", "/safe/x"):
             self.check(path, "text/plain", INVALID_STATUSES, refused)
 
+    # The same for a response that would be a stream.
     def test_invalid_status_of_a_stream_is_refused(self):
         refused = [502] * len(INVALID_STATUSES)
         for path in ("/stream/x", "/resume/x"):
             self.check(path, "text/event-stream", INVALID_STATUSES, refused)
 
+    # Guards against sound responses that are refused.
     def test_unknown_status_is_passed_on(self):
         expected = [int(text) for text in VALID_STATUSES]
         self.check("/unsafe/x", "text/plain", VALID_STATUSES, expected)
@@ -162,10 +164,12 @@
             lambda req, line: head_of(req, b"Content-Length: 5", line) + BODY,
         )
 
+    # The same where the end of the connection ends the body.
     def test_invalid_name_without_a_length_is_refused(self):
         names = [name for name in INVALID_FIELDS if name not in FOLDED]
         self.check(names, lambda req, line: head_of(req, line) + BODY)
 
+    # The same in the other places that hold fields.
     def test_invalid_name_in_the_first_line_is_refused(self):
         def respond(req, line):
             head = head_of(req, b"Content-Length: 5")
@@ -192,6 +196,7 @@
     def test_folded_line_is_refused(self):
         self.check(FOLDED, lambda req, line: head_of(req, line) + BODY)
 
+    # The same in the heads before the final one, and after them.
     def test_folded_line_in_an_interim_head_is_refused(self):
         def respond(req, line):
             interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n"
@@ -250,6 +255,7 @@
         }
         self.assertEqual([], self.passed_on(heads))
 
+    # Guards against sound responses that are refused.
     def test_unknown_status_is_passed_on(self):
         for text in VALID_STATUSES:
             status, body = self.call(f"HTTP/1.1 {text} Status".encode())
--- a/tests/test_responses_to_uploads.py
+++ b/tests/test_responses_to_uploads.py
@@ -74,7 +74,7 @@
         return self.call(self.router, "POST", path, body=UPLOAD)
 
 
-def responder(framing, pause_s, end, body="whole"):
+def responder(framing, pause_s, end, body=b"whole", content_type="text/plain"):
     """Returns a handler that sends a body and ends it after a pause."""
 
     def respond(req):
@@ -82,10 +82,10 @@
             "HTTP/1.1 200 OK",
             endpoint_standin.SEAL,
             f"X-Hornbeampier-Attempt-Id: {req.id}",
-            "Content-Type: text/plain",
+            f"Content-Type: {content_type}",
             *([framing] if framing else []),
         ]
-        req.send("\r\n".join(head) + "\r\n\r\n" + body)
+        req.send("\r\n".join(head).encode() + b"\r\n\r\n" + body)
         gevent.sleep(pause_s)
         end(req)
 
@@ -111,13 +111,15 @@
         for response in self.responses(reset, close):
             self.assertEqual(502, response.status)
 
-    def test_reset_during_the_upload_does_not_end_the_body_of_a_retry(self):
+    # The same where the request could be retried, and no endpoint is left.
+    def test_reset_during_the_upload_of_a_safe_request_is_refused(self):
         for response in self.responses(reset, close, path="/safe/x"):
             self.assertEqual(502, response.status)
 
+    # Guards against a part in place of the whole response of another endpoint.
     def test_reset_during_the_upload_of_a_safe_request_is_retried(self):
         handlers = [
-            responder("", 0.05, reset, body="wh"),
+            responder("", 0.05, reset, body=b"wh"),
             responder("", 0.0, read_and_close),
         ]
 
@@ -135,7 +137,7 @@
             self.assertEqual(count, len(self.endpoint.received))
 
     # Guards against whole responses that are refused, as the upload ended with
-    # an error after them, or later than they.
+    # an error after them.
     def test_body_with_a_length_is_whole_before_a_reset(self):
         self.assert_whole(
             self.responses(
@@ -146,41 +148,39 @@
             )
         )
 
+    # The same for responses that began during the upload.
     def test_body_is_whole_if_the_upload_was_read(self):
         self.assert_whole(self.responses(read_and_close))
 
+    # The same for responses that also ended during the upload.
     def test_body_is_whole_if_the_server_ended_it_before_the_upload(self):
         self.assert_whole(self.responses(close_in_stages, shut_down_and_reset))
 
 
 class StreamTest(UploadTestCase):
-    def stream(self, path, end):
-        def respond(req):
-            head = [
-                "HTTP/1.1 200 OK",
-                endpoint_standin.SEAL,
-                f"X-Hornbeampier-Attempt-Id: {req.id}",
-                "Content-Type: text/event-stream",
-            ]
-            req.send("\r\n".join(head).encode() + b"\r\n\r\n" + EVENTS)
-            gevent.sleep(0.05)
-            end(req)
-
-        self.start(nodes.ENGINE_SERVICE, respond)
-        return self.upload(path)
+    def streams(self, path, *ends):
+        """Yields the response to an upload for each way to end its stream."""
+        self.start(nodes.ENGINE_SERVICE, lambda req: None)
+        for end in ends:
+            self.endpoint.handler = responder(
+                "", 0.05, end, EVENTS, "text/event-stream"
+            )
+            yield self.upload(path)
 
     # Guards against MIXED: whole events before a reset passing for a stream.
     def test_reset_during_the_upload_does_not_end_the_stream(self):
-        for end in (reset, close):
-            self.assertFalse(self.stream("/stream/x", end).complete)
+        for response in self.streams("/stream/x", reset, close):
+            self.assertFalse(response.complete)
 
+    # The same on a route where another endpoint may go on with a stream.
     def test_reset_during_the_upload_does_not_end_a_resumable_stream(self):
-        for end in (reset, close):
-            self.assertFalse(self.stream("/resume/x", end).complete)
+        for response in self.streams("/resume/x", reset, close):
+            self.assertFalse(response.complete)
 
+    # Guards against whole streams that are cut off.
     def test_stream_is_complete_if_the_upload_was_read(self):
         for path in ("/stream/x", "/resume/x"):
-            response = self.stream(path, read_and_close)
+            [response] = self.streams(path, read_and_close)
             self.assertEqual((True, EVENTS), (response.complete, response.body))
 
 
@@ -205,6 +205,7 @@
             statuses = [response.status for response in self.upload(end)]
             self.assertEqual([502] * UPLOADS, statuses)
 
+    # Guards against whole responses that are refused.
     def test_body_is_whole_if_the_upload_was_read(self):
         for response in self.upload(read_and_close):
             self.assertEqual((200, b"whole"), (response.status, response.body))
