--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -26,7 +26,7 @@
     "OK",
     "٢٠٠",
 )
-# Statuses that no standard defines, and that any client has to take.
+# Valid, though no standard defines all of them.
 VALID_STATUSES = ("200", "299", "499", "599")
 # The name of a field ends at its colon, and is a token.
 INVALID_FIELDS = {
@@ -48,9 +48,9 @@
     "a length with a zero byte": b"Content-\0Length: 3",
     "a folded length": b"Content-Length:\r\n 3",
 }
-# Lines that are folded, or have one, if they follow another field.
+# Names of those that are folded lines after another field.
 FOLDED = ("a blank before", "a tab before", "a folded length")
-# Those that are played in other places too.
+# Names of those that are also sent in trailers and in interim heads.
 OTHER_PLACES = (
     "a blank within",
     "a blank after",
