Log and count refused prompts by their size, and by what they wait for

Change: 'refused' names the route, and for prompts the engine, the kind, the size, which part of the expected wait is the prompt's own and what is ahead; hornbeampier_prompts_total counts served, refused, cut and left prompts by route and size. No decision changes.

--- a/hornbeampier/ingress/caller_handler.py
+++ b/hornbeampier/ingress/caller_handler.py
@@ -11,6 +11,7 @@
 from hornbeampier import node_metrics
 from hornbeampier.forwarding import early_ends
 from hornbeampier.forwarding import forwarder
+from hornbeampier.forwarding import prompt_outcomes
 from hornbeampier.forwarding import selection
 from hornbeampier.forwarding import streams
 from hornbeampier.http1 import caller_watch
@@ -21,6 +22,7 @@
 from hornbeampier.platform import headers
 from hornbeampier.routing import catalog
 from hornbeampier.routing import domain
+from hornbeampier.routing import load_shedding
 
 # Limits until a configuration is known.
 INITIAL_LIMITS = domain.Limits(
@@ -51,6 +53,7 @@
         self._admission = admission
         self._forwarder = forwarder
         self._metrics = metrics
+        self._prompt_outcomes = prompt_outcomes.PromptOutcomes(metrics)
         self._clock = clock
         self._log = structlog.get_logger(task="callers")
         self.draining = False
@@ -212,7 +215,7 @@
         )
         req = accepted.with_body(body)
         self.late_requests.check(req)
-        with conn.watch_caller():
+        with self._prompt_outcomes.count(req), conn.watch_caller():
             self._forwarder.forward(req, conn, self.late_requests.check)
         self.late_requests.durations.record(
             req.route.name, self._clock.now() - arrived_ms
@@ -241,9 +244,11 @@
             code=exc.code.value,
             verdict=exc.verdict.value,
             error=exc.message,
+            route=route and route.name,
             host=head.host,
             path=head.path,
             version=self._catalog.version,
+            **_describe_prompt(exc),
         )
 
 
@@ -262,5 +267,22 @@
     return exc.status, response_headers, body.encode()
 
 
+def _describe_prompt(exc: errors.RefusalError) -> dict[str, object]:
+    """Returns the log fields on a prompt that an engine had no room for."""
+    if not isinstance(exc, load_shedding.OverloadError):
+        return {}
+    prompt = exc.prompt
+    return {
+        "endpoint": prompt.endpoint_id,
+        "kind": prompt.kind.name.lower(),
+        "prompt_tokens": prompt.tokens,
+        "own_ms": round(prompt.own_ms),
+        "ahead_ms": round(prompt.ahead_ms),
+        "limit_ms": round(prompt.limit_ms),
+        "utilization": round(prompt.prefill_utilization, 2),
+        "speed_factor": round(prompt.speed_factor, 2),
+    }
+
+
 def _request_id(head: messages.RequestHead) -> str:
     return headers.decode_request(head).request_id
--- a/hornbeampier/node_metrics.py
+++ b/hornbeampier/node_metrics.py
@@ -31,6 +31,11 @@
             "hornbeampier_attempts_total",
             "Attempts at endpoints by service and outcome.",
         )
+        self._prompts = self._counter(
+            "hornbeampier_prompts_total",
+            "Callers' attempts at prompts by route, size among the route's "
+            "prompts, and outcome.",
+        )
         self._announcements = self._counter(
             "hornbeampier_announcements_total",
             "Changes of what endpoints announce, by service and kind.",
@@ -117,6 +122,10 @@
         """Counts one attempt at an endpoint of `service`."""
         self._attempts.inc({"service": service, "outcome": outcome})
 
+    def record_prompt(self, route: str, size: str, outcome: str) -> None:
+        """Counts a prompt of `route`, by its size band and its outcome."""
+        self._prompts.inc({"route": route, "size": size, "outcome": outcome})
+
     def record_announcement(self, service: str, kind: str) -> None:
         """Counts a change of what an endpoint of `service` announces."""
         self._announcements.inc({"service": service, "kind": kind})
--- a/hornbeampier/routing/dispatch.py
+++ b/hornbeampier/routing/dispatch.py
@@ -1,6 +1,5 @@
 """Chooses an endpoint for each attempt and records the load it causes."""
 
-from hornbeampier import errors
 from hornbeampier.routing import choosers
 from hornbeampier.routing import endpoint_choice
 from hornbeampier.routing import fleet
@@ -46,8 +45,8 @@
             version: Software version that the endpoint must run; None for any.
 
         Raises:
-            errors.RefusalError: The request has not been sent anywhere yet, and
-                the chosen engine is overloaded.
+            load_shedding.OverloadError: The request has not been sent anywhere
+                yet, and the chosen engine is overloaded.
         """
         if req.prompt is None:
             return self._plain_chooser.choose(req, tried, version)
@@ -57,7 +56,7 @@
         slots = choice.state.endpoint.slots
         self._pools.record(req, choice.prefill_tokens, slots)
         if not tried:
-            self._check_overload(req, choice)
+            self._load_shedder.check(req, choice)
         self._placements.record(choice.state, req.prompt)
         self._prefill_meter.record(choice.state.id, choice.prefill_tokens)
         return choice
@@ -89,17 +88,3 @@
         None if no endpoint of the request's service is left.
         """
         return self._fleet.opens_in_ms(req.service, tried, version)
-
-    def _check_overload(
-        self, req: requests.Request, choice: endpoint_choice.EndpointChoice
-    ) -> None:
-        if self._load_shedder.accepts(req, choice):
-            return
-        raise errors.RefusalError(
-            503,
-            errors.RefusalCode.OVERLOADED,
-            f"the chosen engine is overloaded: the expected wait is "
-            f"{choice.wait_ms:.0f} ms and the engine spends "
-            f"{choice.prefill_utilization:.0%} of its time on prefill",
-            retry_after_ms=self._load_shedder.retry_after_ms(req, choice),
-        )
--- a/hornbeampier/routing/endpoint_choice.py
+++ b/hornbeampier/routing/endpoint_choice.py
@@ -12,6 +12,8 @@
 
     Attributes:
         wait_ms: Expected time to the first event of a generation request.
+        own_ms: Part of the wait that the request itself brings: the prefill of
+            its prompt, and the transfer of cached segments for it.
         expected_response_ms: Expected response time of a plain request, with
             which the measured time is compared; None if it is not measured.
         prefill_tokens: Prompt tokens that the endpoint itself must prefill.
@@ -30,6 +32,7 @@
 
     state: fleet.EndpointState
     wait_ms: float = 0.0
+    own_ms: float = 0.0
     expected_response_ms: float | None = None
     prefill_tokens: float = 0.0
     queued_tokens: float = 0.0
@@ -39,3 +42,8 @@
     in_flight: int = 0
     speed_factor: float = 1.0
     fetch_from: domain.Endpoint | None = None
+
+    @property
+    def ahead_ms(self) -> float:
+        """Part of the wait that does not depend on the request's size."""
+        return self.wait_ms - self.own_ms
--- a/hornbeampier/routing/estimates.py
+++ b/hornbeampier/routing/estimates.py
@@ -90,9 +90,13 @@
             + factor * self._model.wait_ms(prefill_tokens, queued_tokens)
             + slot_wait_ms
         )
+        own_ms = transfer.duration_ms + factor * self._model.prefill_ms(
+            prefill_tokens
+        )
         return endpoint_choice.EndpointChoice(
             state,
             wait_ms=wait_ms,
+            own_ms=own_ms,
             prefill_tokens=prefill_tokens,
             queued_tokens=queued_tokens,
             uncached_prefill_ms=self._model.prefill_ms(uncached_tokens),
--- a/hornbeampier/routing/load_shedding.py
+++ b/hornbeampier/routing/load_shedding.py
@@ -5,10 +5,12 @@
 many streams reach their deadlines before they are complete.
 """
 
+import dataclasses
 import math
 import random
 
 from hornbeampier import clock as clocks
+from hornbeampier import errors
 from hornbeampier.routing import endpoint_choice
 from hornbeampier.routing import prefill
 from hornbeampier.routing import prompt_kinds
@@ -30,6 +32,51 @@
 MAX_BATCH_UTILIZATION = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedPrompt:
+    """A prompt that was refused, and what decided it.
+
+    Attributes:
+        endpoint_id: The chosen engine.
+        kind: The prompt's kind.
+        tokens: The prompt's size.
+        own_ms: Part of the expected wait that the prompt itself brings.
+        ahead_ms: The rest of the expected wait.
+        limit_ms: The longest wait with which it is accepted.
+        prefill_utilization: Fraction of time that the engine spends on prefill.
+        speed_factor: How many times longer work takes at the engine than at the
+            service's typical one.
+    """
+
+    endpoint_id: str
+    kind: prompt_kinds.PromptKind
+    tokens: int
+    own_ms: float
+    ahead_ms: float
+    limit_ms: float
+    prefill_utilization: float
+    speed_factor: float
+
+
+class OverloadError(errors.RefusalError):
+    """A prompt is refused because the engine chosen for it is overloaded.
+
+    Attributes:
+        prompt: The prompt, and what decided it.
+    """
+
+    def __init__(self, prompt: RefusedPrompt, retry_after_ms: float):
+        super().__init__(
+            503,
+            errors.RefusalCode.OVERLOADED,
+            f"the chosen engine is overloaded: the expected wait is "
+            f"{prompt.own_ms + prompt.ahead_ms:.0f} ms and the engine spends "
+            f"{prompt.prefill_utilization:.0%} of its time on prefill",
+            retry_after_ms=retry_after_ms,
+        )
+        self.prompt = prompt
+
+
 class LoadShedder:
     """Decides whether a prompt may be sent to the engine chosen for it."""
 
@@ -55,6 +102,28 @@
             or choice.prefill_utilization < MAX_BATCH_UTILIZATION
         )
 
+    def check(
+        self, req: requests.Request, choice: endpoint_choice.EndpointChoice
+    ) -> None:
+        """Checks that a prompt may be sent to the chosen engine.
+
+        Raises:
+            OverloadError: It may not.
+        """
+        if self.accepts(req, choice):
+            return
+        prompt = RefusedPrompt(
+            endpoint_id=choice.state.id,
+            kind=self._classifier.classify(req),
+            tokens=req.prompt.input_tokens,
+            own_ms=choice.own_ms,
+            ahead_ms=choice.ahead_ms,
+            limit_ms=self._max_wait_ms(req),
+            prefill_utilization=choice.prefill_utilization,
+            speed_factor=choice.speed_factor,
+        )
+        raise OverloadError(prompt, self.retry_after_ms(req, choice))
+
     def retry_after_ms(
         self, req: requests.Request, choice: endpoint_choice.EndpointChoice
     ) -> float:
