Let what is ahead of a prompt decide whether it is refused, not its own prefill

Cause: load shedding compared its limit with the whole expected wait for the first event, which contains the prompt's own prefill. So the larger a prompt, the shorter the queue that it might join, down to none. In lasting overload queues are about as long as the limit, so the largest prompts found no room however often they came back, and their Retry-After waited for their own prefill. The class: a limit on waiting that the request's own size uses up. Tests that build a choice by hand now say that its wait is caused by others; their assertions are as before.

--- a/hornbeampier/routing/endpoint_choice.py
+++ b/hornbeampier/routing/endpoint_choice.py
@@ -12,8 +12,11 @@
 
     Attributes:
         wait_ms: Expected time to the first event of a generation request.
-        own_ms: Part of the wait that the request itself brings: the prefill of
-            its prompt, and the transfer of cached segments for it.
+        ahead_ms: Part of the wait that other requests cause.
+        own_ms: Prefill time of the prompt's tokens that no endpoint caches. The
+            request brings it to any endpoint.
+        recompute_ms: Prefill time of the tokens that another endpoint caches
+            and this one lacks, also if they are transferred instead.
         expected_response_ms: Expected response time of a plain request, with
             which the measured time is compared; None if it is not measured.
         prefill_tokens: Prompt tokens that the endpoint itself must prefill.
@@ -32,7 +35,9 @@
 
     state: fleet.EndpointState
     wait_ms: float = 0.0
+    ahead_ms: float = 0.0
     own_ms: float = 0.0
+    recompute_ms: float = 0.0
     expected_response_ms: float | None = None
     prefill_tokens: float = 0.0
     queued_tokens: float = 0.0
@@ -42,8 +47,3 @@
     in_flight: int = 0
     speed_factor: float = 1.0
     fetch_from: domain.Endpoint | None = None
-
-    @property
-    def ahead_ms(self) -> float:
-        """Part of the wait that does not depend on the request's size."""
-        return self.wait_ms - self.own_ms
--- a/hornbeampier/routing/estimates.py
+++ b/hornbeampier/routing/estimates.py
@@ -63,6 +63,9 @@
         self._model = model
         self._traits = traits
         self._holder = holder
+        self._held_tokens = 0
+        if holder is not None:
+            self._held_tokens = holder.prefix_cache.cached_prefix_tokens(prompt)
         self._long_term_factors = long_term_factors
         self._kv_slots = math.inf
         if traits is not None:
@@ -85,18 +88,21 @@
             long_term_factor * state.speed.current_slowdown()
         )
         slot_wait_ms = factor * self._slot_wait_ms(state, in_flight)
+        ahead_ms = factor * self._model.wait_ms(0, queued_tokens) + slot_wait_ms
         wait_ms = (
             transfer.duration_ms
-            + factor * self._model.wait_ms(prefill_tokens, queued_tokens)
-            + slot_wait_ms
-        )
-        own_ms = transfer.duration_ms + factor * self._model.prefill_ms(
-            prefill_tokens
+            + factor * self._model.prefill_ms(prefill_tokens)
+            + ahead_ms
         )
+        known_tokens = max(cached_tokens, self._held_tokens)
+        own_tokens = max(0, self._prompt.input_tokens - known_tokens)
         return endpoint_choice.EndpointChoice(
             state,
             wait_ms=wait_ms,
-            own_ms=own_ms,
+            ahead_ms=ahead_ms,
+            own_ms=factor * self._model.prefill_ms(own_tokens),
+            recompute_ms=factor
+            * self._model.prefill_ms(known_tokens - cached_tokens),
             prefill_tokens=prefill_tokens,
             queued_tokens=queued_tokens,
             uncached_prefill_ms=self._model.prefill_ms(uncached_tokens),
@@ -127,10 +133,7 @@
             return NO_TRANSFER
         if holder.endpoint.software_version != state.endpoint.software_version:
             return NO_TRANSFER
-        tokens = (
-            holder.prefix_cache.cached_prefix_tokens(self._prompt)
-            - cached_tokens
-        )
+        tokens = self._held_tokens - cached_tokens
         if tokens < MIN_TRANSFER_TOKENS:
             return NO_TRANSFER
         duration_ms = self._traits.kv_transfer_ms(tokens)
--- a/tests/test_routing_load_shedding.py
+++ b/tests/test_routing_load_shedding.py
@@ -31,6 +31,7 @@
         choice = endpoint_choice.EndpointChoice(
             self.fixture.states[0],
             wait_ms=wait_ms,
+            ahead_ms=wait_ms,
             prefill_utilization=utilization,
         )
         return self.shedder.accepts(req, choice)
@@ -47,6 +48,7 @@
         choice = endpoint_choice.EndpointChoice(
             self.fixture.states[0],
             wait_ms=wait_ms,
+            ahead_ms=wait_ms,
             prefill_utilization=utilization,
         )
         return self.shedder.retry_after_ms(req, choice)
