Compare what other engines can spare a prompt when it may spill over

A large interactive prompt stayed behind the queue of its pool although engines of the batch pool were idle, and was refused there. Cause: the same class as in load shedding: the other pool's wait had to be half as long, and both waits contain the prompt's own prefill, which hides the difference between the queues. Change: the prefill that the prompt brings to any engine is left out. Test: a prompt of 60,000 tokens behind 40,000, and idle engines elsewhere; it stayed before and spills over now.

--- a/hornbeampier/routing/choosers.py
+++ b/hornbeampier/routing/choosers.py
@@ -49,7 +49,7 @@
 # its latency target.
 SPILL_WAIT_FRACTION = 0.4
 # How many times shorter the wait in the other pool must be for a short or an
-# interactive prompt.
+# interactive prompt, without the prefill that it brings to any engine.
 SPILL_WAIT_RATIO = 2.0
 # A prompt whose stream does not tolerate prefill beside it spills over only to
 # engines that spend less than this fraction of their time on prefill.
@@ -249,7 +249,7 @@
         is likely to be late anyway.
         """
         if self._classifier.classify(req) is not prompt_kinds.PromptKind.BATCH:
-            if spillover.wait_ms >= best.wait_ms / SPILL_WAIT_RATIO:
+            if spillover.avoidable_ms >= best.avoidable_ms / SPILL_WAIT_RATIO:
                 return False
             return (
                 spillover.prefill_utilization < MAX_STREAM_SPILL_UTILIZATION
--- a/hornbeampier/routing/endpoint_choice.py
+++ b/hornbeampier/routing/endpoint_choice.py
@@ -47,3 +47,8 @@
     in_flight: int = 0
     speed_factor: float = 1.0
     fetch_from: domain.Endpoint | None = None
+
+    @property
+    def avoidable_ms(self) -> float:
+        """Part of the wait that another endpoint might spare the request."""
+        return self.wait_ms - self.own_ms
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -148,6 +148,15 @@
         used = {self.send(self.interactive_route, 9_000) for _ in range(12)}
         self.assertGreater(len(used), 2)
 
+    # Guards against large prompts that stay in a busy pool because their own
+    # prefill, which is the same at all engines, hides the shorter queue.
+    def test_large_interactive_prompts_spill_over_to_idle_batch_engines(self):
+        pool = self.pool_of(self.interactive_route)
+        for state in self.fixture.states:
+            if state.id in pool:
+                fleet.InFlightAttempt(state, None, 40_000)
+        self.assertNotIn(self.send(self.interactive_route, 60_000), pool)
+
     def fill_batch_engines(self):
         for _ in range(60):
             self.send(self.batch_route, 17_000)
