Shorten the longest wait by about what prompts no longer count

What callers saw: since a prompt's own prefill does not count, the same limit let more work begin than before, and more of it ended late or at its deadline. Change: a batch prompt is accepted if the wait ahead of it is at most 0.45 of its latency target or 0.09 of its remaining time, in place of 0.6 and 0.12. The limits of short and interactive prompts, 0.3 of the remaining time, stay. Test: one that gives a wait and expects a range of Retry-After is moved with the limit, to the same distance from it and the same range.

--- a/hornbeampier/routing/load_shedding.py
+++ b/hornbeampier/routing/load_shedding.py
@@ -25,8 +25,8 @@
 # most a fraction of its latency target, or at most a fraction of its remaining
 # time. The latter is larger for short and interactive prompts, so that they are
 # not refused while batch prompts are accepted.
-LATENCY_TARGET_FRACTION = 0.6
-BATCH_REMAINING_FRACTION = 0.12
+LATENCY_TARGET_FRACTION = 0.45
+BATCH_REMAINING_FRACTION = 0.09
 REMAINING_FRACTION = 0.3
 # For a stream that its caller takes up: it can go on only at the engines of one
 # software version, and part of its work is done.
--- a/tests/test_routing_load_shedding.py
+++ b/tests/test_routing_load_shedding.py
@@ -59,9 +59,9 @@
         self.assertGreater(retry_after_ms, 1_000.0)
 
     def test_caller_returns_when_the_queue_is_short_enough(self):
-        # The limit is 1,200 ms, of a latency target of 2,000 ms.
+        # The limit is 900 ms, of a latency target of 2,000 ms.
         for _ in range(20):
-            retry_after_ms = self.retry_after_ms(1_700.0)
+            retry_after_ms = self.retry_after_ms(1_400.0)
             self.assertGreaterEqual(retry_after_ms, 500.0)
             self.assertLessEqual(retry_after_ms, 1_000.0)
 
