--- a/hornbeampier/routing/load_shedding.py
+++ b/hornbeampier/routing/load_shedding.py
@@ -1,4 +1,4 @@
-"""Load shedding: refuses prompts for which too many others wait.
+"""Load shedding: refuses prompts that would wait too long for others.
 
 The throughput of an overloaded engine does not depend on its queue depth. With
 a short queue its responses are on time; with a long queue all are late, and
--- a/hornbeampier/routing/prompt_sizes.py
+++ b/hornbeampier/routing/prompt_sizes.py
@@ -11,6 +11,8 @@
 # minimum for a rank.
 SAMPLE_COUNT = 256
 MIN_SAMPLE_COUNT = 20
+# Number of routes whose prompts are compared: those with the newest prompts.
+MAX_ROUTES = 256
 # Fractions of a route's prompts that are smaller than those of a band.
 LARGEST_QUANTILE = 0.9
 LARGE_QUANTILE = 0.7
@@ -29,11 +31,15 @@
     """The sizes of the recent prompts of each route."""
 
     def __init__(self):
-        self._samples: dict[str, _Sample] = collections.defaultdict(_Sample)
+        # The route with the newest prompt is last.
+        self._samples: dict[str, _Sample] = {}
 
     def rank(self, req: requests.Request) -> SizeBand:
         """Returns the band of a request's prompt, and records its size."""
-        sample = self._samples[req.route.name]
+        sample = self._samples.pop(req.route.name, None) or _Sample()
+        self._samples[req.route.name] = sample
+        if len(self._samples) > MAX_ROUTES:
+            del self._samples[next(iter(self._samples))]
         sample.add(req.prompt.input_tokens)
         return sample.band(req.prompt.input_tokens)
 
--- a/tests/test_prompt_outcomes.py
+++ b/tests/test_prompt_outcomes.py
@@ -54,6 +54,11 @@
     def test_first_prompts_have_no_rank(self):
         self.assertEqual(prompt_sizes.SizeBand.UNRANKED, self.rank(50_000))
 
+    def test_routes_without_prompts_are_forgotten(self):
+        for number in range(2 * prompt_sizes.MAX_ROUTES):
+            self.rank(1_000, fakes.route(f"route-{number}"))
+        self.assertEqual(prompt_sizes.MAX_ROUTES, len(self.sizes._samples))
+
     def test_old_sizes_are_forgotten(self):
         for _ in range(300):
             self.rank(50_000)
