--- a/tests/test_largest_prompts.py
+++ b/tests/test_largest_prompts.py
@@ -96,11 +96,13 @@
             excess_ms = 90_000 / 50 + 40 - limit_ms
             self.assertLessEqual(exc.retry_after_ms, 2.0 * excess_ms + 1.0)
 
+    # Guards against a queue that grows without bounds in overload.
     def test_large_and_small_prompts_are_refused_behind_the_same_queue(self):
         self.queue(90_000)
         self.assertIsNotNone(self.refusal(9_000))
         self.assertIsNotNone(self.refusal(60_000))
 
+    # Guards against prefill in vain.
     def test_prompt_that_cannot_begin_before_its_deadline_is_refused(self):
         self.assertIsNotNone(self.refusal(120_000, now_ms=10_000.0))
 
@@ -126,8 +128,8 @@
         choice = self.vm.chooser.choose(req, ())
         return self.vm.load_shedder.accepts(req, choice)
 
-    # Guards against shared segments that are prefilled at one engine after the
-    # other: where a queue is short, that prefill is no part of the prompt.
+    # Guards against prompts that leave the engine that caches their segment for
+    # one that is nearly as busy, so that all engines prefill all segments.
     def test_prefill_that_another_engine_has_done_counts_as_waiting(self):
         fleet.InFlightAttempt(self.other, None, 50_000)
         self.assertFalse(self.is_accepted())
