Let the test of refused lines see them whatever level an earlier test has set

Change: it uses log_levels, as others do. Result: with the level set to warning before each test it failed before and passes now.

--- a/tests/test_prompt_outcomes.py
+++ b/tests/test_prompt_outcomes.py
@@ -18,6 +18,7 @@
 from hornbeampier.routing import load_shedding
 from hornbeampier.routing import prompt_kinds
 from hornbeampier.routing import prompt_sizes
+from tests import log_levels
 from tests import routing_fakes as fakes
 
 ROUTE = fakes.route("draft")
@@ -147,6 +148,7 @@
 
 class RefusalLogTest(testtools.TestCase):
     def test_refused_prompt_is_logged_with_its_size_and_its_own_wait(self):
+        log_levels.log_all(self)
         handler = caller_handler.CallerHandler(
             catalog.Catalog(),
             _Admission(),
